Add the design, the package workspace and the base package

The workspace is a CMake project with one library per package; a check in cmake/Jaylane.cmake refuses dependencies against the package order. The base package holds the clock interface, results, the bounded ring, the hybrid logical clock, the event log, JSON-line logs and latency histograms.

--- /dev/null
+++ b/packages/base/include/jaylane/base/BoundedRing.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include <boost/circular_buffer.hpp>
+#include <chrono>
+#include <condition_variable>
+#include <cstddef>
+#include <mutex>
+#include <optional>
+#include <utility>
+
+namespace jaylane::base {
+
+/// Bounded queue between threads; any number of producers and consumers.
+/// A full ring refuses a value instead of growing: the producer decides what to shed.
+template<typename T>
+class BoundedRing
+{
+public:
+  /// @param aCapacity number of values held at most.
+  explicit BoundedRing(std::size_t aCapacity)
+    : m_values(aCapacity)
+  {
+  }
+
+  /// @param aValue moved in only on success.
+  /// @return false if the ring is full or closed.
+  bool TryPush(T&& aValue)
+  {
+    {
+      std::lock_guard lock(m_mutex);
+      if (m_closed || m_values.full()) {
+        return false;
+      }
+      m_values.push_back(std::move(aValue));
+    }
+    m_ready.notify_one();
+    return true;
+  }
+
+  /// @return the oldest value, or nothing if the ring is empty.
+  std::optional<T> TryPop()
+  {
+    std::lock_guard lock(m_mutex);
+    return TakeLocked();
+  }
+
+  /// @param aTimeout longest wait.
+  /// @return the oldest value, or nothing after the timeout or once closed and empty.
+  std::optional<T> Pop(std::chrono::nanoseconds aTimeout)
+  {
+    std::unique_lock lock(m_mutex);
+    m_ready.wait_for(lock, aTimeout, [this] { return m_closed || !m_values.empty(); });
+    return TakeLocked();
+  }
+
+  /// Refuses further values; those held can still be taken.
+  void Close()
+  {
+    {
+      std::lock_guard lock(m_mutex);
+      m_closed = true;
+    }
+    m_ready.notify_all();
+  }
+
+  /// @return number of values held.
+  std::size_t size() const
+  {
+    std::lock_guard lock(m_mutex);
+    return m_values.size();
+  }
+
+private:
+  std::optional<T> TakeLocked()
+  {
+    if (m_values.empty()) {
+      return std::nullopt;
+    }
+    std::optional<T> value(std::move(m_values.front()));
+    m_values.pop_front();
+    return value;
+  }
+
+  mutable std::mutex m_mutex;
+  std::condition_variable m_ready;
+  boost::circular_buffer<T> m_values;
+  bool m_closed = false;
+};
+
+} // namespace jaylane::base
--- /dev/null
+++ b/packages/base/src/Clock.cpp
@@ -0,0 +1,41 @@
+#include "jaylane/base/Clock.h"
+
+namespace jaylane::base {
+
+MonotonicTime SystemClock::Monotonic() const
+{
+  return std::chrono::steady_clock::now();
+}
+
+WallTime SystemClock::Wall() const
+{
+  return std::chrono::system_clock::now();
+}
+
+const SystemClock& SystemClock::Get()
+{
+  static const SystemClock sClock;
+  return sClock;
+}
+
+MonotonicTime ManualClock::Monotonic() const
+{
+  std::lock_guard lock(m_mutex);
+  // Starts away from zero so that "now minus a window" stays positive.
+  return MonotonicTime{ std::chrono::hours{ 1 } + m_elapsed };
+}
+
+WallTime ManualClock::Wall() const
+{
+  std::lock_guard lock(m_mutex);
+  const auto start = WallTime{ std::chrono::seconds{ 1'700'000'000 } };
+  return start + std::chrono::duration_cast<WallTime::duration>(m_elapsed);
+}
+
+void ManualClock::Advance(std::chrono::nanoseconds aStep)
+{
+  std::lock_guard lock(m_mutex);
+  m_elapsed += aStep;
+}
+
+} // namespace jaylane::base
