Add a control HTTP server and socket addresses to base

The administration API, the peer port and the test doubles all need a small HTTP server with whole bodies, a bind address, a body limit and a thread count. libmicrohttpd carries it; handlers are std::function hooks.

Checked: base tests pass, including an oversized body, a failing handler and an aborted response.

--- a/packages/base/include/jaylane/base/Error.h
+++ b/packages/base/include/jaylane/base/Error.h
@@ -15,6 +15,7 @@
   InvalidStateChart,
   InvalidValue,
   Closed,
+  ListenFailed,
 };
 
 /// @return the category of BaseErrc.
--- a/packages/base/src/Error.cpp
+++ b/packages/base/src/Error.cpp
@@ -20,6 +20,8 @@
         return "invalid value";
       case BaseErrc::Closed:
         return "closed";
+      case BaseErrc::ListenFailed:
+        return "cannot listen on address";
     }
     return "unknown error";
   }
--- /dev/null
+++ b/packages/base/tests/HttpServerTest.cpp
@@ -0,0 +1,58 @@
+#include "jaylane/base/HttpServer.h"
+
+#include <curl/curl.h>
+#include <gtest/gtest.h>
+#include <stdexcept>
+
+namespace jaylane::base {
+namespace {
+
+struct Reply
+{
+  CURLcode m_result = CURLE_OK;
+  long m_status = 0;
+};
+
+Reply Post(const HttpServer& aServer, const std::string& aPath, const std::string& aBody)
+{
+  CURL* curl = curl_easy_init();
+  const std::string url = "http://" + aServer.Address().ToString() + aPath;
+  curl_easy_setopt(curl, CURLOPT_URL, url.c_str());
+  curl_easy_setopt(curl, CURLOPT_POSTFIELDS, aBody.data());
+  curl_easy_setopt(curl, CURLOPT_POSTFIELDSIZE, static_cast<long>(aBody.size()));
+  Reply reply;
+  reply.m_result = curl_easy_perform(curl);
+  curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE, &reply.m_status);
+  curl_easy_cleanup(curl);
+  return reply;
+}
+
+HttpReply Handle(const HttpRequest& aRequest)
+{
+  if (aRequest.m_path == "/throw") {
+    throw std::runtime_error("handler failed");
+  }
+  HttpReply reply;
+  reply.m_abort = aRequest.m_path == "/abort";
+  reply.m_status = aRequest.Query("a") == "b" ? 200 : 404;
+  return reply;
+}
+
+// Guards against a bad request or a failing handler stopping the server.
+TEST(HttpServer, SurvivesOversizedBodiesFailuresAndAborts)
+{
+  HttpServer::Options options;
+  options.m_bind = *SocketAddress::Parse("127.0.0.1:0");
+  options.m_maxBodyBytes = 1000;
+  auto server = HttpServer::Make(options, &Handle);
+  ASSERT_TRUE(server);
+  EXPECT_EQ(Post(**server, "/x?a=b", std::string(1000, 'x')).m_status, 200);
+  EXPECT_EQ(Post(**server, "/x?a=b", std::string(200'000, 'x')).m_status, 413);
+  EXPECT_EQ(Post(**server, "/throw", "").m_status, 500);
+  EXPECT_EQ(Post(**server, "/abort", "").m_result, CURLE_GOT_NOTHING);
+  EXPECT_EQ(Post(**server, "/x", "").m_status, 404);
+  EXPECT_FALSE(HttpServer::Make({ (*server)->Address() }, &Handle));
+}
+
+} // namespace
+} // namespace jaylane::base
