Add the proxy package: exchange, upstream transport, caller server

Requests and responses stream through bounded buffers between libmicrohttpd and libcurl. An attempt reports whether anything was sent, so that not-run is never said of a request that may have run; a response without verifiable framing is refused.

Non-idempotent requests never use persistent connections: libcurl resent a request on a connection that broke after the upstream had read it (3 requests for 2 with reuse, 2 without, in NonIdempotentRequestsAreSentOnce).

--- /dev/null
+++ b/packages/proxy/src/UpstreamAttempt.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "jaylane/proxy/UpstreamTransport.h"
+
+#include <array>
+#include <curl/curl.h>
+
+namespace jaylane::proxy::detail {
+
+/// One attempt on its transport thread: a libcurl transfer and its callbacks.
+class UpstreamAttempt
+{
+public:
+  UpstreamAttempt(std::shared_ptr<Exchange> aExchange,
+                  AttemptSpec aSpec,
+                  UpstreamTransport::Done aDone,
+                  const base::Clock& aClock);
+  ~UpstreamAttempt();
+
+  UpstreamAttempt(const UpstreamAttempt&) = delete;
+  UpstreamAttempt& operator=(const UpstreamAttempt&) = delete;
+
+  /// Prepares the transfer.
+  /// @return false if the deadline has passed.
+  bool Begin();
+
+  bool Started() const { return m_easy != nullptr; }
+  CURL* Handle() const { return m_easy; }
+  Exchange& Body() { return *m_exchange; }
+
+  /// Reports the outcome of a transfer that is no longer in progress.
+  void Finish(CURLcode aCode);
+
+  /// Reports an attempt that was not begun.
+  void ReportNotSent(std::string aDetail);
+
+  /// Set while a wake-up for this attempt is in the command ring.
+  std::atomic<bool> m_wakePending{ false };
+
+private:
+  void SetUploadOptions();
+  void SetRequestOptions(std::chrono::milliseconds aTimeout);
+  std::chrono::milliseconds Remaining() const;
+  AttemptResult Classify(CURLcode aCode) const;
+  bool SentNothing() const;
+  bool CommitHead();
+  void ParseStatusLine(std::string_view aLine);
+  size_t HandleHeaderLine(std::string_view aLine);
+
+  static size_t OnRead(char* aTarget, size_t aSize, size_t aCount, void* aSelf);
+  static size_t OnWrite(char* aData, size_t aSize, size_t aCount, void* aSelf);
+  static size_t OnHeader(char* aData, size_t aSize, size_t aCount, void* aSelf);
+  static int OnPreRequest(void* aSelf, char*, char*, int, int);
+
+  const std::shared_ptr<Exchange> m_exchange;
+  const AttemptSpec m_spec;
+  const UpstreamTransport::Done m_done;
+  const base::Clock& m_clock;
+  const base::MonotonicTime m_startedAt;
+
+  CURL* m_easy = nullptr;
+  curl_slist* m_headerLines = nullptr;
+  std::array<char, CURL_ERROR_SIZE> m_errorText{};
+  std::uint64_t m_uploadOffset = 0;
+  bool m_sendAllowed = false;
+  bool m_callerGone = false;
+
+  ResponseHead m_head;
+  bool m_chunked = false;
+  bool m_committed = false;
+  HeadVerdict m_verdict = HeadVerdict::Forward;
+};
+
+} // namespace jaylane::proxy::detail
