Tell failed connections from cancelled attempts in the transport

Upstream selection counts a refused connection as a failure of the upstream, but an attempt that was cancelled before it was sent says nothing about it. AttemptOutcome now carries the difference.

--- a/packages/proxy/include/jaylane/proxy/UpstreamTransport.h
+++ b/packages/proxy/include/jaylane/proxy/UpstreamTransport.h
@@ -46,6 +46,8 @@
   unsigned m_status = 0;
   /// From start to the end of the attempt.
   std::chrono::nanoseconds m_duration{ 0 };
+  /// The upstream could not be connected to; only with NotSent.
+  bool m_connectFailed = false;
   std::string m_detail;
 };
 
--- a/packages/proxy/src/UpstreamAttempt.cpp
+++ b/packages/proxy/src/UpstreamAttempt.cpp
@@ -265,6 +265,8 @@
   outcome.m_result = Classify(aCode);
   outcome.m_status = m_head.m_status;
   outcome.m_duration = m_clock.Monotonic() - m_startedAt;
+  outcome.m_connectFailed = outcome.m_result == AttemptResult::NotSent &&
+                            (aCode == CURLE_COULDNT_CONNECT || aCode == CURLE_OPERATION_TIMEDOUT);
   outcome.m_detail = m_errorText[0] ? m_errorText.data() : curl_easy_strerror(aCode);
   m_exchange->SetWakeTransport(nullptr);
   if (m_committed) {
