settings: add the public headers and a skeleton

The daemon is written in parallel against VmSettings, SettingsTree and EffectiveSettings, so their interfaces land before the implementation.

--- /dev/null
+++ b/packages/settings/src/AdminModel.cpp
@@ -0,0 +1,1 @@
+#include "jaylane/settings/AdminModel.h"
