--- a/packages/settings/include/jaylane/settings/AdminModel.h
+++ b/packages/settings/include/jaylane/settings/AdminModel.h
@@ -36,9 +36,8 @@
 
   /// @param aBody body of POST /v1/drain or /v1/undrain.
   /// @param aRemove true for /v1/undrain.
-  /// @param aNow time of the drain.
   /// @return edit to merge like any other.
-  static base::Result<Edit> ParseDrain(std::string_view aBody, bool aRemove, base::WallTime aNow);
+  static base::Result<Edit> ParseDrain(std::string_view aBody, bool aRemove);
 
   /// GET /v1/settings
   static AdminResponse Settings(const SettingsDocument& aDocument);
