--- /dev/null
+++ b/packages/testing/include/jaylane/testing/HttpCall.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <chrono>
+#include <optional>
+#include <string>
+
+namespace jaylane::testing {
+
+struct HttpReply
+{
+  long m_status = 0;
+  std::string m_body;
+};
+
+/// @param aUrl whole URL.
+/// @param aTimeout of the whole call.
+/// @return the reply, or nothing if there was none.
+std::optional<HttpReply> HttpGet(const std::string& aUrl, std::chrono::milliseconds aTimeout);
+
+/// @param aUrl whole URL.
+/// @param aBody sent as JSON, on a connection of its own.
+/// @param aTimeout of the whole call.
+/// @return the reply, or nothing if there was none.
+std::optional<HttpReply> HttpPost(const std::string& aUrl,
+                                  const std::string& aBody,
+                                  std::chrono::milliseconds aTimeout);
+
+} // namespace jaylane::testing
--- /dev/null
+++ b/packages/testing/src/HttpCall.cpp
@@ -0,0 +1,59 @@
+#include "jaylane/testing/HttpCall.h"
+
+#include <curl/curl.h>
+#include <memory>
+
+namespace jaylane::testing {
+
+namespace {
+
+std::size_t Append(char* aData, std::size_t aSize, std::size_t aCount, void* aBody)
+{
+  static_cast<std::string*>(aBody)->append(aData, aSize * aCount);
+  return aSize * aCount;
+}
+
+std::optional<HttpReply> Call(const std::string& aUrl,
+                              const std::string* aBody,
+                              std::chrono::milliseconds aTimeout)
+{
+  const std::unique_ptr<CURL, decltype(&curl_easy_cleanup)> handle(curl_easy_init(),
+                                                                   &curl_easy_cleanup);
+  const std::unique_ptr<curl_slist, decltype(&curl_slist_free_all)> headers(
+    curl_slist_append(curl_slist_append(nullptr, "Expect:"), "Content-Type: application/json"),
+    &curl_slist_free_all);
+  HttpReply reply;
+  curl_easy_setopt(handle.get(), CURLOPT_URL, aUrl.c_str());
+  curl_easy_setopt(handle.get(), CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(handle.get(), CURLOPT_PROXY, "");
+  curl_easy_setopt(handle.get(), CURLOPT_HTTPHEADER, headers.get());
+  curl_easy_setopt(handle.get(), CURLOPT_TIMEOUT_MS, static_cast<long>(aTimeout.count()));
+  curl_easy_setopt(handle.get(), CURLOPT_WRITEFUNCTION, &Append);
+  curl_easy_setopt(handle.get(), CURLOPT_WRITEDATA, &reply.m_body);
+  if (aBody) {
+    curl_easy_setopt(handle.get(), CURLOPT_POSTFIELDS, aBody->data());
+    curl_easy_setopt(
+      handle.get(), CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(aBody->size()));
+  }
+  if (curl_easy_perform(handle.get()) != CURLE_OK) {
+    return std::nullopt;
+  }
+  curl_easy_getinfo(handle.get(), CURLINFO_RESPONSE_CODE, &reply.m_status);
+  return reply;
+}
+
+} // namespace
+
+std::optional<HttpReply> HttpGet(const std::string& aUrl, std::chrono::milliseconds aTimeout)
+{
+  return Call(aUrl, nullptr, aTimeout);
+}
+
+std::optional<HttpReply> HttpPost(const std::string& aUrl,
+                                  const std::string& aBody,
+                                  std::chrono::milliseconds aTimeout)
+{
+  return Call(aUrl, &aBody, aTimeout);
+}
+
+} // namespace jaylane::testing
