base: Add state charts read from YAML and embedded in the library

Cause: entry VM, upstream, shift and lease follow state charts that operators and developers should read in one place, and an installed daemon has no data files.

Change: StateChart parses and checks a chart (unreachable states, undefined targets and events, duplicate or shadowed transitions, unknown and duplicate keys, each with its line). BoundChart<Context> adds guards and actions as std::function hooks and interprets the chart; a machine is one byte and its context, so a chart is shared by all machines. CMake embeds charts/*.yaml with file(READ) and configure_file as charts::Upstream() etc.

--- /dev/null
+++ b/packages/base/include/jaylane/base/BoundChart.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "jaylane/base/StateChart.h"
+
+#include <functional>
+#include <map>
+
+namespace jaylane::base {
+
+/// Guards and actions of a chart by name.
+/// @tparam Context what a machine's guards read and its actions change.
+template<typename Context>
+struct ChartHooks
+{
+  std::map<std::string, std::function<bool(const Context&)>, std::less<>> m_guards;
+  std::map<std::string, std::function<void(Context&)>, std::less<>> m_actions;
+};
+
+/// A chart with its hooks; interprets it for any number of machines. A machine is only a
+/// StateId and a Context, so that a VM can hold one for each upstream.
+template<typename Context>
+class BoundChart
+{
+public:
+  /// @param aChart the chart.
+  /// @param aHooks must name exactly the guards and actions of the chart.
+  static Result<BoundChart> Make(StateChart aChart, const ChartHooks<Context>& aHooks)
+  {
+    BoundChart bound(std::move(aChart));
+    for (const auto& name : bound.m_chart.Guards()) {
+      const auto hook = aHooks.m_guards.find(name);
+      if (hook == aHooks.m_guards.end()) {
+        return Error{ BaseErrc::InvalidStateChart, "no hook for guard " + name };
+      }
+      bound.m_guards.push_back(hook->second);
+    }
+    for (const auto& name : bound.m_chart.Actions()) {
+      const auto hook = aHooks.m_actions.find(name);
+      if (hook == aHooks.m_actions.end()) {
+        return Error{ BaseErrc::InvalidStateChart, "no hook for action " + name };
+      }
+      bound.m_actions.push_back(hook->second);
+    }
+    if (aHooks.m_guards.size() != bound.m_guards.size() ||
+        aHooks.m_actions.size() != bound.m_actions.size()) {
+      return Error{ BaseErrc::InvalidStateChart, "hooks that the chart does not use" };
+    }
+    return bound;
+  }
+
+  const StateChart& Chart() const { return m_chart; }
+
+  /// Takes the first transition for the event whose guard holds, then runs its actions.
+  /// @param aState state of the machine; changed if a transition is taken.
+  /// @param aEvent the event.
+  /// @param aContext the machine's data.
+  /// @return whether a transition was taken; an event without one is ignored.
+  bool Fire(StateId& aState, EventId aEvent, Context& aContext) const
+  {
+    for (const Transition& transition : m_chart.TransitionsOf(aState)) {
+      if (transition.m_event != aEvent ||
+          (transition.m_guard && !m_guards[*transition.m_guard](aContext))) {
+        continue;
+      }
+      aState = transition.m_target;
+      for (const auto action : transition.m_actions) {
+        m_actions[action](aContext);
+      }
+      return true;
+    }
+    return false;
+  }
+
+private:
+  explicit BoundChart(StateChart aChart)
+    : m_chart(std::move(aChart))
+  {
+  }
+
+  StateChart m_chart;
+  std::vector<std::function<bool(const Context&)>> m_guards;
+  std::vector<std::function<void(Context&)>> m_actions;
+};
+
+} // namespace jaylane::base
--- /dev/null
+++ b/packages/base/include/jaylane/base/Charts.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <string_view>
+
+/// Texts of the files under charts/, embedded at build time: an installed daemon needs no
+/// data files.
+namespace jaylane::base::charts {
+
+std::string_view EntryVm();
+std::string_view Upstream();
+std::string_view Shift();
+std::string_view Lease();
+
+} // namespace jaylane::base::charts
