--- /dev/null
+++ b/packages/policy/include/jaylane/policy/RequestFingerprint.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <span>
+#include <string_view>
+
+namespace jaylane::policy {
+
+/// Hash of a request body that arrives in pieces.
+class BodyHasher
+{
+public:
+  BodyHasher();
+  ~BodyHasher();
+  BodyHasher(BodyHasher&&) noexcept;
+  BodyHasher& operator=(BodyHasher&&) noexcept;
+
+  void Update(std::span<const std::byte> aPiece);
+  std::uint64_t Digest() const;
+
+private:
+  struct State;
+  std::unique_ptr<State> m_state;
+};
+
+/// 128-bit hash of what makes two requests the same to an upstream.
+struct RequestFingerprint
+{
+  std::uint64_t m_high = 0;
+  std::uint64_t m_low = 0;
+
+  auto operator<=>(const RequestFingerprint&) const = default;
+
+  /// @param aService name of the service.
+  /// @param aMethod HTTP method.
+  /// @param aPath path with query.
+  /// @param aBodyHash BodyHasher::Digest() of the body.
+  static RequestFingerprint Of(std::string_view aService,
+                               std::string_view aMethod,
+                               std::string_view aPath,
+                               std::uint64_t aBodyHash);
+};
+
+} // namespace jaylane::policy
+
+template<>
+struct std::hash<jaylane::policy::RequestFingerprint>
+{
+  std::size_t operator()(const jaylane::policy::RequestFingerprint& aFingerprint) const noexcept
+  {
+    return aFingerprint.m_low;
+  }
+};
--- /dev/null
+++ b/packages/policy/include/jaylane/policy/ScopeTransfer.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "jaylane/policy/ExecutionScope.h"
+
+#include <chrono>
+#include <vector>
+
+namespace jaylane::policy {
+
+/// State of a key in the ledger. A new key has no entry.
+enum class KeyState : std::uint8_t
+{
+  Running,
+  Completed,
+  /// Proven not executed. Final: the key is not run later either.
+  NotRun,
+  Unknown,
+};
+
+/// What a repeat of a key is answered with.
+struct ExecutionRecord
+{
+  KeyState m_state = KeyState::Running;
+  /// Status of the upstream's response if completed, otherwise 0.
+  std::uint16_t m_status = 0;
+
+  bool operator==(const ExecutionRecord&) const = default;
+};
+
+struct TransferredKey
+{
+  std::string m_nonce;
+  ExecutionRecord m_record;
+};
+
+struct TransferredEpoch
+{
+  ExecutionScope m_scope;
+  /// Time for which keys may still start, from when the message was written.
+  std::chrono::milliseconds m_remaining{ 0 };
+  /// A key was refused for lack of memory; no unseen key may start.
+  bool m_closed = false;
+  std::vector<TransferredKey> m_keys;
+};
+
+/// Scopes and keys that a stopping VM hands to one peer.
+struct ScopeTransfer
+{
+  /// The only incarnation that may import this.
+  Incarnation m_recipient;
+  std::vector<TransferredEpoch> m_epochs;
+};
+
+} // namespace jaylane::policy
