policy: Add the public headers of the steering decisions

Change: public headers with contracts, the error category, and empty sources that compile. Conclusion: the package builds; nothing is implemented yet.

--- /dev/null
+++ b/packages/policy/include/jaylane/policy/CatchUp.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "jaylane/policy/ShiftPlanner.h"
+
+namespace jaylane::policy {
+
+/// Steps the table that a VM applies toward the newest one under the shift cap.
+///
+/// A VM that applies every table through this function keeps the cap for its own traffic even if
+/// it learns several generations at once. The result carries the VM's own moves, so it must never
+/// be published. Parts at dead sites and parts that the rules forbid go first.
+/// @param aApplied table in use by this VM; the first table a process reads is applied as it is.
+/// @param aNewest newest table of the same service.
+/// @param aInput the planner's input; m_tableSeenAt is not used.
+/// @param aNow time of one clock of this VM that never jumps.
+/// @return the table to apply: equal assignment to aNewest, and its generation, once it has
+///   caught up; until then the generation of aApplied.
+base::Result<SteeringTable> CatchUp(const SteeringTable& aApplied,
+                                    const SteeringTable& aNewest,
+                                    const PlanInput& aInput,
+                                    base::WallTime aNow);
+
+} // namespace jaylane::policy
--- /dev/null
+++ b/packages/policy/src/Forecast.cpp
@@ -0,0 +1,1 @@
+#include "jaylane/policy/Forecast.h"
