--- a/packages/policy/include/jaylane/policy/ShiftPlanner.h
+++ b/packages/policy/include/jaylane/policy/ShiftPlanner.h
@@ -65,9 +65,6 @@
   LegalFilter m_legal;
   BucketLoad m_load;
   ShiftLimits m_limits;
-  /// When this VM first saw the table's generation, by its wall clock; the time of planning if
-  /// unset. The newest move counts from then: its writer may have been paused after planning.
-  std::optional<base::WallTime> m_tableSeenAt;
 };
 
 /// Outcome of planning.
@@ -89,7 +86,7 @@
   SteeringTable m_table;
   double m_movedShare = 0;
   std::array<double, kMoveReasonCount> m_movedByReason{};
-  /// Share that still has to move, by reason.
+  /// Share that still has to move, by reason; not known while StepPending.
   std::array<double, kMoveReasonCount> m_remaining{};
   /// Earliest time at which another call can move something, unless inputs change.
   base::WallTime m_nextAt{};
@@ -101,15 +98,21 @@
 {
 public:
   /// @param aCurrent newest table; the caller publishes the result only if it is still current.
+  /// @param aSeenAt when this VM first saw that generation in the store, by its wall clock. The
+  ///   newest move counts from then, because its writer may have been paused after planning it.
   /// @param aInput topology, rules and loads as known.
   /// @param aNow this VM's wall time.
   /// @return the next step, or InvalidLimits, InvalidLoad or InvalidTopology.
   static base::Result<Plan> PlanStep(const SteeringTable& aCurrent,
+                                     base::WallTime aSeenAt,
                                      const PlanInput& aInput,
                                      base::WallTime aNow);
 
-  /// Assigns all load at once, for a service that has no table and so no traffic to move.
+  /// Assigns all load at once, for a service that has no table and so no traffic to move. Load
+  /// beyond all capacities goes to the allowed site with the best score: a bucket has to have a
+  /// site, and admission bounds what the site accepts.
   /// @param aEmpty table from SteeringTable::Make().
+  /// @param aInput without measured load, half of the capacity in use is assumed.
   /// @return the table of the first generation, with buckets spread over the allowed sites.
   static base::Result<SteeringTable> MakeInitial(const SteeringTable& aEmpty,
                                                  const PlanInput& aInput,
--- a/packages/policy/include/jaylane/policy/SteeringTable.h
+++ b/packages/policy/include/jaylane/policy/SteeringTable.h
@@ -34,7 +34,9 @@
 /// What one step moved. Kept for a window, so that any VM can go on from the table alone.
 struct MoveRecord
 {
-  base::WallTime m_at{};
+  base::WallTime m_at{}; ///< Whole milliseconds; never before the record in front of it.
+  std::uint64_t m_generation = 0;
+  bool m_recovery = false;
   double m_share = 0; ///< Share of the service's load, counted when the step was planned.
   std::vector<PartRun> m_parts;
 
@@ -51,7 +53,8 @@
 };
 
 /// Assignment of a service's client blocks to sites: buckets for each origin region, each at one
-/// site, or split into parts that each have a site.
+/// site, or split into parts that each have a site. Positions of origins and sites never change;
+/// new ones are appended.
 class SteeringTable
 {
 public:
@@ -113,7 +116,8 @@
   /// Sets the site of one part; the bucket must be split.
   void AssignPart(std::uint32_t aBucket, std::uint32_t aPart, SiteIndex aSite);
   /// Represents a bucket by its parts, without moving any.
-  void Split(std::uint32_t aBucket);
+  /// @return false if the table cannot hold another split.
+  bool Split(std::uint32_t aBucket);
   /// Represents a bucket whole again if all its parts have one site.
   void Join(std::uint32_t aBucket);
   /// @return the site's position, after adding it if it is not listed.
@@ -124,7 +128,11 @@
   void SetStamp(WriteStamp aStamp) { m_stamp = std::move(aStamp); }
   void SetMoves(std::vector<MoveRecord> aMoves, base::WallTime aHistoryFrom);
 
-  bool operator==(const SteeringTable&) const;
+  /// @return whether both steer every block to the same site and list the same origins.
+  bool SameAssignment(const SteeringTable& aOther) const;
+
+  /// Compares the contents, whatever the internal order of split buckets.
+  bool operator==(const SteeringTable& aOther) const;
 
 private:
   friend class SteeringTableCodec;
@@ -136,9 +144,9 @@
   std::uint64_t m_generation = 1;
   std::vector<std::string> m_origins;
   std::vector<SiteId> m_sites;
-  std::vector<std::uint16_t> m_buckets; ///< Site, or kSplitBit and a position in m_splits.
-  std::vector<SiteIndex> m_parts;       ///< kPartsPerBucket sites for each split.
-  std::vector<std::uint16_t> m_freeSplits;
+  std::vector<std::uint16_t> m_buckets;    ///< Site, or kSplitBit and a position in m_splits.
+  std::vector<SiteIndex> m_parts;          ///< kPartsPerBucket sites for each split.
+  std::vector<std::uint16_t> m_freeSplits; ///< Positions in m_parts that Join() left unused.
   std::vector<MoveRecord> m_moves;
   base::WallTime m_historyFrom{};
   WriteStamp m_stamp;
--- a/packages/policy/src/LoadShares.cpp
+++ b/packages/policy/src/LoadShares.cpp
@@ -1,1 +1,104 @@
-#include "jaylane/policy/BucketLoad.h"
+#include "LoadShares.h"
+
+#include "jaylane/policy/PolicyError.h"
+
+#include <algorithm>
+#include <bit>
+#include <cmath>
+#include <numeric>
+
+namespace jaylane::policy {
+
+namespace {
+
+bool IsLoad(double aValue)
+{
+  return std::isfinite(aValue) && aValue >= 0;
+}
+
+} // namespace
+
+base::Result<LoadShares> LoadShares::Make(const BucketLoad& aLoad,
+                                          std::uint32_t aBucketCount,
+                                          double aFloor,
+                                          double aIdleLoad)
+{
+  if (aLoad.m_buckets.size() != aBucketCount) {
+    return base::Error{ PolicyErrc::InvalidLoad, "number of buckets" };
+  }
+  bool valid = std::all_of(aLoad.m_buckets.begin(), aLoad.m_buckets.end(), IsLoad);
+  for (const auto& [bucket, parts] : aLoad.m_parts) {
+    valid = valid && bucket < aBucketCount && std::all_of(parts.begin(), parts.end(), IsLoad);
+  }
+  if (!valid) {
+    return base::Error{ PolicyErrc::InvalidLoad, "value" };
+  }
+  LoadShares shares;
+  shares.m_load = &aLoad;
+  shares.m_total = std::accumulate(aLoad.m_buckets.begin(), aLoad.m_buckets.end(), 0.0);
+  shares.m_shareFloor = aFloor / aBucketCount;
+  shares.m_weightFloor = aFloor * std::max(shares.m_total, aIdleLoad) / aBucketCount;
+  return shares;
+}
+
+double LoadShares::PartsFraction(std::uint32_t aBucket, PartMask aParts) const
+{
+  if (aParts == kAllParts) {
+    return 1;
+  }
+  const auto found = m_load->m_parts.find(aBucket);
+  if (found == m_load->m_parts.end()) {
+    return aParts == 0 ? 0 : 1;
+  }
+  double sum = 0;
+  double selected = 0;
+  for (std::uint32_t part = 0; part < kPartsPerBucket; ++part) {
+    sum += found->second[part];
+    if ((aParts >> part & 1) != 0) {
+      selected += found->second[part];
+    }
+  }
+  const auto count = std::popcount(aParts);
+  if (sum <= 0) {
+    // The parts' measurement lags behind the bucket's.
+    return m_load->m_buckets[aBucket] > 0 ? (aParts == 0 ? 0 : 1)
+                                          : static_cast<double>(count) / kPartsPerBucket;
+  }
+  return selected / sum;
+}
+
+double LoadShares::Share(std::uint32_t aBucket, PartMask aParts) const
+{
+  const auto fraction = PartsFraction(aBucket, aParts);
+  const auto measured = m_total > 0 ? m_load->m_buckets[aBucket] / m_total : 0;
+  const auto floor = m_shareFloor * std::popcount(aParts) / kPartsPerBucket;
+  return std::max(measured * fraction, floor);
+}
+
+double LoadShares::Share(const std::vector<PartRun>& aRuns) const
+{
+  double sum = 0;
+  for (const auto& run : aRuns) {
+    const auto end = run.m_first + run.m_count;
+    for (auto at = run.m_first; at < end;) {
+      const auto bucket = at / kPartsPerBucket;
+      const auto bucketEnd = std::min(end, (bucket + 1) * kPartsPerBucket);
+      const auto count = bucketEnd - at;
+      const auto mask = count == kPartsPerBucket
+                          ? kAllParts
+                          : ((PartMask{ 1 } << count) - 1) << (at % kPartsPerBucket);
+      sum += Share(bucket, mask);
+      at = bucketEnd;
+    }
+  }
+  return sum;
+}
+
+double LoadShares::Weight(std::uint32_t aBucket, PartMask aParts) const
+{
+  const auto fraction = PartsFraction(aBucket, aParts);
+  const auto floor = m_weightFloor * std::popcount(aParts) / kPartsPerBucket;
+  return std::max(m_load->m_buckets[aBucket] * fraction, floor);
+}
+
+} // namespace jaylane::policy
--- /dev/null
+++ b/packages/policy/src/StepBuilder.cpp
@@ -0,0 +1,381 @@
+#include "StepBuilder.h"
+
+#include <algorithm>
+#include <bit>
+#include <map>
+#include <set>
+#include <tuple>
+
+namespace jaylane::policy {
+
+namespace {
+
+/// Units of at most a fifth of the cap let a greedy step use at least four fifths of it.
+constexpr double kLargestUnit = 0.2;
+/// A split bucket is joined only well below the size at which it would be split again.
+constexpr double kJoinBelow = 0.5;
+/// Longest pause between steps that the next step makes up for, in windows. Bounds the size of
+/// the first step after a quiet time, because moved load reaches cold caches.
+constexpr int kPaceStepsPerWindow = 4;
+
+template<typename F>
+void ForEachPart(PartMask aParts, F aVisit)
+{
+  for (; aParts != 0; aParts &= aParts - 1) {
+    aVisit(static_cast<std::uint32_t>(std::countr_zero(aParts)));
+  }
+}
+
+OriginIndex OriginOf(std::uint32_t aBucket)
+{
+  return static_cast<OriginIndex>(aBucket / kBucketsPerOrigin);
+}
+
+void AppendRun(std::vector<PartRun>& aRuns, std::uint32_t aFirst, std::uint32_t aCount)
+{
+  if (!aRuns.empty() && aRuns.back().m_first + aRuns.back().m_count == aFirst) {
+    aRuns.back().m_count += aCount;
+  } else {
+    aRuns.push_back({ aFirst, aCount });
+  }
+}
+
+void SortLightestFirst(std::vector<MoveUnit>& aUnits)
+{
+  std::sort(aUnits.begin(), aUnits.end(), [](const MoveUnit& aLeft, const MoveUnit& aRight) {
+    return std::tie(aLeft.m_reason, aLeft.m_share, aLeft.m_bucket, aLeft.m_parts) <
+           std::tie(aRight.m_reason, aRight.m_share, aRight.m_bucket, aRight.m_parts);
+  });
+}
+
+} // namespace
+
+StepBuilder::StepBuilder(SteeringTable& aTable,
+                         const LoadShares& aShares,
+                         PlacementModel& aModel,
+                         const CapWindow& aWindow,
+                         const ShiftLimits& aLimits,
+                         base::WallTime aNow)
+  : m_table(aTable)
+  , m_shares(aShares)
+  , m_model(aModel)
+  , m_window(aWindow)
+  , m_limits(aLimits)
+  , m_now(aNow)
+  , m_splitAbove(kLargestUnit * aLimits.m_plannedCap)
+{
+}
+
+double StepBuilder::Pace(double aCap) const
+{
+  const auto longest = std::max(m_limits.m_lookupLifetime, m_limits.m_window / kPaceStepsPerWindow);
+  std::chrono::duration<double> elapsed = longest;
+  if (const auto last = m_window.LastMoveAt(); m_now - longest < last) {
+    elapsed = m_now - last;
+  }
+  return aCap * std::min(1.0, elapsed / m_limits.m_window);
+}
+
+void StepBuilder::AddPartUnits(std::uint32_t aBucket,
+                               SiteIndex aSite,
+                               MoveReason aReason,
+                               std::vector<MoveUnit>& aUnits) const
+{
+  PartMask together = 0;
+  for (std::uint32_t part = 0; part < kPartsPerBucket; ++part) {
+    if (m_table.SiteOf(aBucket, part) != aSite) {
+      continue;
+    }
+    const auto mask = PartMask{ 1 } << part;
+    if (m_shares.HasParts(aBucket)) {
+      aUnits.push_back({ aBucket, mask, aSite, aReason, m_shares.Share(aBucket, mask) });
+    } else {
+      together |= mask;
+    }
+  }
+  if (together != 0) {
+    // Without a measurement of its parts, each counts with the whole bucket, so they go at once.
+    aUnits.push_back({ aBucket, together, aSite, aReason, m_shares.Share(aBucket, together) });
+  }
+}
+
+void StepBuilder::AddUnits(std::uint32_t aBucket,
+                           SiteIndex aSite,
+                           MoveReason aReason,
+                           std::vector<MoveUnit>& aUnits)
+{
+  const auto share = m_shares.Share(aBucket);
+  if (!m_table.IsSplit(aBucket) && share > m_splitAbove) {
+    m_didSplit = m_table.Split(aBucket) || m_didSplit;
+  }
+  if (m_table.IsSplit(aBucket)) {
+    AddPartUnits(aBucket, aSite, aReason, aUnits);
+  } else {
+    aUnits.push_back({ aBucket, kAllParts, aSite, aReason, share });
+  }
+}
+
+std::vector<MoveUnit> StepBuilder::LeavingUnits()
+{
+  std::vector<std::optional<MoveReason>> reasons;
+  for (std::size_t i = 0; i < m_model.OriginCount() * m_model.SiteCount(); ++i) {
+    reasons.push_back(m_model.LeaveReason(i / m_model.SiteCount(), i % m_model.SiteCount()));
+  }
+  std::vector<MoveUnit> units;
+  for (std::uint32_t bucket = 0; bucket < m_table.BucketCount(); ++bucket) {
+    const auto* row = &reasons[OriginOf(bucket) * m_model.SiteCount()];
+    if (!m_table.IsSplit(bucket)) {
+      const auto site = m_table.SiteOf(bucket);
+      if (row[site]) {
+        AddUnits(bucket, site, *row[site], units);
+      }
+      continue;
+    }
+    std::set<SiteIndex> sites;
+    for (std::uint32_t part = 0; part < kPartsPerBucket; ++part) {
+      sites.insert(m_table.SiteOf(bucket, part));
+    }
+    for (const auto site : sites) {
+      if (row[site]) {
+        AddUnits(bucket, site, *row[site], units);
+      }
+    }
+  }
+  SortLightestFirst(units);
+  return units;
+}
+
+void StepBuilder::Apply(const MoveUnit& aUnit, SiteIndex aTo)
+{
+  const auto origin = OriginOf(aUnit.m_bucket);
+  const auto weight = m_shares.Weight(aUnit.m_bucket, aUnit.m_parts);
+  m_model.AddLoad(origin, aUnit.m_from, -weight);
+  m_model.AddLoad(origin, aTo, weight);
+  if (m_table.IsSplit(aUnit.m_bucket)) {
+    ForEachPart(aUnit.m_parts,
+                [&](std::uint32_t aPart) { m_table.AssignPart(aUnit.m_bucket, aPart, aTo); });
+  } else {
+    m_table.Assign(aUnit.m_bucket, aTo);
+  }
+  m_movedShare += aUnit.m_share;
+  m_movedByReason[static_cast<std::size_t>(aUnit.m_reason)] += aUnit.m_share;
+  m_moved.push_back(aUnit);
+}
+
+StepBuilder::Outcome StepBuilder::TryMove(const MoveUnit& aUnit,
+                                          TargetPicker& aPicker,
+                                          double aCap,
+                                          double aRemaining)
+{
+  if (aUnit.m_share > aCap) {
+    return Outcome::TooHeavy;
+  }
+  if (aUnit.m_share > aRemaining) {
+    return Outcome::CapReached;
+  }
+  const auto target = aPicker.Pick(OriginOf(aUnit.m_bucket),
+                                   aUnit.m_from,
+                                   aUnit.m_reason,
+                                   m_shares.Weight(aUnit.m_bucket, aUnit.m_parts));
+  if (target == kNoSite) {
+    return Outcome::NoCapacity;
+  }
+  Apply(aUnit, target);
+  return Outcome::Moved;
+}
+
+void StepBuilder::Note(Outcome aOutcome)
+{
+  m_capReached = m_capReached || aOutcome == Outcome::CapReached;
+  m_noCapacity = m_noCapacity || aOutcome == Outcome::NoCapacity;
+  m_tooHeavy = m_tooHeavy || aOutcome == Outcome::TooHeavy;
+}
+
+void StepBuilder::MoveLeaving()
+{
+  const auto cap = m_limits.m_plannedCap;
+  const auto pace = Pace(cap);
+  double paced = 0;
+  TargetPicker picker(m_model);
+  for (const auto& unit : LeavingUnits()) {
+    // Load that is not served at all moves as fast as the cap allows.
+    const bool isPaced = unit.m_reason >= MoveReason::PendingRule;
+    const auto outcome = isPaced && paced >= pace
+                           ? Outcome::CapReached
+                           : TryMove(unit, picker, cap, cap - m_window.Used() - m_movedShare);
+    if (outcome != Outcome::Moved) {
+      m_remaining[static_cast<std::size_t>(unit.m_reason)] += unit.m_share;
+      Note(outcome);
+    } else if (isPaced) {
+      paced += unit.m_share;
+    }
+  }
+}
+
+std::vector<StepBuilder::ReturnPair> StepBuilder::ReturnPairs() const
+{
+  std::vector<ReturnPair> pairs;
+  for (std::size_t i = 0; i < m_model.OriginCount(); ++i) {
+    const auto origin = static_cast<OriginIndex>(i);
+    std::optional<double> best;
+    for (std::size_t site = 0; site < m_model.SiteCount(); ++site) {
+      if (m_model.IsTarget(origin, site, MoveReason::Recovery) &&
+          m_model.Fits(origin, kNoSite, site, 0)) {
+        const auto score = m_model.Score(origin, site, 0);
+        best = best ? std::min(*best, score) : score;
+      }
+    }
+    for (std::size_t site = 0; best && site < m_model.SiteCount(); ++site) {
+      const auto gain = m_model.Score(origin, site, 0) - *best;
+      if (gain > m_limits.m_recoveryMargin && !m_model.LeaveReason(origin, site)) {
+        pairs.push_back({ gain, origin, static_cast<SiteIndex>(site) });
+      }
+    }
+  }
+  std::sort(pairs.begin(), pairs.end(), [](const ReturnPair& aLeft, const ReturnPair& aRight) {
+    return std::tie(aRight.m_gain, aLeft.m_origin, aLeft.m_from) <
+           std::tie(aLeft.m_gain, aRight.m_origin, aRight.m_from);
+  });
+  return pairs;
+}
+
+bool StepBuilder::MovePair(const ReturnPair& aPair, std::vector<MoveUnit> aUnits)
+{
+  SortLightestFirst(aUnits);
+  const auto cap = m_limits.m_plannedCap * m_limits.m_recoveryFraction;
+  const auto pace = Pace(cap);
+  TargetPicker picker(m_model);
+  for (const auto& unit : aUnits) {
+    const auto weight = m_shares.Weight(unit.m_bucket, unit.m_parts);
+    const auto target = picker.Pick(aPair.m_origin, unit.m_from, unit.m_reason, weight);
+    if (target == kNoSite || m_model.Score(aPair.m_origin, unit.m_from, 0) -
+                                 m_model.Score(aPair.m_origin, target, weight) <=
+                               m_limits.m_recoveryMargin) {
+      return true;
+    }
+    const auto remaining =
+      std::min(cap - m_window.UsedByRecovery(), m_limits.m_plannedCap - m_window.Used()) -
+      m_movedShare;
+    if (m_movedShare >= pace || (unit.m_share <= cap && unit.m_share > remaining)) {
+      m_remaining[static_cast<std::size_t>(unit.m_reason)] += unit.m_share;
+      m_capReached = true;
+      return false;
+    }
+    if (unit.m_share <= cap) {
+      Apply(unit, target);
+    }
+  }
+  return true;
+}
+
+void StepBuilder::MoveReturning()
+{
+  if (!m_moved.empty() || m_didSplit || m_capReached) {
+    return;
+  }
+  const auto pairs = ReturnPairs();
+  if (pairs.empty()) {
+    return;
+  }
+  m_splitAbove *= m_limits.m_recoveryFraction;
+  std::map<std::pair<OriginIndex, SiteIndex>, std::vector<std::uint32_t>> buckets;
+  for (const auto& pair : pairs) {
+    buckets[{ pair.m_origin, pair.m_from }];
+  }
+  for (std::uint32_t bucket = 0; bucket < m_table.BucketCount(); ++bucket) {
+    const auto parts = m_table.IsSplit(bucket) ? kPartsPerBucket : 1;
+    for (std::uint32_t part = 0; part < parts; ++part) {
+      const auto found = buckets.find({ OriginOf(bucket), m_table.SiteOf(bucket, part) });
+      if (found != buckets.end() && (found->second.empty() || found->second.back() != bucket)) {
+        found->second.push_back(bucket);
+      }
+    }
+  }
+  for (const auto& pair : pairs) {
+    std::vector<MoveUnit> units;
+    for (const auto bucket : buckets[{ pair.m_origin, pair.m_from }]) {
+      AddUnits(bucket, pair.m_from, MoveReason::Recovery, units);
+    }
+    if (!MovePair(pair, std::move(units))) {
+      return;
+    }
+  }
+}
+
+void StepBuilder::JoinCold()
+{
+  std::set<std::uint32_t> inUse;
+  const auto use = [&inUse](const PartRun& aRun) {
+    for (auto bucket = aRun.m_first / kPartsPerBucket;
+         bucket <= (aRun.m_first + aRun.m_count - 1) / kPartsPerBucket;
+         ++bucket) {
+      inUse.insert(bucket);
+    }
+  };
+  for (const auto& move : m_window.Moves()) {
+    std::for_each(move.m_parts.begin(), move.m_parts.end(), use);
+  }
+  for (const auto& unit : m_moved) {
+    inUse.insert(unit.m_bucket);
+  }
+  const auto threshold =
+    kLargestUnit * kJoinBelow * m_limits.m_plannedCap * m_limits.m_recoveryFraction;
+  for (std::uint32_t bucket = 0; bucket < m_table.BucketCount(); ++bucket) {
+    if (m_table.IsSplit(bucket) && !inUse.contains(bucket) && m_shares.Share(bucket) < threshold) {
+      m_table.Join(bucket);
+    }
+  }
+}
+
+void StepBuilder::Report(Plan& aPlan) const
+{
+  aPlan.m_movedShare = m_movedShare;
+  aPlan.m_movedByReason = m_movedByReason;
+  aPlan.m_remaining = m_remaining;
+  if (!m_moved.empty() || m_didSplit) {
+    aPlan.m_state = PlanState::Step;
+  } else if (m_capReached) {
+    aPlan.m_state = PlanState::CapReached;
+  } else if (m_noCapacity) {
+    aPlan.m_state = PlanState::NoCapacity;
+  } else if (m_tooHeavy) {
+    aPlan.m_state = PlanState::TooHeavy;
+  } else {
+    aPlan.m_state = PlanState::Settled;
+  }
+}
+
+std::vector<MoveRecord> StepBuilder::TakeMoves(std::uint64_t aGeneration) const
+{
+  std::vector<MoveRecord> records;
+  for (const bool recovery : { false, true }) {
+    std::vector<MoveUnit> units;
+    MoveRecord record;
+    record.m_generation = aGeneration;
+    record.m_recovery = recovery;
+    for (const auto& unit : m_moved) {
+      if ((unit.m_reason == MoveReason::Recovery) == recovery) {
+        units.push_back(unit);
+        record.m_share += unit.m_share;
+      }
+    }
+    std::sort(units.begin(), units.end(), [](const MoveUnit& aLeft, const MoveUnit& aRight) {
+      return std::tie(aLeft.m_bucket, aLeft.m_parts) < std::tie(aRight.m_bucket, aRight.m_parts);
+    });
+    for (const auto& unit : units) {
+      const auto first = unit.m_bucket * kPartsPerBucket;
+      if (unit.m_parts == kAllParts) {
+        AppendRun(record.m_parts, first, kPartsPerBucket);
+      } else {
+        ForEachPart(unit.m_parts,
+                    [&](std::uint32_t aPart) { AppendRun(record.m_parts, first + aPart, 1); });
+      }
+    }
+    if (!units.empty()) {
+      records.push_back(std::move(record));
+    }
+  }
+  return records;
+}
+
+} // namespace jaylane::policy
--- /dev/null
+++ b/packages/policy/src/StepBuilder.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include "CapWindow.h"
+#include "LoadShares.h"
+#include "PlacementModel.h"
+#include "TargetPicker.h"
+
+#include <vector>
+
+namespace jaylane::policy {
+
+/// Parts of one bucket at one site that may move together.
+struct MoveUnit
+{
+  std::uint32_t m_bucket = 0;
+  PartMask m_parts = kAllParts;
+  SiteIndex m_from = 0;
+  MoveReason m_reason = MoveReason::DeadSite;
+  double m_share = 0;
+};
+
+/// Moves units of a working copy of the table within the cap and the capacities.
+class StepBuilder
+{
+public:
+  /// All references must outlive this.
+  StepBuilder(SteeringTable& aTable,
+              const LoadShares& aShares,
+              PlacementModel& aModel,
+              const CapWindow& aWindow,
+              const ShiftLimits& aLimits,
+              base::WallTime aNow);
+
+  /// Moves what has to leave its site.
+  void MoveLeaving();
+
+  /// Moves load to better sites, slowly; only if nothing has moved or waits for the cap.
+  void MoveReturning();
+
+  /// Represents split buckets whole again where nothing depends on their parts.
+  void JoinCold();
+
+  /// Writes the result into aPlan, apart from table and times.
+  void Report(Plan& aPlan) const;
+
+  /// @return the moves of this step.
+  std::vector<MoveRecord> TakeMoves(std::uint64_t aGeneration) const;
+
+private:
+  struct ReturnPair
+  {
+    double m_gain = 0;
+    OriginIndex m_origin = 0;
+    SiteIndex m_from = 0;
+  };
+  enum class Outcome
+  {
+    Moved,
+    CapReached,
+    NoCapacity,
+    TooHeavy,
+  };
+
+  double Pace(double aCap) const;
+  void AddUnits(std::uint32_t aBucket,
+                SiteIndex aSite,
+                MoveReason aReason,
+                std::vector<MoveUnit>& aUnits);
+  void AddPartUnits(std::uint32_t aBucket,
+                    SiteIndex aSite,
+                    MoveReason aReason,
+                    std::vector<MoveUnit>& aUnits) const;
+  std::vector<MoveUnit> LeavingUnits();
+  Outcome TryMove(const MoveUnit& aUnit, TargetPicker& aPicker, double aCap, double aRemaining);
+  void Apply(const MoveUnit& aUnit, SiteIndex aTo);
+  std::vector<ReturnPair> ReturnPairs() const;
+  bool MovePair(const ReturnPair& aPair, std::vector<MoveUnit> aUnits);
+  void Note(Outcome aOutcome);
+
+  SteeringTable& m_table;
+  const LoadShares& m_shares;
+  PlacementModel& m_model;
+  const CapWindow& m_window;
+  const ShiftLimits& m_limits;
+  base::WallTime m_now;
+  double m_splitAbove = 0;
+
+  std::vector<MoveUnit> m_moved;
+  std::array<double, kMoveReasonCount> m_movedByReason{};
+  std::array<double, kMoveReasonCount> m_remaining{};
+  double m_movedShare = 0;
+  bool m_didSplit = false;
+  bool m_capReached = false;
+  bool m_noCapacity = false;
+  bool m_tooHeavy = false;
+};
+
+} // namespace jaylane::policy
