--- a/packages/base/include/jaylane/base/BoundedRing.h
+++ b/packages/base/include/jaylane/base/BoundedRing.h
@@ -63,6 +63,13 @@
     m_ready.notify_all();
   }
 
+  /// @return whether Close() was called.
+  bool IsClosed() const
+  {
+    std::lock_guard lock(m_mutex);
+    return m_closed;
+  }
+
   /// @return number of values held.
   std::size_t size() const
   {
