Add the process and deployment harness and complete the upstream stand-in

End-to-end tests need to start, pause, kill and restart whole deployments.

The keys of a VM's settings file are written by one function only, WriteEntrySettings, since they are still being defined. A wait of an attempt in CallerLoad used the request after it could have been moved; fixed.

--- a/packages/testing/include/jaylane/testing/HttpCall.h
+++ b/packages/testing/include/jaylane/testing/HttpCall.h
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace jaylane::testing {
 
@@ -14,8 +15,11 @@
 
 /// @param aUrl whole URL.
 /// @param aTimeout of the whole call.
+/// @param aHeaders further header lines.
 /// @return the reply, or nothing if there was none.
-std::optional<HttpReply> HttpGet(const std::string& aUrl, std::chrono::milliseconds aTimeout);
+std::optional<HttpReply> HttpGet(const std::string& aUrl,
+                                 std::chrono::milliseconds aTimeout,
+                                 const std::vector<std::string>& aHeaders = {});
 
 /// @param aUrl whole URL.
 /// @param aBody sent as JSON, on a connection of its own.
--- a/packages/testing/src/CallerLoad.cpp
+++ b/packages/testing/src/CallerLoad.cpp
@@ -163,7 +163,8 @@
   }
   const std::optional<LookupAnswer> lookup = m_lookups->Current();
   if (!lookup) {
-    Wait(std::move(aRequest), std::min(now + kLookupPause, aRequest->Deadline()));
+    const auto until = std::min(now + kLookupPause, aRequest->Deadline());
+    Wait(std::move(aRequest), until);
     return;
   }
   ++m_attempts;
--- /dev/null
+++ b/packages/testing/src/DeploymentHarness.cpp
@@ -0,0 +1,261 @@
+#include "jaylane/testing/DeploymentHarness.h"
+
+#include "DeploymentSettings.h"
+
+#include "jaylane/platform/JsonText.h"
+#include "jaylane/testing/HttpCall.h"
+#include "jaylane/testing/TestingError.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace jaylane::testing {
+
+namespace {
+
+constexpr std::chrono::milliseconds kControlTimeout{ 10'000 };
+
+base::Status Post(const std::string& aUrl, const std::string& aJson)
+{
+  const auto reply = HttpPost(aUrl, aJson, kControlTimeout);
+  if (!reply || reply->m_status != 200) {
+    return MakeError(TestingErrc::Timeout, fmt::format("{} {}", aUrl, reply ? reply->m_status : 0));
+  }
+  return base::Success{};
+}
+
+} // namespace
+
+base::Result<std::unique_ptr<DeploymentHarness>> DeploymentHarness::Make()
+{
+  std::unique_ptr<DeploymentHarness> harness(new DeploymentHarness());
+  auto processes = ProcessHarness::Make();
+  if (!processes) {
+    return processes.GetError();
+  }
+  harness->m_processes = std::move(*processes);
+  auto platform =
+    harness->m_processes->Start("platform", ProcessHarness::ProgramPath("platform_standin"), {});
+  if (!platform) {
+    return platform.GetError();
+  }
+  harness->m_platform = *platform;
+  const auto line = harness->m_platform->FirstLine(kStartTimeout);
+  if (!line) {
+    return line.GetError();
+  }
+  harness->m_platformUrl = "http://" + (*line)["address"].asString();
+  return harness;
+}
+
+base::Status DeploymentHarness::Start(const DeploymentPlan& aPlan)
+{
+  m_plan = aPlan;
+  for (const ZonePlan& zone : aPlan.m_zones) {
+    for (const ServicePlan& service : aPlan.m_services) {
+      for (unsigned i = 0; i < service.m_upstreamsPerZone; ++i) {
+        const std::string id = fmt::format("{}-{}-{}", service.m_name, zone.m_zone, i);
+        m_upstreams[id] = { service, zone };
+        if (auto status = StartUpstream(id); !status) {
+          return status;
+        }
+      }
+    }
+  }
+  if (!aPlan.m_tree.empty()) {
+    platform::HttpStore store({ m_platformUrl });
+    const auto version =
+      store.Put("settings/tree", aPlan.m_tree, platform::kAbsent, kControlTimeout);
+    if (!version) {
+      return version.GetError();
+    }
+  }
+  if (auto status = Register(); !status) {
+    return status;
+  }
+  for (const ZonePlan& zone : aPlan.m_zones) {
+    for (unsigned i = 0; i < aPlan.m_entryVmsPerZone; ++i) {
+      const std::string id = fmt::format("{}-entry-{}", zone.m_zone, i);
+      m_entries[id] = zone;
+      if (auto status = StartEntry(id); !status) {
+        return status;
+      }
+    }
+  }
+  return Register();
+}
+
+base::Status DeploymentHarness::StartUpstream(const std::string& aId)
+{
+  const UpstreamPlan& plan = m_upstreams.at(aId);
+  std::vector<std::string> arguments{ "--id=" + aId,
+                                      "--service=" + plan.m_service.m_name,
+                                      "--region=" + plan.m_zone.m_region,
+                                      "--zone=" + plan.m_zone.m_zone,
+                                      fmt::format("--slots={}", plan.m_service.m_slots),
+                                      fmt::format("--service_ms={}",
+                                                  plan.m_service.m_serviceTime.count()),
+                                      "--records=" + m_processes->PathOf(aId + ".records") };
+  arguments.insert(arguments.end(), plan.m_service.m_flags.begin(), plan.m_service.m_flags.end());
+  const auto process = m_processes->Start(fmt::format("{}.{}", aId, ++m_starts),
+                                          ProcessHarness::ProgramPath("upstream_standin"),
+                                          arguments);
+  if (!process) {
+    return process.GetError();
+  }
+  m_running[aId] = *process;
+  const auto line = (*process)->FirstLine(kStartTimeout);
+  if (!line) {
+    return line.GetError();
+  }
+  platform::VmEntry& vm = Entry(aId);
+  vm.m_role = platform::VmRole::Upstream;
+  vm.m_service = plan.m_service.m_name;
+  vm.m_region = plan.m_zone.m_region;
+  vm.m_zone = plan.m_zone.m_zone;
+  vm.m_address = (*line)["address"].asString();
+  vm.m_slots = plan.m_service.m_slots;
+  vm.m_connections = 400;
+  vm.m_incarnation = NewIncarnation();
+  vm.m_state = platform::VmState::Running;
+  return base::Success{};
+}
+
+base::Status DeploymentHarness::StartEntry(const std::string& aId)
+{
+  const ZonePlan& zone = m_entries.at(aId);
+  const auto url = m_plan.m_platformUrls.find(zone.m_zone);
+  EntrySettings settings;
+  settings.m_id = aId;
+  settings.m_region = zone.m_region;
+  settings.m_zone = zone.m_zone;
+  settings.m_incarnation = NewIncarnation();
+  settings.m_platformUrl = url == m_plan.m_platformUrls.end() ? m_platformUrl : url->second;
+  settings.m_peerKey = m_plan.m_peerKey;
+  settings.m_readToken = m_plan.m_readToken;
+  settings.m_writeToken = m_plan.m_writeToken;
+  const std::string file = m_processes->PathOf(aId + ".yaml");
+  if (auto status = WriteEntrySettings(file, settings); !status) {
+    return status;
+  }
+  const auto process = m_processes->Start(
+    fmt::format("{}.{}", aId, ++m_starts), ProcessHarness::EntryPath(), { "--settings=" + file });
+  if (!process) {
+    return process.GetError();
+  }
+  m_running[aId] = *process;
+  const auto line = (*process)->FirstLine(kStartTimeout);
+  if (!line) {
+    return line.GetError();
+  }
+  platform::VmEntry& vm = Entry(aId);
+  vm.m_role = platform::VmRole::Entry;
+  vm.m_region = zone.m_region;
+  vm.m_zone = zone.m_zone;
+  vm.m_address = (*line)["caller_address"].asString();
+  vm.m_peerAddress = (*line)["peer_address"].asString();
+  vm.m_adminAddress = (*line)["admin_address"].asString();
+  vm.m_incarnation = settings.m_incarnation;
+  vm.m_state = platform::VmState::Running;
+  return base::Success{};
+}
+
+base::Status DeploymentHarness::RestartEntry(const std::string& aId)
+{
+  if (Process* process = Find(aId)) {
+    process->Kill();
+  }
+  auto status = StartEntry(aId);
+  return status ? Register() : status;
+}
+
+base::Status DeploymentHarness::RestartUpstream(const std::string& aId)
+{
+  if (Process* process = Find(aId)) {
+    process->Kill();
+  }
+  auto status = StartUpstream(aId);
+  return status ? Register() : status;
+}
+
+base::Status DeploymentHarness::SetState(const std::string& aId, platform::VmState aState)
+{
+  Entry(aId).m_state = aState;
+  return Register();
+}
+
+base::Status DeploymentHarness::Unregister(const std::string& aId)
+{
+  std::erase_if(m_vms.m_vms, [&](const auto& aVm) { return aVm.m_id == aId; });
+  return Register();
+}
+
+base::Status DeploymentHarness::ControlUpstream(const std::string& aId, const std::string& aJson)
+{
+  return Post("http://" + Entry(aId).m_address + "/control", aJson);
+}
+
+base::Status DeploymentHarness::ControlPlatform(const std::string& aJson)
+{
+  return Post(m_platformUrl + "/control", aJson);
+}
+
+base::Status DeploymentHarness::Register()
+{
+  return Post(m_platformUrl + "/control/vms", platform::WriteJson(m_vms.ToJson()));
+}
+
+platform::VmEntry& DeploymentHarness::Entry(const std::string& aId)
+{
+  auto& vms = m_vms.m_vms;
+  const auto found =
+    std::find_if(vms.begin(), vms.end(), [&](const auto& aVm) { return aVm.m_id == aId; });
+  if (found != vms.end()) {
+    return *found;
+  }
+  vms.emplace_back().m_id = aId;
+  return vms.back();
+}
+
+const platform::VmEntry* DeploymentHarness::FindVm(const std::string& aId) const
+{
+  const auto& vms = m_vms.m_vms;
+  const auto found =
+    std::find_if(vms.begin(), vms.end(), [&](const auto& aVm) { return aVm.m_id == aId; });
+  return found == vms.end() ? nullptr : &*found;
+}
+
+Process* DeploymentHarness::Find(const std::string& aId) const
+{
+  const auto found = m_running.find(aId);
+  return found == m_running.end() ? nullptr : found->second;
+}
+
+std::vector<std::string> DeploymentHarness::EntryAddresses() const
+{
+  std::vector<std::string> addresses;
+  for (const auto& [id, zone] : m_entries) {
+    const platform::VmEntry* vm = FindVm(id);
+    if (vm && vm->m_state == platform::VmState::Running && Find(id)->Running()) {
+      addresses.push_back(vm->m_address);
+    }
+  }
+  return addresses;
+}
+
+std::vector<std::string> DeploymentHarness::UpstreamRecords() const
+{
+  std::vector<std::string> files;
+  for (const auto& [id, plan] : m_upstreams) {
+    files.push_back(m_processes->PathOf(id + ".records"));
+  }
+  return files;
+}
+
+std::string DeploymentHarness::NewIncarnation()
+{
+  // 128 bits in hex, as the scopes of the execution ledger have them.
+  return fmt::format("{:032x}", ++m_starts);
+}
+
+} // namespace jaylane::testing
--- a/packages/testing/src/HttpCall.cpp
+++ b/packages/testing/src/HttpCall.cpp
@@ -15,13 +15,18 @@
 
 std::optional<HttpReply> Call(const std::string& aUrl,
                               const std::string* aBody,
-                              std::chrono::milliseconds aTimeout)
+                              std::chrono::milliseconds aTimeout,
+                              const std::vector<std::string>& aHeaders)
 {
   const std::unique_ptr<CURL, decltype(&curl_easy_cleanup)> handle(curl_easy_init(),
                                                                    &curl_easy_cleanup);
-  const std::unique_ptr<curl_slist, decltype(&curl_slist_free_all)> headers(
-    curl_slist_append(curl_slist_append(nullptr, "Expect:"), "Content-Type: application/json"),
-    &curl_slist_free_all);
+  curl_slist* list = curl_slist_append(nullptr, "Expect:");
+  list = curl_slist_append(list, "Content-Type: application/json");
+  for (const std::string& header : aHeaders) {
+    list = curl_slist_append(list, header.c_str());
+  }
+  const std::unique_ptr<curl_slist, decltype(&curl_slist_free_all)> headers(list,
+                                                                            &curl_slist_free_all);
   HttpReply reply;
   curl_easy_setopt(handle.get(), CURLOPT_URL, aUrl.c_str());
   curl_easy_setopt(handle.get(), CURLOPT_NOSIGNAL, 1L);
@@ -44,16 +49,18 @@
 
 } // namespace
 
-std::optional<HttpReply> HttpGet(const std::string& aUrl, std::chrono::milliseconds aTimeout)
+std::optional<HttpReply> HttpGet(const std::string& aUrl,
+                                 std::chrono::milliseconds aTimeout,
+                                 const std::vector<std::string>& aHeaders)
 {
-  return Call(aUrl, nullptr, aTimeout);
+  return Call(aUrl, nullptr, aTimeout, aHeaders);
 }
 
 std::optional<HttpReply> HttpPost(const std::string& aUrl,
                                   const std::string& aBody,
                                   std::chrono::milliseconds aTimeout)
 {
-  return Call(aUrl, &aBody, aTimeout);
+  return Call(aUrl, &aBody, aTimeout, {});
 }
 
 } // namespace jaylane::testing
--- /dev/null
+++ b/packages/testing/tests/ProcessHarnessTest.cpp
@@ -0,0 +1,106 @@
+#include "jaylane/testing/ProcessHarness.h"
+
+#include "jaylane/testing/DeploymentHarness.h"
+#include "jaylane/testing/HttpCall.h"
+#include "jaylane/testing/RecordFile.h"
+#include "jaylane/testing/TestingError.h"
+
+#include <csignal>
+#include <filesystem>
+#include <gtest/gtest.h>
+#include <sys/wait.h>
+
+namespace jaylane::testing {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kTimeout{ 20'000 };
+
+// Guards against records lost when an upstream crashes, and against leaked processes.
+TEST(ProcessHarness, CrashedUpstreamLeavesItsRecord)
+{
+  std::string records;
+  pid_t id = 0;
+  {
+    auto harness = ProcessHarness::Make();
+    ASSERT_TRUE(harness);
+    records = (*harness)->PathOf("records");
+    const std::string program = ProcessHarness::ProgramPath("upstream_standin");
+    const auto process = (*harness)->Start("upstream", program, { "--records=" + records });
+    ASSERT_TRUE(process);
+    const auto line = (*process)->FirstLine(kTimeout);
+    ASSERT_TRUE(line);
+    const std::string url = "http://" + (*line)["address"].asString();
+    EXPECT_FALSE(HttpGet(url + "/a", kTimeout, { "X-Test-Crash: 1", "X-Test-Id: a" }));
+    const auto status = (*process)->Wait(kTimeout);
+    ASSERT_TRUE(status);
+    EXPECT_TRUE(WIFEXITED(*status));
+    const auto lines = RecordFile::Read(records);
+    ASSERT_TRUE(lines);
+    ASSERT_EQ(lines->size(), 1u);
+    EXPECT_EQ((*lines)[0]["id"], "a");
+    const auto second = (*harness)->Start("second", program, {});
+    ASSERT_TRUE(second);
+    ASSERT_TRUE((*second)->FirstLine(kTimeout));
+    id = (*second)->Id();
+  }
+  EXPECT_EQ(kill(id, 0), -1);
+  EXPECT_FALSE(std::filesystem::exists(records));
+}
+
+// Guards against a harness that waits for programs that cannot start.
+TEST(ProcessHarness, ReportsProgramsThatDoNotStart)
+{
+  auto harness = ProcessHarness::Make();
+  ASSERT_TRUE(harness);
+  EXPECT_EQ((*harness)->Start("none", "/nonexistent", {}).GetError().m_code,
+            TestingErrc::StartFailed);
+  const std::string program = ProcessHarness::ProgramPath("caller_load");
+  const auto failing = (*harness)->Start("failing", program, {});
+  ASSERT_TRUE(failing);
+  EXPECT_EQ((*failing)->FirstLine(kTimeout).GetError().m_code, TestingErrc::StartFailed);
+}
+
+// Guards against a paused process that still answers or does not resume.
+TEST(ProcessHarness, PausesAndResumes)
+{
+  auto harness = DeploymentHarness::Make();
+  ASSERT_TRUE(harness);
+  const std::string url = (*harness)->PlatformUrl() + "/v1/vms";
+  (*harness)->Platform().Pause();
+  EXPECT_FALSE(HttpGet(url, milliseconds{ 100 }));
+  (*harness)->Platform().Resume();
+  EXPECT_TRUE(HttpGet(url, kTimeout));
+  (*harness)->Platform().Terminate();
+  const auto status = (*harness)->Platform().Wait(kTimeout);
+  ASSERT_TRUE(status);
+  EXPECT_TRUE(WIFEXITED(*status) && WEXITSTATUS(*status) == 0);
+}
+
+// Guards against a deployment whose upstreams are not registered at the platform.
+TEST(DeploymentHarness, RegistersUpstreams)
+{
+  auto harness = DeploymentHarness::Make();
+  ASSERT_TRUE(harness);
+  DeploymentPlan plan;
+  plan.m_zones = { { "huye", "huye-a" }, { "huye", "huye-b" } };
+  plan.m_entryVmsPerZone = 0;
+  plan.m_services = { { "tables-svc", 2, 4, milliseconds{ 1 }, {} } };
+  plan.m_tree = "{}";
+  const auto status = (*harness)->Start(plan);
+  ASSERT_TRUE(status) << status.GetError().Message();
+  platform::HttpStore store({ (*harness)->PlatformUrl() });
+  ASSERT_TRUE((*harness)->SetState("tables-svc-huye-a-0", platform::VmState::Leaving));
+  const auto vms = store.ListVms(kTimeout);
+  ASSERT_TRUE(vms);
+  EXPECT_EQ(vms->m_vms.size(), 4u);
+  EXPECT_EQ(*vms, (*harness)->Vms());
+  EXPECT_TRUE(store.Get("settings/tree", kTimeout));
+  const std::string before = (*harness)->FindVm("tables-svc-huye-b-1")->m_incarnation;
+  ASSERT_TRUE((*harness)->RestartUpstream("tables-svc-huye-b-1"));
+  EXPECT_NE((*harness)->FindVm("tables-svc-huye-b-1")->m_incarnation, before);
+}
+
+} // namespace
+} // namespace jaylane::testing
--- /dev/null
+++ b/packages/testing/tests/UpstreamStandInTest.cpp
@@ -0,0 +1,100 @@
+#include "jaylane/testing/UpstreamStandIn.h"
+
+#include "jaylane/testing/HttpCall.h"
+#include "jaylane/testing/ResponsePattern.h"
+#include "jaylane/testing/WaitFor.h"
+
+#include <gtest/gtest.h>
+#include <thread>
+#include <xxhash.h>
+
+namespace jaylane::testing {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kTimeout{ 10'000 };
+
+class UpstreamStandInTest : public ::testing::Test
+{
+protected:
+  void Start(const UpstreamOptions& aOptions = {})
+  {
+    auto upstream = UpstreamStandIn::Make(aOptions);
+    ASSERT_TRUE(upstream);
+    m_upstream = std::move(*upstream);
+    m_url = "http://" + m_upstream->Address();
+  }
+
+  void Control(const std::string& aJson)
+  {
+    ASSERT_EQ(HttpPost(m_url + "/control", aJson, kTimeout)->m_status, 200);
+  }
+
+  std::unique_ptr<UpstreamStandIn> m_upstream;
+  std::string m_url;
+};
+
+// Guards against a response that a caller cannot verify, also below a service prefix.
+TEST_F(UpstreamStandInTest, BodyIsDerivedFromTheRequest)
+{
+  Start();
+  const auto reply = HttpPost(m_url + "/s/tables-svc/a/b?bytes=70000", "body", kTimeout);
+  ASSERT_TRUE(reply);
+  const ResponsePattern pattern("POST", "/a/b", XXH64("body", 4, 0), 70'000);
+  EXPECT_EQ(reply->m_body.size(), pattern.size());
+  EXPECT_TRUE(pattern.Matches(0, reply->m_body.data(), reply->m_body.size()));
+  EXPECT_FALSE(pattern.Matches(1, reply->m_body.data(), reply->m_body.size() - 1));
+}
+
+// Guards against rejections that are executed, and against slots that are never released.
+TEST_F(UpstreamStandInTest, ShedsBeyondItsSlotsAndNoticesCancellation)
+{
+  UpstreamOptions options;
+  options.m_slots = 1;
+  options.m_serviceTime = kTimeout;
+  Start(options);
+  std::thread busy([this] { EXPECT_FALSE(HttpGet(m_url + "/long", milliseconds{ 300 })); });
+  EXPECT_TRUE(WaitFor([this] { return m_upstream->Stats()["executed"].asUInt() == 1; }, kTimeout));
+  EXPECT_EQ(HttpGet(m_url + "/shed", kTimeout)->m_status, 503);
+  busy.join();
+  EXPECT_TRUE(WaitFor([this] { return m_upstream->Stats()["in_flight"].asUInt() == 0; }, kTimeout));
+  Control(R"({"service_ms":1})");
+  EXPECT_EQ(HttpGet(m_url + "/next", kTimeout)->m_status, 200);
+  const Json::Value stats = m_upstream->Stats();
+  EXPECT_EQ(stats["executed"].asUInt(), 2u);
+  EXPECT_EQ(stats["over_slots"].asUInt(), 1u);
+  EXPECT_EQ(stats["cancelled"].asUInt(), 1u);
+}
+
+// Guards against fault switches that do nothing or affect later requests.
+TEST_F(UpstreamStandInTest, FaultsAffectOneRequest)
+{
+  Start();
+  for (const char* fault : { R"({"close_next":1})", R"({"truncate_next":1})" }) {
+    Control(fault);
+    EXPECT_FALSE(HttpGet(m_url + "/x?bytes=100000", kTimeout)) << fault;
+    EXPECT_EQ(HttpGet(m_url + "/x?bytes=100000", kTimeout)->m_status, 200) << fault;
+  }
+  EXPECT_EQ(HttpGet(m_url + "/x", kTimeout, { "X-Deadline-Ms: 0" })->m_status, 503);
+  EXPECT_EQ(HttpGet(m_url + "/x", kTimeout, { "X-Deadline-Ms: 1" })->m_status, 504);
+  EXPECT_EQ(m_upstream->Stats()["missed_deadlines"].asUInt(), 1u);
+}
+
+// Guards against reports that cannot be made stale, wrong or absent.
+TEST_F(UpstreamStandInTest, ReportsCanBeWrong)
+{
+  Start();
+  EXPECT_EQ(HttpGet(m_url + "/health", kTimeout)->m_body, R"({"state":"active"})");
+  EXPECT_EQ(HttpGet(m_url + "/load", kTimeout)->m_body, R"({"in_flight":0,"slots":4})");
+  Control(R"({"leaving":true,"load_error":3})");
+  EXPECT_EQ(HttpGet(m_url + "/health", kTimeout)->m_body, R"({"state":"leaving"})");
+  EXPECT_EQ(HttpGet(m_url + "/load", kTimeout)->m_body, R"({"in_flight":3,"slots":4})");
+  Control(R"({"health":"active"})");
+  EXPECT_EQ(HttpGet(m_url + "/health", kTimeout)->m_body, R"({"state":"active"})");
+  Control(R"({"reports_stopped":true})");
+  EXPECT_FALSE(HttpGet(m_url + "/load", kTimeout));
+}
+
+} // namespace
+} // namespace jaylane::testing
