Add the interfaces of slot shares, admission, retries and limits

Cause: other packages need the headers of these decisions early. Change: public headers of the package policy; sources are empty, except the error category. Conclusion: compiles; nothing can be linked against yet.

--- /dev/null
+++ b/packages/policy/include/jaylane/policy/ShareTable.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include "jaylane/base/Error.h"
+
+#include <cstdint>
+#include <json/value.h>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace jaylane::policy {
+
+/// Identifies one run of an entry VM; never used again after that run ends.
+using Incarnation = std::string;
+
+/// @param aUpstream id of the upstream, equal on every VM.
+/// @return the hash that places the upstream's slots on the share units.
+std::uint64_t HashUpstream(std::string_view aUpstream);
+
+/// Assigns the share units of a zone to incarnations of its entry VMs: the value of the
+/// object shares/<zone>. Every unit has exactly one owner, hence every slot too.
+class ShareTable
+{
+public:
+  static constexpr std::uint32_t kMaxUnits = 1u << 16;
+
+  /// @param aUnits number of units, a power of two up to kMaxUnits.
+  /// @param aOwner first owner of all units; not empty.
+  static base::Result<ShareTable> Make(std::uint32_t aUnits, Incarnation aOwner);
+
+  /// @param aJson form written by ToJson().
+  /// @return the table, or InvalidShareTable.
+  static base::Result<ShareTable> FromJson(const Json::Value& aJson);
+
+  /// @return {"units","owners","runs":[[units, owner index, reclaim mark]],"writer","nonce"}.
+  Json::Value ToJson() const;
+
+  std::uint32_t Units() const { return static_cast<std::uint32_t>(m_units.size()); }
+
+  /// @param aHash HashUpstream() of the upstream.
+  /// @param aSlot index of the slot at the upstream.
+  /// @return the unit that the slot belongs to.
+  std::uint32_t UnitOf(std::uint64_t aHash, std::uint32_t aSlot) const
+  {
+    return static_cast<std::uint32_t>((aHash + aSlot) & (m_units.size() - 1));
+  }
+
+  const Incarnation& OwnerOf(std::uint32_t aUnit) const { return m_owners[m_units[aUnit].m_owner]; }
+
+  /// @return 0 if the last owner gave the unit up itself, else an id of the reclaim. The
+  /// owner of a reclaimed unit keeps it unused for the quarantine delay first.
+  std::uint64_t ReclaimMarkOf(std::uint32_t aUnit) const { return m_units[aUnit].m_reclaimMark; }
+
+  /// @return units of an incarnation in ascending order.
+  std::vector<std::uint32_t> UnitsOf(std::string_view aOwner) const;
+
+  /// @return the incarnations that own at least one unit, sorted.
+  std::vector<Incarnation> Owners() const;
+
+  /// @param aReclaimMark see ReclaimMarkOf().
+  void Assign(std::uint32_t aUnit, const Incarnation& aOwner, std::uint64_t aReclaimMark);
+
+  /// Doubles the number of units. Unit i and its copy i + Units() get the same owner, so
+  /// no slot changes its owner.
+  void Double();
+
+  /// Marks the value for the check after a lost response of the store.
+  void Stamp(std::string aWriter, std::string aNonce);
+  bool WrittenBy(std::string_view aWriter, std::string_view aNonce) const;
+
+private:
+  struct Unit
+  {
+    std::uint32_t m_owner = 0;
+    std::uint64_t m_reclaimMark = 0;
+
+    bool operator==(const Unit&) const = default;
+  };
+
+  ShareTable() = default;
+  std::uint32_t OwnerIndex(const Incarnation& aOwner);
+  bool AppendRun(const Json::Value& aRun);
+
+  std::vector<Incarnation> m_owners;
+  std::vector<Unit> m_units;
+  std::string m_writer;
+  std::string m_nonce;
+};
+
+} // namespace jaylane::policy
--- /dev/null
+++ b/packages/policy/include/jaylane/policy/SlotBorrower.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include "jaylane/policy/SlotLedger.h"
+
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace jaylane::policy {
+
+/// Borrower's side of slot leases: whom to ask, what a grant allows, when to return.
+class SlotBorrower
+{
+public:
+  struct Options
+  {
+    /// Duration asked for; must exceed the timeout of the requests that use borrowed slots.
+    std::chrono::nanoseconds m_duration{ std::chrono::seconds{ 10 } };
+    /// Shortest time between two asks for one upstream.
+    std::chrono::nanoseconds m_askInterval{ std::chrono::milliseconds{ 10 } };
+    /// A free borrowed slot is returned after being unused for this time.
+    std::chrono::nanoseconds m_idle{ 0 };
+    /// Part of a lease left unused for the difference of clock rates: 1/512 is twice the
+    /// greatest slew of 500 ppm on both sides.
+    std::uint32_t m_rateMarginDivisor = 512;
+  };
+
+  /// An ask and the VM it goes to.
+  struct Outgoing
+  {
+    Incarnation m_lender;
+    SlotAsk m_ask;
+  };
+
+  /// @param aPool must outlive this.
+  SlotBorrower(Incarnation aSelf, SlotPool& aPool, Options aOptions);
+
+  /// To be called when a request has to wait for a slot.
+  /// @param aWaiting requests that wait for this upstream.
+  /// @return an ask for another owner of the upstream's slots, in turn, or nothing.
+  std::optional<Outgoing> MaybeAsk(UpstreamIndex aUpstream,
+                                   std::uint32_t aWaiting,
+                                   base::MonotonicTime aNow);
+
+  /// Takes over granted slots. A grant for an unknown or already answered ask is ignored; its
+  /// leases end at the lender by themselves.
+  /// @return number of slots added.
+  std::uint32_t OnGrant(const SlotGrant& aGrant, base::MonotonicTime aNow);
+
+  /// @param aWaiting requests that wait for this upstream; slots are kept while there are any.
+  /// @return returns to send for slots that are free and no longer needed.
+  std::vector<SlotReturn> ReturnUnused(UpstreamIndex aUpstream,
+                                       std::uint32_t aWaiting,
+                                       base::MonotonicTime aNow);
+
+  /// Gives one free slot back to a lender that needs it more.
+  std::optional<SlotReturn> ReturnOne(UpstreamIndex aUpstream, const Incarnation& aLender);
+
+  /// @return lenders of the slots borrowed now, each once.
+  std::vector<Incarnation> Lenders(UpstreamIndex aUpstream) const;
+
+private:
+  struct Pending
+  {
+    UpstreamIndex m_upstream = 0;
+    Incarnation m_lender;
+    base::MonotonicTime m_askedAt;
+  };
+  struct Held
+  {
+    std::uint64_t m_localLease = 0;
+    std::uint64_t m_lenderLease = 0;
+    Incarnation m_lender;
+    base::MonotonicTime m_until;
+  };
+  struct State
+  {
+    std::uint32_t m_nextSlot = 0;
+    base::MonotonicTime m_lastAsk = base::MonotonicTime::min();
+    std::vector<Held> m_held;
+  };
+
+  void Forget(base::MonotonicTime aNow);
+  const Incarnation* NextLender(State& aState, UpstreamIndex aUpstream) const;
+
+  const Incarnation m_self;
+  SlotPool& m_pool;
+  const Options m_options;
+  std::map<std::uint64_t, Pending> m_pending;
+  std::map<UpstreamIndex, State> m_states;
+  std::uint64_t m_nextId = 1;
+};
+
+} // namespace jaylane::policy
--- /dev/null
+++ b/packages/policy/include/jaylane/policy/SlotLedger.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include "jaylane/policy/SlotPool.h"
+
+#include <optional>
+#include <vector>
+
+namespace jaylane::policy {
+
+/// Request for slots, sent by a borrower.
+struct SlotAsk
+{
+  /// Unique within the borrower's incarnation.
+  std::uint64_t m_id = 0;
+  Incarnation m_borrower;
+  UpstreamIndex m_upstream = 0;
+  /// Requests that wait for a slot at the borrower.
+  std::uint32_t m_waiting = 0;
+  std::uint32_t m_amount = 0;
+  std::chrono::nanoseconds m_duration{ 0 };
+};
+
+/// Reply to a SlotAsk. Also states the lender's own need.
+struct SlotGrant
+{
+  std::uint64_t m_ask = 0;
+  Incarnation m_lender;
+  UpstreamIndex m_upstream = 0;
+  std::vector<std::uint64_t> m_leases;
+  std::chrono::nanoseconds m_duration{ 0 };
+};
+
+/// Early end of leases, sent by a borrower after its attempts on them have ended.
+struct SlotReturn
+{
+  Incarnation m_lender;
+  UpstreamIndex m_upstream = 0;
+  std::vector<std::uint64_t> m_leases;
+};
+
+/// Lender's side of slot leases. Decides how much to lend; the pool does the accounting.
+class SlotLedger
+{
+public:
+  struct Options
+  {
+    std::chrono::nanoseconds m_maxDuration{ std::chrono::seconds{ 30 } };
+    /// Time for which an ask that could not be met is kept, to be met by a slot that gets free.
+    std::chrono::nanoseconds m_holdAsk{ std::chrono::milliseconds{ 100 } };
+    /// Free slots kept for own arrivals when the borrower has only one request waiting.
+    std::uint32_t m_reserve = 1;
+    /// A slot is given up although own requests wait if the borrower has more than this
+    /// number of additional requests waiting. Prevents ping-pong between equally loaded VMs.
+    std::uint32_t m_imbalance = 2;
+  };
+
+  /// @param aPool must outlive this.
+  SlotLedger(Incarnation aSelf, SlotPool& aPool, Options aOptions);
+
+  /// Handles an ask. If it is not met in full, it is kept for OnFree().
+  /// @param aWaiting own requests that wait for this upstream.
+  /// @return leases granted now; the reply may be held back while there are none.
+  SlotGrant OnAsk(const SlotAsk& aAsk, std::uint32_t aWaiting, base::MonotonicTime aNow);
+
+  /// To be called when a slot got free, before own requests take it.
+  /// @return leases for a kept ask, or nothing.
+  std::optional<SlotGrant> OnFree(UpstreamIndex aUpstream,
+                                  std::uint32_t aWaiting,
+                                  base::MonotonicTime aNow);
+
+  /// @return whether @p aLender should get a slot borrowed from it back now, according to its
+  /// kept ask.
+  bool ShouldReturn(const Incarnation& aLender,
+                    UpstreamIndex aUpstream,
+                    std::uint32_t aWaiting,
+                    base::MonotonicTime aNow) const;
+
+  void OnReturn(const SlotReturn& aReturn);
+
+  /// @return asks kept now.
+  std::size_t KeptAsks() const { return m_asks.size(); }
+
+private:
+  struct KeptAsk
+  {
+    SlotAsk m_ask;
+    base::MonotonicTime m_until;
+  };
+
+  std::uint32_t Lendable(const SlotAsk& aAsk, std::uint32_t aWaiting, std::uint32_t aFree) const;
+  SlotGrant Lend(const SlotAsk& aAsk, std::uint32_t aAmount, base::MonotonicTime aNow);
+  void Keep(const SlotAsk& aAsk, std::uint32_t aMissing, base::MonotonicTime aNow);
+
+  const Incarnation m_self;
+  SlotPool& m_pool;
+  const Options m_options;
+  std::vector<KeptAsk> m_asks;
+};
+
+} // namespace jaylane::policy
--- /dev/null
+++ b/packages/policy/src/DepartureTracker.cpp
@@ -0,0 +1,1 @@
+#include "jaylane/policy/DepartureTracker.h"
