Implement slot shares, leases, admission, retry budget and limits

Cause: the slots of an upstream are partitioned over the entry VMs of its zone, and every VM must be able to spend, lend, donate and reclaim them without exceeding the upstream's slots, whatever messages are lost.

Change: share table with JSON codec and plans, departure tracker, slot pool, lender's ledger, borrower, admission queue, retry budget, concurrency limit. - A donated unit stays unused until a table with a version above the update's condition is read. An equal version is not enough: the update may still be on its way. - A reclaimed unit carries a mark; the new owner leaves it unused for the quarantine, counted from the moment it reads the table. It has to cover the longest lease too, since the dead owner may have lent the slot. - A VM list that lacks an owner may be older than the owner. An owner is gone only if a list requested at least the list's greatest lag after the table named it lacks it, and no list in between shows it. - A borrowed slot is used only if the lease covers the attempt's timeout; the lender never extends. It needs no message to free a slot. - A grant names the borrower: ask ids of two borrowers can be equal.

--- a/packages/policy/include/jaylane/policy/AdmissionQueue.h
+++ b/packages/policy/include/jaylane/policy/AdmissionQueue.h
@@ -53,8 +53,9 @@
   /// @return the entries, to be answered as not-run (429).
   std::vector<Entry> DropLate(const Service& aService, base::MonotonicTime aNow);
 
-  /// @return the next entry to run that can finish, or nothing.
-  std::optional<Entry> Take(const Service& aService, base::MonotonicTime aNow);
+  /// To be called after DropLate().
+  /// @return the next entry to run, or nothing.
+  std::optional<Entry> Take();
 
   /// Removes an entry whose caller has gone.
   bool Cancel(std::uint64_t aId);
@@ -65,11 +66,14 @@
   std::size_t size() const { return m_entries.size(); }
 
 private:
+  using Entries = std::map<std::uint64_t, Entry>;
   using Deadlines = std::set<std::pair<base::MonotonicTime, std::uint64_t>>;
 
+  Entry Remove(Entries::iterator aEntry);
+
   const Options m_options;
-  std::map<std::uint64_t, Entry> m_entries; // by order of arrival
-  Deadlines m_deadlines;                    // deadline and order of arrival
+  Entries m_entries;     // by order of arrival
+  Deadlines m_deadlines; // deadline and order of arrival
   std::map<std::uint64_t, std::uint64_t> m_sequenceOf;
   std::uint64_t m_nextSequence = 0;
 };
--- a/packages/policy/include/jaylane/policy/ConcurrencyLimit.h
+++ b/packages/policy/include/jaylane/policy/ConcurrencyLimit.h
@@ -3,6 +3,7 @@
 #include "jaylane/base/Clock.h"
 
 #include <cstdint>
+#include <optional>
 
 namespace jaylane::policy {
 
@@ -48,7 +49,7 @@
   double m_limit = -1;
   double m_smoothed = 0;
   double m_usual = 0;
-  base::MonotonicTime m_lastBackOff = base::MonotonicTime::min();
+  std::optional<base::MonotonicTime> m_lastBackOff;
 };
 
 } // namespace jaylane::policy
--- a/packages/policy/include/jaylane/policy/SlotBorrower.h
+++ b/packages/policy/include/jaylane/policy/SlotBorrower.h
@@ -75,8 +75,10 @@
   };
   struct State
   {
+    /// Time since when nothing waits.
+    std::optional<base::MonotonicTime> m_idleSince;
     std::uint32_t m_nextSlot = 0;
-    base::MonotonicTime m_lastAsk = base::MonotonicTime::min();
+    std::optional<base::MonotonicTime> m_lastAsk;
     std::vector<Held> m_held;
   };
 
@@ -89,6 +91,7 @@
   std::map<std::uint64_t, Pending> m_pending;
   std::map<UpstreamIndex, State> m_states;
   std::uint64_t m_nextId = 1;
+  std::uint64_t m_nextLocalLease = 1;
 };
 
 } // namespace jaylane::policy
--- a/packages/policy/include/jaylane/policy/SlotError.h
+++ b/packages/policy/include/jaylane/policy/SlotError.h
@@ -11,6 +11,7 @@
   InvalidShareTable,
   NotOwner,
   NotDrained,
+  StaleTable,
 };
 
 /// @return the category of SlotErrc.
--- a/packages/policy/include/jaylane/policy/SlotLedger.h
+++ b/packages/policy/include/jaylane/policy/SlotLedger.h
@@ -13,19 +13,20 @@
   /// Unique within the borrower's incarnation.
   std::uint64_t m_id = 0;
   Incarnation m_borrower;
-  UpstreamIndex m_upstream = 0;
+  std::string m_upstream;
   /// Requests that wait for a slot at the borrower.
   std::uint32_t m_waiting = 0;
   std::uint32_t m_amount = 0;
   std::chrono::nanoseconds m_duration{ 0 };
 };
 
-/// Reply to a SlotAsk. Also states the lender's own need.
+/// Reply to a SlotAsk; there is at most one for each.
 struct SlotGrant
 {
   std::uint64_t m_ask = 0;
+  Incarnation m_borrower;
   Incarnation m_lender;
-  UpstreamIndex m_upstream = 0;
+  std::string m_upstream;
   std::vector<std::uint64_t> m_leases;
   std::chrono::nanoseconds m_duration{ 0 };
 };
@@ -34,7 +35,7 @@
 struct SlotReturn
 {
   Incarnation m_lender;
-  UpstreamIndex m_upstream = 0;
+  std::string m_upstream;
   std::vector<std::uint64_t> m_leases;
 };
 
@@ -50,17 +51,20 @@
     /// Free slots kept for own arrivals when the borrower has only one request waiting.
     std::uint32_t m_reserve = 1;
     /// A slot is given up although own requests wait if the borrower has more than this
-    /// number of additional requests waiting. Prevents ping-pong between equally loaded VMs.
+    /// number of additional requests waiting. Prevents that equally loaded VMs exchange slots back
+    /// and forth.
     std::uint32_t m_imbalance = 2;
   };
 
   /// @param aPool must outlive this.
   SlotLedger(Incarnation aSelf, SlotPool& aPool, Options aOptions);
 
-  /// Handles an ask. If it is not met in full, it is kept for OnFree().
+  /// Handles an ask. It replaces an earlier one of the same borrower for the same upstream.
   /// @param aWaiting own requests that wait for this upstream.
-  /// @return leases granted now; the reply may be held back while there are none.
-  SlotGrant OnAsk(const SlotAsk& aAsk, std::uint32_t aWaiting, base::MonotonicTime aNow);
+  /// @return leases granted now, or nothing: the ask is then kept for OnFree().
+  std::optional<SlotGrant> OnAsk(const SlotAsk& aAsk,
+                                 std::uint32_t aWaiting,
+                                 base::MonotonicTime aNow);
 
   /// To be called when a slot got free, before own requests take it.
   /// @return leases for a kept ask, or nothing.
@@ -88,9 +92,9 @@
   };
 
   std::uint32_t Lendable(const SlotAsk& aAsk, std::uint32_t aWaiting, std::uint32_t aFree) const;
-  SlotGrant Lend(const SlotAsk& aAsk, std::uint32_t aAmount, base::MonotonicTime aNow);
-  void Keep(const SlotAsk& aAsk, std::uint32_t aMissing, base::MonotonicTime aNow);
-
+  std::optional<SlotGrant> Lend(const SlotAsk& aAsk,
+                                std::uint32_t aAmount,
+                                base::MonotonicTime aNow);
   const Incarnation m_self;
   SlotPool& m_pool;
   const Options m_options;
--- a/packages/policy/include/jaylane/policy/SlotPool.h
+++ b/packages/policy/include/jaylane/policy/SlotPool.h
@@ -63,7 +63,8 @@
   /// Stops the use of units before a donation.
   void BeginDrain(std::span<const std::uint32_t> aUnits);
 
-  /// Takes units back into use, except those that a write may already have given away.
+  /// Takes units back into use, except those that a write may already have given away. A table with
+  /// another number of units cancels every drain too.
   void CancelDrain(std::span<const std::uint32_t> aUnits);
 
   /// @return whether the units are drained, not quarantined, and no own attempt or lease
@@ -74,7 +75,7 @@
   /// units are not this VM's until ApplyTable() brings a version above the update's condition:
   /// with an equal one the update can still take effect.
   /// @param aVersion the version that the update is conditional on.
-  /// @return NotOwner or NotDrained, in which case nothing may be sent.
+  /// @return StaleTable, NotOwner or NotDrained, in which case nothing may be sent.
   base::Status BeginWrite(std::span<const std::uint32_t> aUnits,
                           std::uint64_t aVersion,
                           base::MonotonicTime aNow);
@@ -118,8 +119,11 @@
   /// Forgets borrowed slots whose lease has ended and whose attempts have ended.
   void DropExpired(UpstreamIndex aUpstream, base::MonotonicTime aNow);
 
-  /// @return index of an upstream's owner per slot, for asking it for a loan.
+  /// @return the owner of a slot, who may lend it; nothing before the first table.
   const Incarnation* OwnerOfSlot(UpstreamIndex aUpstream, std::uint32_t aSlot) const;
+  /// @return the upstream's index, or nothing if it is not known.
+  std::optional<UpstreamIndex> Find(const std::string& aId) const;
+  const std::string& IdOf(UpstreamIndex aUpstream) const { return m_upstreams[aUpstream].m_id; }
   std::uint32_t Slots(UpstreamIndex aUpstream) const { return m_upstreams[aUpstream].m_slots; }
 
   /// @return bytes held for one upstream, for the capacity page.
@@ -140,6 +144,7 @@
   };
   struct Upstream
   {
+    std::string m_id;
     std::uint64_t m_hash = 0;
     std::uint32_t m_slots = 0;
     std::vector<OwnSlot> m_own;
@@ -156,11 +161,12 @@
   };
 
   void UpdateUnit(Unit& aUnit, std::uint32_t aIndex, base::MonotonicTime aNow);
+  void ResizeUnits(std::uint32_t aUnits);
   bool IsUsable(const Upstream& aUpstream, std::uint32_t aSlot, base::MonotonicTime aNow) const;
   bool IsFree(const Upstream& aUpstream, std::uint32_t aSlot, base::MonotonicTime aNow) const;
-  bool IsIdle(const Upstream& aUpstream,
-              std::span<const bool> aUnits,
-              base::MonotonicTime aNow) const;
+  bool HasBusySlot(const Upstream& aUpstream,
+                   const std::vector<bool>& aUnits,
+                   base::MonotonicTime aNow) const;
 
   const Incarnation m_self;
   const Options m_options;
--- a/packages/policy/src/DepartureTracker.cpp
+++ b/packages/policy/src/DepartureTracker.cpp
@@ -1,1 +1,45 @@
 #include "jaylane/policy/DepartureTracker.h"
+
+#include <algorithm>
+
+namespace jaylane::policy {
+
+DepartureTracker::DepartureTracker(std::chrono::nanoseconds aListLag)
+  : m_listLag(aListLag)
+{
+}
+
+void DepartureTracker::ObserveTable(const ShareTable& aTable, base::MonotonicTime aNow)
+{
+  std::map<Incarnation, Owner> owners;
+  for (const Incarnation& owner : aTable.Owners()) {
+    const auto known = m_owners.find(owner);
+    owners[owner] = known != m_owners.end() ? known->second : Owner{ aNow, false };
+  }
+  m_owners = std::move(owners);
+}
+
+void DepartureTracker::ObserveList(std::span<const Incarnation> aListed,
+                                   base::MonotonicTime aRequestedAt)
+{
+  for (auto& [incarnation, owner] : m_owners) {
+    if (std::ranges::find(aListed, incarnation) != aListed.end()) {
+      owner = Owner{ std::max(owner.m_absentSince, aRequestedAt), false };
+    } else if (aRequestedAt - owner.m_absentSince >= m_listLag) {
+      owner.m_gone = true;
+    }
+  }
+}
+
+std::vector<Incarnation> DepartureTracker::Gone() const
+{
+  std::vector<Incarnation> gone;
+  for (const auto& [incarnation, owner] : m_owners) {
+    if (owner.m_gone) {
+      gone.push_back(incarnation);
+    }
+  }
+  return gone;
+}
+
+} // namespace jaylane::policy
--- a/packages/policy/src/SharePlans.cpp
+++ b/packages/policy/src/SharePlans.cpp
@@ -1,1 +1,169 @@
 #include "jaylane/policy/SharePlans.h"
+
+#include "jaylane/policy/SlotError.h"
+
+#include <algorithm>
+#include <bit>
+#include <map>
+#include <utility>
+
+namespace jaylane::policy {
+
+namespace {
+
+/// Units per entry VM at least, so that shares can differ by a quarter or less.
+constexpr std::size_t kUnitsPerVm = 4;
+
+/// Units of a VM now and to be added.
+struct Quota
+{
+  Incarnation m_vm;
+  std::size_t m_units = 0;
+  std::size_t m_added = 0;
+};
+
+std::vector<Quota> Count(const ShareTable& aTable, std::span<const Incarnation> aVms)
+{
+  std::map<Incarnation, std::size_t> counts;
+  for (std::uint32_t unit = 0; unit < aTable.Units(); ++unit) {
+    ++counts[aTable.OwnerOf(unit)];
+  }
+  std::vector<Quota> quotas;
+  for (const Incarnation& vm : aVms) {
+    quotas.push_back({ vm, counts[vm], 0 });
+  }
+  return quotas;
+}
+
+/// Adds units one by one to the VM with the fewest, but none to a VM with @p aLimit.
+/// @return number of units added.
+std::size_t Distribute(std::vector<Quota>& aQuotas, std::size_t aUnits, std::size_t aLimit)
+{
+  const auto total = [](const Quota& aQuota) { return aQuota.m_units + aQuota.m_added; };
+  for (std::size_t done = 0; done < aUnits; ++done) {
+    const auto least = std::ranges::min_element(aQuotas, {}, total);
+    if (least == aQuotas.end() || total(*least) >= aLimit) {
+      return done;
+    }
+    ++least->m_added;
+  }
+  return aUnits;
+}
+
+/// @return the receivers, each as often as it gets a unit. Neighbouring units go to one
+/// receiver, so that it gets several slots of few upstreams.
+std::vector<Incarnation> Receivers(const std::vector<Quota>& aQuotas)
+{
+  std::vector<Incarnation> receivers;
+  for (const Quota& quota : aQuotas) {
+    receivers.insert(receivers.end(), quota.m_added, quota.m_vm);
+  }
+  return receivers;
+}
+
+std::vector<Incarnation> Without(std::span<const Incarnation> aVms,
+                                 std::span<const Incarnation> aExcluded)
+{
+  std::vector<Incarnation> rest;
+  for (const Incarnation& vm : aVms) {
+    if (std::ranges::find(aExcluded, vm) == aExcluded.end()) {
+      rest.push_back(vm);
+    }
+  }
+  return rest;
+}
+
+} // namespace
+
+std::vector<std::uint32_t> Donation::Units() const
+{
+  std::vector<std::uint32_t> units;
+  for (const Move& move : m_moves) {
+    units.push_back(move.m_unit);
+  }
+  return units;
+}
+
+base::Result<ShareTable> MakeInitial(const Incarnation& aSelf, std::size_t aExpectedVms)
+{
+  const std::size_t units = std::bit_ceil(kUnitsPerVm * std::max<std::size_t>(aExpectedVms, 1));
+  return ShareTable::Make(
+    static_cast<std::uint32_t>(std::min<std::size_t>(units, ShareTable::kMaxUnits)), aSelf);
+}
+
+std::optional<ShareTable> PlanGrowth(const ShareTable& aTable,
+                                     std::span<const Incarnation> aRunning)
+{
+  std::optional<ShareTable> next;
+  std::size_t units = aTable.Units();
+  for (; units < kUnitsPerVm * aRunning.size() && units < ShareTable::kMaxUnits; units *= 2) {
+    if (!next) {
+      next = aTable;
+    }
+    next->Double();
+  }
+  return next;
+}
+
+std::optional<Donation> PlanDonation(const ShareTable& aTable,
+                                     const Incarnation& aSelf,
+                                     std::span<const Incarnation> aRunning)
+{
+  const bool leaves = std::ranges::find(aRunning, aSelf) == aRunning.end();
+  const std::vector<std::uint32_t> own = aTable.UnitsOf(aSelf);
+  const std::size_t fair = aTable.Units() / std::max<std::size_t>(aRunning.size(), 1);
+  const std::size_t excess = leaves ? own.size() : own.size() - std::min(own.size(), fair);
+
+  const Incarnation excluded[] = { aSelf };
+  std::vector<Quota> quotas = Count(aTable, Without(aRunning, excluded));
+  // Only VMs below the fair share receive units, so that no unit travels back and forth.
+  const std::size_t given = Distribute(quotas, excess, leaves ? aTable.Units() + 1 : fair);
+  if (given == 0) {
+    return std::nullopt;
+  }
+  Donation donation{ aSelf, {} };
+  const std::vector<Incarnation> receivers = Receivers(quotas);
+  for (std::size_t i = 0; i < given; ++i) {
+    donation.m_moves.push_back({ own[own.size() - given + i], receivers[i] });
+  }
+  return donation;
+}
+
+base::Result<ShareTable> ApplyDonation(const ShareTable& aTable, const Donation& aDonation)
+{
+  ShareTable next = aTable;
+  for (const Donation::Move& move : aDonation.m_moves) {
+    if (move.m_unit >= aTable.Units() || aTable.OwnerOf(move.m_unit) != aDonation.m_donor) {
+      return { make_error_code(SlotErrc::NotOwner) };
+    }
+    next.Assign(move.m_unit, move.m_receiver, 0);
+  }
+  return next;
+}
+
+std::optional<ShareTable> PlanReclaim(const ShareTable& aTable,
+                                      std::uint64_t aVersion,
+                                      std::span<const Incarnation> aGone,
+                                      std::span<const Incarnation> aRunning)
+{
+  std::vector<std::uint32_t> units;
+  for (std::uint32_t unit = 0; unit < aTable.Units(); ++unit) {
+    if (std::ranges::find(aGone, aTable.OwnerOf(unit)) != aGone.end()) {
+      units.push_back(unit);
+    }
+  }
+  std::vector<Quota> quotas = Count(aTable, Without(aRunning, aGone));
+  if (units.empty() || quotas.empty()) {
+    return std::nullopt;
+  }
+  Distribute(quotas, units.size(), aTable.Units() + 1);
+  ShareTable next = aTable;
+  const std::vector<Incarnation> receivers = Receivers(quotas);
+  for (std::size_t i = 0; i < units.size(); ++i) {
+    // Only one write conditional on a version succeeds, so the version identifies the reclaim.
+    next.Assign(units[i], receivers[i], aVersion);
+  }
+  return next;
+}
+
+} // namespace jaylane::policy
--- a/packages/policy/src/SlotError.cpp
+++ b/packages/policy/src/SlotError.cpp
@@ -22,6 +22,8 @@
         return "unit belongs to another incarnation";
       case SlotErrc::NotDrained:
         return "unit is still in use";
+      case SlotErrc::StaleTable:
+        return "another version of the share table is current";
     }
     return "unknown error";
   }
--- /dev/null
+++ b/packages/policy/tests/ShareModel.cpp
@@ -0,0 +1,457 @@
+#include "ShareModel.h"
+
+#include <algorithm>
+
+namespace jaylane::policy {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::uint32_t kUpstreams = 2;
+constexpr std::uint32_t kSlots = 3;
+constexpr int kVms = 3;
+constexpr std::size_t kMaxUnits = 64;
+constexpr milliseconds kTimeout{ 1000 };
+constexpr milliseconds kLease{ 6000 };
+/// Greatest difference of a clock's rate from real time, in millionths. Larger than that of real
+/// clocks, so that its effect shows within a short lease; the margin is larger in proportion.
+constexpr int kRateError = 40'000;
+constexpr std::uint32_t kRateMarginDivisor = 10;
+
+} // namespace
+
+struct ShareModel::Vm
+{
+  struct Attempt
+  {
+    SlotTicket m_ticket;
+    bool m_dispatched = false;
+    Time m_end{ 0 };
+  };
+
+  Vm(Incarnation aId,
+     SlotPool::Options aPool,
+     SlotLedger::Options aLedger,
+     Time aListLag,
+     Omit aOmit)
+    : m_id(std::move(aId))
+    , m_pool(m_id, aPool)
+    , m_ledger(m_id, m_pool, aLedger)
+    , m_borrower(m_id,
+                 m_pool,
+                 { kLease,
+                   milliseconds{ 1 },
+                   milliseconds{ 0 },
+                   aOmit == Omit::RateMargin ? 1u << 30 : kRateMarginDivisor })
+    , m_tracker(aListLag)
+  {
+  }
+
+  base::MonotonicTime Clock(Time aNow) const
+  {
+    return base::MonotonicTime{ m_offset + aNow + aNow * m_rate / 1'000'000 };
+  }
+
+  void Apply(const ShareTable& aTable, std::uint64_t aVersion, Time aNow)
+  {
+    if (m_pool.ApplyTable(aTable, aVersion, Clock(aNow))) {
+      m_table = aTable;
+      m_tracker.ObserveTable(aTable, Clock(aNow));
+    }
+  }
+
+  const Incarnation m_id;
+  SlotPool m_pool;
+  SlotLedger m_ledger;
+  SlotBorrower m_borrower;
+  DepartureTracker m_tracker;
+  Time m_offset{ 0 };
+  int m_rate = 0;
+  Time m_pausedUntil{ 0 };
+  Time m_isolatedUntil{ 0 };
+  std::optional<ShareTable> m_table;
+  std::vector<Incarnation> m_list;
+  std::optional<Donation> m_donation;
+  std::vector<Attempt> m_attempts;
+};
+
+ShareModel::ShareModel(std::uint64_t aSeed, Omit aOmit, Counts& aCounts)
+  : m_omit(aOmit)
+  , m_random(aSeed)
+  , m_listLag(milliseconds{ Random(2) == 0 ? 1000 : 10'000 })
+  , m_listRarity(Random(2) == 0 ? 1 : 6)
+  , m_returnsEarly(Random(2) == 0)
+  , m_running(kUpstreams)
+  , m_counts(aCounts)
+{
+  for (int i = 0; i < kVms; ++i) {
+    Start();
+  }
+  m_stored = *MakeInitial(m_vms[0]->m_id, 2);
+  m_version = 1;
+}
+
+ShareModel::~ShareModel() = default;
+
+std::uint32_t ShareModel::Random(std::uint32_t aBelow)
+{
+  // splitmix64, cheap to set to a word at each step.
+  m_random += 0x9e3779b97f4a7c15;
+  std::uint64_t mixed = m_random;
+  mixed = (mixed ^ (mixed >> 30)) * 0xbf58476d1ce4e5b9;
+  mixed = (mixed ^ (mixed >> 27)) * 0x94d049bb133111eb;
+  return static_cast<std::uint32_t>((mixed >> 33) % aBelow);
+}
+
+ShareModel::Time ShareModel::Delay()
+{
+  return Random(10) == 0 ? milliseconds{ Random(8000) } : milliseconds{ Random(10) };
+}
+
+void ShareModel::Start()
+{
+  SlotPool::Options pool;
+  const Time covered = m_omit == Omit::LeaseQuarantine ? kTimeout : kLease;
+  pool.m_quarantine = m_omit == Omit::Quarantine ? Time{ 0 } : covered * 11 / 10;
+  SlotLedger::Options ledger;
+  ledger.m_maxDuration = m_omit == Omit::LenderTime ? kLease / 2 : kLease;
+  ledger.m_holdAsk = seconds{ 2 };
+  const Time lag = m_omit == Omit::ListLag ? Time{ 0 } : m_listLag * 11 / 10;
+  auto vm = std::make_shared<Vm>("vm-" + std::to_string(++m_started), pool, ledger, lag, m_omit);
+  vm->m_offset = seconds{ 100 + Random(100'000) };
+  vm->m_rate = static_cast<int>(Random(2 * kRateError)) - kRateError;
+  for (std::uint32_t i = 0; i < kUpstreams; ++i) {
+    vm->m_pool.SetUpstream("upstream-" + std::to_string(i), kSlots);
+  }
+  m_vms.push_back(vm);
+  std::vector<Incarnation>& list = m_lists[m_now];
+  list.clear();
+  for (const auto& running : m_vms) {
+    list.push_back(running->m_id);
+  }
+}
+
+bool ShareModel::Queue(Message aMessage)
+{
+  if (Random(8) == 0) {
+    return false; // lost
+  }
+  if (Random(10) == 0) {
+    m_messages.emplace(m_now + Delay(), aMessage);
+  }
+  m_messages.emplace(m_now + Delay(), std::move(aMessage));
+  return true;
+}
+
+bool ShareModel::Send(const std::shared_ptr<Vm>& aTo, std::function<void()> aDeliver)
+{
+  return aTo && Queue({ aTo, false, std::move(aDeliver) });
+}
+
+void ShareModel::SendToStore(std::function<void()> aDeliver)
+{
+  Queue({ {}, true, std::move(aDeliver) });
+}
+
+void ShareModel::Advance(Time aStep)
+{
+  const Time target = m_now + aStep;
+  while (!m_messages.empty() && m_messages.begin()->first <= target) {
+    auto node = m_messages.extract(m_messages.begin());
+    m_now = std::max(m_now, node.key());
+    const auto receiver = node.mapped().m_to.lock();
+    if (receiver && receiver->m_isolatedUntil > m_now) {
+      continue;
+    }
+    if (receiver && receiver->m_pausedUntil > m_now) {
+      // A stopped process finds the message when it runs again.
+      m_messages.emplace(receiver->m_pausedUntil, std::move(node.mapped()));
+    } else if (receiver || node.mapped().m_toStore) {
+      node.mapped().m_deliver();
+    }
+  }
+  m_now = target;
+}
+
+std::shared_ptr<ShareModel::Vm> ShareModel::Find(const Incarnation& aIncarnation)
+{
+  const auto found =
+    std::ranges::find_if(m_vms, [&](const auto& aVm) { return aVm->m_id == aIncarnation; });
+  return found != m_vms.end() ? *found : nullptr;
+}
+
+void ShareModel::Acquire(Vm& aVm)
+{
+  const Time timeout = m_omit == Omit::AttemptTimeout ? Time{ 0 } : Time{ kTimeout };
+  if (const auto ticket = aVm.m_pool.Acquire(Random(kUpstreams), aVm.Clock(m_now), timeout)) {
+    aVm.m_attempts.push_back({ *ticket });
+  }
+}
+
+void ShareModel::Dispatch(Vm& aVm)
+{
+  const Time timeout = m_omit == Omit::AttemptTimeout ? Time{ 0 } : Time{ kTimeout };
+  std::erase_if(aVm.m_attempts, [&](Vm::Attempt& aAttempt) {
+    if (aAttempt.m_dispatched) {
+      return false;
+    }
+    if (m_omit != Omit::DispatchCheck &&
+        !aVm.m_pool.MayDispatch(aAttempt.m_ticket, aVm.Clock(m_now), timeout)) {
+      aVm.m_pool.Release(aAttempt.m_ticket);
+      return true;
+    }
+    // The upstream ends an attempt at its deadline, whether the VM runs or not.
+    const Time duration = Random(3) == 0 ? kTimeout : milliseconds{ 1 + Random(1000) };
+    aAttempt.m_dispatched = true;
+    aAttempt.m_end = m_now + duration;
+    ++(aAttempt.m_ticket.m_lease == 0 ? m_counts.m_ownAttempts : m_counts.m_borrowedAttempts);
+    std::vector<Time>& running = m_running[aAttempt.m_ticket.m_upstream];
+    std::erase_if(running, [&](Time aEnd) { return aEnd <= m_now; });
+    running.push_back(aAttempt.m_end);
+    m_exceeded = m_exceeded || running.size() > kSlots;
+    return false;
+  });
+}
+
+void ShareModel::Finish(Vm& aVm)
+{
+  std::erase_if(aVm.m_attempts, [&](const Vm::Attempt& aAttempt) {
+    if (!aAttempt.m_dispatched || aAttempt.m_end > m_now) {
+      return false;
+    }
+    const UpstreamIndex upstream = aAttempt.m_ticket.m_upstream;
+    aVm.m_pool.Release(aAttempt.m_ticket);
+    SendGrant(aVm.m_ledger.OnFree(upstream, Random(2), aVm.Clock(m_now)));
+    for (const Incarnation& lender : aVm.m_borrower.Lenders(upstream)) {
+      if (aVm.m_ledger.ShouldReturn(lender, upstream, 0, aVm.Clock(m_now))) {
+        if (const auto back = aVm.m_borrower.ReturnOne(upstream, lender)) {
+          SendReturns({ *back });
+        }
+      }
+    }
+    return true;
+  });
+  const UpstreamIndex upstream = Random(kUpstreams);
+  SendReturns(
+    aVm.m_borrower.ReturnUnused(upstream, m_returnsEarly ? Random(2) : 1, aVm.Clock(m_now)));
+}
+
+void ShareModel::SendGrant(std::optional<SlotGrant> aGrant)
+{
+  if (!aGrant) {
+    return;
+  }
+  if (m_omit == Omit::LenderTime) {
+    aGrant->m_duration = kLease;
+  }
+  const auto borrower = Find(aGrant->m_borrower);
+  Send(borrower, [this, to = borrower.get(), grant = *aGrant] {
+    to->m_borrower.OnGrant(grant, to->Clock(m_now));
+  });
+}
+
+void ShareModel::SendReturns(const std::vector<SlotReturn>& aReturns)
+{
+  for (const SlotReturn& back : aReturns) {
+    const auto lender = Find(back.m_lender);
+    Send(lender, [to = lender.get(), back] { to->m_ledger.OnReturn(back); });
+  }
+}
+
+void ShareModel::Ask(const std::shared_ptr<Vm>& aVm)
+{
+  const auto ask = aVm->m_borrower.MaybeAsk(Random(kUpstreams), 1 + Random(5), aVm->Clock(m_now));
+  if (!ask) {
+    return;
+  }
+  const auto lender = Find(ask->m_lender);
+  Send(lender, [this, to = std::weak_ptr(lender), message = ask->m_ask] {
+    const auto vm = to.lock();
+    SendGrant(vm->m_ledger.OnAsk(message, Random(2), vm->Clock(m_now)));
+  });
+}
+
+void ShareModel::ReadTable(const std::shared_ptr<Vm>& aVm)
+{
+  SendToStore([this, vm = aVm] {
+    Send(vm, [this, to = vm.get(), table = *m_stored, version = m_version] {
+      to->Apply(table, version, m_now);
+    });
+  });
+}
+
+void ShareModel::ReadList(const std::shared_ptr<Vm>& aVm)
+{
+  if (Random(m_listRarity) != 0) {
+    return;
+  }
+  const auto requestedAt = aVm->Clock(m_now);
+  const Time age = std::min<Time>(
+    m_now, milliseconds{ Random(3) == 0 ? 0 : Random(m_listLag / milliseconds{ 1 }) });
+  const auto list = std::prev(m_lists.upper_bound(m_now - age))->second;
+  Send(aVm, [to = aVm.get(), list, requestedAt] {
+    to->m_list = list;
+    to->m_tracker.ObserveList(list, requestedAt);
+  });
+}
+
+void ShareModel::Write(const std::shared_ptr<Vm>& aVm, ShareTable aTable, int& aCount)
+{
+  // The value passes through the codec, as it does on the way to the store.
+  ShareTable table = *ShareTable::FromJson(aTable.ToJson());
+  const std::uint64_t condition = aVm->m_pool.TableVersion();
+  SendToStore([this, vm = aVm, table, condition, &aCount] {
+    if (condition != m_version && m_omit != Omit::ConditionalWrite) {
+      ++m_counts.m_conflicts;
+      return;
+    }
+    ++aCount;
+    m_stored = table;
+    m_version += 1 + Random(2);
+    const bool sent = Send(
+      vm, [this, to = vm.get(), table, version = m_version] { to->Apply(table, version, m_now); });
+    m_counts.m_lostResponses += sent ? 0 : 1;
+  });
+}
+
+void ShareModel::Donate(const std::shared_ptr<Vm>& aVm)
+{
+  Vm& vm = *aVm;
+  if (!vm.m_table || vm.m_list.empty()) {
+    return;
+  }
+  if (!vm.m_donation) {
+    std::vector<Incarnation> receivers = vm.m_list;
+    if (Random(30) == 0) { // a planned stop
+      std::erase(receivers, vm.m_id);
+    }
+    vm.m_donation = PlanDonation(*vm.m_table, vm.m_id, receivers);
+    if (vm.m_donation) {
+      vm.m_pool.BeginDrain(vm.m_donation->Units());
+    }
+    return;
+  }
+  const auto units = vm.m_donation->Units();
+  const auto next = ApplyDonation(*vm.m_table, *vm.m_donation);
+  const auto now = vm.Clock(m_now);
+  const bool drained = m_omit == Omit::Drain || vm.m_pool.IsDrained(units, now);
+  const bool ready = next && drained &&
+                     (m_omit == Omit::ReadBack || m_omit == Omit::Drain ||
+                      vm.m_pool.BeginWrite(units, vm.m_pool.TableVersion(), now));
+  if (ready) {
+    Write(aVm, *next, m_counts.m_donations);
+  }
+  if (ready || !next || Random(4) == 0) {
+    if (!ready || m_omit != Omit::Drain) {
+      vm.m_pool.CancelDrain(units);
+    }
+    vm.m_donation.reset();
+  }
+}
+
+void ShareModel::Reclaim(const std::shared_ptr<Vm>& aVm)
+{
+  if (!aVm->m_table) {
+    return;
+  }
+  const auto gone = aVm->m_tracker.Gone();
+  if (auto next = PlanReclaim(*aVm->m_table, aVm->m_pool.TableVersion(), gone, aVm->m_list)) {
+    Write(aVm, *std::move(next), m_counts.m_reclaims);
+  }
+}
+
+void ShareModel::Grow(const std::shared_ptr<Vm>& aVm)
+{
+  if (aVm->m_table && aVm->m_table->Units() < kMaxUnits && Random(10) == 0) {
+    ShareTable next = *aVm->m_table;
+    next.Double();
+    Write(aVm, std::move(next), m_counts.m_growths);
+  }
+}
+
+void ShareModel::Gossip(Vm& aVm)
+{
+  const auto peer = m_vms[Random(m_vms.size())];
+  if (aVm.m_table) {
+    Send(peer, [this, to = peer.get(), table = *aVm.m_table, version = aVm.m_pool.TableVersion()] {
+      to->Apply(table, version, m_now);
+    });
+  }
+}
+
+void ShareModel::PauseOrIsolate(Vm& aVm)
+{
+  const Time until = m_now + milliseconds{ Random(15'000) };
+  switch (Random(20)) {
+    case 0:
+      aVm.m_pausedUntil = until;
+      ++m_counts.m_pauses;
+      break;
+    case 1:
+      aVm.m_isolatedUntil = until; // runs, but receives nothing
+      ++m_counts.m_isolations;
+      break;
+    default:
+      break;
+  }
+}
+
+void ShareModel::Crash(const std::shared_ptr<Vm>& aVm)
+{
+  if (Random(40) == 0) {
+    ++m_counts.m_crashes;
+    std::erase(m_vms, aVm);
+    Start();
+  }
+}
+
+void ShareModel::Act(const std::shared_ptr<Vm>& aVm, std::uint32_t aAction)
+{
+  switch (aAction) {
+    case 0:
+      return ReadTable(aVm);
+    case 1:
+      return ReadList(aVm);
+    case 2:
+      return Donate(aVm);
+    case 3:
+      return Reclaim(aVm);
+    case 4:
+      return Gossip(*aVm);
+    case 5:
+      return PauseOrIsolate(*aVm);
+    case 6:
+      return Crash(aVm);
+    case 7:
+      return Grow(aVm);
+    default:
+      break;
+  }
+  switch (aAction % 8) {
+    case 0:
+      return Ask(aVm);
+    case 1:
+    case 2:
+      return Dispatch(*aVm);
+    case 3:
+    case 4:
+      return Finish(*aVm);
+    default:
+      return Acquire(*aVm);
+  }
+}
+
+bool ShareModel::Step(std::uint32_t aWord)
+{
+  m_random ^= aWord;
+  Advance(milliseconds{ Random(100) == 0 ? Random(2000) : Random(12) });
+  const auto vm = m_vms[(aWord >> 5) % m_vms.size()];
+  if (vm->m_pausedUntil <= m_now) {
+    Act(vm, aWord % 32);
+  }
+  return !m_exceeded;
+}
+
+} // namespace jaylane::policy
