--- /dev/null
+++ b/packages/ctl/src/HttpAdminClient.cpp
@@ -0,0 +1,129 @@
+#include "jaylane/ctl/HttpAdminClient.h"
+
+#include <curl/curl.h>
+#include <json/reader.h>
+#include <json/writer.h>
+#include <memory>
+#include <mutex>
+
+namespace jaylane::ctl {
+
+namespace {
+
+/// Bounds the memory that a faulty server can take.
+constexpr std::size_t kMaxResponseBytes = 64 * 1024 * 1024;
+
+struct EasyDeleter
+{
+  void operator()(CURL* aEasy) const { curl_easy_cleanup(aEasy); }
+};
+
+struct ListDeleter
+{
+  void operator()(curl_slist* aList) const { curl_slist_free_all(aList); }
+};
+
+using Easy = std::unique_ptr<CURL, EasyDeleter>;
+using HeaderList = std::unique_ptr<curl_slist, ListDeleter>;
+
+void AddHeader(HeaderList& aList, const std::string& aHeader)
+{
+  curl_slist* extended = curl_slist_append(aList.get(), aHeader.c_str());
+  if (extended) {
+    (void)aList.release();
+    aList.reset(extended);
+  }
+}
+
+std::size_t AppendBody(char* aData, std::size_t aSize, std::size_t aCount, void* aTarget)
+{
+  auto& body = *static_cast<std::string*>(aTarget);
+  const std::size_t bytes = aSize * aCount;
+  if (body.size() + bytes > kMaxResponseBytes) {
+    return 0;
+  }
+  body.append(aData, bytes);
+  return bytes;
+}
+
+/// @return whether the error excludes that the server received the request.
+bool IsNotSent(CURLcode aCode)
+{
+  return aCode == CURLE_COULDNT_CONNECT || aCode == CURLE_COULDNT_RESOLVE_HOST ||
+         aCode == CURLE_URL_MALFORMAT || aCode == CURLE_UNSUPPORTED_PROTOCOL;
+}
+
+bool ParseJson(const std::string& aText, Json::Value& aJson)
+{
+  const std::unique_ptr<Json::CharReader> reader(Json::CharReaderBuilder().newCharReader());
+  std::string problems;
+  return reader->parse(aText.data(), aText.data() + aText.size(), &aJson, &problems);
+}
+
+AdminReply ReplyOf(CURL* aEasy, CURLcode aCode, const std::string& aText)
+{
+  AdminReply reply;
+  if (aCode != CURLE_OK) {
+    reply.m_delivery = IsNotSent(aCode) ? Delivery::NotSent : Delivery::Lost;
+    reply.m_problem = curl_easy_strerror(aCode);
+    return reply;
+  }
+  long status = 0;
+  curl_easy_getinfo(aEasy, CURLINFO_RESPONSE_CODE, &status);
+  reply.m_status = static_cast<int>(status);
+  if (!ParseJson(aText, reply.m_body) || !reply.m_body.isObject()) {
+    reply.m_delivery = Delivery::Lost;
+    reply.m_problem = "the response is not a JSON object";
+    return reply;
+  }
+  reply.m_delivery = Delivery::Answered;
+  return reply;
+}
+
+} // namespace
+
+HttpAdminClient::HttpAdminClient(std::string aToken, std::chrono::milliseconds aTimeout)
+  : m_token(std::move(aToken))
+  , m_timeout(aTimeout)
+{
+  static std::once_flag sInitialized;
+  std::call_once(sInitialized, [] { curl_global_init(CURL_GLOBAL_DEFAULT); });
+}
+
+HttpAdminClient::~HttpAdminClient() = default;
+
+AdminReply HttpAdminClient::Send(const std::string& aVm, const AdminRequest& aRequest)
+{
+  const Easy easy(curl_easy_init());
+  if (!easy) {
+    return { Delivery::NotSent, 0, {}, "out of memory" };
+  }
+  Json::StreamWriterBuilder builder;
+  builder["indentation"] = "";
+  const std::string body =
+    aRequest.m_body.isNull() ? "" : Json::writeString(builder, aRequest.m_body);
+  const std::string url = "http://" + aVm + aRequest.m_path;
+  HeaderList headers;
+  AddHeader(headers, "Authorization: Bearer " + m_token);
+  AddHeader(headers, "Content-Type: application/json");
+  // Without this, libcurl waits for "100 Continue" before it sends a large body.
+  AddHeader(headers, "Expect:");
+  std::string text;
+  curl_easy_setopt(easy.get(), CURLOPT_URL, url.c_str());
+  curl_easy_setopt(easy.get(), CURLOPT_PROTOCOLS_STR, "http");
+  curl_easy_setopt(easy.get(), CURLOPT_PROXY, "");
+  curl_easy_setopt(easy.get(), CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(easy.get(), CURLOPT_HTTPHEADER, headers.get());
+  curl_easy_setopt(easy.get(), CURLOPT_TIMEOUT_MS, static_cast<long>(m_timeout.count()));
+  curl_easy_setopt(easy.get(), CURLOPT_WRITEFUNCTION, &AppendBody);
+  curl_easy_setopt(easy.get(), CURLOPT_WRITEDATA, &text);
+  if (aRequest.m_method == "POST") {
+    curl_easy_setopt(easy.get(), CURLOPT_POST, 1L);
+    curl_easy_setopt(easy.get(), CURLOPT_POSTFIELDSIZE, static_cast<long>(body.size()));
+    curl_easy_setopt(easy.get(), CURLOPT_POSTFIELDS, body.c_str());
+  }
+  const CURLcode code = curl_easy_perform(easy.get());
+  return ReplyOf(easy.get(), code, text);
+}
+
+} // namespace jaylane::ctl
--- /dev/null
+++ b/packages/ctl/src/Text.cpp
@@ -0,0 +1,106 @@
+#include "Text.h"
+
+#include "jaylane/settings/TreeSections.h"
+
+#include <chrono>
+#include <fmt/format.h>
+#include <json/reader.h>
+#include <json/writer.h>
+#include <memory>
+
+namespace jaylane::ctl {
+
+namespace {
+
+std::string Write(const Json::Value& aValue, const char* aIndentation)
+{
+  Json::StreamWriterBuilder builder;
+  builder["indentation"] = aIndentation;
+  return Json::writeString(builder, aValue);
+}
+
+} // namespace
+
+std::string EscapeHtml(std::string_view aText)
+{
+  std::string html;
+  for (const char c : aText) {
+    switch (c) {
+      case '&':
+        html += "&amp;";
+        break;
+      case '<':
+        html += "&lt;";
+        break;
+      case '>':
+        html += "&gt;";
+        break;
+      case '"':
+        html += "&quot;";
+        break;
+      case '\'':
+        html += "&#39;";
+        break;
+      default:
+        html += c;
+    }
+  }
+  return html;
+}
+
+std::string Printable(std::string_view aText)
+{
+  std::string text(aText);
+  for (char& c : text) {
+    if (static_cast<unsigned char>(c) < ' ' || c == '\x7f') {
+      c = '?';
+    }
+  }
+  return text;
+}
+
+std::string Compact(const Json::Value& aValue)
+{
+  return Write(aValue, "");
+}
+
+std::string Pretty(const Json::Value& aValue)
+{
+  return Write(aValue, "  ") + "\n";
+}
+
+std::string FormatMillis(std::uint64_t aMillis)
+{
+  // Nanoseconds since 1970 fit into 64 bits until 2262; a faulty stamp may lie beyond.
+  constexpr std::uint64_t kMaxWallMillis = 9'000'000'000'000;
+  const std::uint64_t bounded = std::min(aMillis, kMaxWallMillis);
+  const base::WallTime time{ std::chrono::milliseconds(bounded) };
+  std::string text = settings::FormatTime(time);
+  text.pop_back();
+  return fmt::format("{}.{:03}Z", text, bounded % 1000);
+}
+
+Json::Value ParseValue(const std::string& aText)
+{
+  Json::CharReaderBuilder builder;
+  Json::CharReaderBuilder::strictMode(&builder.settings_);
+  builder["strictRoot"] = false;
+  const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
+  Json::Value value;
+  std::string problems;
+  const bool parsed = reader->parse(aText.data(), aText.data() + aText.size(), &value, &problems);
+  return parsed ? value : Json::Value(aText);
+}
+
+std::string EncodeQuery(std::string_view aText)
+{
+  std::string encoded;
+  for (const char c : aText) {
+    const bool plain = (c >= '0' && c <= '9') || (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
+                       c == '-' || c == '_' || c == '.' || c == '~' || c == '/';
+    encoded += plain ? std::string(1, c) : fmt::format("%{:02X}", static_cast<unsigned char>(c));
+  }
+  return encoded;
+}
+
+} // namespace jaylane::ctl
