--- a/packages/platform/include/jaylane/platform/FakeStore.h
+++ b/packages/platform/include/jaylane/platform/FakeStore.h
@@ -33,6 +33,8 @@
   LostRequest,
   /// Timeout, after a write took effect.
   LostResponse,
+  /// Timeout; a write takes effect a few calls later, if its version is still expected.
+  Late,
 };
 
 /// Store in memory with fault switches, for unit tests and as the state of the platform
@@ -40,6 +42,8 @@
 class FakeStore final : public Store
 {
 public:
+  /// Calls between a late write and its effect.
+  static constexpr unsigned kLateCalls = 3;
   /// Changes in one watch response; more are left for the next watch.
   static constexpr std::size_t kMaxChanges = 1000;
 
@@ -85,16 +89,27 @@
     bool m_deleted = false;
   };
 
+  struct LateWrite
+  {
+    std::string m_key;
+    Version m_expected = 0;
+    Record m_record;
+    unsigned m_calls = 0;
+  };
+
   StoreFault Enter(StoreCall aCall);
   base::Result<Version> Write(const std::string& aKey,
                               Version aExpected,
                               StoreFault aFault,
                               Record aRecord);
+  base::Result<Version> ApplyLocked(const std::string& aKey, Version aExpected, Record aRecord);
+  void ApplyLateLocked();
   ChangeBatch ChangesLocked(const std::string& aPrefix, Version aAfter) const;
 
   mutable std::mutex m_mutex;
   std::condition_variable m_changed;
   std::map<std::string, Record> m_records;
+  std::vector<LateWrite> m_late;
   Version m_revision = 0;
   VmList m_vms;
   bool m_outage = false;
--- a/packages/platform/src/FakeStore.cpp
+++ b/packages/platform/src/FakeStore.cpp
@@ -34,6 +34,7 @@
   }
   {
     std::lock_guard lock(m_mutex);
+    ApplyLateLocked();
     if (m_outage) {
       return StoreFault::Refused;
     }
@@ -59,6 +60,34 @@
   return StoreObject{ aKey, found->second.m_version, found->second.m_value };
 }
 
+base::Result<Version> FakeStore::ApplyLocked(const std::string& aKey,
+                                             Version aExpected,
+                                             Record aRecord)
+{
+  const auto found = m_records.find(aKey);
+  const bool exists = found != m_records.end() && !found->second.m_deleted;
+  const Version current = exists ? found->second.m_version : kAbsent;
+  if (current != aExpected) {
+    return MakeError(PlatformErrc::Conflict, std::to_string(current));
+  }
+  aRecord.m_version = ++m_revision;
+  m_records[aKey] = std::move(aRecord);
+  return m_revision;
+}
+
+void FakeStore::ApplyLateLocked()
+{
+  std::erase_if(m_late, [this](LateWrite& aWrite) {
+    if (aWrite.m_calls > 0) {
+      --aWrite.m_calls;
+      return false;
+    }
+    (void)ApplyLocked(aWrite.m_key, aWrite.m_expected, std::move(aWrite.m_record));
+    m_changed.notify_all();
+    return true;
+  });
+}
+
 base::Result<Version> FakeStore::Write(const std::string& aKey,
                                        Version aExpected,
                                        StoreFault aFault,
@@ -67,25 +96,17 @@
   if (aFault == StoreFault::Refused || aFault == StoreFault::LostRequest) {
     return FaultError(aFault);
   }
-  Version written = 0;
+  base::Result<Version> result = FaultError(aFault);
   {
     std::lock_guard lock(m_mutex);
-    const auto found = m_records.find(aKey);
-    const bool exists = found != m_records.end() && !found->second.m_deleted;
-    const Version current = exists ? found->second.m_version : kAbsent;
-    if (current != aExpected) {
-      return aFault == StoreFault::LostResponse
-               ? FaultError(aFault)
-               : MakeError(PlatformErrc::Conflict, std::to_string(current));
+    if (aFault == StoreFault::Late) {
+      m_late.push_back({ aKey, aExpected, std::move(aRecord), kLateCalls });
+      return result;
     }
-    aRecord.m_version = written = ++m_revision;
-    m_records[aKey] = std::move(aRecord);
+    result = ApplyLocked(aKey, aExpected, std::move(aRecord));
   }
   m_changed.notify_all();
-  if (aFault == StoreFault::LostResponse) {
-    return FaultError(aFault);
-  }
-  return written;
+  return aFault == StoreFault::None ? result : FaultError(aFault);
 }
 
 base::Result<Version> FakeStore::Put(const std::string& aKey,
--- /dev/null
+++ b/packages/platform/tests/ClaimRegistryTest.cpp
@@ -0,0 +1,198 @@
+#include "jaylane/platform/ClaimRegistry.h"
+
+#include "jaylane/platform/FakeStore.h"
+
+#include <array>
+#include <gtest/gtest.h>
+#include <map>
+#include <memory>
+#include <rapidcheck.h>
+#include <thread>
+#include <vector>
+
+namespace jaylane::platform {
+namespace {
+
+using std::chrono::hours;
+
+constexpr unsigned kVms = 3;
+constexpr unsigned kKeys = 3;
+
+ClaimOptions Unlimited()
+{
+  ClaimOptions options;
+  options.m_writesPerSecond = options.m_burst = 1e9;
+  return options;
+}
+
+/// VMs that claim keys and run their requests, with faults of the store between them.
+class World
+{
+public:
+  explicit World(std::vector<unsigned> aChoices)
+    : m_choices(std::move(aChoices))
+  {
+    for (unsigned i = 0; i < kVms; ++i) {
+      m_vms.push_back(std::make_unique<ClaimRegistry>(
+        m_store, m_clock, Unlimited(), "vm" + std::to_string(i), MakeNonceSource(i)));
+    }
+    m_store.SetFaultHook([this](StoreCall) {
+      constexpr std::array<StoreFault, 8> kFaults{
+        StoreFault::None,         StoreFault::None,    StoreFault::None, StoreFault::None,
+        StoreFault::LostResponse, StoreFault::Refused, StoreFault::Late, StoreFault::LostRequest
+      };
+      return kFaults[Choose(kFaults.size())];
+    });
+    // Another VM acts between any two calls of the store.
+    m_store.SetDelayHook([this](StoreCall) {
+      if (m_depth < kVms && Choose(2) == 1) {
+        Act();
+      }
+    });
+  }
+
+  void Act()
+  {
+    ++m_depth;
+    const std::string key = "key" + std::to_string(Choose(kKeys));
+    ClaimRegistry& vm = *m_vms[Choose(kVms)];
+    if (Choose(8) == 0) {
+      vm.CleanUp();
+    }
+    const ClaimResult result = vm.Claim(key).m_result;
+    const bool crashes = Choose(8) == 0;
+    if (result == ClaimResult::Claimed) {
+      ++m_claims[key];
+      m_runs[key] += crashes ? 0 : 1;
+    } else if (result == ClaimResult::AlreadyClaimed) {
+      // Nobody may report this before some claim is in the store.
+      m_reported[key] = true;
+    }
+    --m_depth;
+  }
+
+  void Check()
+  {
+    m_store.SetFaultHook({});
+    m_store.SetDelayHook({});
+    for (const auto& [key, count] : m_claims) {
+      RC_ASSERT(count <= 1u);
+      RC_ASSERT(m_runs[key] <= 1u);
+      // A claimed key stays claimed.
+      RC_ASSERT(m_vms[0]->Claim(key).m_result == ClaimResult::AlreadyClaimed);
+    }
+    for (unsigned i = 0; i < kKeys; ++i) {
+      const std::string key = "key" + std::to_string(i);
+      const bool stored = static_cast<bool>(m_store.Get("claim/" + key, {}));
+      RC_ASSERT(stored || !m_reported[key]);
+      // Without faults a key is either taken or can be claimed.
+      const ClaimResult expected = stored ? ClaimResult::AlreadyClaimed : ClaimResult::Claimed;
+      RC_ASSERT(m_vms[1]->Claim(key).m_result == expected);
+    }
+  }
+
+private:
+  std::size_t Choose(std::size_t aBound)
+  {
+    if (m_next == m_choices.size()) {
+      return 0;
+    }
+    return m_choices[m_next++] % aBound;
+  }
+
+  const std::vector<unsigned> m_choices;
+  std::size_t m_next = 0;
+  unsigned m_depth = 0;
+  base::ManualClock m_clock;
+  FakeStore m_store;
+  std::vector<std::unique_ptr<ClaimRegistry>> m_vms;
+  std::map<std::string, unsigned> m_claims;
+  std::map<std::string, unsigned> m_runs;
+  std::map<std::string, bool> m_reported;
+};
+
+// Guards against a key that runs twice whatever responses are lost, delayed or interleaved,
+// and against claims that vanish before they expire.
+TEST(ClaimRegistryProperty, KeyRunsAtMostOnce)
+{
+  EXPECT_TRUE(rc::check("a key runs at most once", [] {
+    World world(*rc::gen::container<std::vector<unsigned>>(400, rc::gen::arbitrary<unsigned>()));
+    for (unsigned i = 0; i < 20; ++i) {
+      world.Act();
+    }
+    world.Check();
+  }));
+}
+
+// Guards against data races: exactly one of concurrent claims wins although responses are lost.
+TEST(ClaimRegistry, ConcurrentClaimsHaveOneWinner)
+{
+  base::ManualClock clock;
+  FakeStore store;
+  ClaimRegistry registry(store, clock, Unlimited(), "vm", MakeNonceSource(1));
+  store.LoseResponses(1000);
+  std::array<std::atomic<unsigned>, 50> winners{};
+  std::vector<std::thread> threads;
+  for (unsigned i = 0; i < 4; ++i) {
+    threads.emplace_back([&] {
+      for (std::size_t key = 0; key < winners.size(); ++key) {
+        if (registry.Claim(std::to_string(key)).m_result == ClaimResult::Claimed) {
+          ++winners[key];
+        }
+      }
+    });
+  }
+  for (std::thread& thread : threads) {
+    thread.join();
+  }
+  for (const auto& count : winners) {
+    EXPECT_EQ(count, 1u);
+  }
+}
+
+// Guards against claims that use up the store's writes.
+TEST(ClaimRegistry, RateLimit)
+{
+  base::ManualClock clock;
+  FakeStore store;
+  ClaimOptions options;
+  options.m_writesPerSecond = 1;
+  options.m_burst = 2;
+  ClaimRegistry registry(store, clock, options, "vm", MakeNonceSource(1));
+  EXPECT_EQ(registry.Claim("a").m_result, ClaimResult::Claimed);
+  EXPECT_EQ(registry.Claim("b").m_result, ClaimResult::Claimed);
+  const ClaimAnswer limited = registry.Claim("c");
+  EXPECT_EQ(limited.m_result, ClaimResult::StoreUnavailable);
+  EXPECT_TRUE(limited.m_limited);
+  EXPECT_EQ(store.Calls(StoreCall::Put), 2u);
+  clock.Advance(std::chrono::seconds{ 1 });
+  EXPECT_EQ(registry.Claim("c").m_result, ClaimResult::Claimed);
+}
+
+// Guards against claims deleted too early, never, or in unbounded numbers.
+TEST(ClaimRegistry, CleanUpIsBoundedAndCoversOtherVms)
+{
+  base::ManualClock clock;
+  FakeStore store;
+  ClaimOptions options = Unlimited();
+  options.m_cleanUpBatch = 2;
+  options.m_lifetime = hours{ 1 };
+  ClaimRegistry gone(store, clock, options, "gone", MakeNonceSource(1));
+  ClaimRegistry own(store, clock, options, "own", MakeNonceSource(2));
+  for (const char* key : { "a", "b", "c" }) {
+    ASSERT_EQ(gone.Claim(key).m_result, ClaimResult::Claimed);
+  }
+  ASSERT_EQ(own.Claim("d").m_result, ClaimResult::Claimed);
+  clock.Advance(hours{ 1 });
+  EXPECT_EQ(own.CleanUp(), 0u);
+  clock.Advance(ClaimRegistry::kMaxClockDifference);
+  clock.Advance(options.m_sweepInterval);
+  EXPECT_EQ(own.CleanUp(), 2u);
+  EXPECT_EQ(own.CleanUp(), 0u);
+  clock.Advance(options.m_sweepInterval);
+  EXPECT_EQ(own.CleanUp(), 2u);
+  EXPECT_TRUE(store.List("claim/", {})->m_objects.empty());
+}
+
+} // namespace
+} // namespace jaylane::platform
--- a/packages/testing/include/jaylane/testing/RecordFile.h
+++ b/packages/testing/include/jaylane/testing/RecordFile.h
@@ -33,4 +33,7 @@
   const int m_file;
 };
 
+/// @return milliseconds of wall time since the epoch, as used in records.
+double RecordTime();
+
 } // namespace jaylane::testing
--- a/packages/testing/include/jaylane/testing/UpstreamStandIn.h
+++ b/packages/testing/include/jaylane/testing/UpstreamStandIn.h
@@ -2,10 +2,12 @@
 
 #include "jaylane/testing/HttpServer.h"
 #include "jaylane/testing/RecordFile.h"
+#include "jaylane/testing/UpstreamSwitches.h"
 
 #include <chrono>
 #include <condition_variable>
 #include <deque>
+#include <functional>
 #include <json/value.h>
 #include <memory>
 #include <mutex>
@@ -34,26 +36,6 @@
   std::string m_recordFile;
 };
 
-/// Switches of an upstream, set by POST /control.
-struct UpstreamSwitches
-{
-  bool m_leaving = false;
-  /// Closes health and load requests without a response.
-  bool m_reportsStopped = false;
-  /// State that /health reports instead of the real one, if not empty.
-  std::string m_health;
-  /// Added to the in-flight count that /load reports.
-  int m_loadError = 0;
-  /// How far the reported load is behind.
-  std::chrono::milliseconds m_loadLag{ 0 };
-  std::chrono::milliseconds m_serviceTime{ 0 };
-  /// Numbers of next requests that are affected.
-  unsigned m_closeNext = 0;
-  unsigned m_truncateNext = 0;
-  unsigned m_slowNext = 0;
-  unsigned m_wrongAttemptNext = 0;
-};
-
 /// An upstream: executes requests in a limited number of slots and records them.
 ///
 /// Request headers select faults of one request: X-Test-Crash, X-Test-Close,
@@ -92,6 +74,8 @@
   };
 
   UpstreamStandIn(const UpstreamOptions& aOptions, std::unique_ptr<RecordFile> aRecords);
+  void Change(const std::function<void(UpstreamSwitches&)>& aChange);
+  void Count(std::uint64_t Counters::* aCounter);
   void Begin(HttpRequest& aRequest);
   HttpResponse Handle(HttpRequest& aRequest);
   HttpResponse HandleControl(const HttpRequest& aRequest);
@@ -119,7 +103,4 @@
   std::unique_ptr<HttpServer> m_server;
 };
 
-/// @return milliseconds of wall time since the epoch, as used in records.
-double RecordTime();
-
 } // namespace jaylane::testing
--- a/packages/testing/src/CallerRequest.cpp
+++ b/packages/testing/src/CallerRequest.cpp
@@ -1,6 +1,6 @@
 #include "CallerRequest.h"
 
-#include "jaylane/testing/UpstreamStandIn.h"
+#include "jaylane/testing/RecordFile.h"
 
 #include <algorithm>
 #include <cctype>
--- a/packages/testing/src/RecordFile.cpp
+++ b/packages/testing/src/RecordFile.cpp
@@ -4,6 +4,7 @@
 #include "jaylane/testing/TestingError.h"
 
 #include <cassert>
+#include <chrono>
 #include <fcntl.h>
 #include <fstream>
 #include <unistd.h>
@@ -66,4 +67,10 @@
   return records;
 }
 
+double RecordTime()
+{
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return std::chrono::duration<double, std::milli>(now).count();
+}
+
 } // namespace jaylane::testing
--- a/packages/testing/src/UpstreamStandIn.cpp
+++ b/packages/testing/src/UpstreamStandIn.cpp
@@ -42,35 +42,8 @@
   return true;
 }
 
-void ReadNumber(const Json::Value& aJson, const char* aName, unsigned& aValue)
-{
-  if (aJson[aName].isUInt()) {
-    aValue = aJson[aName].asUInt();
-  }
-}
-
-void ReadFlag(const Json::Value& aJson, const char* aName, bool& aValue)
-{
-  if (aJson[aName].isBool()) {
-    aValue = aJson[aName].asBool();
-  }
-}
-
-void ReadMillis(const Json::Value& aJson, const char* aName, milliseconds& aValue)
-{
-  if (aJson[aName].isUInt()) {
-    aValue = milliseconds{ aJson[aName].asUInt() };
-  }
-}
-
 } // namespace
 
-double RecordTime()
-{
-  const auto now = std::chrono::system_clock::now().time_since_epoch();
-  return std::chrono::duration<double, std::milli>(now).count();
-}
-
 struct UpstreamStandIn::Execution
 {
   std::string m_id;
@@ -128,18 +101,30 @@
 }
 
 void UpstreamStandIn::SetSwitches(const UpstreamSwitches& aSwitches)
+{
+  Change([&](UpstreamSwitches& aCurrent) { aCurrent = aSwitches; });
+}
+
+void UpstreamStandIn::Change(const std::function<void(UpstreamSwitches&)>& aChange)
 {
   bool left = false;
   {
     std::lock_guard lock(m_mutex);
-    left = aSwitches.m_leaving && !m_switches.m_leaving;
-    m_switches = aSwitches;
+    const bool before = m_switches.m_leaving;
+    aChange(m_switches);
+    left = m_switches.m_leaving && !before;
   }
   if (left) {
     Record("leaving", nullptr);
   }
 }
 
+void UpstreamStandIn::Count(std::uint64_t Counters::* aCounter)
+{
+  std::lock_guard lock(m_mutex);
+  ++(m_counters.*aCounter);
+}
+
 UpstreamSwitches UpstreamStandIn::Switches() const
 {
   std::lock_guard lock(m_mutex);
@@ -250,20 +235,14 @@
   const std::optional<milliseconds> deadline = DeadlineOf(aRequest);
   const bool late = deadline && *deadline < work;
   if (aRequest.ClosedWithin(late ? *deadline : work)) {
-    {
-      std::lock_guard lock(m_mutex);
-      ++m_counters.m_cancelled;
-    }
+    Count(&Counters::m_cancelled);
     Record("end", aExecution.get(), "cancelled");
     HttpResponse response;
     response.m_close = true;
     return response;
   }
   if (late) {
-    {
-      std::lock_guard lock(m_mutex);
-      ++m_counters.m_missedDeadlines;
-    }
+    Count(&Counters::m_missedDeadlines);
     Record("end", aExecution.get(), "deadline");
     Release(*aExecution);
     return JsonResponse(504, "{}");
@@ -318,22 +297,7 @@
   if (aRequest.m_method != "POST" || !json) {
     return JsonResponse(400, "{}");
   }
-  UpstreamSwitches switches = Switches();
-  ReadFlag(*json, "leaving", switches.m_leaving);
-  ReadFlag(*json, "reports_stopped", switches.m_reportsStopped);
-  if ((*json)["health"].isString()) {
-    switches.m_health = (*json)["health"].asString();
-  }
-  if ((*json)["load_error"].isInt()) {
-    switches.m_loadError = (*json)["load_error"].asInt();
-  }
-  ReadMillis(*json, "load_lag_ms", switches.m_loadLag);
-  ReadMillis(*json, "service_ms", switches.m_serviceTime);
-  ReadNumber(*json, "close_next", switches.m_closeNext);
-  ReadNumber(*json, "truncate_next", switches.m_truncateNext);
-  ReadNumber(*json, "slow_next", switches.m_slowNext);
-  ReadNumber(*json, "wrong_attempt_next", switches.m_wrongAttemptNext);
-  SetSwitches(switches);
+  Change([&](UpstreamSwitches& aSwitches) { aSwitches.Apply(*json); });
   return JsonResponse(200, "{}");
 }
 
