--- a/packages/policy/include/jaylane/policy/ExecutionLedger.h
+++ b/packages/policy/include/jaylane/policy/ExecutionLedger.h
@@ -7,6 +7,7 @@
 #include <array>
 #include <map>
 #include <optional>
+#include <set>
 #include <unordered_map>
 
 namespace jaylane::policy {
@@ -20,7 +21,8 @@
   Running,
   /// An earlier copy has finished; the record says how.
   Finished,
-  /// No memory for the key: not-run, now and later. The caller takes a key of a new scope.
+  /// No memory for the key: not-run, now and later, as the epoch takes no unseen key any more.
+  /// The caller takes a key of a new scope.
   RefusedFull,
   /// The epoch is over or was never issued: unknown, as the key may have run.
   Expired,
@@ -48,6 +50,8 @@
   std::chrono::milliseconds m_margin{ std::chrono::minutes{ 1 } };
   /// Keys held at most, imported ones included.
   std::size_t m_maxKeys = 1 << 16;
+  /// Imports accepted in the life of the process.
+  std::size_t m_maxImports = 1024;
 };
 
 /// Runs each key of the own scopes at most once. A record is never dropped while its epoch
@@ -63,6 +67,8 @@
                                             const Incarnation& aOwn,
                                             base::MonotonicTime aNow);
 
+  /// Starts the next epoch when the current one is over, or was closed for lack of memory and
+  /// there is memory again.
   /// @return the scope to hand out with a lookup, or nothing once sealed.
   std::optional<ExecutionScope> CurrentScope(base::MonotonicTime aNow);
 
@@ -98,6 +104,7 @@
   {
     base::MonotonicTime m_acceptUntil;
     bool m_closed = false;
+    std::size_t m_running = 0;
     std::unordered_map<Nonce, ExecutionRecord, NonceHash> m_keys;
   };
 
@@ -105,21 +112,22 @@
                   const Incarnation& aOwn,
                   base::MonotonicTime aNow);
   static Nonce Pack(std::string_view aNonce);
-  static TransferredEpoch Describe(const ExecutionScope& aScope,
-                                   const Epoch& aEpoch,
-                                   base::MonotonicTime aNow);
-  base::MonotonicTime Advance(base::MonotonicTime aNow);
-  Epoch* FindEpoch(const ExecutionScope& aScope);
+  static std::string Unpack(const Nonce& aNonce);
+  static base::Result<std::size_t> CountKeys(const ScopeTransfer& aTransfer);
+  TransferredEpoch Describe(const ExecutionScope& aScope, const Epoch& aEpoch) const;
+  void Adopt(const TransferredEpoch& aTransferred);
+  void Advance(base::MonotonicTime aNow);
   AdmissionResult BeginNew(Epoch& aEpoch, const Nonce& aNonce);
-  AdmissionResult Absent(const ExecutionScope& aScope) const;
 
   ExecutionLedgerOptions m_options;
   Incarnation m_own;
-  base::MonotonicTime m_start;
+  // Latest time seen. Only this decides, so an epoch that stopped never accepts again.
   base::MonotonicTime m_latest;
+  std::uint32_t m_currentEpoch = 0;
+  base::MonotonicTime m_currentUntil;
   std::map<ExecutionScope, Epoch> m_epochs;
-  // Incarnations taken over; their expired epochs are answered with Expired.
-  std::map<Incarnation, base::MonotonicTime> m_imported;
+  // Never forgotten: a second import would reset the states of the keys.
+  std::set<Incarnation> m_imported;
   std::optional<Incarnation> m_recipient;
   std::size_t m_size = 0;
 };
--- a/packages/policy/include/jaylane/policy/QuarantineList.h
+++ b/packages/policy/include/jaylane/policy/QuarantineList.h
@@ -38,11 +38,12 @@
   std::chrono::milliseconds m_massWindow{ 2000 };
   std::size_t m_massUpstreams = 3;
   std::size_t m_massFingerprints = 8;
-  /// Deaths that quarantine a fingerprint.
+  /// Deaths that quarantine a fingerprint. Strikes of mass failures and those before a
+  /// completion are discounted.
   std::size_t m_deaths = 2;
-  /// The same if mass failures are counted too: bounds the cost of a crashing request that
-  /// is resent during one, or of many crashing requests that look like one.
-  std::size_t m_deathsWithMass = 4;
+  /// The same if discounted strikes count too. Bounds the cost of a request that crashes only
+  /// some upstreams, is resent during a mass failure, or comes with many others like it.
+  std::size_t m_deathsInAll = 4;
   /// Strikes kept at most; the one that expires first is dropped.
   std::size_t m_maxStrikes = 4096;
 };
@@ -66,15 +67,16 @@
                   std::uint64_t aUpstream,
                   base::MonotonicTime aNow);
 
-  /// Records that a request got its response: it does not crash upstreams, so strikes so far
-  /// came from requests that ran beside it.
+  /// Records that a request got its response. Its strikes so far probably came from requests
+  /// that ran beside it, and are discounted.
   void RecordCompleted(const RequestFingerprint& aFingerprint, base::MonotonicTime aNow);
 
   /// @return whether the request must be rejected as not-run.
   bool IsQuarantined(const RequestFingerprint& aFingerprint, base::MonotonicTime aNow) const;
 
-  /// @return whether it has a strike that counts. Dispatch such a request to an upstream
-  ///         without another suspect, so that a crash convicts only one of them.
+  /// @return whether it has a strike. Dispatch at most one copy of such a request at a time,
+  ///         and to an upstream without another suspect, so that the next crash convicts only
+  ///         one of those that were in flight at the first.
   bool IsSuspect(const RequestFingerprint& aFingerprint, base::MonotonicTime aNow) const;
 
   /// @return all live strikes, for a peer.
@@ -102,7 +104,7 @@
   void DropFirstToExpire();
   void MarkMassFailures(base::MonotonicTime aNow);
   std::size_t CountDeaths(const std::vector<Entry>& aEntries,
-                          bool aWithMass,
+                          bool aWithDiscounted,
                           base::MonotonicTime aNow) const;
 
   QuarantineOptions m_options;
--- a/packages/policy/include/jaylane/policy/RequestFingerprint.h
+++ b/packages/policy/include/jaylane/policy/RequestFingerprint.h
@@ -8,6 +8,8 @@
 #include <span>
 #include <string_view>
 
+struct XXH3_state_s;
+
 namespace jaylane::policy {
 
 /// Hash of a request body that arrives in pieces.
@@ -15,16 +17,16 @@
 {
 public:
   BodyHasher();
-  ~BodyHasher();
-  BodyHasher(BodyHasher&&) noexcept;
-  BodyHasher& operator=(BodyHasher&&) noexcept;
 
   void Update(std::span<const std::byte> aPiece);
   std::uint64_t Digest() const;
 
 private:
-  struct State;
-  std::unique_ptr<State> m_state;
+  struct Release
+  {
+    void operator()(XXH3_state_s* aState) const;
+  };
+  std::unique_ptr<XXH3_state_s, Release> m_state;
 };
 
 /// 128-bit hash of what makes two requests the same to an upstream.
--- a/packages/policy/include/jaylane/policy/ScopeTransfer.h
+++ b/packages/policy/include/jaylane/policy/ScopeTransfer.h
@@ -48,6 +48,8 @@
 {
   /// The only incarnation that may import this.
   Incarnation m_recipient;
+  /// The incarnation that stopped.
+  Incarnation m_exporter;
   std::vector<TransferredEpoch> m_epochs;
 };
 
