--- /dev/null
+++ b/packages/ctl/tests/FakeVms.h
@@ -0,0 +1,153 @@
+#pragma once
+
+#include "jaylane/ctl/AdminClient.h"
+#include "jaylane/settings/AdminModel.h"
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace jaylane::ctl {
+
+enum class Fault
+{
+  None,
+  NotSent,
+  LostBefore,
+  LostAfter,
+  StoreDown,
+};
+
+struct FakeVm
+{
+  std::string m_id;
+  std::string m_state = "running";
+  std::uint64_t m_inEffect = 0;
+  /// Faults of the next requests that change something; none once empty.
+  std::deque<Fault> m_postFaults;
+  /// Fault of all other requests.
+  Fault m_getFault = Fault::None;
+  std::vector<Json::Value> m_events;
+};
+
+/// Entry VMs with one store in memory, behind the interface that commands use.
+class FakeVms final : public AdminClient
+{
+public:
+  AdminReply Send(const std::string& aVm, const AdminRequest& aRequest) override
+  {
+    m_requests.push_back(aVm + " " + aRequest.m_method + " " + aRequest.m_path);
+    const auto found = m_vms.find(aVm);
+    if (found == m_vms.end()) {
+      return { Delivery::NotSent, 0, {}, "refused" };
+    }
+    FakeVm& vm = found->second;
+    Fault fault = vm.m_getFault;
+    if (aRequest.m_method == "POST" && !vm.m_postFaults.empty()) {
+      fault = vm.m_postFaults.front();
+      vm.m_postFaults.pop_front();
+    }
+    if (fault == Fault::NotSent) {
+      return { Delivery::NotSent, 0, {}, "refused" };
+    }
+    if (fault == Fault::LostBefore) {
+      return { Delivery::Lost, 0, {}, "timeout" };
+    }
+    const settings::AdminResponse response =
+      fault == Fault::StoreDown
+        ? settings::AdminModel::Error(503, "store-unavailable", "the store is unavailable")
+        : Handle(vm, aRequest);
+    if (fault == Fault::LostAfter) {
+      return { Delivery::Lost, 0, {}, "timeout" };
+    }
+    return { Delivery::Answered, response.m_status, response.m_body, {} };
+  }
+
+  /// Accepts an edit of another operator.
+  void EditBy(const std::string& aWho, const settings::Change& aChange)
+  {
+    const std::string id = aWho + std::to_string(m_document.m_generation);
+    Merge({ id, m_document.m_generation, { aChange } }, aWho);
+  }
+
+  std::map<std::string, FakeVm> m_vms;
+  settings::SettingsDocument m_document;
+  std::vector<std::string> m_requests;
+
+private:
+  settings::AdminResponse Merge(const settings::Edit& aEdit, const std::string& aWho)
+  {
+    settings::MergeResult result =
+      settings::EditMerger::Merge(m_document, aEdit, { aWho, {}, "vm", "nonce" });
+    if (result.m_document) {
+      m_document = *result.m_document;
+    }
+    return settings::AdminModel::Merged(result, aEdit);
+  }
+
+  settings::AdminResponse Handle(FakeVm& aVm, const AdminRequest& aRequest)
+  {
+    using Model = settings::AdminModel;
+    const std::string& path = aRequest.m_path;
+    const std::string body = aRequest.m_body.toStyledString();
+    if (path == "/v1/settings") {
+      return Model::Settings(m_document);
+    }
+    if (path.starts_with("/v1/settings/effective?path=")) {
+      return Model::Effective(m_document, path.substr(path.find('=') + 1));
+    }
+    if (path == "/v1/history") {
+      return Model::History(m_document);
+    }
+    if (path == "/v1/status") {
+      return Status(aVm);
+    }
+    if (path.starts_with("/v1/timeline?after=")) {
+      return Events(aVm, std::stoull(path.substr(path.find('=') + 1)));
+    }
+    if (path.starts_with("/v1/edits/")) {
+      const std::size_t query = path.find('?');
+      return Model::EditStatusOf(
+        m_document, path.substr(10, query - 10), std::stoull(path.substr(path.find('=') + 1)));
+    }
+    const bool drain = path == "/v1/drain" || path == "/v1/undrain";
+    const auto edit =
+      drain ? Model::ParseDrain(body, path == "/v1/undrain") : Model::ParseEdit(body);
+    if (!edit) {
+      return Model::Error(edit.GetError());
+    }
+    return path == "/v1/plan" ? Model::Plan(m_document, *edit) : Merge(*edit, "me");
+  }
+
+  settings::AdminResponse Status(const FakeVm& aVm) const
+  {
+    settings::AdminResponse response;
+    response.m_body["generation_in_effect"] = Json::UInt64(aVm.m_inEffect);
+    for (const auto& [address, vm] : m_vms) {
+      Json::Value entry(Json::objectValue);
+      entry["id"] = vm.m_id;
+      entry["zone"] = "north-a";
+      entry["state"] = vm.m_state;
+      entry["admin_address"] = address;
+      response.m_body["vms"].append(entry);
+    }
+    return response;
+  }
+
+  /// Two events a page, so that paging is exercised.
+  static settings::AdminResponse Events(const FakeVm& aVm, std::uint64_t aAfter)
+  {
+    settings::AdminResponse response;
+    response.m_body["events"] = Json::arrayValue;
+    response.m_body["last"] = Json::UInt64(aAfter);
+    for (std::size_t i = aAfter; i < std::min<std::size_t>(aAfter + 2, aVm.m_events.size()); ++i) {
+      response.m_body["events"].append(aVm.m_events[i]);
+      response.m_body["last"] = Json::UInt64(i + 1);
+    }
+    return response;
+  }
+};
+
+} // namespace jaylane::ctl
--- a/packages/settings/bench/EditMergerBench.cpp
+++ b/packages/settings/bench/EditMergerBench.cpp
@@ -24,6 +24,61 @@
   return aDocument;
 }
 
+/// A tree of the target size of section 1.5 of the design: 14 regions, 43 zones.
+SettingsDocument MakeLarge()
+{
+  constexpr int kRegions = 14;
+  constexpr int kServices = 40;
+  Json::Value json(Json::objectValue);
+  for (int i = 0; i < kRegions; ++i) {
+    const std::string name = "region-" + std::to_string(i);
+    Json::Value region;
+    region["name"] = name;
+    for (int zone = 0; zone < (i == 0 ? 4 : 3); ++zone) {
+      region["zones"].append(name + "-" + std::to_string(zone));
+    }
+    json["regions"].append(region);
+    for (int j = 0; j < kRegions; ++j) {
+      if (i != j) {
+        Json::Value link;
+        link["from"] = name;
+        link["to"] = "region-" + std::to_string(j);
+        link["rate_mbit_s"] = 4000;
+        link["one_way_delay_ms"] = 20;
+        json["links"].append(link);
+      }
+    }
+    for (int service = 0; service < kServices; ++service) {
+      Json::Value& node = json["nodes"]["/" + name + "/service-" + std::to_string(service)];
+      node["request_timeout_ms"] = 5000 + service;
+      node["queue_limit_requests"] = 100 + service;
+    }
+    for (int block = 0; block < 100; ++block) {
+      Json::Value entry;
+      entry["prefix"] = "10." + std::to_string(i) + "." + std::to_string(block) + ".0/24";
+      entry["region"] = name;
+      json["client_blocks"].append(entry);
+    }
+    for (int law = 0; law < 30; ++law) {
+      Json::Value entry;
+      entry["id"] = name + "-law-" + std::to_string(law);
+      entry["service"] = "service-" + std::to_string(law);
+      entry["origin_region"] = name;
+      entry["allowed_regions"].append(name);
+      entry["effective_at"] = "2026-12-04T06:00:00Z";
+      json["laws"].append(entry);
+    }
+  }
+  for (int service = 0; service < kServices; ++service) {
+    Json::Value entry;
+    entry["name"] = "service-" + std::to_string(service);
+    json["services"].append(entry);
+  }
+  SettingsDocument document;
+  document.m_tree = *SettingsTree::FromJson(json);
+  return document;
+}
+
 /// One edit of a document whose history holds the given number of edits.
 void MergeOneEdit(benchmark::State& aState)
 {
@@ -45,6 +100,26 @@
 }
 BENCHMARK(ParseDocument);
 
+void ParseLargeDocument(benchmark::State& aState)
+{
+  const std::string text = MakeLarge().Serialize();
+  for (auto _ : aState) {
+    benchmark::DoNotOptimize(SettingsDocument::Parse(text));
+  }
+  aState.counters["bytes"] = static_cast<double>(text.size());
+}
+BENCHMARK(ParseLargeDocument)->Unit(benchmark::kMillisecond);
+
+void MergeIntoLargeDocument(benchmark::State& aState)
+{
+  const SettingsDocument document = MakeLarge();
+  const Edit edit{ "e", 0, { { "/region-0", "retry_attempts", Json::Value(2) } } };
+  for (auto _ : aState) {
+    benchmark::DoNotOptimize(EditMerger::Merge(document, edit, { "ann", {}, "vm-1", "n" }));
+  }
+}
+BENCHMARK(MergeIntoLargeDocument)->Unit(benchmark::kMillisecond);
+
 void ResolveEffective(benchmark::State& aState)
 {
   const SettingsDocument document = LoadExample();
--- a/packages/settings/src/AdminModel.cpp
+++ b/packages/settings/src/AdminModel.cpp
@@ -2,6 +2,7 @@
 
 #include "jaylane/settings/SettingsError.h"
 
+#include <fmt/format.h>
 #include <json/reader.h>
 #include <memory>
 
@@ -132,7 +133,7 @@
       ++m_total;
       if (m_list.size() < kMaxPlanDifferences) {
         Json::Value entry(Json::objectValue);
-        entry["path"] = "/" + aRegion + "/" + aService + "/" + aZone;
+        entry["path"] = fmt::format("/{}/{}/{}", aRegion, aService, aZone);
         entry["key"] = key;
         entry["old"] = before[key]["value"];
         entry["new"] = after[key]["value"];
--- a/packages/settings/src/SectionKeys.cpp
+++ b/packages/settings/src/SectionKeys.cpp
@@ -1,6 +1,7 @@
 #include "SectionKeys.h"
 
 #include <array>
+#include <cmath>
 
 namespace jaylane::settings {
 
@@ -186,7 +187,7 @@
       Json::nullValue,
       "Delay in this direction.",
       [](Link& aLink, const Json::Value& aValue) {
-        aLink.m_oneWayDelay = Microseconds(std::int64_t(aValue.asDouble() * 1000 + 0.5));
+        aLink.m_oneWayDelay = Microseconds(std::llround(aValue.asDouble() * 1000));
       },
       [](const Link& aLink) {
         const std::int64_t micros = aLink.m_oneWayDelay.count();
