settings: parse untrusted JSON strictly

Cause: jsoncpp throws on deep nesting and accepts duplicate members and trailing text by default, so that a request body of 5000 brackets would have ended the daemon; an alias that contains itself made reading YAML endless. Change: ParseJson() bounds the depth and is strict; YAML nesting is bounded. Conclusion: both are malformed input now; tests cover them.

--- a/packages/ctl/src/HttpAdminClient.cpp
+++ b/packages/ctl/src/HttpAdminClient.cpp
@@ -1,7 +1,8 @@
 #include "jaylane/ctl/HttpAdminClient.h"
 
+#include "jaylane/settings/JsonText.h"
+
 #include <curl/curl.h>
-#include <json/reader.h>
 #include <json/writer.h>
 #include <memory>
 #include <mutex>
@@ -53,13 +54,6 @@
          aCode == CURLE_URL_MALFORMAT || aCode == CURLE_UNSUPPORTED_PROTOCOL;
 }
 
-bool ParseJson(const std::string& aText, Json::Value& aJson)
-{
-  const std::unique_ptr<Json::CharReader> reader(Json::CharReaderBuilder().newCharReader());
-  std::string problems;
-  return reader->parse(aText.data(), aText.data() + aText.size(), &aJson, &problems);
-}
-
 AdminReply ReplyOf(CURL* aEasy, CURLcode aCode, const std::string& aText)
 {
   AdminReply reply;
@@ -71,11 +65,13 @@
   long status = 0;
   curl_easy_getinfo(aEasy, CURLINFO_RESPONSE_CODE, &status);
   reply.m_status = static_cast<int>(status);
-  if (!ParseJson(aText, reply.m_body) || !reply.m_body.isObject()) {
+  const base::Result<Json::Value> body = settings::ParseJson(aText);
+  if (!body || !body->isObject()) {
     reply.m_delivery = Delivery::Lost;
     reply.m_problem = "the response is not a JSON object";
     return reply;
   }
+  reply.m_body = *body;
   reply.m_delivery = Delivery::Answered;
   return reply;
 }
--- a/packages/ctl/src/Text.cpp
+++ b/packages/ctl/src/Text.cpp
@@ -1,12 +1,12 @@
 #include "Text.h"
 
+#include "jaylane/settings/JsonText.h"
 #include "jaylane/settings/TreeSections.h"
 
+#include <algorithm>
 #include <chrono>
 #include <fmt/format.h>
-#include <json/reader.h>
 #include <json/writer.h>
-#include <memory>
 
 namespace jaylane::ctl {
 
@@ -82,14 +82,8 @@
 
 Json::Value ParseValue(const std::string& aText)
 {
-  Json::CharReaderBuilder builder;
-  Json::CharReaderBuilder::strictMode(&builder.settings_);
-  builder["strictRoot"] = false;
-  const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
-  Json::Value value;
-  std::string problems;
-  const bool parsed = reader->parse(aText.data(), aText.data() + aText.size(), &value, &problems);
-  return parsed ? value : Json::Value(aText);
+  const base::Result<Json::Value> value = settings::ParseJson(aText);
+  return value ? *value : Json::Value(aText);
 }
 
 std::string EncodeQuery(std::string_view aText)
--- a/packages/settings/src/AdminModel.cpp
+++ b/packages/settings/src/AdminModel.cpp
@@ -1,10 +1,9 @@
 #include "jaylane/settings/AdminModel.h"
 
+#include "jaylane/settings/JsonText.h"
 #include "jaylane/settings/SettingsError.h"
 
 #include <fmt/format.h>
-#include <json/reader.h>
-#include <memory>
 
 namespace jaylane::settings {
 
@@ -26,11 +25,11 @@
 
 base::Result<Json::Value> ParseBody(std::string_view aBody)
 {
-  Json::Value json;
-  std::string problems;
-  const std::unique_ptr<Json::CharReader> reader(Json::CharReaderBuilder().newCharReader());
-  if (!reader->parse(aBody.data(), aBody.data() + aBody.size(), &json, &problems) ||
-      !json.isObject()) {
+  base::Result<Json::Value> json = ParseJson(aBody);
+  if (!json) {
+    return base::Error{ SettingsErrc::MalformedEdit, json.GetError().m_detail };
+  }
+  if (!json->isObject()) {
     return base::Error{ SettingsErrc::MalformedEdit, "expected a JSON object" };
   }
   return json;
--- a/packages/settings/src/LocatedJson.cpp
+++ b/packages/settings/src/LocatedJson.cpp
@@ -10,6 +10,9 @@
 
 namespace {
 
+/// An alias may refer to a node that contains it, which makes the document endless.
+constexpr std::size_t kMaxDepth = 16;
+
 /// @return the value of a plain scalar, typed by its looks.
 Json::Value PlainScalar(const std::string& aText)
 {
@@ -45,6 +48,10 @@
 
   Json::Value Convert(const YAML::Node& aNode, const JsonPath& aPath)
   {
+    if (aPath.size() > kMaxDepth) {
+      Report(aNode.Mark().line + 1, "", "expected less nesting");
+      return Json::nullValue;
+    }
     m_output.m_lines.emplace(aPath, aNode.Mark().line + 1);
     switch (aNode.Type()) {
       case YAML::NodeType::Map:
--- a/packages/settings/src/SettingsDocument.cpp
+++ b/packages/settings/src/SettingsDocument.cpp
@@ -1,10 +1,9 @@
 #include "jaylane/settings/SettingsDocument.h"
 
+#include "jaylane/settings/JsonText.h"
 #include "jaylane/settings/SettingsError.h"
 
-#include <json/reader.h>
 #include <json/writer.h>
-#include <memory>
 
 namespace jaylane::settings {
 
@@ -85,13 +84,8 @@
 
 base::Result<SettingsDocument> SettingsDocument::Parse(std::string_view aText)
 {
-  Json::Value json;
-  std::string problems;
-  const std::unique_ptr<Json::CharReader> reader(Json::CharReaderBuilder().newCharReader());
-  if (!reader->parse(aText.data(), aText.data() + aText.size(), &json, &problems)) {
-    return Malformed(problems);
-  }
-  return FromJson(json);
+  const base::Result<Json::Value> json = ParseJson(aText);
+  return json ? FromJson(*json) : json.GetError();
 }
 
 } // namespace jaylane::settings
--- a/packages/settings/tests/AdminModelTest.cpp
+++ b/packages/settings/tests/AdminModelTest.cpp
@@ -57,6 +57,12 @@
              {"path":"/","key":"k","value":2}]})" }) {
     EXPECT_FALSE(AdminModel::ParseEdit(body)) << body;
   }
+  // jsoncpp throws on deep nesting and accepts the other two by default.
+  const std::string valid = R"({"id":"x","base_generation":3,"path":"/","key":"k","value":1})";
+  EXPECT_TRUE(AdminModel::ParseEdit(valid));
+  EXPECT_FALSE(AdminModel::ParseEdit(std::string(5000, '[')));
+  EXPECT_FALSE(AdminModel::ParseEdit(valid + "{}"));
+  EXPECT_FALSE(AdminModel::ParseEdit(R"({"id":"a",)" + valid.substr(1)));
 }
 
 // Guards against a drain that edits the wrong entry, and a repeated one that becomes a new edit.
--- a/packages/settings/tests/VmSettingsTest.cpp
+++ b/packages/settings/tests/VmSettingsTest.cpp
@@ -73,10 +73,11 @@
   EXPECT_EQ(problems.find("0123456789abcdef"), std::string::npos) << "prints a secret";
 }
 
-// Guards against crashes on files that are no mapping or no YAML at all.
+// Guards against crashes on files that are no mapping, no YAML at all or that contain themselves.
 TEST(VmSettingsTest, ReportsBrokenFiles)
 {
-  for (const char* text : { "", "[1, 2", "- 1", "just text", "{a: {b: c}, ? [x] : y}" }) {
+  for (const char* text :
+       { "", "[1, 2", "- 1", "just text", "{a: {b: c}, ? [x] : y}", "&a [*a]" }) {
     EXPECT_FALSE(VmSettings::ParseYaml(text, "vm.yaml")) << text;
   }
   EXPECT_FALSE(VmSettings::LoadYaml("/nonexistent/vm.yaml"));
