--- a/packages/settings/src/AdminModel.cpp
+++ b/packages/settings/src/AdminModel.cpp
@@ -1,9 +1,9 @@
 #include "jaylane/settings/AdminModel.h"
 
+#include "jaylane/settings/JsonText.h"
 #include "jaylane/settings/SettingsError.h"
 
-#include <json/reader.h>
-#include <memory>
+#include <fmt/format.h>
 
 namespace jaylane::settings {
 
@@ -25,11 +25,11 @@
 
 base::Result<Json::Value> ParseBody(std::string_view aBody)
 {
-  Json::Value json;
-  std::string problems;
-  const std::unique_ptr<Json::CharReader> reader(Json::CharReaderBuilder().newCharReader());
-  if (!reader->parse(aBody.data(), aBody.data() + aBody.size(), &json, &problems) ||
-      !json.isObject()) {
+  base::Result<Json::Value> json = ParseJson(aBody);
+  if (!json) {
+    return base::Error{ SettingsErrc::MalformedEdit, json.GetError().m_detail };
+  }
+  if (!json->isObject()) {
     return base::Error{ SettingsErrc::MalformedEdit, "expected a JSON object" };
   }
   return json;
@@ -132,7 +132,7 @@
       ++m_total;
       if (m_list.size() < kMaxPlanDifferences) {
         Json::Value entry(Json::objectValue);
-        entry["path"] = "/" + aRegion + "/" + aService + "/" + aZone;
+        entry["path"] = fmt::format("/{}/{}/{}", aRegion, aService, aZone);
         entry["key"] = key;
         entry["old"] = before[key]["value"];
         entry["new"] = after[key]["value"];
