--- a/packages/testing/include/jaylane/testing/UpstreamStandIn.h
+++ b/packages/testing/include/jaylane/testing/UpstreamStandIn.h
@@ -75,7 +75,7 @@
 
   UpstreamStandIn(const UpstreamOptions& aOptions, std::unique_ptr<RecordFile> aRecords);
   void Change(const std::function<void(UpstreamSwitches&)>& aChange);
-  void Count(std::uint64_t Counters::* aCounter);
+  void Count(std::uint64_t Counters::*aCounter);
   void Begin(HttpRequest& aRequest);
   HttpResponse Handle(HttpRequest& aRequest);
   HttpResponse HandleControl(const HttpRequest& aRequest);
--- a/packages/testing/src/UpstreamStandIn.cpp
+++ b/packages/testing/src/UpstreamStandIn.cpp
@@ -97,6 +97,7 @@
     return server.GetError();
   }
   standIn->m_server = std::move(*server);
+  self->Record("started", nullptr);
   return standIn;
 }
 
@@ -119,7 +120,7 @@
   }
 }
 
-void UpstreamStandIn::Count(std::uint64_t Counters::* aCounter)
+void UpstreamStandIn::Count(std::uint64_t Counters::*aCounter)
 {
   std::lock_guard lock(m_mutex);
   ++(m_counters.*aCounter);
@@ -216,8 +217,8 @@
   std::lock_guard lock(m_mutex);
   aExecution.m_crash = !aRequest.Header("x-test-crash").empty();
   aExecution.m_close = !aRequest.Header("x-test-close").empty() || TakeOne(m_switches.m_closeNext);
-  aExecution.m_truncate =
-    !aRequest.Header("x-test-truncate").empty() || TakeOne(m_switches.m_truncateNext);
+  aExecution.m_truncate = !aRequest.Header("x-test-truncate").empty() ||
+                          (!aExecution.m_close && TakeOne(m_switches.m_truncateNext));
   aExecution.m_slow = !aRequest.Header("x-test-slow").empty() || TakeOne(m_switches.m_slowNext);
   aExecution.m_wrongAttempt = TakeOne(m_switches.m_wrongAttemptNext);
   ++m_counters.m_executed;
--- a/packages/testing/tests/CallerLoadTest.cpp
+++ b/packages/testing/tests/CallerLoadTest.cpp
@@ -1,6 +1,8 @@
 #include "jaylane/testing/CallerLoad.h"
 
 #include "jaylane/platform/JsonText.h"
+#include "jaylane/testing/HistoryChecker.h"
+#include "jaylane/testing/ProcessHarness.h"
 #include "jaylane/testing/UpstreamStandIn.h"
 
 #include <gtest/gtest.h>
@@ -77,5 +79,39 @@
   EXPECT_EQ(m_upstream->Stats()["executed"], summary["attempts"]);
 }
 
+// Guards against records that contradict each other when requests are shed, cut, lost or
+// crash, and against a caller that takes such responses as whole.
+TEST_F(CallerLoadTest, RecordsOfFaultsAgree)
+{
+  const auto harness = ProcessHarness::Make();
+  ASSERT_TRUE(harness);
+  UpstreamOptions upstream;
+  upstream.m_slots = 2;
+  upstream.m_serviceTime = milliseconds{ 10 };
+  upstream.m_recordFile = (*harness)->PathOf("upstream");
+  Start(upstream);
+  UpstreamSwitches switches = m_upstream->Switches();
+  switches.m_closeNext = switches.m_truncateNext = 5;
+  m_upstream->SetSwitches(switches);
+  CallerOptions options = Options();
+  options.m_orders = 1;
+  options.m_resendShare = 0;
+  options.m_recordFile = (*harness)->PathOf("caller");
+  const Json::Value summary = Run(options);
+  EXPECT_GT(summary["outcomes"]["completed"].asUInt(), 0u) << summary;
+  EXPECT_GT(summary["outcomes"]["not-run"].asUInt(), 0u) << summary;
+  EXPECT_GE(summary["outcomes"]["unknown"].asUInt(), 5u) << summary;
+  EXPECT_GT(summary["integrity"]["cut"].asUInt(), 0u) << summary;
+
+  HistoryChecker checker({});
+  ASSERT_TRUE(checker.AddCallerFile(options.m_recordFile));
+  ASSERT_TRUE(checker.AddUpstreamFile(upstream.m_recordFile));
+  for (const Violation& violation : checker.Check()) {
+    EXPECT_EQ(violation.m_rule, HistoryChecker::kSlotsRule) << violation.ToJson();
+  }
+  EXPECT_FALSE(checker.Check().empty());
+  EXPECT_EQ(checker.Report()["attempts"], summary["attempts"]);
+}
+
 } // namespace
 } // namespace jaylane::testing
