Add the peer package: JSON-RPC between entry VMs and membership

Exchanges with one zone peer and one VM of another zone spread heartbeats, settings, share tables and quarantines. Membership tracks the own zone in full and a few VMs of each other zone, so that its cost does not grow with the fleet. libjsonrpccpp carries the calls; its HTTP server listens on every address, so requests reach its protocol handler through base::HttpServer.

--- /dev/null
+++ b/packages/peer/include/jaylane/peer/PeerServer.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "jaylane/base/Error.h"
+#include "jaylane/base/SocketAddress.h"
+#include "jaylane/peer/Messages.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace jaylane::peer {
+
+/// What a VM does on calls of its peers. Called on server threads.
+struct PeerHooks
+{
+  std::function<ExchangeMessage(const ExchangeMessage&)> m_exchange;
+  std::function<ProbeResponse(const ProbeRequest&)> m_probe;
+  std::function<BorrowResponse(const BorrowRequest&)> m_borrow;
+  std::function<HandoverResponse(const HandoverRequest&)> m_handover;
+};
+
+/// JSON-RPC server of the peer port. Calls without the shared key are refused.
+class PeerServer
+{
+public:
+  /// @param aBind address; port 0 lets the kernel choose.
+  /// @param aKey shared key of the deployment.
+  /// @return the server, or ListenFailed.
+  static base::Result<std::unique_ptr<PeerServer>> Make(const base::SocketAddress& aBind,
+                                                        std::string aKey,
+                                                        PeerHooks aHooks);
+  ~PeerServer();
+
+  PeerServer(const PeerServer&) = delete;
+  PeerServer& operator=(const PeerServer&) = delete;
+
+  /// @return the bound address with the actual port.
+  const base::SocketAddress& Address() const;
+
+private:
+  class Impl;
+  explicit PeerServer(std::unique_ptr<Impl> aImpl);
+
+  std::unique_ptr<Impl> m_impl;
+};
+
+} // namespace jaylane::peer
--- /dev/null
+++ b/packages/peer/rpc/JsonRpcCall.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <functional>
+#include <json/value.h>
+#include <string>
+
+namespace jaylane {
+namespace peer {
+namespace detail {
+
+/// Result of a JSON-RPC call.
+struct RpcResult
+{
+  bool m_ok = false;
+  Json::Value m_value;
+  std::string m_error;
+};
+
+/// Sends a request and receives its response; returns false if the transport failed.
+using RpcSend = std::function<bool(const std::string& aRequest, std::string& aResponse)>;
+
+/// Calls a method with one parameter named "message". This header and its source compile as
+/// C++14 (see CMakeLists.txt), so it names no types of the other packages.
+/// @param aSend carries the request.
+/// @param aMethod name of the method.
+/// @param aMessage value of the parameter.
+RpcResult CallJsonRpc(const RpcSend& aSend,
+                      const std::string& aMethod,
+                      const Json::Value& aMessage);
+
+} // namespace detail
+} // namespace peer
+} // namespace jaylane
--- /dev/null
+++ b/packages/peer/src/PeerServer.cpp
@@ -0,0 +1,174 @@
+#include "jaylane/peer/PeerServer.h"
+
+#include "PeerProtocol.h"
+#include "jaylane/base/HttpServer.h"
+#include "jaylane/peer/MessageCodec.h"
+#include "jaylane/peer/PeerError.h"
+
+#include <algorithm>
+#include <cctype>
+#include <jsonrpccpp/server.h>
+#include <utility>
+
+namespace jaylane::peer {
+
+namespace {
+
+// libjsonrpccpp's own HTTP server listens on every address, so the text of requests reaches
+// its protocol handler through this connector instead.
+class TextConnector final : public jsonrpc::AbstractServerConnector
+{
+public:
+  bool StartListening() override { return true; }
+  bool StopListening() override { return true; }
+  bool SendResponse(const std::string&, void*) override { return true; }
+};
+
+/// Compares in time that does not depend on where the texts differ.
+bool EqualSecrets(const std::string& aLeft, const std::string& aRight)
+{
+  unsigned difference = aLeft.size() == aRight.size() ? 0 : 1;
+  for (std::size_t i = 0; i < aLeft.size(); ++i) {
+    const char other = aRight.empty() ? '\0' : aRight[i % aRight.size()];
+    difference |= static_cast<unsigned char>(aLeft[i]) ^ static_cast<unsigned char>(other);
+  }
+  return difference == 0;
+}
+
+std::string LowerCase(std::string aText)
+{
+  std::transform(aText.begin(), aText.end(), aText.begin(), [](unsigned char aChar) {
+    return static_cast<char>(std::tolower(aChar));
+  });
+  return aText;
+}
+
+/// Binds the methods of the protocol to the hooks.
+class Dispatcher final : public jsonrpc::AbstractServer<Dispatcher>
+{
+public:
+  Dispatcher(TextConnector& aConnector, PeerHooks aHooks)
+    : AbstractServer(aConnector, jsonrpc::JSONRPC_SERVER_V2)
+    , m_hooks(std::move(aHooks))
+  {
+    Bind(kExchange, &Dispatcher::OnExchange);
+    Bind(kProbe, &Dispatcher::OnProbe);
+    Bind(kBorrow, &Dispatcher::OnBorrow);
+    Bind(kHandover, &Dispatcher::OnHandover);
+  }
+
+private:
+  void Bind(const char* aMethod, methodPointer_t aHandler)
+  {
+    const jsonrpc::Procedure procedure(aMethod,
+                                       jsonrpc::PARAMS_BY_NAME,
+                                       jsonrpc::JSON_OBJECT,
+                                       "message",
+                                       jsonrpc::JSON_OBJECT,
+                                       nullptr);
+    bindAndAddMethod(procedure, aHandler);
+  }
+
+  template<typename Request, typename Hook>
+  static void Run(const Json::Value& aParameters, Json::Value& aResult, const Hook& aHook)
+  {
+    const auto request = Decode<Request>(aParameters["message"]);
+    if (!request) {
+      throw jsonrpc::JsonRpcException(jsonrpc::Errors::ERROR_RPC_INVALID_PARAMS);
+    }
+    aResult = Encode(aHook(*request));
+  }
+
+  void OnExchange(const Json::Value& aParameters, Json::Value& aResult)
+  {
+    Run<ExchangeMessage>(aParameters, aResult, m_hooks.m_exchange);
+  }
+  void OnProbe(const Json::Value& aParameters, Json::Value& aResult)
+  {
+    Run<ProbeRequest>(aParameters, aResult, m_hooks.m_probe);
+  }
+  void OnBorrow(const Json::Value& aParameters, Json::Value& aResult)
+  {
+    Run<BorrowRequest>(aParameters, aResult, m_hooks.m_borrow);
+  }
+  void OnHandover(const Json::Value& aParameters, Json::Value& aResult)
+  {
+    Run<HandoverRequest>(aParameters, aResult, m_hooks.m_handover);
+  }
+
+  const PeerHooks m_hooks;
+};
+
+} // namespace
+
+class PeerServer::Impl
+{
+public:
+  Impl(std::string aKey, PeerHooks aHooks)
+    : m_key(std::move(aKey))
+    , m_dispatcher(m_connector, std::move(aHooks))
+  {
+  }
+
+  base::Status Start(const base::SocketAddress& aBind)
+  {
+    base::HttpServer::Options options;
+    options.m_bind = aBind;
+    options.m_maxBodyBytes = kMaxMessageBytes;
+    auto server = base::HttpServer::Make(
+      options, [this](const base::HttpRequest& aRequest) { return Handle(aRequest); });
+    if (!server) {
+      return base::Error{ make_error_code(PeerErrc::ListenFailed), aBind.ToString() };
+    }
+    m_server = std::move(*server);
+    return base::Success{};
+  }
+
+  const base::SocketAddress& Address() const { return m_server->Address(); }
+
+private:
+  base::HttpReply Handle(const base::HttpRequest& aRequest)
+  {
+    base::HttpReply reply;
+    if (!EqualSecrets(aRequest.Header(LowerCase(kKeyHeader)), m_key)) {
+      reply.m_status = 403;
+    } else if (aRequest.m_path != kRpcPath || aRequest.m_method != "POST") {
+      reply.m_status = 404;
+    } else {
+      m_connector.GetHandler()->HandleRequest(aRequest.m_body, reply.m_body);
+    }
+    return reply;
+  }
+
+  const std::string m_key;
+  TextConnector m_connector;
+  Dispatcher m_dispatcher;
+  // Destroyed first, so that no call runs on the members above while they go.
+  std::unique_ptr<base::HttpServer> m_server;
+};
+
+base::Result<std::unique_ptr<PeerServer>> PeerServer::Make(const base::SocketAddress& aBind,
+                                                           std::string aKey,
+                                                           PeerHooks aHooks)
+{
+  auto impl = std::make_unique<Impl>(std::move(aKey), std::move(aHooks));
+  const auto started = impl->Start(aBind);
+  if (!started) {
+    return started.GetError();
+  }
+  return std::unique_ptr<PeerServer>(new PeerServer(std::move(impl)));
+}
+
+PeerServer::PeerServer(std::unique_ptr<Impl> aImpl)
+  : m_impl(std::move(aImpl))
+{
+}
+
+PeerServer::~PeerServer() = default;
+
+const base::SocketAddress& PeerServer::Address() const
+{
+  return m_impl->Address();
+}
+
+} // namespace jaylane::peer
--- /dev/null
+++ b/packages/peer/tests/MessageCodecTest.cpp
@@ -0,0 +1,69 @@
+#include "jaylane/peer/MessageCodec.h"
+
+#include <gtest/gtest.h>
+
+#include <rapidcheck/gtest.h>
+
+namespace jaylane::peer {
+namespace {
+
+ExchangeMessage MakeExchange()
+{
+  ExchangeMessage message;
+  message.m_stamp = "1.2";
+  message.m_generation = 42;
+  message.m_settings = "{}";
+  message.m_shares = { 7, "table" };
+  message.m_members.push_back(
+    { "vm", "inc", "r", "z", "127.0.0.1:1", "scope", 9, true, { "old" } });
+  message.m_strikes.push_back({ { ~0ull, 1 }, 2, 3, std::chrono::milliseconds{ 4 }, true, false });
+  return message;
+}
+
+// Guards against fields that are lost or changed on the way to a peer.
+TEST(MessageCodec, ExchangeRoundTrips)
+{
+  const ExchangeMessage message = MakeExchange();
+  const auto decoded = Decode<ExchangeMessage>(Encode(message));
+  ASSERT_TRUE(decoded);
+  EXPECT_EQ(decoded->m_members, message.m_members);
+  EXPECT_EQ(decoded->m_strikes, message.m_strikes);
+  EXPECT_EQ(decoded->m_shares, message.m_shares);
+  EXPECT_EQ(decoded->m_settings, message.m_settings);
+  EXPECT_EQ(decoded->m_generation, message.m_generation);
+}
+
+// Guards against keys that change state during a handover, which could run them twice.
+RC_GTEST_PROP(MessageCodec, HandoverRoundTrips, (std::uint64_t aHigh, std::uint64_t aLow))
+{
+  HandoverRequest request;
+  request.m_transfer.m_recipient = { aHigh, aLow };
+  request.m_transfer.m_exporter = { aLow, aHigh };
+  request.m_transfer.m_epochs.push_back({ { { aLow, aHigh }, 3 },
+                                          std::chrono::milliseconds{ 500 },
+                                          true,
+                                          { { "nonce", { policy::KeyState::Completed, 201 } } } });
+  const auto decoded = Decode<HandoverRequest>(Encode(request));
+  RC_ASSERT(static_cast<bool>(decoded));
+  RC_ASSERT(decoded->m_transfer.m_recipient == request.m_transfer.m_recipient);
+  const auto& epoch = decoded->m_transfer.m_epochs.at(0);
+  RC_ASSERT(epoch.m_scope == request.m_transfer.m_epochs[0].m_scope);
+  RC_ASSERT(epoch.m_closed);
+  RC_ASSERT(epoch.m_keys.at(0).m_record == request.m_transfer.m_epochs[0].m_keys[0].m_record);
+}
+
+// Guards against a malformed message from a faulty peer being taken for a valid one.
+TEST(MessageCodec, EveryFieldIsRequired)
+{
+  const Json::Value whole = Encode(MakeExchange());
+  for (const std::string& name : whole.getMemberNames()) {
+    Json::Value damaged(whole);
+    damaged[name] = Json::nullValue;
+    EXPECT_FALSE(Decode<ExchangeMessage>(damaged)) << name;
+  }
+  EXPECT_FALSE(Decode<ExchangeMessage>(Json::Value("text")));
+  EXPECT_FALSE(Decode<BorrowRequest>(Json::Value(Json::arrayValue)));
+}
+
+} // namespace
+} // namespace jaylane::peer
