--- /dev/null
+++ b/packages/policy/bench/UpstreamSelectorBench.cpp
@@ -0,0 +1,126 @@
+#include "DispatchSimulation.h"
+
+#include <benchmark/benchmark.h>
+#include <fmt/format.h>
+#include <random>
+
+namespace jaylane::policy {
+namespace {
+
+void Report(benchmark::State& aState, const DispatchScenario& aScenario)
+{
+  DispatchFigures sum;
+  constexpr int kSeeds = 3;
+  for (auto _ : aState) {
+    sum = {};
+    for (int seed = 1; seed <= kSeeds; ++seed) {
+      auto scenario = aScenario;
+      scenario.m_seed = static_cast<std::uint64_t>(seed);
+      const auto figures = Simulate(scenario);
+      sum.m_p50Ms += figures.m_p50Ms / kSeeds;
+      sum.m_p99Ms += figures.m_p99Ms / kSeeds;
+      sum.m_slowShare += figures.m_slowShare / kSeeds;
+      sum.m_overSecond += figures.m_overSecond / kSeeds;
+      sum.m_secondsToFairShare += figures.m_secondsToFairShare / kSeeds;
+    }
+  }
+  aState.counters["p50_ms"] = sum.m_p50Ms;
+  aState.counters["p99_ms"] = sum.m_p99Ms;
+  aState.counters["over_1s"] = sum.m_overSecond;
+  aState.counters["slow_share"] = sum.m_slowShare;
+  if (aScenario.m_joining > 0) {
+    aState.counters["fair_s"] = sum.m_secondsToFairShare;
+  }
+}
+
+struct NamedScenario
+{
+  std::string m_name;
+  DispatchScenario m_scenario;
+};
+
+std::vector<NamedScenario> PolicyScenarios()
+{
+  std::vector<NamedScenario> scenarios;
+  for (const double load : { 0.7, 0.85 }) {
+    for (const std::size_t slow : { 3, 0 }) {
+      const auto add = [&](const char* aName, DispatchPolicy aPolicy, LoadReports aReports) {
+        DispatchScenario scenario;
+        scenario.m_policy = aPolicy;
+        scenario.m_reports = aReports;
+        scenario.m_slowUpstreams = slow;
+        scenario.m_load = load;
+        scenarios.push_back(
+          { fmt::format("Policy/{}/slow:{}/load:{}", aName, slow, load), scenario });
+      };
+      add("RoundRobin", DispatchPolicy::RoundRobin, LoadReports::None);
+      add("LeastConnections", DispatchPolicy::LeastConnections, LoadReports::None);
+      add("SelectorNoReports", DispatchPolicy::Selector, LoadReports::None);
+      add("SelectorLagging", DispatchPolicy::Selector, LoadReports::Lagging);
+      add("SelectorWrong", DispatchPolicy::Selector, LoadReports::Wrong);
+    }
+  }
+  return scenarios;
+}
+
+std::vector<NamedScenario> RampScenarios()
+{
+  std::vector<NamedScenario> scenarios;
+  for (const double missCost : { 4.0, 20.0 }) {
+    const auto add = [&](const char* aName, RampShape aShape, double aFloor, int aSeconds) {
+      DispatchScenario scenario;
+      scenario.m_slowUpstreams = 0;
+      scenario.m_joining = 6;
+      scenario.m_cache.m_missCost = missCost;
+      scenario.m_options.m_rampShape = aShape;
+      scenario.m_options.m_rampFloor = aFloor;
+      scenario.m_options.m_ramp = std::chrono::seconds{ aSeconds };
+      scenarios.push_back(
+        { fmt::format("Ramp/{}/seconds:{}/miss:{}", aName, aSeconds, missCost), scenario });
+    };
+    add("None", RampShape::Linear, 1, 1);
+    for (const int seconds : { 5, 10, 20 }) {
+      add("Linear", RampShape::Linear, 0.1, seconds);
+      add("Doubling", RampShape::Doubling, 0.1, seconds);
+    }
+  }
+  return scenarios;
+}
+
+const bool kRegistered = [] {
+  for (const auto& scenarios : { PolicyScenarios(), RampScenarios() }) {
+    for (const auto& [name, scenario] : scenarios) {
+      benchmark::RegisterBenchmark(
+        name.c_str(), [scenario = scenario](benchmark::State& aState) { Report(aState, scenario); })
+        ->Iterations(1)
+        ->Unit(benchmark::kMillisecond);
+    }
+  }
+  return true;
+}();
+
+// Cost of choosing, dispatching and finishing one request.
+void Pick(benchmark::State& aState)
+{
+  std::mt19937_64 random(1);
+  UpstreamSelector selector({}, [&random] { return random(); });
+  std::vector<ListedUpstream> list;
+  for (int i = 0; i < aState.range(0); ++i) {
+    list.push_back({ fmt::format("upstream-{:05}", i), "1", 4, false });
+  }
+  base::MonotonicTime now{ std::chrono::hours{ 1 } };
+  selector.ApplyList(list, now);
+  selector.Advance(now += std::chrono::minutes{ 1 });
+  for (auto _ : aState) {
+    now += std::chrono::milliseconds{ 1 };
+    const auto choice = selector.Pick([](std::string_view) { return true; }, {}, now);
+    selector.Dispatched(*choice);
+    selector.Finished(*choice, OwnResult::Completed, std::chrono::milliseconds{ 60 }, now);
+  }
+  // Ids of up to 15 bytes are stored inside the object.
+  aState.counters["bytes_per_upstream"] = sizeof(UpstreamState);
+}
+BENCHMARK(Pick)->Arg(20)->Arg(200)->Arg(2000);
+
+} // namespace
+} // namespace jaylane::policy
--- a/packages/policy/include/jaylane/policy/QuarantineList.h
+++ b/packages/policy/include/jaylane/policy/QuarantineList.h
@@ -102,7 +102,8 @@
   void Add(const RequestFingerprint& aFingerprint, const Entry& aEntry);
   void Forget(base::MonotonicTime aNow);
   void DropFirstToExpire();
-  void MarkMassFailures(base::MonotonicTime aNow);
+  // Looks at the strikes that expire at the given time or later.
+  void MarkMassFailures(base::MonotonicTime aFirstExpiry);
   std::size_t CountDeaths(const std::vector<Entry>& aEntries,
                           bool aWithDiscounted,
                           base::MonotonicTime aNow) const;
--- a/packages/policy/include/jaylane/policy/UpstreamSelector.h
+++ b/packages/policy/include/jaylane/policy/UpstreamSelector.h
@@ -19,6 +19,14 @@
   bool m_leaving = false;
 };
 
+/// An upstream chosen for one request.
+struct UpstreamChoice
+{
+  std::string m_id;
+  /// UpstreamState::m_incarnation at that time.
+  std::uint64_t m_incarnation = 0;
+};
+
 enum class ProbeResult
 {
   Active,
@@ -67,8 +75,15 @@
   std::chrono::milliseconds m_trustOwn{ 3000 };
   /// An upstream that still answers is kept this long after the list dropped it.
   std::chrono::milliseconds m_maxUnlisted{ 30000 };
-  /// Time constant of the latency mean and of its return to the service's mean when unused.
-  std::chrono::milliseconds m_latencyMemory{ 5000 };
+  /// A gone upstream is remembered this long: a list that lags less cannot revive it.
+  std::chrono::milliseconds m_rememberGone{ std::chrono::minutes{ 10 } };
+  /// Time constant of the latency mean.
+  std::chrono::milliseconds m_latencyMemory{ 3000 };
+  /// Time constant with which an unused upstream's latency returns to the service's mean, so
+  /// that it is tried again.
+  std::chrono::milliseconds m_latencyReturn{ 10000 };
+  /// Scores this close count as a tie (0.01 = 1%).
+  double m_tie = 0.01;
   /// Reported load older than this is ignored.
   std::chrono::milliseconds m_reportLifetime{ 10000 };
 };
@@ -95,21 +110,23 @@
                   ProbeResult aResult,
                   base::MonotonicTime aNow);
 
-  /// @param aInFlight requests that the upstream reports; only breaks ties.
+  /// Reports lag or are wrong, so they only break ties.
+  /// @param aInFlight requests that the upstream reports.
   void ApplyLoad(std::string_view aId, std::uint32_t aInFlight, base::MonotonicTime aNow);
 
   /// @param aExcluded upstreams already tried.
   /// @return id of the upstream, or nothing if none may be used. Suspect and joining upstreams
   ///         are used only if no other exists; leaving and gone ones never.
-  std::optional<std::string> Pick(const HasFreeSlot& aHasFreeSlot,
-                                  std::span<const std::string> aExcluded,
-                                  base::MonotonicTime aNow);
+  std::optional<UpstreamChoice> Pick(const HasFreeSlot& aHasFreeSlot,
+                                     std::span<const std::string> aExcluded,
+                                     base::MonotonicTime aNow);
 
   /// Counts a dispatched request. Each needs one Finished().
-  void Dispatched(std::string_view aId);
+  void Dispatched(const UpstreamChoice& aChoice);
 
+  /// Results of a replaced incarnation are ignored.
   /// @param aLatency time from dispatch to the last byte; used if completed or timed out.
-  void Finished(std::string_view aId,
+  void Finished(const UpstreamChoice& aChoice,
                 OwnResult aResult,
                 std::chrono::nanoseconds aLatency,
                 base::MonotonicTime aNow);
@@ -124,8 +141,15 @@
   std::span<const UpstreamState> Upstreams() const { return m_upstreams; }
 
 private:
+  struct Request
+  {
+    const HasFreeSlot& m_hasFreeSlot;
+    std::span<const std::string> m_excluded;
+    base::MonotonicTime m_now;
+  };
+
   UpstreamState* FindMutable(std::string_view aId);
-  void AddListed(const ListedUpstream& aListed, base::MonotonicTime aNow);
+  UpstreamState* FindMutable(const UpstreamChoice& aChoice);
   void ApplyListed(UpstreamState& aUpstream,
                    const ListedUpstream& aListed,
                    base::MonotonicTime aNow);
@@ -134,23 +158,26 @@
   void Eject(UpstreamState& aUpstream, base::MonotonicTime aNow);
   bool OwnSuccessIsRecent(const UpstreamState& aUpstream, base::MonotonicTime aNow) const;
   bool MayEject() const;
-  void UpdateLatency(UpstreamState& aUpstream,
-                     std::chrono::duration<double> aLatency,
-                     base::MonotonicTime aNow);
+  bool EjectionIsOver(const UpstreamState& aUpstream, base::MonotonicTime aNow) const;
+  void UpdateLatency(UpstreamState& aUpstream, double aSeconds, base::MonotonicTime aNow);
+  double Latency(const UpstreamState& aUpstream, base::MonotonicTime aNow) const;
   double RampShare(const UpstreamState& aUpstream, base::MonotonicTime aNow) const;
   double Score(const UpstreamState& aUpstream, base::MonotonicTime aNow) const;
   const UpstreamState& Better(const UpstreamState& aFirst,
                               const UpstreamState& aSecond,
                               base::MonotonicTime aNow) const;
+  const UpstreamState* PickByDrawing(const Request& aRequest);
+  const UpstreamState* PickByScanning(const Request& aRequest);
+  std::size_t DrawCandidate(base::MonotonicTime aNow, std::size_t aExcept);
   double UnitRandom();
 
   UpstreamSelectorOptions m_options;
   Random m_random;
   std::vector<UpstreamState> m_upstreams;
-  // Indices that Pick() may use; kept to avoid an allocation per request.
+  // Indices in m_upstreams; a member to avoid an allocation per request.
   std::vector<std::size_t> m_candidates;
-  // Mean latency of the service, for upstreams without own results.
-  std::chrono::duration<double> m_meanLatency{ 0 };
+  // Mean latency of the service in seconds, 0 while unknown.
+  double m_meanLatency = 0;
   base::MonotonicTime m_nextAdvance;
   bool m_hasList = false;
 };
--- a/packages/policy/src/QuarantineList.cpp
+++ b/packages/policy/src/QuarantineList.cpp
@@ -30,8 +30,10 @@
   Forget(aNow);
   const std::array<std::uint64_t, 2> name{ m_observer, m_nextStrike++ };
   const std::uint64_t id = XXH3_64bits(name.data(), sizeof(name));
-  Add(aFingerprint, Entry{ id, aUpstream, aNow + m_options.m_lifetime, false, false });
-  MarkMassFailures(aNow);
+  const auto expiry = aNow + m_options.m_lifetime;
+  Add(aFingerprint, Entry{ id, aUpstream, expiry, false, false });
+  // Earlier windows were checked when their last strike came.
+  MarkMassFailures(expiry - m_options.m_massWindow);
 }
 
 void QuarantineList::RecordCompleted(const RequestFingerprint& aFingerprint, MonotonicTime aNow)
@@ -97,7 +99,7 @@
   }
 }
 
-void QuarantineList::MarkMassFailures(MonotonicTime aNow)
+void QuarantineList::MarkMassFailures(MonotonicTime aFirstExpiry)
 {
   struct Seen
   {
@@ -109,7 +111,7 @@
   std::vector<Seen> seen;
   for (auto& [fingerprint, entries] : m_entries) {
     for (Entry& entry : entries) {
-      if (entry.m_expiry > aNow) {
+      if (entry.m_expiry >= aFirstExpiry) {
         seen.push_back({ entry.m_expiry, entry.m_upstream, fingerprint, &entry });
       }
     }
@@ -207,7 +209,7 @@
           { strike.m_id, strike.m_upstream, aNow + left, strike.m_correlated, strike.m_cleared });
     }
   }
-  MarkMassFailures(aNow);
+  MarkMassFailures(aNow + std::chrono::nanoseconds{ 1 });
 }
 
 } // namespace jaylane::policy
