--- /dev/null
+++ b/packages/policy/bench/LendingSim.cpp
@@ -0,0 +1,285 @@
+// Latency with pooled slots, fixed shares and lending.
+
+#include "Simulation.h"
+
+#include "jaylane/policy/SharePlans.h"
+#include "jaylane/policy/SlotBorrower.h"
+
+#include <deque>
+#include <fmt/format.h>
+#include <memory>
+#include <optional>
+
+namespace jaylane::policy::sim {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr milliseconds kService{ 60 };
+constexpr milliseconds kMessage{ 2 };
+constexpr seconds kTimeout{ 2 };
+constexpr std::size_t kRequests = 120'000;
+constexpr std::uint64_t kRuns = 3;
+
+enum class Mode
+{
+  Pooled,
+  Fixed,
+  Lending,
+};
+
+struct Scenario
+{
+  std::string m_name;
+  std::size_t m_zones = 1;
+  std::size_t m_vmsPerZone = 2;
+  std::size_t m_upstreams = 1;
+  std::uint32_t m_slots = 6;
+  /// Part of a zone's arrivals that goes to its first VM; the others share the rest.
+  double m_firstVm = 0.5;
+  double m_load = 0.85;
+};
+
+struct Totals
+{
+  std::vector<Time> m_latencies;
+  std::uint64_t m_messages = 0;
+  std::uint64_t m_borrowed = 0;
+};
+
+class Zone
+{
+public:
+  Zone(Events& aEvents, Random& aRandom, Totals& aTotals, const Scenario& aScenario, Mode aMode)
+    : m_events(aEvents)
+    , m_random(aRandom)
+    , m_totals(aTotals)
+    , m_lends(aMode == Mode::Lending)
+    , m_upstreamCount(static_cast<std::uint32_t>(aScenario.m_upstreams))
+  {
+    const std::size_t vms = aMode == Mode::Pooled ? 1 : aScenario.m_vmsPerZone;
+    for (std::size_t i = 0; i < vms; ++i) {
+      m_vms.push_back(std::make_unique<Vm>("vm-" + std::to_string(i)));
+    }
+    ShareTable table = *MakeInitial("vm-0", vms);
+    for (std::uint32_t unit = 0; unit < table.Units(); ++unit) {
+      table.Assign(unit, m_vms[unit % vms]->m_id, 0);
+    }
+    for (const auto& vm : m_vms) {
+      for (std::size_t i = 0; i < aScenario.m_upstreams; ++i) {
+        vm->m_pool.SetUpstream("upstream-" + std::to_string(i), aScenario.m_slots);
+      }
+      vm->m_pool.ApplyTable(table, 1, m_events.Now());
+    }
+  }
+
+  void Arrive(std::size_t aVm)
+  {
+    Vm& vm = *m_vms[aVm % m_vms.size()];
+    vm.m_queue.push_back(m_events.Elapsed());
+    Pump(vm);
+  }
+
+private:
+  struct Vm
+  {
+    explicit Vm(Incarnation aId)
+      : m_id(std::move(aId))
+      , m_pool(m_id, {})
+      , m_ledger(m_id, m_pool, {})
+      , m_borrower(m_id, m_pool, {})
+    {
+    }
+
+    std::uint32_t Waiting() const { return static_cast<std::uint32_t>(m_queue.size()); }
+
+    const Incarnation m_id;
+    SlotPool m_pool;
+    SlotLedger m_ledger;
+    SlotBorrower m_borrower;
+    std::deque<Time> m_queue;
+    bool m_askTimer = false;
+  };
+
+  Vm& Find(const Incarnation& aId) { return *m_vms[std::stoul(aId.substr(3))]; }
+
+  std::optional<SlotTicket> Acquire(Vm& aVm)
+  {
+    const auto first = static_cast<UpstreamIndex>(m_random.Below(m_upstreamCount));
+    for (UpstreamIndex i = 0; i < m_upstreamCount; ++i) {
+      const UpstreamIndex upstream = (first + i) % m_upstreamCount;
+      if (const auto ticket = aVm.m_pool.Acquire(upstream, m_events.Now(), kTimeout)) {
+        return ticket;
+      }
+    }
+    return std::nullopt;
+  }
+
+  void Pump(Vm& aVm)
+  {
+    while (!aVm.m_queue.empty()) {
+      const auto ticket = Acquire(aVm);
+      if (!ticket) {
+        break;
+      }
+      m_totals.m_borrowed += ticket->m_lease != 0 ? 1 : 0;
+      const Time arrived = aVm.m_queue.front();
+      aVm.m_queue.pop_front();
+      m_events.After(std::min<Time>(m_random.Exponential(kService), kTimeout),
+                     [this, &aVm, ticket, arrived] { Finish(aVm, *ticket, arrived); });
+    }
+    if (m_lends && !aVm.m_queue.empty()) {
+      Ask(aVm);
+    }
+  }
+
+  void Ask(Vm& aVm)
+  {
+    const auto upstream = static_cast<UpstreamIndex>(m_random.Below(m_upstreamCount));
+    if (const auto ask = aVm.m_borrower.MaybeAsk(upstream, aVm.Waiting(), m_events.Now())) {
+      Send([this, &lender = Find(ask->m_lender), message = ask->m_ask] {
+        const auto index = *lender.m_pool.Find(message.m_upstream);
+        SendGrant(lender.m_ledger.OnAsk(message, lender.Waiting(), m_events.Now()));
+        // A slot borrowed from the asking VM may be free here.
+        ReturnWanted(lender, index);
+      });
+    }
+    if (!aVm.m_askTimer) {
+      aVm.m_askTimer = true;
+      m_events.After(milliseconds{ 10 }, [this, &aVm] {
+        aVm.m_askTimer = false;
+        Pump(aVm);
+      });
+    }
+  }
+
+  void Send(std::function<void()> aDeliver)
+  {
+    ++m_totals.m_messages;
+    m_events.After(kMessage, std::move(aDeliver));
+  }
+
+  void SendGrant(const std::optional<SlotGrant>& aGrant)
+  {
+    if (aGrant) {
+      Send([this, &vm = Find(aGrant->m_borrower), grant = *aGrant] {
+        vm.m_borrower.OnGrant(grant, m_events.Now());
+        Pump(vm);
+        SendReturns(vm.m_borrower.ReturnUnused(
+          *vm.m_pool.Find(grant.m_upstream), vm.Waiting(), m_events.Now()));
+      });
+    }
+  }
+
+  void SendReturns(const std::vector<SlotReturn>& aReturns)
+  {
+    for (const SlotReturn& back : aReturns) {
+      Send([this, &vm = Find(back.m_lender), back] {
+        vm.m_ledger.OnReturn(back);
+        SendGrant(
+          vm.m_ledger.OnFree(*vm.m_pool.Find(back.m_upstream), vm.Waiting(), m_events.Now()));
+        Pump(vm);
+      });
+    }
+  }
+
+  void ReturnWanted(Vm& aVm, UpstreamIndex aUpstream)
+  {
+    for (const Incarnation& lender : aVm.m_borrower.Lenders(aUpstream)) {
+      if (aVm.m_ledger.ShouldReturn(lender, aUpstream, aVm.Waiting(), m_events.Now())) {
+        if (const auto back = aVm.m_borrower.ReturnOne(aUpstream, lender)) {
+          SendReturns({ *back });
+        }
+      }
+    }
+  }
+
+  void Finish(Vm& aVm, const SlotTicket& aTicket, Time aArrived)
+  {
+    m_totals.m_latencies.push_back(m_events.Elapsed() - aArrived);
+    aVm.m_pool.Release(aTicket);
+    if (m_lends) {
+      SendGrant(aVm.m_ledger.OnFree(aTicket.m_upstream, aVm.Waiting(), m_events.Now()));
+      ReturnWanted(aVm, aTicket.m_upstream);
+    }
+    Pump(aVm);
+    if (m_lends) {
+      SendReturns(aVm.m_borrower.ReturnUnused(aTicket.m_upstream, aVm.Waiting(), m_events.Now()));
+    }
+  }
+
+  Events& m_events;
+  Random& m_random;
+  Totals& m_totals;
+  const bool m_lends;
+  const std::uint32_t m_upstreamCount;
+  std::vector<std::unique_ptr<Vm>> m_vms;
+};
+
+void Simulate(const Scenario& aScenario, Mode aMode, std::uint64_t aSeed, Totals& aTotals)
+{
+  Events events;
+  Random arrivals(aSeed);
+  Random services(aSeed + 100);
+  std::vector<std::unique_ptr<Zone>> zones;
+  for (std::size_t i = 0; i < aScenario.m_zones; ++i) {
+    zones.push_back(std::make_unique<Zone>(events, services, aTotals, aScenario, aMode));
+  }
+  const double slots =
+    static_cast<double>(aScenario.m_zones * aScenario.m_upstreams) * aScenario.m_slots;
+  const Time gap{ static_cast<std::int64_t>(Time{ kService }.count() /
+                                            (slots * aScenario.m_load)) };
+  std::size_t left = kRequests;
+  std::function<void()> arrive = [&] {
+    const bool first = arrivals.Unit() < aScenario.m_firstVm;
+    const std::size_t vm = first ? 0 : 1 + arrivals.Below(aScenario.m_vmsPerZone - 1);
+    zones[arrivals.Below(zones.size())]->Arrive(vm);
+    if (--left > 0) {
+      events.After(arrivals.Exponential(gap), arrive);
+    }
+  };
+  arrive();
+  events.Run();
+}
+
+} // namespace
+
+Table SimulateLending()
+{
+  Table table{ "Lending: 3 runs of 120,000 requests, 60 ms exponential service, 2 ms per message",
+               { "p50 ms", "p99 ms", "p99/pooled", "msg/request", "borrowed/req" },
+               {} };
+  const std::vector<Scenario> scenarios{
+    { "6 slots, 2 VMs", 1, 2, 1, 6, 0.5, 0.70 },
+    { "6 slots, 2 VMs", 1, 2, 1, 6, 0.5, 0.85 },
+    { "6 slots, 2 VMs, 70:30", 1, 2, 1, 6, 0.7, 0.85 },
+    { "12 VMs, 6 zones, 3 x 4 slots", 6, 2, 3, 4, 0.5, 0.70 },
+    { "12 VMs, 6 zones, 3 x 4 slots", 6, 2, 3, 4, 0.5, 0.85 },
+    { "12 VMs, 1 zone, 12 x 4 slots", 1, 12, 12, 4, 1.0 / 12, 0.85 },
+  };
+  for (const Scenario& scenario : scenarios) {
+    double pooled = 0;
+    for (const auto& [mode, name] : { std::pair(Mode::Pooled, "pooled"),
+                                      std::pair(Mode::Fixed, "fixed"),
+                                      std::pair(Mode::Lending, "lending") }) {
+      Totals totals;
+      for (std::uint64_t run = 1; run <= kRuns; ++run) {
+        Simulate(scenario, mode, run, totals);
+      }
+      const double p99 = QuantileMs(totals.m_latencies, 0.99);
+      pooled = mode == Mode::Pooled ? p99 : pooled;
+      table.m_rows.push_back(
+        { fmt::format("{}, {:.0f}%, {}", scenario.m_name, scenario.m_load * 100, name),
+          { QuantileMs(totals.m_latencies, 0.5),
+            p99,
+            p99 / pooled,
+            static_cast<double>(totals.m_messages) / (kRuns * kRequests),
+            static_cast<double>(totals.m_borrowed) / (kRuns * kRequests) } });
+    }
+  }
+  return table;
+}
+
+} // namespace jaylane::policy::sim
--- a/packages/policy/include/jaylane/policy/ConcurrencyLimit.h
+++ b/packages/policy/include/jaylane/policy/ConcurrencyLimit.h
@@ -14,14 +14,18 @@
 public:
   struct Options
   {
-    /// Factor on the limit after a shed or a slow response.
+    /// Factor on the limit after a shed or slow responses.
     double m_backoff = 0.7;
-    /// A smoothed latency above this multiple of the usual one counts as overload.
+    /// Part of a slot by which a success at the limit raises it, divided by the limit.
+    double m_increase = 0.1;
+    /// Attempts that share the upstream with own others count as slowed down by them if they take
+    /// this multiple of the time of an attempt alone. Exponential latencies stay below it by
+    /// about four standard deviations of the smoothed values.
     double m_slowFactor = 2.0;
-    /// Weight of a sample in the smoothed latency.
-    double m_weight = 0.1;
-    /// Speed at which the usual latency follows a lasting change upwards, per sample.
-    double m_drift = 0.002;
+    /// Weight of a sample in the smoothed latencies.
+    double m_weight = 0.05;
+    /// Samples before a smoothed latency is used.
+    std::uint32_t m_minSamples = 10;
   };
 
   explicit ConcurrencyLimit(Options aOptions);
@@ -32,7 +36,7 @@
 
   /// A response that the upstream executed.
   /// @param aStarted time of dispatch.
-  /// @param aInFlight own attempts in flight when it ended, including it.
+  /// @param aInFlight own attempts in flight at dispatch, including it.
   void OnCompleted(base::MonotonicTime aStarted,
                    base::MonotonicTime aNow,
                    std::uint32_t aInFlight,
@@ -42,13 +46,21 @@
   void OnShed(base::MonotonicTime aStarted, base::MonotonicTime aNow, std::uint32_t aSlots);
 
 private:
+  struct Smoothed
+  {
+    double m_seconds = 0;
+    std::uint32_t m_samples = 0;
+  };
+
+  void Add(Smoothed& aSmoothed, double aSample) const;
+  bool IsSlowedByOwn() const;
   void BackOff(base::MonotonicTime aStarted, base::MonotonicTime aNow, std::uint32_t aSlots);
 
   const Options m_options;
   /// Negative before the first back-off: no limit but the slots.
   double m_limit = -1;
-  double m_smoothed = 0;
-  double m_usual = 0;
+  Smoothed m_alone;
+  Smoothed m_shared;
   std::optional<base::MonotonicTime> m_lastBackOff;
 };
 
--- a/packages/policy/src/ConcurrencyLimit.cpp
+++ b/packages/policy/src/ConcurrencyLimit.cpp
@@ -30,25 +30,34 @@
   m_lastBackOff = aNow;
 }
 
+void ConcurrencyLimit::Add(Smoothed& aSmoothed, double aSample) const
+{
+  // The first samples count as a plain mean.
+  const double weight = std::max(m_options.m_weight, 1.0 / ++aSmoothed.m_samples);
+  aSmoothed.m_seconds += weight * (aSample - aSmoothed.m_seconds);
+}
+
+bool ConcurrencyLimit::IsSlowedByOwn() const
+{
+  return std::min(m_alone.m_samples, m_shared.m_samples) >= m_options.m_minSamples &&
+         m_shared.m_seconds > m_options.m_slowFactor * m_alone.m_seconds;
+}
+
 void ConcurrencyLimit::OnCompleted(base::MonotonicTime aStarted,
                                    base::MonotonicTime aNow,
                                    std::uint32_t aInFlight,
                                    std::uint32_t aSlots)
 {
   const double sample = std::chrono::duration<double>(aNow - aStarted).count();
-  if (m_usual == 0) {
-    m_usual = m_smoothed = sample;
-  }
-  m_smoothed += m_options.m_weight * (sample - m_smoothed);
-  m_usual +=
-    (m_smoothed < m_usual ? m_options.m_weight / 2 : m_options.m_drift) * (m_smoothed - m_usual);
-  if (m_smoothed > m_options.m_slowFactor * m_usual) {
+  Add(aInFlight <= 1 ? m_alone : m_shared, sample);
+  if (IsSlowedByOwn()) {
+    m_shared = Smoothed{};
     BackOff(aStarted, aNow, aSlots);
     return;
   }
   // Raised only while it is the limit that holds back requests.
   if (m_limit >= 0 && aInFlight >= Limit(aSlots)) {
-    m_limit = std::min<double>(m_limit + 1 / m_limit, std::max(aSlots, 1u));
+    m_limit = std::min<double>(m_limit + m_options.m_increase / m_limit, std::max(aSlots, 1u));
   }
 }
 
