Add the link relay

Partitions and narrow links between zones, and to the platform, need a switch between processes.

LinkRelay stands for one link: each route has an own address and leads to one target, and all routes share the switches cut, delay and rate.

--- /dev/null
+++ b/packages/testing/src/LinkRelay.cpp
@@ -0,0 +1,352 @@
+#include "jaylane/testing/LinkRelay.h"
+
+#include "jaylane/testing/TestingError.h"
+
+#include <algorithm>
+#include <array>
+#include <atomic>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <charconv>
+#include <deque>
+#include <fmt/format.h>
+#include <list>
+#include <mutex>
+#include <optional>
+#include <thread>
+#include <vector>
+
+namespace jaylane::testing {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+template<typename T>
+using Task = asio::awaitable<T>;
+
+namespace {
+
+constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
+constexpr std::size_t kChunkBytes = 16 * 1024;
+/// Data on the way in one direction of a connection; the sender is held up beyond it.
+constexpr std::size_t kMaxQueuedBytes = 1024 * 1024;
+constexpr milliseconds kCutPoll{ 5 };
+
+std::optional<tcp::endpoint> ParseEndpoint(const std::string& aText)
+{
+  const auto colon = aText.rfind(':');
+  if (colon == std::string::npos) {
+    return std::nullopt;
+  }
+  boost::system::error_code error;
+  const auto address = asio::ip::make_address_v4(aText.substr(0, colon), error);
+  std::uint16_t port = 0;
+  const char* end = aText.data() + aText.size();
+  if (error || std::from_chars(aText.data() + colon + 1, end, port).ptr != end) {
+    return std::nullopt;
+  }
+  return tcp::endpoint(address, port);
+}
+
+Task<void> SleepUntil(steady_clock::time_point aTime)
+{
+  asio::steady_timer timer(co_await asio::this_coro::executor, aTime);
+  co_await timer.async_wait(kAwait);
+}
+
+/// Data on the way in one direction of a connection.
+struct Flow
+{
+  Flow(tcp::socket& aFrom, tcp::socket& aTo)
+    : m_from(aFrom)
+    , m_to(aTo)
+    , m_changed(aFrom.get_executor())
+  {
+  }
+
+  struct Chunk
+  {
+    steady_clock::time_point m_due;
+    std::vector<char> m_data;
+  };
+
+  /// Waits until the other side of the queue calls Notify().
+  Task<void> Changed()
+  {
+    m_changed.expires_at(steady_clock::time_point::max());
+    co_await m_changed.async_wait(kAwait);
+  }
+  void Notify() { m_changed.cancel(); }
+
+  tcp::socket& m_from;
+  tcp::socket& m_to;
+  asio::steady_timer m_changed;
+  std::deque<Chunk> m_chunks;
+  std::size_t m_bytes = 0;
+  bool m_ended = false;
+};
+
+/// A connection of a caller and the one to the target.
+struct Session
+{
+  explicit Session(tcp::socket aClient)
+    : m_client(std::move(aClient))
+    , m_server(m_client.get_executor())
+    , m_up(m_client, m_server)
+    , m_down(m_server, m_client)
+  {
+  }
+
+  void Reset()
+  {
+    for (tcp::socket* socket : { &m_client, &m_server }) {
+      boost::system::error_code ignored;
+      socket->set_option(asio::socket_base::linger(true, 0), ignored);
+      socket->close(ignored);
+    }
+    m_up.m_ended = m_down.m_ended = true;
+    m_up.Notify();
+    m_down.Notify();
+  }
+
+  tcp::socket m_client;
+  tcp::socket m_server;
+  Flow m_up;
+  Flow m_down;
+};
+
+} // namespace
+
+class LinkRelay::Internals
+{
+public:
+  explicit Internals(asio::ip::address_v4 aBindAddress)
+    : m_bindAddress(aBindAddress)
+    , m_work(asio::make_work_guard(m_context))
+    , m_thread([this] { m_context.run(); })
+  {
+  }
+  ~Internals()
+  {
+    m_context.stop();
+    m_thread.join();
+  }
+
+  base::Result<std::string> AddRoute(const tcp::endpoint& aTarget)
+  {
+    boost::system::error_code error;
+    tcp::acceptor acceptor(m_context);
+    acceptor.open(tcp::v4(), error);
+    if (!error) {
+      acceptor.bind(tcp::endpoint(m_bindAddress, 0), error);
+    }
+    if (!error) {
+      acceptor.listen(asio::socket_base::max_listen_connections, error);
+    }
+    if (error) {
+      return MakeError(TestingErrc::ListenFailed, error.message());
+    }
+    const tcp::endpoint local = acceptor.local_endpoint();
+    asio::co_spawn(m_context, Accept(std::move(acceptor), aTarget), asio::detached);
+    return fmt::format("{}:{}", local.address().to_string(), local.port());
+  }
+
+  void SetSwitches(const LinkSwitches& aSwitches)
+  {
+    std::lock_guard lock(m_mutex);
+    m_switches = aSwitches;
+  }
+
+  LinkSwitches Switches() const
+  {
+    std::lock_guard lock(m_mutex);
+    return m_switches;
+  }
+
+  void ResetConnections()
+  {
+    asio::post(m_context, [this] {
+      for (const auto& weak : m_sessions) {
+        if (const auto session = weak.lock()) {
+          session->Reset();
+        }
+      }
+      m_sessions.clear();
+    });
+  }
+
+  LinkStats Stats() const { return { m_accepted.load(), m_bytes.load() }; }
+
+private:
+  Task<void> Accept(tcp::acceptor aAcceptor, tcp::endpoint aTarget)
+  {
+    while (true) {
+      auto [error, socket] = co_await aAcceptor.async_accept(kAwait);
+      if (error) {
+        co_return;
+      }
+      ++m_accepted;
+      auto session = std::make_shared<Session>(std::move(socket));
+      std::erase_if(m_sessions, [](const auto& aWeak) { return aWeak.expired(); });
+      m_sessions.push_back(session);
+      asio::co_spawn(m_context, Connect(session, aTarget), asio::detached);
+    }
+  }
+
+  Task<void> Connect(std::shared_ptr<Session> aSession, tcp::endpoint aTarget)
+  {
+    co_await WaitWhileCut();
+    auto [error] = co_await aSession->m_server.async_connect(aTarget, kAwait);
+    if (error) {
+      aSession->Reset();
+      co_return;
+    }
+    for (Flow* flow : { &aSession->m_up, &aSession->m_down }) {
+      asio::co_spawn(m_context, Read(aSession, *flow), asio::detached);
+      asio::co_spawn(m_context, Write(aSession, *flow), asio::detached);
+    }
+  }
+
+  Task<void> Read(std::shared_ptr<Session> aSession, Flow& aFlow)
+  {
+    while (!aFlow.m_ended) {
+      std::vector<char> data(kChunkBytes);
+      auto [error, bytes] = co_await aFlow.m_from.async_read_some(asio::buffer(data), kAwait);
+      if (error == asio::error::connection_reset) {
+        aSession->Reset();
+      }
+      if (error) {
+        aFlow.m_ended = true;
+      } else {
+        data.resize(bytes);
+        aFlow.m_bytes += bytes;
+        aFlow.m_chunks.push_back({ steady_clock::now() + Switches().m_delay, std::move(data) });
+      }
+      aFlow.Notify();
+      while (aFlow.m_bytes > kMaxQueuedBytes && !aFlow.m_ended) {
+        co_await aFlow.Changed();
+      }
+    }
+  }
+
+  Task<void> Write(std::shared_ptr<Session> aSession, Flow& aFlow)
+  {
+    const std::size_t direction = &aFlow == &aSession->m_up ? 0 : 1;
+    while (true) {
+      while (aFlow.m_chunks.empty() && !aFlow.m_ended) {
+        co_await aFlow.Changed();
+      }
+      if (aFlow.m_chunks.empty()) {
+        break;
+      }
+      Flow::Chunk chunk = std::move(aFlow.m_chunks.front());
+      aFlow.m_chunks.pop_front();
+      co_await SleepUntil(std::max(chunk.m_due, Reserve(direction, chunk.m_data.size())));
+      co_await WaitWhileCut();
+      auto [error, bytes] =
+        co_await asio::async_write(aFlow.m_to, asio::buffer(chunk.m_data), kAwait);
+      aFlow.m_bytes -= chunk.m_data.size();
+      m_bytes += bytes;
+      aFlow.Notify();
+      if (error) {
+        aSession->Reset();
+        co_return;
+      }
+    }
+    co_await WaitWhileCut();
+    boost::system::error_code ignored;
+    aFlow.m_to.shutdown(tcp::socket::shutdown_send, ignored);
+  }
+
+  Task<void> WaitWhileCut()
+  {
+    while (Switches().m_cut) {
+      co_await SleepUntil(steady_clock::now() + kCutPoll);
+    }
+  }
+
+  /// @return when the bytes have passed the link at its rate.
+  steady_clock::time_point Reserve(std::size_t aDirection, std::size_t aBytes)
+  {
+    const std::uint64_t rate = Switches().m_bytesPerSecond;
+    steady_clock::time_point& free = m_free[aDirection];
+    free = std::max(free, steady_clock::now());
+    if (rate > 0) {
+      const std::chrono::duration<double> time(static_cast<double>(aBytes) /
+                                               static_cast<double>(rate));
+      free += std::chrono::duration_cast<steady_clock::duration>(time);
+    }
+    return free;
+  }
+
+  const asio::ip::address_v4 m_bindAddress;
+  mutable std::mutex m_mutex;
+  LinkSwitches m_switches;
+  std::atomic<std::uint64_t> m_accepted{ 0 };
+  std::atomic<std::uint64_t> m_bytes{ 0 };
+
+  // Used by the thread of the context only.
+  std::array<steady_clock::time_point, 2> m_free{};
+  std::list<std::weak_ptr<Session>> m_sessions;
+
+  asio::io_context m_context;
+  asio::executor_work_guard<asio::io_context::executor_type> m_work;
+  std::thread m_thread;
+};
+
+LinkRelay::LinkRelay(std::unique_ptr<Internals> aInternals)
+  : m_internals(std::move(aInternals))
+{
+}
+
+LinkRelay::~LinkRelay() = default;
+
+base::Result<std::unique_ptr<LinkRelay>> LinkRelay::Make(const std::string& aBindAddress)
+{
+  const auto endpoint = ParseEndpoint(aBindAddress + ":0");
+  if (!endpoint) {
+    return MakeError(TestingErrc::Malformed, "bind address " + aBindAddress);
+  }
+  return std::unique_ptr<LinkRelay>(
+    new LinkRelay(std::make_unique<Internals>(endpoint->address().to_v4())));
+}
+
+base::Result<std::string> LinkRelay::AddRoute(const std::string& aTarget)
+{
+  const auto endpoint = ParseEndpoint(aTarget);
+  if (!endpoint) {
+    return MakeError(TestingErrc::Malformed, "target " + aTarget);
+  }
+  return m_internals->AddRoute(*endpoint);
+}
+
+void LinkRelay::SetSwitches(const LinkSwitches& aSwitches)
+{
+  m_internals->SetSwitches(aSwitches);
+}
+
+LinkSwitches LinkRelay::Switches() const
+{
+  return m_internals->Switches();
+}
+
+void LinkRelay::ResetConnections()
+{
+  m_internals->ResetConnections();
+}
+
+LinkStats LinkRelay::Stats() const
+{
+  return m_internals->Stats();
+}
+
+} // namespace jaylane::testing
--- /dev/null
+++ b/packages/testing/tests/LinkRelayTest.cpp
@@ -0,0 +1,106 @@
+#include "jaylane/testing/LinkRelay.h"
+
+#include "jaylane/testing/HttpCall.h"
+#include "jaylane/testing/HttpServer.h"
+#include "jaylane/testing/WaitFor.h"
+
+#include <gtest/gtest.h>
+#include <thread>
+
+namespace jaylane::testing {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+constexpr milliseconds kTimeout{ 20'000 };
+
+class LinkRelayTest : public ::testing::Test
+{
+protected:
+  void SetUp() override
+  {
+    auto server = HttpServer::Make({},
+                                   { nullptr,
+                                     [this](HttpRequest& aRequest) {
+                                       ++m_requests;
+                                       HttpResponse response;
+                                       response.m_body = aRequest.m_body;
+                                       return response;
+                                     },
+                                     nullptr });
+    ASSERT_TRUE(server);
+    m_server = std::move(*server);
+    auto relay = LinkRelay::Make("127.0.0.1");
+    ASSERT_TRUE(relay);
+    m_relay = std::move(*relay);
+    const auto address = m_relay->AddRoute(m_server->Address());
+    ASSERT_TRUE(address);
+    m_url = "http://" + *address + "/";
+  }
+
+  std::atomic<unsigned> m_requests{ 0 };
+  std::unique_ptr<HttpServer> m_server;
+  std::unique_ptr<LinkRelay> m_relay;
+  std::string m_url;
+};
+
+// Guards against data that is lost, reordered or changed on the way.
+TEST_F(LinkRelayTest, ForwardsUnchanged)
+{
+  std::string body;
+  for (unsigned i = 0; body.size() < 1'500'000; ++i) {
+    body += std::to_string(i);
+  }
+  const auto reply = HttpPost(m_url, body, kTimeout);
+  ASSERT_TRUE(reply);
+  EXPECT_EQ(reply->m_body, body);
+  EXPECT_GT(m_relay->Stats().m_bytes, 2 * body.size());
+  EXPECT_FALSE(m_relay->AddRoute("somewhere"));
+}
+
+// Guards against a partition that lets data through, or that ends connections.
+TEST_F(LinkRelayTest, CutHoldsDataUntilTheLinkWorks)
+{
+  m_relay->SetSwitches({ true, milliseconds{ 0 }, 0 });
+  EXPECT_FALSE(HttpGet(m_url, milliseconds{ 100 }));
+  std::optional<HttpReply> reply;
+  std::thread waiting([&] { reply = HttpGet(m_url, kTimeout); });
+  EXPECT_TRUE(WaitFor([&] { return m_relay->Stats().m_accepted == 2; }, kTimeout));
+  EXPECT_EQ(m_requests, 0u);
+  m_relay->SetSwitches({});
+  waiting.join();
+  EXPECT_TRUE(reply);
+}
+
+// Guards against switches without effect. Only lower bounds hold on a busy machine.
+TEST_F(LinkRelayTest, DelayAndRate)
+{
+  m_relay->SetSwitches({ false, milliseconds{ 50 }, 0 });
+  const auto started = steady_clock::now();
+  EXPECT_TRUE(HttpGet(m_url, kTimeout));
+  EXPECT_GE(steady_clock::now() - started, milliseconds{ 100 });
+  m_relay->SetSwitches({ false, milliseconds{ 0 }, 1'000'000 });
+  const auto limited = steady_clock::now();
+  EXPECT_TRUE(HttpPost(m_url, std::string(100'000, 'x'), kTimeout));
+  EXPECT_GE(steady_clock::now() - limited, milliseconds{ 190 });
+}
+
+// Guards against connections that survive a reset, and against clients left waiting when
+// the target refuses connections.
+TEST_F(LinkRelayTest, ResetEndsConnections)
+{
+  m_relay->SetSwitches({ true, milliseconds{ 0 }, 0 });
+  std::optional<HttpReply> reply;
+  std::thread waiting([&] { reply = HttpGet(m_url, kTimeout); });
+  EXPECT_TRUE(WaitFor([&] { return m_relay->Stats().m_accepted == 1; }, kTimeout));
+  m_relay->ResetConnections();
+  waiting.join();
+  EXPECT_FALSE(reply);
+  m_relay->SetSwitches({});
+  m_server.reset();
+  EXPECT_FALSE(HttpGet(m_url, kTimeout));
+}
+
+} // namespace
+} // namespace jaylane::testing
