Give deployments links between zones and to the platform

All processes of a test share 127.0.0.1, so that a relay cannot tell which zone a connection comes from.

DeploymentLinks has one relay for each ordered pair of zones and one for each zone to the platform. The platform stand-in serves a VM list of its own below /as/<zone>, with the addresses that lead over the links of that zone.

--- a/packages/testing/include/jaylane/testing/DeploymentHarness.h
+++ b/packages/testing/include/jaylane/testing/DeploymentHarness.h
@@ -3,6 +3,7 @@
 #include "jaylane/base/Error.h"
 #include "jaylane/platform/HttpStore.h"
 #include "jaylane/platform/VmList.h"
+#include "jaylane/testing/DeploymentLinks.h"
 #include "jaylane/testing/ProcessHarness.h"
 
 #include <chrono>
@@ -14,12 +15,6 @@
 
 namespace jaylane::testing {
 
-struct ZonePlan
-{
-  std::string m_region;
-  std::string m_zone;
-};
-
 struct ServicePlan
 {
   std::string m_name;
@@ -40,8 +35,8 @@
   std::string m_peerKey = "test-peer-key";
   std::string m_readToken = "test-read-token";
   std::string m_writeToken = "test-write-token";
-  /// Platform URL for each zone, such as that of a link relay; the stand-in's if absent.
-  std::map<std::string, std::string> m_platformUrls;
+  /// Whether traffic between zones and to the platform runs over link relays.
+  bool m_links = false;
 };
 
 /// A whole deployment of processes: platform, upstreams and entry VMs.
@@ -50,7 +45,7 @@
 public:
   static constexpr std::chrono::milliseconds kStartTimeout{ 20'000 };
 
-  /// Starts the platform; its address is needed for link relays.
+  /// Starts the platform.
   static base::Result<std::unique_ptr<DeploymentHarness>> Make();
 
   /// Starts upstreams, registers them, starts entry VMs and registers these too.
@@ -90,6 +85,8 @@
   std::vector<std::string> EntryAddresses() const;
   /// @return files with the execution records of all upstreams.
   std::vector<std::string> UpstreamRecords() const;
+  /// @return the links; only with DeploymentPlan::m_links.
+  DeploymentLinks& Links() const { return *m_links; }
   const std::string& PlatformUrl() const { return m_platformUrl; }
   ProcessHarness& Processes() { return *m_processes; }
 
@@ -110,6 +107,7 @@
   std::unique_ptr<ProcessHarness> m_processes;
   Process* m_platform = nullptr;
   std::string m_platformUrl;
+  std::unique_ptr<DeploymentLinks> m_links;
   DeploymentPlan m_plan;
   std::map<std::string, UpstreamPlan> m_upstreams;
   std::map<std::string, ZonePlan> m_entries;
--- a/packages/testing/include/jaylane/testing/PlatformStandIn.h
+++ b/packages/testing/include/jaylane/testing/PlatformStandIn.h
@@ -6,12 +6,17 @@
 #include <atomic>
 #include <chrono>
 #include <deque>
+#include <map>
 #include <memory>
 #include <mutex>
+#include <string>
 
 namespace jaylane::testing {
 
 /// The platform's HTTP API over a FakeStore, with fault switches at POST /control.
+///
+/// Below "/as/<view>" it is the same, but for the VM list: a view may have a list of its own,
+/// whose addresses lead over link relays. POST /control/vms?view=<view> sets it.
 class PlatformStandIn
 {
 public:
@@ -26,7 +31,8 @@
   platform::FakeStore& Objects() { return m_store; }
 
   /// @param aVms list to show once the lag has passed.
-  void SetVms(platform::VmList aVms);
+  /// @param aView view that it is for; empty for those without a list of their own.
+  void SetVms(platform::VmList aVms, const std::string& aView = {});
 
   /// @param aLag how far the VM list shown is behind.
   void SetVmListLag(std::chrono::milliseconds aLag) { m_lagMillis = aLag.count(); }
@@ -41,20 +47,26 @@
     platform::VmList m_vms;
   };
 
+  struct VmView
+  {
+    platform::VmList m_shown;
+    std::deque<TimedVms> m_pending;
+  };
+
   PlatformStandIn() = default;
   HttpResponse Handle(HttpRequest& aRequest);
   HttpResponse HandleControl(const HttpRequest& aRequest);
   HttpResponse HandleObject(const HttpRequest& aRequest, const std::string& aKey);
   HttpResponse HandleList(const HttpRequest& aRequest);
   HttpResponse HandleWatch(const HttpRequest& aRequest);
-  HttpResponse HandleVms();
+  HttpResponse HandleVms(const std::string& aView);
   HttpResponse Stats() const;
 
   platform::FakeStore m_store;
   std::atomic<std::int64_t> m_slowMillis{ 0 };
   std::atomic<std::int64_t> m_lagMillis{ 0 };
   std::mutex m_mutex;
-  std::deque<TimedVms> m_pendingVms;
+  std::map<std::string, VmView> m_views;
   std::unique_ptr<HttpServer> m_server;
 };
 
--- a/packages/testing/src/DeploymentHarness.cpp
+++ b/packages/testing/src/DeploymentHarness.cpp
@@ -51,6 +51,13 @@
 base::Status DeploymentHarness::Start(const DeploymentPlan& aPlan)
 {
   m_plan = aPlan;
+  if (aPlan.m_links) {
+    auto links = DeploymentLinks::Make(aPlan.m_zones, m_platformUrl);
+    if (!links) {
+      return links.GetError();
+    }
+    m_links = std::move(*links);
+  }
   for (const ZonePlan& zone : aPlan.m_zones) {
     for (const ServicePlan& service : aPlan.m_services) {
       for (unsigned i = 0; i < service.m_upstreamsPerZone; ++i) {
@@ -124,13 +131,12 @@
 base::Status DeploymentHarness::StartEntry(const std::string& aId)
 {
   const ZonePlan& zone = m_entries.at(aId);
-  const auto url = m_plan.m_platformUrls.find(zone.m_zone);
   EntrySettings settings;
   settings.m_id = aId;
   settings.m_region = zone.m_region;
   settings.m_zone = zone.m_zone;
   settings.m_incarnation = NewIncarnation();
-  settings.m_platformUrl = url == m_plan.m_platformUrls.end() ? m_platformUrl : url->second;
+  settings.m_platformUrl = m_links ? m_links->PlatformUrl(zone.m_zone) : m_platformUrl;
   settings.m_peerKey = m_plan.m_peerKey;
   settings.m_readToken = m_plan.m_readToken;
   settings.m_writeToken = m_plan.m_writeToken;
@@ -202,7 +208,19 @@
 
 base::Status DeploymentHarness::Register()
 {
-  return Post(m_platformUrl + "/control/vms", platform::WriteJson(m_vms.ToJson()));
+  const std::string url = m_platformUrl + "/control/vms";
+  auto status = Post(url, platform::WriteJson(m_vms.ToJson()));
+  for (const ZonePlan& zone : m_plan.m_zones) {
+    if (!m_links || !status) {
+      break;
+    }
+    const auto view = m_links->View(zone.m_zone, m_vms);
+    if (!view) {
+      return view.GetError();
+    }
+    status = Post(url + "?view=" + zone.m_zone, platform::WriteJson(view->ToJson()));
+  }
+  return status;
 }
 
 platform::VmEntry& DeploymentHarness::Entry(const std::string& aId)
--- /dev/null
+++ b/packages/testing/src/DeploymentLinks.cpp
@@ -0,0 +1,93 @@
+#include "jaylane/testing/DeploymentLinks.h"
+
+namespace jaylane::testing {
+
+namespace {
+
+constexpr const char* kBindAddress = "127.0.0.1";
+const std::string kScheme = "http://";
+
+} // namespace
+
+base::Result<std::unique_ptr<DeploymentLinks>> DeploymentLinks::Make(
+  const std::vector<ZonePlan>& aZones,
+  const std::string& aPlatformUrl)
+{
+  std::unique_ptr<DeploymentLinks> links(new DeploymentLinks());
+  for (const ZonePlan& zone : aZones) {
+    auto toPlatform = LinkRelay::Make(kBindAddress);
+    if (!toPlatform) {
+      return toPlatform.GetError();
+    }
+    const auto route = (*toPlatform)->AddRoute(aPlatformUrl.substr(kScheme.size()));
+    if (!route) {
+      return route.GetError();
+    }
+    links->m_toPlatform[zone.m_zone] = std::move(*toPlatform);
+    links->m_platformUrls[zone.m_zone] = kScheme + *route + "/as/" + zone.m_zone;
+    for (const ZonePlan& other : aZones) {
+      if (other.m_zone == zone.m_zone) {
+        continue;
+      }
+      auto link = LinkRelay::Make(kBindAddress);
+      if (!link) {
+        return link.GetError();
+      }
+      links->m_between[{ zone.m_zone, other.m_zone }] = std::move(*link);
+    }
+  }
+  return links;
+}
+
+LinkRelay& DeploymentLinks::Between(const std::string& aZone, const std::string& aOther)
+{
+  return *m_between.at({ aZone, aOther });
+}
+
+LinkRelay& DeploymentLinks::ToPlatform(const std::string& aZone)
+{
+  return *m_toPlatform.at(aZone);
+}
+
+const std::string& DeploymentLinks::PlatformUrl(const std::string& aZone) const
+{
+  return m_platformUrls.at(aZone);
+}
+
+base::Status DeploymentLinks::Reroute(LinkRelay& aLink, const Pair& aZones, std::string& aAddress)
+{
+  if (aAddress.empty()) {
+    return base::Success{};
+  }
+  std::string& route = m_routes[aZones][aAddress];
+  if (route.empty()) {
+    auto added = aLink.AddRoute(aAddress);
+    if (!added) {
+      return added.GetError();
+    }
+    route = std::move(*added);
+  }
+  aAddress = route;
+  return base::Success{};
+}
+
+base::Result<platform::VmList> DeploymentLinks::View(const std::string& aZone,
+                                                     const platform::VmList& aVms)
+{
+  platform::VmList view = aVms;
+  for (platform::VmEntry& vm : view.m_vms) {
+    if (vm.m_zone == aZone) {
+      continue;
+    }
+    const Pair zones{ aZone, vm.m_zone };
+    LinkRelay& link = Between(aZone, vm.m_zone);
+    for (std::string* address : { &vm.m_address, &vm.m_peerAddress }) {
+      if (auto status = Reroute(link, zones, *address); !status) {
+        return status.GetError();
+      }
+    }
+  }
+  return view;
+}
+
+} // namespace jaylane::testing
--- a/packages/testing/src/PlatformStandIn.cpp
+++ b/packages/testing/src/PlatformStandIn.cpp
@@ -57,6 +57,20 @@
   return found == aRequest.m_query.end() ? std::string() : found->second;
 }
 
+/// @param aPath loses the prefix "/as/<view>".
+/// @return the view, or an empty text.
+std::string TakeView(std::string& aPath)
+{
+  const std::string prefix = "/as/";
+  const auto slash = aPath.find('/', prefix.size());
+  if (aPath.compare(0, prefix.size(), prefix) != 0 || slash == std::string::npos) {
+    return {};
+  }
+  std::string view = aPath.substr(prefix.size(), slash - prefix.size());
+  aPath.erase(0, slash);
+  return view;
+}
+
 } // namespace
 
 base::Result<std::unique_ptr<PlatformStandIn>> PlatformStandIn::Make(
@@ -80,10 +94,10 @@
   m_store.SetOutage(true);
 }
 
-void PlatformStandIn::SetVms(platform::VmList aVms)
+void PlatformStandIn::SetVms(platform::VmList aVms, const std::string& aView)
 {
   std::lock_guard lock(m_mutex);
-  m_pendingVms.push_back({ std::chrono::steady_clock::now(), std::move(aVms) });
+  m_views[aView].m_pending.push_back({ std::chrono::steady_clock::now(), std::move(aVms) });
 }
 
 HttpResponse PlatformStandIn::Handle(HttpRequest& aRequest)
@@ -97,6 +111,7 @@
   if (const milliseconds delay{ m_slowMillis.load() }; delay > kNoTimeout) {
     aRequest.ClosedWithin(delay);
   }
+  const std::string view = TakeView(aRequest.m_path);
   if (aRequest.m_path.compare(0, kObjectsPath.size(), kObjectsPath) == 0) {
     return HandleObject(aRequest, aRequest.m_path.substr(kObjectsPath.size()));
   }
@@ -107,7 +122,7 @@
     return HandleWatch(aRequest);
   }
   if (aRequest.m_path == "/v1/vms") {
-    return HandleVms();
+    return HandleVms(view);
   }
   return JsonResponse(404, "{}");
 }
@@ -123,7 +138,7 @@
     if (!vms) {
       return JsonResponse(400, "{}");
     }
-    SetVms(std::move(*vms));
+    SetVms(std::move(*vms), Argument(aRequest, "view"));
     return JsonResponse(200, "{}");
   }
   if ((*json)["outage"].isBool()) {
@@ -205,18 +220,20 @@
   return JsonResponse(200, WriteJson(body));
 }
 
-HttpResponse PlatformStandIn::HandleVms()
+HttpResponse PlatformStandIn::HandleVms(const std::string& aView)
 {
-  {
-    std::lock_guard lock(m_mutex);
-    const auto visible = std::chrono::steady_clock::now() - milliseconds{ m_lagMillis.load() };
-    while (!m_pendingVms.empty() && m_pendingVms.front().m_time <= visible) {
-      m_store.SetVms(std::move(m_pendingVms.front().m_vms));
-      m_pendingVms.pop_front();
-    }
+  // For the faults and the count of the call; the lists are kept here.
+  if (const auto fault = m_store.ListVms(kNoTimeout); !fault) {
+    return ErrorResponse(fault.GetError());
+  }
+  std::lock_guard lock(m_mutex);
+  const auto visible = std::chrono::steady_clock::now() - milliseconds{ m_lagMillis.load() };
+  VmView& view = m_views[m_views.count(aView) > 0 ? aView : ""];
+  while (!view.m_pending.empty() && view.m_pending.front().m_time <= visible) {
+    view.m_shown = std::move(view.m_pending.front().m_vms);
+    view.m_pending.pop_front();
   }
-  const auto vms = m_store.ListVms(kNoTimeout);
-  return vms ? JsonResponse(200, WriteJson(vms->ToJson())) : ErrorResponse(vms.GetError());
+  return JsonResponse(200, WriteJson(view.m_shown.ToJson()));
 }
 
 HttpResponse PlatformStandIn::Stats() const
--- /dev/null
+++ b/packages/testing/tests/EntryStub.cpp
@@ -0,0 +1,23 @@
+#include "jaylane/testing/Program.h"
+
+#include <fstream>
+#include <string>
+
+/// Stands for jaylane-entry in the tests of the harness: reads its settings file and prints
+/// addresses.
+int main(int aArgc, char** aArgv)
+{
+  const std::string flag = "--settings=";
+  const std::string argument = aArgc == 2 ? aArgv[1] : "";
+  if (argument.compare(0, flag.size(), flag) != 0 || !std::ifstream(argument.substr(flag.size()))) {
+    return 1;
+  }
+  jaylane::testing::BlockTerminationSignals();
+  Json::Value line;
+  line["caller_address"] = "127.0.0.1:1";
+  line["peer_address"] = "127.0.0.1:2";
+  line["admin_address"] = "127.0.0.1:3";
+  jaylane::testing::PrintLine(line);
+  jaylane::testing::WaitForTermination();
+  return 0;
+}
