--- a/packages/policy/src/ShiftPlanner.cpp
+++ b/packages/policy/src/ShiftPlanner.cpp
@@ -152,12 +152,6 @@
   if (!shares) {
     return shares.GetError();
   }
-  auto table = aCurrent;
-  AddMissingSites(table, aInput.m_topology);
-  auto model = PlacementModel::Make(table, aInput, aNow);
-  if (!model) {
-    return model.GetError();
-  }
   // Two clocks can disagree about a move's age by their whole difference.
   CapWindow window(aCurrent, *shares, aSeenAt, limits.m_window + limits.m_maxClockDifference, aNow);
   if (!window.IsComplete()) {
@@ -167,6 +161,12 @@
   if (!window.Moves().empty() && aNow < window.LastMoveAt() + stepLength) {
     return MakePlan(PlanState::StepPending, aCurrent, window.LastMoveAt() + stepLength);
   }
+  auto table = aCurrent;
+  AddMissingSites(table, aInput.m_topology);
+  auto model = PlacementModel::Make(table, aInput, aNow);
+  if (!model) {
+    return model.GetError();
+  }
   model->AddLoads(table, *shares);
   StepBuilder builder(table, *shares, *model, window, limits, aNow);
   builder.MoveLeaving();
