policy: Order moves by a heap and measure parts once

Cause: a step sorted all units though it moves few; a part's share could be understated when its measurement was newer than its bucket's. Change: a heap, and the higher of both measurements.

--- a/packages/policy/src/LoadShares.cpp
+++ b/packages/policy/src/LoadShares.cpp
@@ -41,14 +41,15 @@
   return shares;
 }
 
-double LoadShares::PartsFraction(std::uint32_t aBucket, PartMask aParts) const
+double LoadShares::MeasuredLoad(std::uint32_t aBucket, PartMask aParts) const
 {
-  if (aParts == kAllParts) {
-    return 1;
+  const auto whole = m_load->m_buckets[aBucket];
+  if (aParts == kAllParts || aParts == 0) {
+    return aParts == 0 ? 0 : whole;
   }
   const auto found = m_load->m_parts.find(aBucket);
   if (found == m_load->m_parts.end()) {
-    return aParts == 0 ? 0 : 1;
+    return whole;
   }
   double sum = 0;
   double selected = 0;
@@ -58,21 +59,15 @@
       selected += found->second[part];
     }
   }
-  const auto count = std::popcount(aParts);
-  if (sum <= 0) {
-    // The parts' measurement lags behind the bucket's.
-    return m_load->m_buckets[aBucket] > 0 ? (aParts == 0 ? 0 : 1)
-                                          : static_cast<double>(count) / kPartsPerBucket;
-  }
-  return selected / sum;
+  // The two measurements need not be of the same moment; the higher one counts.
+  return sum > 0 ? std::max(selected, whole * selected / sum) : whole;
 }
 
 double LoadShares::Share(std::uint32_t aBucket, PartMask aParts) const
 {
-  const auto fraction = PartsFraction(aBucket, aParts);
-  const auto measured = m_total > 0 ? m_load->m_buckets[aBucket] / m_total : 0;
+  const auto measured = m_total > 0 ? MeasuredLoad(aBucket, aParts) / m_total : 0;
   const auto floor = m_shareFloor * std::popcount(aParts) / kPartsPerBucket;
-  return std::max(measured * fraction, floor);
+  return std::max(measured, floor);
 }
 
 double LoadShares::Share(const std::vector<PartRun>& aRuns) const
@@ -96,9 +91,8 @@
 
 double LoadShares::Weight(std::uint32_t aBucket, PartMask aParts) const
 {
-  const auto fraction = PartsFraction(aBucket, aParts);
   const auto floor = m_weightFloor * std::popcount(aParts) / kPartsPerBucket;
-  return std::max(m_load->m_buckets[aBucket] * fraction, floor);
+  return std::max(MeasuredLoad(aBucket, aParts), floor);
 }
 
 } // namespace jaylane::policy
--- a/packages/policy/src/LoadShares.h
+++ b/packages/policy/src/LoadShares.h
@@ -44,7 +44,7 @@
   double TotalLoad() const { return m_total; }
 
 private:
-  double PartsFraction(std::uint32_t aBucket, PartMask aParts) const;
+  double MeasuredLoad(std::uint32_t aBucket, PartMask aParts) const;
 
   const BucketLoad* m_load = nullptr;
   double m_total = 0;
--- a/packages/policy/src/StepBuilder.cpp
+++ b/packages/policy/src/StepBuilder.cpp
@@ -40,12 +40,11 @@
   }
 }
 
-void SortLightestFirst(std::vector<MoveUnit>& aUnits)
+/// Whether aLeft comes after aRight: the most urgent come first, then the lightest.
+bool IsLater(const MoveUnit& aLeft, const MoveUnit& aRight)
 {
-  std::sort(aUnits.begin(), aUnits.end(), [](const MoveUnit& aLeft, const MoveUnit& aRight) {
-    return std::tie(aLeft.m_reason, aLeft.m_share, aLeft.m_bucket, aLeft.m_parts) <
-           std::tie(aRight.m_reason, aRight.m_share, aRight.m_bucket, aRight.m_parts);
-  });
+  return std::tie(aRight.m_reason, aRight.m_weight, aRight.m_bucket, aRight.m_parts) <
+         std::tie(aLeft.m_reason, aLeft.m_weight, aLeft.m_bucket, aLeft.m_parts);
 }
 
 } // namespace
@@ -76,6 +75,19 @@
   return aCap * std::min(1.0, elapsed / m_limits.m_window);
 }
 
+MoveUnit StepBuilder::MakeUnit(std::uint32_t aBucket,
+                               PartMask aParts,
+                               SiteIndex aFrom,
+                               MoveReason aReason) const
+{
+  return { aBucket,
+           aParts,
+           aFrom,
+           aReason,
+           m_shares.Share(aBucket, aParts),
+           m_shares.Weight(aBucket, aParts) };
+}
+
 void StepBuilder::AddPartUnits(std::uint32_t aBucket,
                                SiteIndex aSite,
                                MoveReason aReason,
@@ -88,14 +100,14 @@
     }
     const auto mask = PartMask{ 1 } << part;
     if (m_shares.HasParts(aBucket)) {
-      aUnits.push_back({ aBucket, mask, aSite, aReason, m_shares.Share(aBucket, mask) });
+      aUnits.push_back(MakeUnit(aBucket, mask, aSite, aReason));
     } else {
       together |= mask;
     }
   }
   if (together != 0) {
     // Without a measurement of its parts, each counts with the whole bucket, so they go at once.
-    aUnits.push_back({ aBucket, together, aSite, aReason, m_shares.Share(aBucket, together) });
+    aUnits.push_back(MakeUnit(aBucket, together, aSite, aReason));
   }
 }
 
@@ -104,14 +116,13 @@
                            MoveReason aReason,
                            std::vector<MoveUnit>& aUnits)
 {
-  const auto share = m_shares.Share(aBucket);
-  if (!m_table.IsSplit(aBucket) && share > m_splitAbove) {
+  if (!m_table.IsSplit(aBucket) && m_shares.Share(aBucket) > m_splitAbove) {
     m_didSplit = m_table.Split(aBucket) || m_didSplit;
   }
   if (m_table.IsSplit(aBucket)) {
     AddPartUnits(aBucket, aSite, aReason, aUnits);
   } else {
-    aUnits.push_back({ aBucket, kAllParts, aSite, aReason, share });
+    aUnits.push_back(MakeUnit(aBucket, kAllParts, aSite, aReason));
   }
 }
 
@@ -141,16 +152,14 @@
       }
     }
   }
-  SortLightestFirst(units);
   return units;
 }
 
 void StepBuilder::Apply(const MoveUnit& aUnit, SiteIndex aTo)
 {
   const auto origin = OriginOf(aUnit.m_bucket);
-  const auto weight = m_shares.Weight(aUnit.m_bucket, aUnit.m_parts);
-  m_model.AddLoad(origin, aUnit.m_from, -weight);
-  m_model.AddLoad(origin, aTo, weight);
+  m_model.AddLoad(origin, aUnit.m_from, -aUnit.m_weight);
+  m_model.AddLoad(origin, aTo, aUnit.m_weight);
   if (m_table.IsSplit(aUnit.m_bucket)) {
     ForEachPart(aUnit.m_parts,
                 [&](std::uint32_t aPart) { m_table.AssignPart(aUnit.m_bucket, aPart, aTo); });
@@ -173,10 +182,8 @@
   if (aUnit.m_share > aRemaining) {
     return Outcome::CapReached;
   }
-  const auto target = aPicker.Pick(OriginOf(aUnit.m_bucket),
-                                   aUnit.m_from,
-                                   aUnit.m_reason,
-                                   m_shares.Weight(aUnit.m_bucket, aUnit.m_parts));
+  const auto target =
+    aPicker.Pick(OriginOf(aUnit.m_bucket), aUnit.m_from, aUnit.m_reason, aUnit.m_weight);
   if (target == kNoSite) {
     return Outcome::NoCapacity;
   }
@@ -184,8 +191,9 @@
   return Outcome::Moved;
 }
 
-void StepBuilder::Note(Outcome aOutcome)
+void StepBuilder::KeepForLater(const MoveUnit& aUnit, Outcome aOutcome)
 {
+  m_remaining[static_cast<std::size_t>(aUnit.m_reason)] += aUnit.m_share;
   m_capReached = m_capReached || aOutcome == Outcome::CapReached;
   m_noCapacity = m_noCapacity || aOutcome == Outcome::NoCapacity;
   m_tooHeavy = m_tooHeavy || aOutcome == Outcome::TooHeavy;
@@ -197,19 +205,27 @@
   const auto pace = Pace(cap);
   double paced = 0;
   TargetPicker picker(m_model);
-  for (const auto& unit : LeavingUnits()) {
+  // A step moves few of the units, so they are not sorted all.
+  auto units = LeavingUnits();
+  std::make_heap(units.begin(), units.end(), IsLater);
+  while (!units.empty() && !m_capReached) {
+    std::pop_heap(units.begin(), units.end(), IsLater);
+    const auto unit = units.back();
+    units.pop_back();
     // Load that is not served at all moves as fast as the cap allows.
     const bool isPaced = unit.m_reason >= MoveReason::PendingRule;
     const auto outcome = isPaced && paced >= pace
                            ? Outcome::CapReached
                            : TryMove(unit, picker, cap, cap - m_window.Used() - m_movedShare);
     if (outcome != Outcome::Moved) {
-      m_remaining[static_cast<std::size_t>(unit.m_reason)] += unit.m_share;
-      Note(outcome);
+      KeepForLater(unit, outcome);
     } else if (isPaced) {
       paced += unit.m_share;
     }
   }
+  for (const auto& unit : units) {
+    KeepForLater(unit, Outcome::CapReached);
+  }
 }
 
 std::vector<StepBuilder::ReturnPair> StepBuilder::ReturnPairs() const
@@ -241,15 +257,14 @@
 
 bool StepBuilder::MovePair(const ReturnPair& aPair, std::vector<MoveUnit> aUnits)
 {
-  SortLightestFirst(aUnits);
+  std::sort(aUnits.rbegin(), aUnits.rend(), IsLater);
   const auto cap = m_limits.m_plannedCap * m_limits.m_recoveryFraction;
   const auto pace = Pace(cap);
   TargetPicker picker(m_model);
   for (const auto& unit : aUnits) {
-    const auto weight = m_shares.Weight(unit.m_bucket, unit.m_parts);
-    const auto target = picker.Pick(aPair.m_origin, unit.m_from, unit.m_reason, weight);
+    const auto target = picker.Pick(aPair.m_origin, unit.m_from, unit.m_reason, unit.m_weight);
     if (target == kNoSite || m_model.Score(aPair.m_origin, unit.m_from, 0) -
-                                 m_model.Score(aPair.m_origin, target, weight) <=
+                                 m_model.Score(aPair.m_origin, target, unit.m_weight) <=
                                m_limits.m_recoveryMargin) {
       return true;
     }
@@ -257,8 +272,7 @@
       std::min(cap - m_window.UsedByRecovery(), m_limits.m_plannedCap - m_window.Used()) -
       m_movedShare;
     if (m_movedShare >= pace || (unit.m_share <= cap && unit.m_share > remaining)) {
-      m_remaining[static_cast<std::size_t>(unit.m_reason)] += unit.m_share;
-      m_capReached = true;
+      KeepForLater(unit, Outcome::CapReached);
       return false;
     }
     if (unit.m_share <= cap) {
--- a/packages/policy/src/StepBuilder.h
+++ b/packages/policy/src/StepBuilder.h
@@ -17,6 +17,7 @@
   SiteIndex m_from = 0;
   MoveReason m_reason = MoveReason::DeadSite;
   double m_share = 0;
+  double m_weight = 0;
 };
 
 /// Moves units of a working copy of the table within the cap and the capacities.
@@ -70,12 +71,16 @@
                     SiteIndex aSite,
                     MoveReason aReason,
                     std::vector<MoveUnit>& aUnits) const;
+  MoveUnit MakeUnit(std::uint32_t aBucket,
+                    PartMask aParts,
+                    SiteIndex aFrom,
+                    MoveReason aReason) const;
   std::vector<MoveUnit> LeavingUnits();
+  void KeepForLater(const MoveUnit& aUnit, Outcome aOutcome);
   Outcome TryMove(const MoveUnit& aUnit, TargetPicker& aPicker, double aCap, double aRemaining);
   void Apply(const MoveUnit& aUnit, SiteIndex aTo);
   std::vector<ReturnPair> ReturnPairs() const;
   bool MovePair(const ReturnPair& aPair, std::vector<MoveUnit> aUnits);
-  void Note(Outcome aOutcome);
 
   SteeringTable& m_table;
   const LoadShares& m_shares;
--- a/packages/policy/tests/ShiftSimulation.cpp
+++ b/packages/policy/tests/ShiftSimulation.cpp
@@ -226,10 +226,8 @@
     aVm.m_seenGeneration = m_store.Generation();
     aVm.m_seenAt = now;
   }
-  // Every reader goes through the stored form.
-  const auto read = SteeringTable::FromJson(m_store.ToJson());
-  auto plan = ShiftPlanner::PlanStep(*read, aVm.m_seenAt, m_input, now);
-  if (!read || !plan) {
+  auto plan = ShiftPlanner::PlanStep(m_store, aVm.m_seenAt, m_input, now);
+  if (!plan) {
     m_violation = "planning failed";
     return;
   }
@@ -249,7 +247,13 @@
 {
   if (aVm.m_held && aVm.m_heldBase == m_store.Generation()) {
     Check(*aVm.m_held, aVm.m_heldInput);
-    m_store = std::move(*aVm.m_held);
+    // Planners continue from the stored form.
+    auto stored = SteeringTable::FromJson(aVm.m_held->ToJson());
+    if (!stored || *stored != *aVm.m_held) {
+      m_violation = "stored form differs";
+      return;
+    }
+    m_store = std::move(*stored);
   }
   aVm.m_held.reset();
 }
