--- /dev/null
+++ b/packages/entry/src/AdminServer.cpp
@@ -0,0 +1,221 @@
+#include "AdminServer.h"
+
+#include "JsonText.h"
+#include "jaylane/platform/PlatformError.h"
+#include "jaylane/settings/EditMerger.h"
+
+#include <charconv>
+#include <utility>
+
+namespace jaylane::entry {
+
+namespace {
+
+constexpr const char* kSettingsKey = "settings/tree";
+constexpr std::string_view kEditsPrefix = "/v1/edits/";
+constexpr std::chrono::milliseconds kCallTimeout{ 2000 };
+// Editors rarely race; each loser of a conditional update merges again on the new version.
+constexpr unsigned kMaxWrites = 10;
+
+using settings::AdminModel;
+using settings::AdminResponse;
+
+std::uint64_t ToNumber(const std::string& aText)
+{
+  std::uint64_t number = 0;
+  std::from_chars(aText.data(), aText.data() + aText.size(), number);
+  return number;
+}
+
+base::SocketAddress ToAddress(const settings::HostPort& aAddress)
+{
+  const auto host = base::SocketAddress::ParseHost(aAddress.m_host);
+  return { host ? *host : 0, aAddress.m_port };
+}
+
+AdminResponse StoreError(const base::Error& aError)
+{
+  return AdminModel::Error(503, "store-unavailable", aError.Message());
+}
+
+} // namespace
+
+AdminServer::AdminServer(const VmContext& aContext,
+                         platform::Store& aStore,
+                         ConfigState& aConfig,
+                         Hooks aHooks)
+  : m_context(aContext)
+  , m_store(aStore)
+  , m_config(aConfig)
+  , m_hooks(std::move(aHooks))
+{
+}
+
+base::Result<std::unique_ptr<AdminServer>> AdminServer::Make(const VmContext& aContext,
+                                                             platform::Store& aStore,
+                                                             ConfigState& aConfig,
+                                                             Hooks aHooks)
+{
+  std::unique_ptr<AdminServer> admin(new AdminServer(aContext, aStore, aConfig, std::move(aHooks)));
+  base::HttpServer::Options options;
+  options.m_bind = ToAddress(aContext.m_settings.m_adminAddress);
+  options.m_threads = aContext.m_settings.m_adminThreads;
+  auto server =
+    base::HttpServer::Make(options, [self = admin.get()](const base::HttpRequest& aRequest) {
+      return self->Handle(aRequest);
+    });
+  if (!server) {
+    return server.GetError();
+  }
+  admin->m_server = std::move(*server);
+  return admin;
+}
+
+base::HttpReply AdminServer::Handle(const base::HttpRequest& aRequest)
+{
+  const auto role =
+    aRequest.m_method == "GET" ? settings::AdminRole::Read : settings::AdminRole::Write;
+  const auto who = AdminModel::Authorize(
+    m_context.m_settings.m_adminTokens, aRequest.Header("authorization"), role);
+  const AdminResponse response = who ? Route(aRequest, *who) : AdminModel::Error(who.GetError());
+  base::HttpReply reply;
+  reply.m_status = static_cast<unsigned>(response.m_status);
+  reply.m_body = WriteJson(response.m_body);
+  reply.m_headers["Content-Type"] = "application/json";
+  return reply;
+}
+
+AdminResponse AdminServer::Route(const base::HttpRequest& aRequest, const std::string& aWho)
+{
+  if (aRequest.m_method == "GET") {
+    return Read(aRequest);
+  }
+  if (aRequest.m_method == "POST") {
+    return Write(aRequest, aWho);
+  }
+  return AdminModel::Error(405, "method-not-allowed", "use GET or POST");
+}
+
+AdminResponse AdminServer::Read(const base::HttpRequest& aRequest)
+{
+  if (aRequest.m_path == "/v1/status") {
+    return { 200, m_hooks.m_status() };
+  }
+  if (aRequest.m_path == "/v1/metrics") {
+    return { 200, m_hooks.m_metrics() };
+  }
+  if (aRequest.m_path == "/v1/timeline") {
+    return TimeLine(aRequest);
+  }
+  if (aRequest.m_path.starts_with(kEditsPrefix)) {
+    return EditStatus(aRequest);
+  }
+  const auto config = m_config.Current();
+  const settings::SettingsDocument empty;
+  const settings::SettingsDocument& document = config ? config->m_document : empty;
+  if (aRequest.m_path == "/v1/settings") {
+    return AdminModel::Settings(document);
+  }
+  if (aRequest.m_path == "/v1/settings/effective") {
+    return AdminModel::Effective(document, aRequest.Query("path"));
+  }
+  if (aRequest.m_path == "/v1/history") {
+    return AdminModel::History(document);
+  }
+  return AdminModel::Error(404, "unknown-path", "the administration API has no such path");
+}
+
+AdminResponse AdminServer::TimeLine(const base::HttpRequest& aRequest) const
+{
+  Json::Value body(Json::objectValue);
+  body["vm"] = m_context.m_settings.m_id;
+  body["events"] = Json::arrayValue;
+  for (const base::Event& event : m_context.m_events.After(ToNumber(aRequest.Query("after")))) {
+    body["events"].append(event.ToJson());
+  }
+  return { 200, std::move(body) };
+}
+
+AdminResponse AdminServer::Write(const base::HttpRequest& aRequest, const std::string& aWho)
+{
+  if (aRequest.m_path == "/v1/drain" || aRequest.m_path == "/v1/undrain") {
+    const bool remove = aRequest.m_path == "/v1/undrain";
+    const auto edit = AdminModel::ParseDrain(aRequest.m_body, remove);
+    return edit ? ApplyEdit(*edit, aWho) : AdminModel::Error(edit.GetError());
+  }
+  if (aRequest.m_path != "/v1/edits" && aRequest.m_path != "/v1/plan") {
+    return AdminModel::Error(404, "unknown-path", "the administration API has no such path");
+  }
+  const auto edit = AdminModel::ParseEdit(aRequest.m_body);
+  if (!edit) {
+    return AdminModel::Error(edit.GetError());
+  }
+  if (aRequest.m_path == "/v1/edits") {
+    return ApplyEdit(*edit, aWho);
+  }
+  const auto config = m_config.Current();
+  return AdminModel::Plan(config ? config->m_document : settings::SettingsDocument(), *edit);
+}
+
+base::Result<std::pair<settings::SettingsDocument, platform::Version>> AdminServer::Load()
+{
+  const auto object = m_store.Get(kSettingsKey, kCallTimeout);
+  if (!object) {
+    if (object.GetError().m_code == platform::PlatformErrc::NotFound) {
+      return std::pair{ settings::SettingsDocument(), platform::kAbsent };
+    }
+    return object.GetError();
+  }
+  auto document = settings::SettingsDocument::Parse(object->m_value);
+  if (!document) {
+    return document.GetError();
+  }
+  return std::pair{ std::move(*document), object->m_version };
+}
+
+AdminResponse AdminServer::ApplyEdit(const settings::Edit& aEdit, const std::string& aWho)
+{
+  for (unsigned i = 0; i < kMaxWrites; ++i) {
+    const auto loaded = Load();
+    if (!loaded) {
+      return StoreError(loaded.GetError());
+    }
+    const settings::EditContext context{
+      aWho, m_context.m_clock.Wall(), m_context.m_incarnationText, std::to_string(m_nextNonce++)
+    };
+    const auto merged = settings::EditMerger::Merge(loaded->first, aEdit, context);
+    if (merged.m_outcome != settings::MergeOutcome::Accepted) {
+      return AdminModel::Merged(merged, aEdit);
+    }
+    const std::string text = merged.m_document->Serialize();
+    const auto version = m_store.Put(kSettingsKey, text, loaded->second, kCallTimeout);
+    if (version) {
+      m_config.Apply(text);
+      Json::Value fields;
+      fields["edit"] = aEdit.m_id;
+      fields["generation"] = Json::UInt64(merged.m_generation);
+      m_context.m_events.Record("edit-accepted", fields);
+      return AdminModel::Merged(merged, aEdit);
+    }
+    const auto code = version.GetError().m_code;
+    if (code != platform::PlatformErrc::Conflict && code != platform::PlatformErrc::Timeout) {
+      return StoreError(version.GetError());
+    }
+    // After a conflict or a lost response the next round reads the document again: it finds the
+    // edit in the history, or merges it anew.
+  }
+  return AdminModel::Error(503, "outcome-unknown", "ask for the status of the edit by its id");
+}
+
+AdminResponse AdminServer::EditStatus(const base::HttpRequest& aRequest)
+{
+  const auto loaded = Load();
+  if (!loaded) {
+    return StoreError(loaded.GetError());
+  }
+  return AdminModel::EditStatusOf(loaded->first,
+                                  aRequest.m_path.substr(kEditsPrefix.size()),
+                                  ToNumber(aRequest.Query("base_generation")));
+}
+
+} // namespace jaylane::entry
--- /dev/null
+++ b/packages/entry/src/ClaimQueue.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "VmContext.h"
+#include "jaylane/base/BoundedRing.h"
+#include "jaylane/platform/Store.h"
+
+#include <functional>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace jaylane::entry {
+
+/// Claims keys without a scope in the store. The store's calls block, so a few threads make
+/// them; a full queue refuses further claims.
+class ClaimQueue
+{
+public:
+  enum class Verdict
+  {
+    /// This VM created the claim: run the request.
+    Claimed,
+    /// The key was used before.
+    AlreadyClaimed,
+    /// No claim was made and none will take effect later.
+    Unavailable,
+  };
+
+  using Done = std::function<void(Verdict)>;
+
+  ClaimQueue(const VmContext& aContext, platform::Store& aStore);
+
+  /// Finishes what was submitted.
+  ~ClaimQueue();
+
+  /// @param aKey the caller's key.
+  /// @param aDone called on a thread of the queue.
+  /// @return false if too many claims are waiting; aDone is not called then.
+  bool Submit(std::string aKey, Done aDone);
+
+private:
+  struct Claim
+  {
+    std::string m_key;
+    Done m_done;
+  };
+
+  void Run();
+  Verdict Execute(const std::string& aKey);
+
+  const VmContext& m_context;
+  platform::Store& m_store;
+  base::BoundedRing<Claim> m_claims;
+  std::atomic<std::uint64_t> m_nextNonce{ 1 };
+  std::vector<std::thread> m_threads;
+};
+
+} // namespace jaylane::entry
--- /dev/null
+++ b/packages/entry/src/ConfigState.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "VmContext.h"
+#include "jaylane/policy/BlockIndex.h"
+#include "jaylane/policy/LegalFilter.h"
+#include "jaylane/settings/SettingsDocument.h"
+
+#include <chrono>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace jaylane::entry {
+
+/// A service as configured, with what is derived for fast access.
+struct ServiceConfig
+{
+  settings::Service m_service;
+  policy::LegalFilter m_legal;
+  /// Settings of this VM's zone.
+  settings::EffectiveSettings m_effective;
+};
+
+/// One generation of the settings and what is derived from it. Immutable.
+struct Config
+{
+  settings::SettingsDocument m_document;
+  policy::BlockIndex m_blocks;
+  /// Names of the origin regions, by position in m_blocks.
+  std::vector<std::string> m_origins;
+  std::map<std::string, ServiceConfig, std::less<>> m_services;
+
+  /// @return the service, or nullptr.
+  const ServiceConfig* FindService(std::string_view aName) const;
+};
+
+/// Origin of a caller.
+struct CallerOrigin
+{
+  std::uint32_t m_block = 0;
+  std::string m_region;
+};
+
+/// @param aCaller dotted quad.
+/// @return the caller's block and region, or nothing if no client block contains it.
+std::optional<CallerOrigin> FindOrigin(const Config& aConfig, std::string_view aCaller);
+
+/// The settings in effect. Only a higher generation replaces them. Thread safe.
+class ConfigState
+{
+public:
+  /// Upper bound on the difference between wall clocks of VMs; legal rules apply this much early.
+  static constexpr std::chrono::milliseconds kMaxClockError{ 2000 };
+
+  using ChangeHook = std::function<void(const Config&)>;
+
+  explicit ConfigState(const VmContext& aContext);
+
+  /// @param aHook called after a generation took effect, on the thread that applied it.
+  void SetChangeHook(ChangeHook aHook);
+
+  /// @param aText value of the object settings/tree.
+  /// @return whether it took effect; lower generations and invalid text are logged and ignored.
+  bool Apply(const std::string& aText);
+
+  /// @return the settings in effect, or nullptr before the first.
+  std::shared_ptr<const Config> Current() const;
+
+  /// @return generation in effect, 0 before the first.
+  std::uint64_t Generation() const;
+
+  /// @return text of the generation in effect, for peers; empty before the first.
+  std::string CurrentText() const;
+
+private:
+  base::Result<std::shared_ptr<const Config>> Build(const std::string& aText) const;
+
+  const VmContext& m_context;
+  mutable std::mutex m_mutex;
+  std::shared_ptr<const Config> m_current;
+  std::string m_text;
+  ChangeHook m_hook;
+};
+
+} // namespace jaylane::entry
--- /dev/null
+++ b/packages/entry/src/EntryVmImpl.cpp
@@ -0,0 +1,338 @@
+#include "EntryVmImpl.h"
+
+#include "UpstreamProber.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <random>
+#include <thread>
+#include <utility>
+
+namespace jaylane::entry {
+
+namespace {
+
+constexpr std::chrono::milliseconds kTickInterval{ 10 };
+constexpr std::chrono::milliseconds kPlanInterval{ 250 };
+constexpr std::chrono::milliseconds kShareInterval{ 250 };
+constexpr std::chrono::milliseconds kProbeInterval{ 500 };
+constexpr std::chrono::milliseconds kProbeTimeout{ 400 };
+// Poll of conditions during a graceful stop.
+constexpr std::chrono::milliseconds kStopPoll{ 20 };
+// A VM that cannot give its units away, because the store is down, leaves them to be reclaimed.
+constexpr std::chrono::seconds kMaxShareWait{ 5 };
+constexpr std::chrono::seconds kFailoverWindow{ 60 };
+constexpr double kFailoverCap = 0.05;
+
+policy::Incarnation MakeIncarnation()
+{
+  std::random_device random;
+  const auto word = [&random] { return (std::uint64_t{ random() } << 32) | random(); };
+  return { word(), word() };
+}
+
+std::string ToText(const policy::Incarnation& aIncarnation)
+{
+  return fmt::format("{:016x}{:016x}", aIncarnation.m_high, aIncarnation.m_low);
+}
+
+VmContext MakeContext(const settings::VmSettings& aSettings,
+                      const base::Clock& aClock,
+                      const base::Log& aLog,
+                      base::HybridClock& aHybrid,
+                      base::EventLog& aEvents)
+{
+  const auto incarnation = MakeIncarnation();
+  return { aSettings,
+           aClock,
+           aLog,
+           aHybrid,
+           aEvents,
+           incarnation,
+           ToText(incarnation),
+           { aSettings.m_region, aSettings.m_zone } };
+}
+
+policy::ExecutionLedger MakeLedger(const VmContext& aContext)
+{
+  auto ledger =
+    policy::ExecutionLedger::Make({}, aContext.m_incarnation, aContext.m_clock.Monotonic());
+  assert(ledger);
+  return std::move(*ledger);
+}
+
+base::SocketAddress ToAddress(const settings::HostPort& aAddress)
+{
+  const auto host = base::SocketAddress::ParseHost(aAddress.m_host);
+  return { host ? *host : 0, aAddress.m_port };
+}
+
+} // namespace
+
+EntryVm::Impl::Impl(const settings::VmSettings& aSettings, const base::Clock& aClock)
+  : m_settings(aSettings)
+  , m_log(aSettings.m_id, aClock, aSettings.m_logLevel)
+  , m_hybrid(aClock)
+  , m_events(aSettings.m_id, m_hybrid, aSettings.m_eventLogCapacity)
+  , m_context(MakeContext(m_settings, aClock, m_log, m_hybrid, m_events))
+  , m_store(aSettings.m_storeUrls)
+  , m_config(m_context)
+  , m_directory(m_context)
+  , m_steering(m_context)
+  , m_slots(m_context, {})
+  , m_quarantine(m_context, {})
+  , m_ledger(m_context, MakeLedger(m_context))
+  , m_failover(m_context, kFailoverWindow, kFailoverCap)
+  , m_shares(m_context, m_store, m_directory, m_slots)
+  , m_shifts(m_context, m_store, m_config, m_directory, m_steering)
+  , m_sync(m_context, m_store)
+  , m_transport({ aSettings.m_upstreamThreads }, aClock)
+  , m_claims(m_context, m_store)
+  , m_lookups(m_context,
+              m_config,
+              m_directory,
+              m_steering,
+              [this](const std::string& aIncarnation) { return ScopeOf(aIncarnation); })
+  , m_router(m_context,
+             { m_config,
+               m_directory,
+               m_steering,
+               m_ledger,
+               m_claims,
+               m_quarantine,
+               m_failover,
+               m_metrics,
+               m_transport,
+               [this](const std::string& aService) { return FindDispatcher(aService); } })
+  , m_lifecycle(m_context)
+{
+}
+
+EntryVm::Impl::~Impl()
+{
+  m_duties.clear();
+  m_sync.Stop();
+}
+
+base::Status EntryVm::Impl::Start()
+{
+  proxy::CallerServer::Options options;
+  options.m_bind = ToAddress(m_settings.m_callerAddress);
+  options.m_threads = m_settings.m_callerThreads;
+  auto callers = proxy::CallerServer::Make(
+    options,
+    m_context.m_clock,
+    [this](const proxy::LookupRequest& aRequest) { return m_lookups.Handle(aRequest); },
+    [this](std::shared_ptr<proxy::Exchange> aExchange) { m_router.Handle(std::move(aExchange)); });
+  if (!callers) {
+    return callers.GetError();
+  }
+  m_callerServer = std::move(*callers);
+  auto admin = AdminServer::Make(
+    m_context, m_store, m_config, { [this] { return Status(); }, [this] { return Metrics(); } });
+  if (!admin) {
+    return admin.GetError();
+  }
+  m_adminServer = std::move(*admin);
+  m_config.SetChangeHook([this](const Config& aConfig) { OnConfig(aConfig); });
+  StartSync();
+  StartDuties();
+  return base::Success{};
+}
+
+void EntryVm::Impl::StartSync()
+{
+  m_sync.Watch("settings/",
+               [this](const platform::StoreObject& aObject) { m_config.Apply(aObject.m_value); });
+  m_sync.Watch("table/", [this](const platform::StoreObject& aObject) {
+    const auto service = aObject.m_key.substr(std::string_view("table/").size());
+    m_steering.Receive(service, aObject.m_value, aObject.m_version);
+    m_lifecycle.Fire("table-loaded");
+  });
+  m_sync.Watch(m_shares.Key(), [this](const platform::StoreObject& aObject) {
+    if (aObject.m_key == m_shares.Key()) {
+      m_shares.Receive(aObject.m_value, aObject.m_version);
+    }
+  });
+  m_sync.PollVms([this](const platform::VmList& aList, base::MonotonicTime aRequestedAt) {
+    OnVmList(aList, aRequestedAt);
+  });
+}
+
+void EntryVm::Impl::StartDuties()
+{
+  const auto add = [this](std::chrono::milliseconds aInterval, std::function<void()> aRun) {
+    m_duties.push_back(std::make_unique<base::PeriodicThread>(aInterval, std::move(aRun)));
+  };
+  add(kTickInterval, [this] {
+    for (const auto& [service, dispatcher] : Dispatchers()) {
+      dispatcher->Tick();
+    }
+  });
+  add(kPlanInterval, [this] { m_shifts.Run(); });
+  add(kShareInterval, [this] { m_shares.Run(); });
+  add(kProbeInterval, [this] { Probe(); });
+}
+
+void EntryVm::Impl::OnConfig(const Config& aConfig)
+{
+  {
+    std::lock_guard lock(m_mutex);
+    for (const auto& [name, service] : aConfig.m_services) {
+      if (m_dispatchers.count(name) == 0) {
+        m_dispatchers.emplace(
+          name,
+          std::make_shared<ServiceDispatcher>(
+            m_context, name, service.m_effective, m_slots, m_quarantine, m_transport));
+      }
+    }
+  }
+  ApplyUpstreams();
+  m_lifecycle.Fire("settings-loaded");
+}
+
+void EntryVm::Impl::OnVmList(const platform::VmList& aList, base::MonotonicTime aRequestedAt)
+{
+  m_directory.Apply(aList, aRequestedAt);
+  m_shares.ObserveList(*m_directory.Current());
+  ApplyUpstreams();
+}
+
+void EntryVm::Impl::ApplyUpstreams()
+{
+  const auto view = m_directory.Current();
+  std::map<std::string, std::vector<UpstreamRef>> byService;
+  std::vector<UpstreamRef> own;
+  for (const UpstreamRef& upstream : view->m_upstreams) {
+    if (upstream.m_site == m_context.m_site) {
+      byService[upstream.m_service].push_back(upstream);
+      own.push_back(upstream);
+    }
+  }
+  m_slots.SetUpstreams(own);
+  for (const auto& [service, dispatcher] : Dispatchers()) {
+    dispatcher->ApplyUpstreams(byService[service]);
+  }
+}
+
+void EntryVm::Impl::Probe()
+{
+  const auto config = m_config.Current();
+  const auto view = m_directory.Current();
+  std::vector<ProbeTarget> targets;
+  for (const UpstreamRef& upstream : view->m_upstreams) {
+    const auto* service = config ? config->FindService(upstream.m_service) : nullptr;
+    if (service && upstream.m_site == m_context.m_site) {
+      targets.push_back(
+        { upstream, service->m_effective.m_healthPath, service->m_effective.m_loadPath });
+    }
+  }
+  const auto reports = ProbeAll(targets, kProbeTimeout);
+  for (std::size_t i = 0; i < reports.size(); ++i) {
+    const auto dispatcher = FindDispatcher(targets[i].m_upstream.m_service);
+    if (dispatcher) {
+      dispatcher->ApplyProbe(reports[i].m_upstream,
+                             reports[i].m_incarnation,
+                             reports[i].m_result,
+                             reports[i].m_reportedInFlight);
+    }
+  }
+}
+
+std::shared_ptr<ServiceDispatcher> EntryVm::Impl::FindDispatcher(const std::string& aService) const
+{
+  std::lock_guard lock(m_mutex);
+  const auto found = m_dispatchers.find(aService);
+  return found == m_dispatchers.end() ? nullptr : found->second;
+}
+
+EntryVm::Impl::DispatcherMap EntryVm::Impl::Dispatchers() const
+{
+  std::lock_guard lock(m_mutex);
+  return m_dispatchers;
+}
+
+std::string EntryVm::Impl::ScopeOf(const std::string& aIncarnation)
+{
+  return aIncarnation == m_context.m_incarnationText ? m_ledger.CurrentScope() : std::string();
+}
+
+EntryAddresses EntryVm::Impl::Addresses() const
+{
+  return { m_callerServer->Address(), {}, m_adminServer->Address() };
+}
+
+Json::Value EntryVm::Impl::Status() const
+{
+  Json::Value json(Json::objectValue);
+  json["vm"] = m_settings.m_id;
+  json["incarnation"] = m_context.m_incarnationText;
+  json["region"] = m_settings.m_region;
+  json["zone"] = m_settings.m_zone;
+  json["state"] = m_lifecycle.State();
+  json["generation"] = Json::UInt64(m_config.Generation());
+  json["in_flight"] = Json::UInt64(m_callerServer->InFlight());
+  json["shifts"] = m_shifts.Status();
+  json["services"] = Json::arrayValue;
+  for (const auto& [service, dispatcher] : Dispatchers()) {
+    Json::Value entry = dispatcher->Status();
+    const auto table = m_steering.Applied(service);
+    entry["table_generation"] = Json::UInt64(table ? table->Generation() : 0);
+    json["services"].append(std::move(entry));
+  }
+  return json;
+}
+
+Json::Value EntryVm::Impl::Metrics() const
+{
+  Json::Value json(Json::objectValue);
+  json["requests"] = m_metrics.ToJson();
+  json["store_calls"] = m_sync.ToJson();
+  json["ledger_keys"] = Json::UInt64(m_ledger.size());
+  return json;
+}
+
+std::chrono::milliseconds EntryVm::Impl::LongestLookupLifetime() const
+{
+  std::chrono::milliseconds longest{ 0 };
+  const auto config = m_config.Current();
+  if (config) {
+    for (const auto& [name, service] : config->m_services) {
+      longest = std::max(longest, service.m_effective.m_lookupLifetime);
+    }
+  }
+  return longest;
+}
+
+void EntryVm::Impl::WaitForRequests() const
+{
+  while (m_callerServer->InFlight() > 0) {
+    std::this_thread::sleep_for(kStopPoll);
+  }
+}
+
+void EntryVm::Impl::LeaveShares()
+{
+  m_shares.BeginLeave();
+  const auto until = m_context.m_clock.Monotonic() + kMaxShareWait;
+  while (!m_shares.HasLeft() && m_context.m_clock.Monotonic() < until) {
+    std::this_thread::sleep_for(kStopPoll);
+  }
+}
+
+void EntryVm::Impl::Stop()
+{
+  if (!m_lifecycle.Fire("stop")) {
+    return;
+  }
+  m_lookups.ExcludeSelf();
+  std::this_thread::sleep_for(LongestLookupLifetime());
+  m_lifecycle.Fire("lookups-expired");
+  m_callerServer->Quiesce();
+  WaitForRequests();
+  m_lifecycle.Fire("requests-done");
+  LeaveShares();
+  m_lifecycle.Fire("handed-over");
+}
+
+} // namespace jaylane::entry
--- /dev/null
+++ b/packages/entry/src/EntryVmImpl.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include "AdminServer.h"
+#include "ClaimQueue.h"
+#include "ConfigState.h"
+#include "Directory.h"
+#include "FailoverGuard.h"
+#include "Lifecycle.h"
+#include "LookupService.h"
+#include "QuarantineGuard.h"
+#include "RequestMetrics.h"
+#include "RequestRouter.h"
+#include "ScopeLedger.h"
+#include "ServiceDispatcher.h"
+#include "ShareKeeper.h"
+#include "ShiftController.h"
+#include "SteeringState.h"
+#include "StoreSync.h"
+#include "VmContext.h"
+#include "ZoneSlots.h"
+#include "jaylane/base/PeriodicThread.h"
+#include "jaylane/entry/EntryVm.h"
+#include "jaylane/platform/HttpStore.h"
+#include "jaylane/proxy/CallerServer.h"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace jaylane::entry {
+
+/// Wires the parts of an entry VM together.
+class EntryVm::Impl
+{
+public:
+  Impl(const settings::VmSettings& aSettings, const base::Clock& aClock);
+  ~Impl();
+
+  base::Status Start();
+  void Stop();
+  EntryAddresses Addresses() const;
+  const std::string& IncarnationText() const { return m_context.m_incarnationText; }
+
+private:
+  using DispatcherMap = std::map<std::string, std::shared_ptr<ServiceDispatcher>, std::less<>>;
+
+  void StartSync();
+  void StartDuties();
+  void OnConfig(const Config& aConfig);
+  void OnVmList(const platform::VmList& aList, base::MonotonicTime aRequestedAt);
+  void ApplyUpstreams();
+  void Probe();
+  std::shared_ptr<ServiceDispatcher> FindDispatcher(const std::string& aService) const;
+  DispatcherMap Dispatchers() const;
+  Json::Value Status() const;
+  Json::Value Metrics() const;
+  std::string ScopeOf(const std::string& aIncarnation);
+  std::chrono::milliseconds LongestLookupLifetime() const;
+  void WaitForRequests() const;
+  void LeaveShares();
+
+  const settings::VmSettings m_settings;
+  const base::Log m_log;
+  base::HybridClock m_hybrid;
+  base::EventLog m_events;
+  const VmContext m_context;
+
+  platform::HttpStore m_store;
+  ConfigState m_config;
+  Directory m_directory;
+  SteeringState m_steering;
+  ZoneSlots m_slots;
+  QuarantineGuard m_quarantine;
+  ScopeLedger m_ledger;
+  FailoverGuard m_failover;
+  RequestMetrics m_metrics;
+  ShareKeeper m_shares;
+  ShiftController m_shifts;
+  StoreSync m_sync;
+  proxy::UpstreamTransport m_transport;
+  ClaimQueue m_claims;
+  LookupService m_lookups;
+  RequestRouter m_router;
+  Lifecycle m_lifecycle;
+
+  mutable std::mutex m_mutex;
+  DispatcherMap m_dispatchers;
+
+  std::unique_ptr<proxy::CallerServer> m_callerServer;
+  std::unique_ptr<AdminServer> m_adminServer;
+  std::vector<std::unique_ptr<base::PeriodicThread>> m_duties;
+};
+
+} // namespace jaylane::entry
--- /dev/null
+++ b/packages/entry/src/LookupService.cpp
@@ -0,0 +1,137 @@
+#include "LookupService.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <iterator>
+#include <utility>
+
+namespace jaylane::entry {
+
+namespace {
+
+constexpr std::chrono::seconds kRetryAfter{ 1 };
+
+proxy::LookupReply Refuse(unsigned aStatus, std::string_view aCode, std::string_view aMessage)
+{
+  return { aStatus,
+           fmt::format(R"({{"error":{{"code":"{}","message":"{}"}}}})", aCode, aMessage),
+           aStatus == 503 ? kRetryAfter : std::chrono::seconds{ 0 } };
+}
+
+} // namespace
+
+LookupService::LookupService(const VmContext& aContext,
+                             const ConfigState& aConfig,
+                             const Directory& aDirectory,
+                             const SteeringState& aSteering,
+                             std::function<std::string(const std::string&)> aScopeOf)
+  : m_context(aContext)
+  , m_config(aConfig)
+  , m_directory(aDirectory)
+  , m_steering(aSteering)
+  , m_scopeOf(std::move(aScopeOf))
+{
+}
+
+void LookupService::AppendSite(const DirectoryView& aView,
+                               const policy::SiteId& aSite,
+                               std::uint32_t aBlock,
+                               std::vector<const EntryVmRef*>& aVms) const
+{
+  const auto found = aView.m_vmsBySite.find(aSite);
+  if (found == aView.m_vmsBySite.end()) {
+    return;
+  }
+  const auto& indices = found->second;
+  // Blocks start at different VMs of a site, which spreads callers over them.
+  for (std::size_t i = 0; i < indices.size() && aVms.size() < kMaxVms; ++i) {
+    const EntryVmRef& vm = aView.m_entryVms[indices[(aBlock / 256 + i) % indices.size()]];
+    const bool isSelf = vm.m_incarnation == m_context.m_incarnationText;
+    if (m_directory.IsUsable(vm) && !(isSelf && m_excludeSelf)) {
+      aVms.push_back(&vm);
+    }
+  }
+}
+
+std::vector<const EntryVmRef*> LookupService::PickVms(const DirectoryView& aView,
+                                                      const policy::SteeringTable& aTable,
+                                                      policy::SiteIndex aSite,
+                                                      const ServiceConfig& aService,
+                                                      const CallerOrigin& aOrigin) const
+{
+  const auto now = m_context.m_clock.Wall();
+  const auto legal = [&](const policy::SiteId& aCandidate) {
+    return aService.m_legal.Allows(aOrigin.m_region, aCandidate.m_region, now);
+  };
+  std::vector<const EntryVmRef*> vms;
+  const policy::SiteId& assigned = aTable.SiteAt(aSite);
+  if (legal(assigned)) {
+    AppendSite(aView, assigned, aOrigin.m_block, vms);
+  }
+  // The others only help if the assigned site fails; the origin's own region comes first.
+  for (const bool near : { true, false }) {
+    for (const policy::SiteId& site : aTable.Sites()) {
+      if (site != assigned && (site.m_region == aOrigin.m_region) == near && legal(site)) {
+        AppendSite(aView, site, aOrigin.m_block, vms);
+      }
+    }
+  }
+  return vms;
+}
+
+std::string LookupService::Render(const ServiceConfig& aService,
+                                  std::uint64_t aGeneration,
+                                  const std::vector<const EntryVmRef*>& aVms) const
+{
+  fmt::memory_buffer buffer;
+  auto out = std::back_inserter(buffer);
+  fmt::format_to(out,
+                 R"({{"service":"{}","generation":{},"lifetime_ms":{},"scope":"{}","vms":[)",
+                 aService.m_service.m_name,
+                 aGeneration,
+                 aService.m_effective.m_lookupLifetime.count(),
+                 m_scopeOf(aVms.front()->m_incarnation));
+  const char* separator = "";
+  for (const EntryVmRef* vm : aVms) {
+    fmt::format_to(out,
+                   R"({}{{"id":"{}","address":"{}","region":"{}","zone":"{}"}})",
+                   separator,
+                   vm->m_id,
+                   vm->m_address.ToString(),
+                   vm->m_site.m_region,
+                   vm->m_site.m_zone);
+    separator = ",";
+  }
+  buffer.append(std::string_view("]}"));
+  return fmt::to_string(buffer);
+}
+
+proxy::LookupReply LookupService::Handle(const proxy::LookupRequest& aRequest) const
+{
+  const auto config = m_config.Current();
+  if (!config) {
+    return Refuse(503, "no-settings", "this VM has not received the settings yet");
+  }
+  const ServiceConfig* service = config->FindService(aRequest.m_service);
+  if (!service) {
+    return Refuse(404, "unknown-service", "the settings contain no such service");
+  }
+  const auto origin = FindOrigin(*config, aRequest.m_caller);
+  if (!origin) {
+    return Refuse(403, "unknown-origin", "no client block contains the caller's address");
+  }
+  const auto table = m_steering.Applied(aRequest.m_service);
+  const auto index = table ? table->FindOrigin(origin->m_region) : std::nullopt;
+  if (!index) {
+    return Refuse(503, "no-table", "this VM has not received the steering table yet");
+  }
+  const auto view = m_directory.Current();
+  const auto site = table->Lookup({ origin->m_block, *index });
+  const auto vms = PickVms(*view, *table, site, *service, *origin);
+  if (vms.empty()) {
+    return Refuse(403, "legal", "no region that may serve the caller has a VM");
+  }
+  return { 200, Render(*service, table->Generation(), vms), {} };
+}
+
+} // namespace jaylane::entry
--- /dev/null
+++ b/packages/entry/src/LookupService.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "ConfigState.h"
+#include "Directory.h"
+#include "ScopeLedger.h"
+#include "SteeringState.h"
+#include "jaylane/proxy/CallerServer.h"
+
+#include <atomic>
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace jaylane::entry {
+
+/// Answers lookups from the settings, the steering table and the VM list. Thread safe.
+class LookupService
+{
+public:
+  /// VMs named in a response at most.
+  static constexpr std::size_t kMaxVms = 4;
+
+  /// @param aScopeOf returns the current execution scope of a VM by incarnation, as learned from
+  ///   peers; empty if it is not known.
+  LookupService(const VmContext& aContext,
+                const ConfigState& aConfig,
+                const Directory& aDirectory,
+                const SteeringState& aSteering,
+                std::function<std::string(const std::string&)> aScopeOf);
+
+  proxy::LookupReply Handle(const proxy::LookupRequest& aRequest) const;
+
+  /// From now on, responses do not name this VM.
+  void ExcludeSelf() { m_excludeSelf = true; }
+
+private:
+  std::vector<const EntryVmRef*> PickVms(const DirectoryView& aView,
+                                         const policy::SteeringTable& aTable,
+                                         policy::SiteIndex aSite,
+                                         const ServiceConfig& aService,
+                                         const CallerOrigin& aOrigin) const;
+  void AppendSite(const DirectoryView& aView,
+                  const policy::SiteId& aSite,
+                  std::uint32_t aBlock,
+                  std::vector<const EntryVmRef*>& aVms) const;
+  std::string Render(const ServiceConfig& aService,
+                     std::uint64_t aGeneration,
+                     const std::vector<const EntryVmRef*>& aVms) const;
+
+  const VmContext& m_context;
+  const ConfigState& m_config;
+  const Directory& m_directory;
+  const SteeringState& m_steering;
+  const std::function<std::string(const std::string&)> m_scopeOf;
+  std::atomic<bool> m_excludeSelf{ false };
+};
+
+} // namespace jaylane::entry
--- /dev/null
+++ b/packages/entry/src/Outcome.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <string>
+
+namespace jaylane::entry {
+
+/// What a caller is told about its request. Exactly one of three; see docs/design.md.
+enum class Outcome
+{
+  Completed,
+  /// Proven not executed.
+  NotRun,
+  /// May or may not have been executed.
+  Unknown,
+};
+
+/// @return the value of the header Jaylane-Outcome.
+inline const char* OutcomeName(Outcome aOutcome)
+{
+  switch (aOutcome) {
+    case Outcome::Completed:
+      return "completed";
+    case Outcome::NotRun:
+      return "not-run";
+    case Outcome::Unknown:
+      break;
+  }
+  return "unknown";
+}
+
+inline constexpr const char* kOutcomeHeader = "Jaylane-Outcome";
+inline constexpr const char* kErrorHeader = "Jaylane-Error";
+inline constexpr const char* kAttemptsHeader = "Jaylane-Attempts";
+inline constexpr const char* kUpstreamHeader = "Jaylane-Upstream";
+inline constexpr const char* kVmHeader = "Jaylane-Vm";
+inline constexpr const char* kKeyHeader = "Jaylane-Key";
+inline constexpr const char* kIdempotentHeader = "Jaylane-Idempotent";
+inline constexpr const char* kDeadlineHeader = "Jaylane-Deadline-Ms";
+inline constexpr const char* kCallerHeader = "Jaylane-Caller";
+inline constexpr const char* kForwardedHeader = "Jaylane-Forwarded";
+/// Marks a request sent to the VM of its scope, which checks the key and does not send it on to
+/// another scope.
+inline constexpr const char* kScopeHopHeader = "Jaylane-Scope-Hop";
+inline constexpr const char* kStampHeader = "Jaylane-Hlc";
+
+/// End of a request as far as this VM is concerned.
+struct RequestResult
+{
+  Outcome m_outcome = Outcome::NotRun;
+  /// HTTP status to answer with, or of the upstream's response if completed.
+  unsigned m_status = 503;
+  /// Hyphenated error code; empty if completed.
+  std::string m_error;
+  std::string m_message;
+  unsigned m_attempts = 0;
+  std::string m_upstream;
+};
+
+} // namespace jaylane::entry
--- /dev/null
+++ b/packages/entry/src/QuarantineGuard.cpp
@@ -0,0 +1,50 @@
+#include "QuarantineGuard.h"
+
+namespace jaylane::entry {
+
+QuarantineGuard::QuarantineGuard(const VmContext& aContext, policy::QuarantineOptions aOptions)
+  : m_context(aContext)
+  , m_list(aOptions, aContext.m_incarnation.m_low)
+{
+}
+
+bool QuarantineGuard::IsQuarantined(const policy::RequestFingerprint& aFingerprint) const
+{
+  std::lock_guard lock(m_mutex);
+  return m_list.IsQuarantined(aFingerprint, m_context.m_clock.Monotonic());
+}
+
+void QuarantineGuard::RecordLoss(const policy::RequestFingerprint& aFingerprint,
+                                 std::uint64_t aUpstream)
+{
+  bool quarantined = false;
+  {
+    std::lock_guard lock(m_mutex);
+    const auto now = m_context.m_clock.Monotonic();
+    m_list.RecordLoss(aFingerprint, aUpstream, now);
+    quarantined = m_list.IsQuarantined(aFingerprint, now);
+  }
+  if (quarantined) {
+    m_context.m_events.Record("request-quarantined");
+  }
+}
+
+void QuarantineGuard::RecordCompleted(const policy::RequestFingerprint& aFingerprint)
+{
+  std::lock_guard lock(m_mutex);
+  m_list.RecordCompleted(aFingerprint, m_context.m_clock.Monotonic());
+}
+
+std::vector<policy::Strike> QuarantineGuard::Strikes() const
+{
+  std::lock_guard lock(m_mutex);
+  return m_list.Strikes(m_context.m_clock.Monotonic());
+}
+
+void QuarantineGuard::Merge(const std::vector<policy::Strike>& aStrikes)
+{
+  std::lock_guard lock(m_mutex);
+  m_list.Merge(aStrikes, m_context.m_clock.Monotonic());
+}
+
+} // namespace jaylane::entry
--- /dev/null
+++ b/packages/entry/src/QuarantineGuard.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "VmContext.h"
+#include "jaylane/policy/QuarantineList.h"
+
+#include <mutex>
+#include <vector>
+
+namespace jaylane::entry {
+
+/// Thread-safe QuarantineList of this VM.
+class QuarantineGuard
+{
+public:
+  QuarantineGuard(const VmContext& aContext, policy::QuarantineOptions aOptions);
+
+  bool IsQuarantined(const policy::RequestFingerprint& aFingerprint) const;
+  void RecordLoss(const policy::RequestFingerprint& aFingerprint, std::uint64_t aUpstream);
+  void RecordCompleted(const policy::RequestFingerprint& aFingerprint);
+  std::vector<policy::Strike> Strikes() const;
+  void Merge(const std::vector<policy::Strike>& aStrikes);
+
+private:
+  const VmContext& m_context;
+  mutable std::mutex m_mutex;
+  policy::QuarantineList m_list;
+};
+
+} // namespace jaylane::entry
--- /dev/null
+++ b/packages/entry/src/RequestRouter.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "ClaimQueue.h"
+#include "Directory.h"
+#include "FailoverGuard.h"
+#include "ParsedRequest.h"
+#include "QuarantineGuard.h"
+#include "RequestMetrics.h"
+#include "ScopeLedger.h"
+#include "ServiceDispatcher.h"
+#include "SteeringState.h"
+#include "jaylane/proxy/UpstreamTransport.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+
+namespace jaylane::entry {
+
+/// Takes a request through its checks to an upstream of this zone or to the VM that has to
+/// serve it, and answers with one of the three outcomes. Thread safe.
+class RequestRouter
+{
+public:
+  /// The parts that a request passes; all must outlive the router.
+  struct Parts
+  {
+    const ConfigState& m_config;
+    const Directory& m_directory;
+    const SteeringState& m_steering;
+    ScopeLedger& m_ledger;
+    ClaimQueue& m_claims;
+    QuarantineGuard& m_quarantine;
+    FailoverGuard& m_failover;
+    RequestMetrics& m_metrics;
+    proxy::UpstreamTransport& m_transport;
+    /// @return the dispatcher of a service in this zone, or nullptr.
+    std::function<std::shared_ptr<ServiceDispatcher>(const std::string&)> m_findDispatcher;
+  };
+
+  RequestRouter(const VmContext& aContext, Parts aParts);
+
+  /// Takes over a request; the exchange gets a response in any case.
+  void Handle(std::shared_ptr<proxy::Exchange> aExchange);
+
+private:
+  using Done = std::function<void(const RequestResult&)>;
+  struct Request
+  {
+    std::shared_ptr<proxy::Exchange> m_exchange;
+    ParsedRequest m_parsed;
+  };
+  using RequestPtr = std::shared_ptr<const Request>;
+
+  void Admit(const RequestPtr& aRequest, Done aDone);
+  void AdmitScoped(const RequestPtr& aRequest, const policy::ExecutionKey& aKey, Done aDone);
+  void AdmitClaimed(const RequestPtr& aRequest, const policy::ClaimKey& aKey, Done aDone);
+  void Execute(const RequestPtr& aRequest, Done aDone);
+  void ExecuteElsewhere(const RequestPtr& aRequest, const policy::SiteId& aSite, Done aDone);
+  void ExecuteHere(const RequestPtr& aRequest, Done aDone);
+  void FailOver(const RequestPtr& aRequest, Done aDone);
+  void Forward(const RequestPtr& aRequest, const EntryVmRef& aVm, bool aKeepKey, Done aDone);
+  void ForwardToScope(const RequestPtr& aRequest, const policy::ExecutionKey& aKey, Done aDone);
+  std::optional<EntryVmRef> PickVm(const policy::SiteId& aSite) const;
+  bool IsLegal(const ParsedRequest& aRequest, const std::string& aRegion) const;
+  bool MayTransit(const ParsedRequest& aRequest) const;
+  void Answer(proxy::Exchange& aExchange, const RequestResult& aResult) const;
+
+  const VmContext& m_context;
+  const Parts m_parts;
+};
+
+} // namespace jaylane::entry
--- /dev/null
+++ b/packages/entry/src/ServiceDispatcher.cpp
@@ -0,0 +1,429 @@
+#include "ServiceDispatcher.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <random>
+#include <utility>
+
+namespace jaylane::entry {
+
+namespace {
+
+constexpr const char* kAttemptHeader = "X-Attempt";
+constexpr const char* kUpstreamDeadlineHeader = "X-Deadline-Ms";
+constexpr double kMeanTimeWeight = 0.1;
+
+std::function<std::uint64_t()> MakeRandom()
+{
+  return [engine = std::mt19937_64(std::random_device{}())]() mutable { return engine(); };
+}
+
+policy::UpstreamSelectorOptions SelectorOptions(const settings::EffectiveSettings& aSettings)
+{
+  policy::UpstreamSelectorOptions options;
+  options.m_ramp = aSettings.m_slowStartTime;
+  options.m_maxEjected = aSettings.m_maxEjectedPercent / 100.0;
+  return options;
+}
+
+policy::RetryBudget::Options RetryOptions(const settings::EffectiveSettings& aSettings)
+{
+  policy::RetryBudget::Options options;
+  options.m_perMille = aSettings.m_retryBudgetPercent * 10;
+  return options;
+}
+
+policy::OwnResult ToOwnResult(const proxy::AttemptOutcome& aOutcome)
+{
+  switch (aOutcome.m_result) {
+    case proxy::AttemptResult::Completed:
+      return policy::OwnResult::Completed;
+    case proxy::AttemptResult::Rejected:
+      return policy::OwnResult::Refused;
+    case proxy::AttemptResult::NotSent:
+      return aOutcome.m_connectFailed ? policy::OwnResult::Failed : policy::OwnResult::Cancelled;
+    case proxy::AttemptResult::TimedOut:
+      return policy::OwnResult::TimedOut;
+    case proxy::AttemptResult::CallerGone:
+      return policy::OwnResult::Cancelled;
+    case proxy::AttemptResult::ConnectionLost:
+    case proxy::AttemptResult::InvalidResponse:
+    case proxy::AttemptResult::Truncated:
+      break;
+  }
+  return policy::OwnResult::Failed;
+}
+
+bool ProvenNotRun(proxy::AttemptResult aResult)
+{
+  return aResult == proxy::AttemptResult::NotSent || aResult == proxy::AttemptResult::Rejected;
+}
+
+} // namespace
+
+ServiceDispatcher::ServiceDispatcher(const VmContext& aContext,
+                                     std::string aService,
+                                     const settings::EffectiveSettings& aSettings,
+                                     ZoneSlots& aSlots,
+                                     QuarantineGuard& aQuarantine,
+                                     proxy::UpstreamTransport& aTransport)
+  : m_context(aContext)
+  , m_service(std::move(aService))
+  , m_settings(aSettings)
+  , m_slots(aSlots)
+  , m_quarantine(aQuarantine)
+  , m_transport(aTransport)
+  , m_selector(SelectorOptions(aSettings), MakeRandom())
+  , m_queue({ aSettings.m_queueLimitRequests, policy::AdmissionQueue::Order::Fifo })
+  , m_retries(RetryOptions(aSettings))
+{
+}
+
+void ServiceDispatcher::Run(Completions& aCompletions)
+{
+  for (const auto& completion : aCompletions) {
+    completion();
+  }
+}
+
+void ServiceDispatcher::ApplyUpstreams(const std::vector<UpstreamRef>& aUpstreams)
+{
+  std::vector<policy::ListedUpstream> listed;
+  std::lock_guard lock(m_mutex);
+  for (const UpstreamRef& upstream : aUpstreams) {
+    listed.push_back(
+      { upstream.m_id, upstream.m_incarnation, upstream.m_slots, upstream.m_leaving });
+    UpstreamInfo& info = m_upstreams[upstream.m_id];
+    info.m_address = upstream.m_address;
+    info.m_incarnation = upstream.m_incarnation;
+  }
+  m_selector.ApplyList(listed, m_context.m_clock.Monotonic());
+}
+
+void ServiceDispatcher::ApplyProbe(const std::string& aUpstream,
+                                   const std::string& aIncarnation,
+                                   policy::ProbeResult aResult,
+                                   std::optional<std::uint32_t> aReportedInFlight)
+{
+  std::lock_guard lock(m_mutex);
+  const auto now = m_context.m_clock.Monotonic();
+  m_selector.ApplyProbe(aUpstream, aIncarnation, aResult, now);
+  if (aReportedInFlight) {
+    m_selector.ApplyLoad(aUpstream, *aReportedInFlight, now);
+  }
+}
+
+policy::AdmissionQueue::Service ServiceDispatcher::ServiceSpeedLocked() const
+{
+  std::uint32_t owned = 0;
+  for (const auto& [id, info] : m_upstreams) {
+    owned += m_slots.Owned(id);
+  }
+  // The 90% quantile of an exponential distribution is 2.3 times its mean.
+  const auto bound = m_meanTime * 23 / 10;
+  return { bound, m_meanTime / std::max(1U, owned) };
+}
+
+void ServiceDispatcher::Submit(DispatchJob aJob)
+{
+  Completions completions;
+  {
+    std::lock_guard lock(m_mutex);
+    const auto now = m_context.m_clock.Monotonic();
+    const std::uint64_t id = m_nextJob++;
+    const auto deadline = std::min(aJob.m_deadline, now + m_settings.m_queueLimitWait);
+    m_retries.OnRequest(now);
+    m_jobs.emplace(id, Job{ std::move(aJob), 0, false, {} });
+    if (m_queue.Offer({ id, deadline }, { {}, ServiceSpeedLocked().m_perSlot }, now)) {
+      PumpLocked(completions);
+    } else {
+      FinishLocked(
+        id,
+        { Outcome::NotRun, 429, "overloaded", "the queue cannot meet the deadline", 0, {} },
+        completions);
+    }
+  }
+  Run(completions);
+}
+
+void ServiceDispatcher::Tick()
+{
+  Completions completions;
+  {
+    std::lock_guard lock(m_mutex);
+    PumpLocked(completions);
+  }
+  Run(completions);
+}
+
+void ServiceDispatcher::PumpLocked(Completions& aCompletions)
+{
+  const auto now = m_context.m_clock.Monotonic();
+  for (const auto& late : m_queue.DropLate({ {}, ServiceSpeedLocked().m_perSlot }, now)) {
+    FinishLocked(late.m_id,
+                 { Outcome::NotRun, 429, "overloaded", "no slot became free in time", 0, {} },
+                 aCompletions);
+  }
+  while (m_queue.size() > 0 && DispatchNextLocked(aCompletions)) {
+  }
+}
+
+std::optional<policy::UpstreamChoice> ServiceDispatcher::PickLocked(
+  const std::vector<std::string>& aExcluded,
+  base::MonotonicTime aDeadline)
+{
+  const auto now = m_context.m_clock.Monotonic();
+  const auto timeout = aDeadline - now;
+  const auto hasFree = [&](std::string_view aId) {
+    const auto found = m_upstreams.find(std::string(aId));
+    if (found == m_upstreams.end() || !m_slots.HasFree(found->first, timeout)) {
+      return false;
+    }
+    const UpstreamInfo& info = found->second;
+    const auto* state = m_selector.Find(aId);
+    return info.m_inFlight < info.m_limit.Limit(state ? state->m_slots : 1);
+  };
+  return m_selector.Pick(hasFree, aExcluded, now);
+}
+
+bool ServiceDispatcher::DispatchNextLocked(Completions& aCompletions)
+{
+  const auto longest = m_context.m_clock.Monotonic() + m_settings.m_requestTimeout;
+  const auto any = PickLocked({}, longest);
+  if (!any) {
+    return false;
+  }
+  const auto entry = m_queue.Take();
+  if (!entry) {
+    return false;
+  }
+  const Job& job = m_jobs.at(entry->m_id);
+  const auto other = job.m_tried.empty() ? std::optional<policy::UpstreamChoice>()
+                                         : PickLocked(job.m_tried, job.m_request.m_deadline);
+  return StartLocked(entry->m_id, other.value_or(*any), aCompletions);
+}
+
+bool ServiceDispatcher::StartLocked(std::uint64_t aJob,
+                                    const policy::UpstreamChoice& aChoice,
+                                    Completions& aCompletions)
+{
+  Job& job = m_jobs.at(aJob);
+  UpstreamInfo& info = m_upstreams.at(aChoice.m_id);
+  const auto now = m_context.m_clock.Monotonic();
+  const auto ticket = m_slots.Acquire(aChoice.m_id, job.m_request.m_deadline - now);
+  if (!ticket) {
+    FinishLocked(aJob, { Outcome::NotRun, 429, "overloaded", "no free slot", 0, {} }, aCompletions);
+    return true;
+  }
+  ++job.m_attempts;
+  job.m_tried.push_back(aChoice.m_id);
+  ++info.m_inFlight;
+  m_selector.Dispatched(aChoice);
+  const auto attempt = std::make_shared<Attempt>(
+    Attempt{ aJob,
+             aChoice,
+             info.m_incarnation,
+             fmt::format("{}-{}", m_context.m_incarnationText.substr(0, 12), m_nextAttempt++),
+             *ticket,
+             now,
+             std::min(job.m_request.m_deadline, ticket->m_endBy) });
+  const bool started =
+    m_transport.Start(job.m_request.m_exchange,
+                      MakeSpecLocked(job, info, attempt),
+                      [self = shared_from_this(), attempt](const proxy::AttemptOutcome& aOutcome) {
+                        self->OnAttemptDone(*attempt, aOutcome);
+                      });
+  if (!started) {
+    m_slots.Release(*ticket);
+    --info.m_inFlight;
+    m_selector.Finished(aChoice, policy::OwnResult::Cancelled, {}, now);
+    FinishLocked(
+      aJob, { Outcome::NotRun, 429, "overloaded", "too many attempts", 0, {} }, aCompletions);
+  }
+  return true;
+}
+
+proxy::AttemptSpec ServiceDispatcher::MakeSpecLocked(const Job& aJob,
+                                                     const UpstreamInfo& aInfo,
+                                                     std::shared_ptr<const Attempt> aAttempt)
+{
+  proxy::AttemptSpec spec;
+  spec.m_address = aInfo.m_address;
+  spec.m_target = aJob.m_request.m_target;
+  spec.m_headers = aJob.m_request.m_headers;
+  spec.m_deadline = aAttempt->m_deadline;
+  spec.m_reuseConnection = aJob.m_request.m_idempotent;
+  const auto remaining = std::chrono::duration_cast<std::chrono::milliseconds>(
+    aAttempt->m_deadline - m_context.m_clock.Monotonic());
+  spec.m_headers.Add(kUpstreamDeadlineHeader, fmt::format("{}", remaining.count()));
+  spec.m_headers.Add(kAttemptHeader, aAttempt->m_attemptId);
+  spec.m_maySend = [self = shared_from_this(), aAttempt] {
+    const auto now = self->m_context.m_clock.Monotonic();
+    return self->m_slots.MayDispatch(aAttempt->m_ticket, aAttempt->m_deadline - now);
+  };
+  spec.m_onHead =
+    [self = shared_from_this(), aAttempt, attempts = aJob.m_attempts](proxy::ResponseHead& aHead) {
+      return self->JudgeHead(*aAttempt, attempts, aHead);
+    };
+  return spec;
+}
+
+proxy::HeadVerdict ServiceDispatcher::JudgeHead(const Attempt& aAttempt,
+                                                unsigned aAttempts,
+                                                proxy::ResponseHead& aHead) const
+{
+  const auto refusal = aHead.m_headers.Find(m_settings.m_refusalHeaderName);
+  if (aHead.m_status == 503 && refusal == m_settings.m_refusalHeaderValue) {
+    return proxy::HeadVerdict::Rejected;
+  }
+  const auto echoed = aHead.m_headers.Find(kAttemptHeader);
+  if (echoed && *echoed != aAttempt.m_attemptId) {
+    return proxy::HeadVerdict::Invalid;
+  }
+  // An upstream must not be able to forge what only an entry VM may say.
+  for (const char* name : { kOutcomeHeader, kErrorHeader, kAttemptsHeader, kUpstreamHeader }) {
+    aHead.m_headers.Remove(name);
+  }
+  aHead.m_headers.Add(kOutcomeHeader, OutcomeName(Outcome::Completed));
+  aHead.m_headers.Add(kAttemptsHeader, fmt::format("{}", aAttempts));
+  aHead.m_headers.Add(kUpstreamHeader, aAttempt.m_choice.m_id);
+  aHead.m_headers.Add(kVmHeader, m_context.m_settings.m_id);
+  return proxy::HeadVerdict::Forward;
+}
+
+void ServiceDispatcher::ObserveLocked(const Attempt& aAttempt,
+                                      const proxy::AttemptOutcome& aOutcome)
+{
+  const auto now = m_context.m_clock.Monotonic();
+  m_slots.Release(aAttempt.m_ticket);
+  m_selector.Finished(aAttempt.m_choice, ToOwnResult(aOutcome), aOutcome.m_duration, now);
+  UpstreamInfo& info = m_upstreams.at(aAttempt.m_choice.m_id);
+  const auto* state = m_selector.Find(aAttempt.m_choice.m_id);
+  const std::uint32_t slots = state ? state->m_slots : 1;
+  if (aOutcome.m_result == proxy::AttemptResult::Completed) {
+    info.m_limit.OnCompleted(aAttempt.m_startedAt, now, info.m_inFlight, slots);
+    m_latency.Record(aOutcome.m_duration);
+    m_meanTime += std::chrono::duration_cast<std::chrono::nanoseconds>(
+      kMeanTimeWeight * (aOutcome.m_duration - m_meanTime));
+  } else if (aOutcome.m_result == proxy::AttemptResult::Rejected ||
+             aOutcome.m_result == proxy::AttemptResult::TimedOut) {
+    info.m_limit.OnShed(aAttempt.m_startedAt, now, slots);
+  }
+  m_invalidResponses += aOutcome.m_result == proxy::AttemptResult::InvalidResponse;
+  --info.m_inFlight;
+}
+
+void ServiceDispatcher::RecordFingerprint(const Attempt& aAttempt,
+                                          const policy::RequestFingerprint& aFingerprint,
+                                          const proxy::AttemptOutcome& aOutcome)
+{
+  if (aOutcome.m_result == proxy::AttemptResult::ConnectionLost) {
+    m_quarantine.RecordLoss(
+      aFingerprint,
+      policy::QuarantineList::HashUpstream(aAttempt.m_choice.m_id, aAttempt.m_incarnation));
+  } else if (aOutcome.m_result == proxy::AttemptResult::Completed) {
+    m_quarantine.RecordCompleted(aFingerprint);
+  }
+}
+
+bool ServiceDispatcher::MayRetryLocked(const Job& aJob, const proxy::AttemptOutcome& aOutcome)
+{
+  using proxy::AttemptResult;
+  const bool ended = aOutcome.m_result == AttemptResult::Completed ||
+                     aOutcome.m_result == AttemptResult::Truncated ||
+                     aOutcome.m_result == AttemptResult::CallerGone;
+  const bool safe = ProvenNotRun(aOutcome.m_result) || aJob.m_request.m_idempotent;
+  const auto now = m_context.m_clock.Monotonic();
+  return !ended && safe && aJob.m_attempts < m_settings.m_retryAttempts &&
+         now < aJob.m_request.m_deadline && aJob.m_request.m_exchange->CanReplay() &&
+         !aJob.m_request.m_exchange->CallerGone() &&
+         !m_quarantine.IsQuarantined(aJob.m_request.m_fingerprint) && m_retries.TryRetry(now);
+}
+
+RequestResult ServiceDispatcher::ResultOf(const Job& aJob,
+                                          const Attempt& aAttempt,
+                                          const proxy::AttemptOutcome& aOutcome) const
+{
+  using proxy::AttemptResult;
+  RequestResult result;
+  result.m_attempts = aJob.m_attempts;
+  result.m_upstream = aAttempt.m_choice.m_id;
+  result.m_error = fmt::format("upstream-{}", proxy::AttemptResultName(aOutcome.m_result));
+  result.m_message = aOutcome.m_detail;
+  if (aOutcome.m_result == AttemptResult::Completed) {
+    result.m_outcome = Outcome::Completed;
+    result.m_status = aOutcome.m_status;
+    result.m_error.clear();
+  } else if (!aJob.m_mayHaveRun) {
+    result.m_outcome = Outcome::NotRun;
+    result.m_status = 503;
+  } else {
+    result.m_outcome = Outcome::Unknown;
+    result.m_status = aOutcome.m_result == AttemptResult::TimedOut ? 504 : 502;
+  }
+  return result;
+}
+
+void ServiceDispatcher::OnAttemptDone(const Attempt& aAttempt,
+                                      const proxy::AttemptOutcome& aOutcome)
+{
+  Completions completions;
+  {
+    std::lock_guard lock(m_mutex);
+    ObserveLocked(aAttempt, aOutcome);
+    Job& job = m_jobs.at(aAttempt.m_job);
+    job.m_mayHaveRun |= !ProvenNotRun(aOutcome.m_result);
+    RecordFingerprint(aAttempt, job.m_request.m_fingerprint, aOutcome);
+    const auto now = m_context.m_clock.Monotonic();
+    const bool requeued = MayRetryLocked(job, aOutcome) &&
+                          m_queue.Offer({ aAttempt.m_job, job.m_request.m_deadline }, {}, now);
+    if (!requeued) {
+      FinishLocked(aAttempt.m_job, ResultOf(job, aAttempt, aOutcome), completions);
+    }
+    PumpLocked(completions);
+  }
+  Run(completions);
+}
+
+void ServiceDispatcher::FinishLocked(std::uint64_t aJob,
+                                     RequestResult aResult,
+                                     Completions& aCompletions)
+{
+  const auto found = m_jobs.find(aJob);
+  const Job& job = found->second;
+  // A request that was retried and then dropped from the queue may have run before.
+  if (job.m_mayHaveRun && aResult.m_outcome == Outcome::NotRun) {
+    aResult.m_outcome = Outcome::Unknown;
+    aResult.m_status = 502;
+  }
+  aResult.m_attempts = job.m_attempts;
+  aCompletions.push_back([done = std::move(found->second.m_request.m_done),
+                          result = std::move(aResult)] { done(result); });
+  m_jobs.erase(found);
+}
+
+Json::Value ServiceDispatcher::Status() const
+{
+  std::lock_guard lock(m_mutex);
+  Json::Value json(Json::objectValue);
+  json["service"] = m_service;
+  json["queued"] = Json::UInt64(m_queue.size());
+  json["requests"] = Json::UInt64(m_jobs.size());
+  json["invalid_responses"] = Json::UInt64(m_invalidResponses);
+  json["latency"] = m_latency.ToJson();
+  json["upstreams"] = Json::arrayValue;
+  static constexpr const char* kPhases[] = { "joining", "warming", "active",
+                                             "suspect", "leaving", "gone" };
+  for (const policy::UpstreamState& upstream : m_selector.Upstreams()) {
+    Json::Value entry(Json::objectValue);
+    entry["id"] = upstream.m_id;
+    entry["state"] = kPhases[static_cast<std::size_t>(upstream.Phase())];
+    entry["in_flight"] = upstream.m_inFlight;
+    entry["slots"] = upstream.m_slots;
+    entry["owned"] = m_slots.Owned(upstream.m_id);
+    json["upstreams"].append(entry);
+  }
+  return json;
+}
+
+} // namespace jaylane::entry
--- /dev/null
+++ b/packages/entry/src/ShareKeeper.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "Directory.h"
+#include "ZoneSlots.h"
+#include "jaylane/platform/Store.h"
+#include "jaylane/policy/DepartureTracker.h"
+#include "jaylane/policy/SharePlans.h"
+#include "jaylane/policy/ShareTable.h"
+
+#include <atomic>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace jaylane::entry {
+
+/// Keeps the zone's share table: creates it, donates surplus units, reclaims those of VMs that
+/// no longer run. Every change is a conditional update, so concurrent VMs cannot conflict.
+class ShareKeeper
+{
+public:
+  ShareKeeper(const VmContext& aContext,
+              platform::Store& aStore,
+              const Directory& aDirectory,
+              ZoneSlots& aSlots);
+
+  /// @return key of the zone's object.
+  const std::string& Key() const { return m_key; }
+
+  /// Takes a table from the store or a peer; older versions are ignored.
+  void Receive(const std::string& aText, platform::Version aVersion);
+
+  /// Takes note of a VM list, which tells which owners no longer run.
+  void ObserveList(const DirectoryView& aView);
+
+  /// One round of upkeep. Calls the store; runs on its own thread.
+  void Run();
+
+  /// From now on this VM gives away all its units.
+  void BeginLeave() { m_leaving = true; }
+
+  /// @return whether this VM owns no unit, or the table is not known.
+  bool HasLeft() const;
+
+private:
+  struct Known
+  {
+    policy::ShareTable m_table;
+    platform::Version m_version = 0;
+  };
+
+  std::optional<Known> Snapshot() const;
+  std::vector<policy::VmIncarnation> RunningVms() const;
+  void CreateTable();
+  void Reclaim(const Known& aKnown, const std::vector<std::string>& aRunning);
+  bool Donate(const Known& aKnown, const std::vector<std::string>& aRunning);
+  void Write(policy::ShareTable aTable, platform::Version aExpected, const char* aReason);
+  void ReadBack();
+
+  const VmContext& m_context;
+  platform::Store& m_store;
+  const Directory& m_directory;
+  ZoneSlots& m_slots;
+  const std::string m_key;
+  std::atomic<bool> m_leaving{ false };
+  mutable std::mutex m_mutex;
+  std::optional<Known> m_known;
+  policy::DepartureTracker m_departures;
+  std::vector<std::uint32_t> m_draining;
+  std::uint64_t m_nextNonce = 1;
+};
+
+} // namespace jaylane::entry
--- /dev/null
+++ b/packages/entry/src/ShiftController.cpp
@@ -0,0 +1,267 @@
+#include "ShiftController.h"
+
+#include <algorithm>
+#include <utility>
+#include <xxhash.h>
+
+namespace jaylane::entry {
+
+namespace {
+
+constexpr std::chrono::milliseconds kCallTimeout{ 1000 };
+// Share of the capacity that is assumed to be in use while no load is measured. Every bucket
+// then weighs the same, so the cap counts buckets.
+constexpr double kAssumedUse = 0.5;
+// Callers in the same region reach a site within this time; links add theirs.
+constexpr std::chrono::microseconds kLocalLatency{ 3000 };
+
+bool Covers(const settings::Drain& aDrain, const policy::SiteId& aSite)
+{
+  switch (aDrain.m_scope) {
+    case settings::DrainScope::Site:
+      return aDrain.m_target == aSite.m_region + "/" + aSite.m_zone;
+    case settings::DrainScope::Region:
+      return aDrain.m_target == aSite.m_region;
+    case settings::DrainScope::Upstream:
+      break;
+  }
+  return false;
+}
+
+/// Limits that hold for a service in every region: the smallest cap and the longest times, since
+/// a shift involves all of them.
+policy::ShiftLimits LimitsOf(const settings::SettingsTree& aTree, const std::string& aService)
+{
+  policy::ShiftLimits limits;
+  bool first = true;
+  for (const settings::Region& region : aTree.Regions()) {
+    const auto effective = aTree.Effective(region.m_name, aService, "");
+    const double cap = effective.m_shiftPlannedPartPercent / 100.0;
+    limits.m_plannedCap = first ? cap : std::min(limits.m_plannedCap, cap);
+    limits.m_window = std::max<std::chrono::milliseconds>(
+      first ? std::chrono::milliseconds{ 0 } : limits.m_window, effective.m_shiftWindow);
+    limits.m_lookupLifetime = std::max(
+      first ? std::chrono::milliseconds{ 0 } : limits.m_lookupLifetime, effective.m_lookupLifetime);
+    limits.m_reserve = effective.m_plannerReservePercent / 100.0;
+    limits.m_latencyWeight = effective.m_latencyWeightPercent / 100.0;
+    limits.m_recoveryHold = effective.m_recoveryHold;
+    first = false;
+  }
+  limits.m_maxClockDifference = ConfigState::kMaxClockError;
+  return limits;
+}
+
+} // namespace
+
+ShiftController::ShiftController(const VmContext& aContext,
+                                 platform::Store& aStore,
+                                 const ConfigState& aConfig,
+                                 const Directory& aDirectory,
+                                 SteeringState& aSteering)
+  : m_context(aContext)
+  , m_store(aStore)
+  , m_config(aConfig)
+  , m_directory(aDirectory)
+  , m_steering(aSteering)
+{
+}
+
+policy::SiteState ShiftController::StateOf(const Config& aConfig,
+                                           const ServiceConfig& aService,
+                                           const policy::SiteId& aSite) const
+{
+  const auto view = m_directory.Current();
+  const bool serves = view->Capacity(aService.m_service.m_name, aSite) > 0;
+  if (!serves || !m_directory.IsSiteUsable(aSite)) {
+    return policy::SiteState::Dead;
+  }
+  for (const settings::Drain& drain : aConfig.m_document.m_tree.Drains()) {
+    if (Covers(drain, aSite)) {
+      return policy::SiteState::Drained;
+    }
+  }
+  return policy::SiteState::Live;
+}
+
+base::WallTime ShiftController::ObserveSite(const std::string& aService,
+                                            const policy::SiteId& aSite,
+                                            policy::SiteState aState) const
+{
+  std::lock_guard lock(m_mutex);
+  SiteLife& life = m_sites[{ aService, aSite }];
+  if (life.m_state != aState) {
+    life.m_state = aState;
+    life.m_liveSince = m_context.m_clock.Wall();
+  }
+  return life.m_liveSince;
+}
+
+policy::Topology ShiftController::MakeTopology(const Config& aConfig,
+                                               const ServiceConfig& aService) const
+{
+  const std::string& service = aService.m_service.m_name;
+  const auto view = m_directory.Current();
+  policy::Topology topology;
+  for (const settings::Region& region : aConfig.m_document.m_tree.Regions()) {
+    for (const std::string& zone : region.m_zones) {
+      const policy::SiteId id{ region.m_name, zone };
+      const auto state = StateOf(aConfig, aService, id);
+      topology.m_sites.push_back({ id,
+                                   state,
+                                   static_cast<double>(view->Capacity(service, id)),
+                                   ObserveSite(service, id, state) });
+    }
+    topology.m_latencies.push_back({ region.m_name, region.m_name, kLocalLatency });
+  }
+  for (const settings::Link& link : aConfig.m_document.m_tree.Links()) {
+    topology.m_latencies.push_back(
+      { link.m_from, link.m_to, kLocalLatency + 2 * link.m_oneWayDelay });
+  }
+  return topology;
+}
+
+policy::PlanInput ShiftController::MakeInput(const Config& aConfig,
+                                             const ServiceConfig& aService) const
+{
+  policy::PlanInput input;
+  input.m_topology = MakeTopology(aConfig, aService);
+  input.m_legal = aService.m_legal;
+  input.m_limits = LimitsOf(aConfig.m_document.m_tree, aService.m_service.m_name);
+  double capacity = 0;
+  for (const policy::Site& site : input.m_topology.m_sites) {
+    capacity += site.m_capacity;
+  }
+  const auto buckets = aConfig.m_origins.size() * policy::kBucketsPerOrigin;
+  input.m_load.m_buckets.assign(buckets, kAssumedUse * capacity / static_cast<double>(buckets));
+  return input;
+}
+
+bool ShiftController::IsPlanner(const std::string& aService) const
+{
+  const auto rank = [&](const std::string& aIncarnation) {
+    return XXH3_64bits_withSeed(
+      aIncarnation.data(), aIncarnation.size(), XXH3_64bits(aService.data(), aService.size()));
+  };
+  const auto own = rank(m_context.m_incarnationText);
+  const auto view = m_directory.Current();
+  return std::none_of(view->m_entryVms.begin(), view->m_entryVms.end(), [&](const EntryVmRef& aVm) {
+    return m_directory.IsUsable(aVm) && rank(aVm.m_incarnation) < own;
+  });
+}
+
+void ShiftController::Run()
+{
+  const auto config = m_config.Current();
+  if (!config || m_directory.Current()->m_entryVms.empty()) {
+    return;
+  }
+  for (const auto& [name, service] : config->m_services) {
+    RunService(*config, service);
+  }
+}
+
+void ShiftController::RunService(const Config& aConfig, const ServiceConfig& aService)
+{
+  const std::string& name = aService.m_service.m_name;
+  const auto input = MakeInput(aConfig, aService);
+  m_steering.CatchUp(name, input);
+  if (!IsPlanner(name)) {
+    return;
+  }
+  if (m_steering.Newest(name)) {
+    PlanNext(name, input);
+  } else {
+    CreateTable(name, input);
+  }
+}
+
+void ShiftController::CreateTable(const std::string& aService, const policy::PlanInput& aInput)
+{
+  const bool anyLive =
+    std::any_of(aInput.m_topology.m_sites.begin(),
+                aInput.m_topology.m_sites.end(),
+                [](const policy::Site& aSite) { return aSite.m_state == policy::SiteState::Live; });
+  const auto existing = m_store.Get("table/" + aService, kCallTimeout);
+  if (existing || !anyLive || existing.GetError().m_code != platform::PlatformErrc::NotFound) {
+    return;
+  }
+  std::vector<policy::SiteId> sites;
+  for (const policy::Site& site : aInput.m_topology.m_sites) {
+    sites.push_back(site.m_id);
+  }
+  const auto config = m_config.Current();
+  const auto empty = policy::SteeringTable::Make(aService, config->m_origins, sites);
+  if (!empty) {
+    return;
+  }
+  auto table = policy::ShiftPlanner::MakeInitial(*empty, aInput, m_context.m_clock.Wall());
+  if (table) {
+    Publish(aService, std::move(*table), platform::kAbsent);
+  }
+}
+
+void ShiftController::PlanNext(const std::string& aService, const policy::PlanInput& aInput)
+{
+  const auto newest = m_steering.Newest(aService);
+  auto plan = policy::ShiftPlanner::PlanStep(
+    newest->m_table, newest->m_seenAt, aInput, m_context.m_clock.Wall());
+  if (!plan) {
+    Json::Value fields;
+    fields["service"] = aService;
+    fields["error"] = plan.GetError().Message();
+    m_context.m_log.Warning("cannot plan the next step of a shift", fields);
+    return;
+  }
+  Json::Value status(Json::objectValue);
+  double remaining = 0;
+  for (const double share : plan->m_remaining) {
+    remaining += share;
+  }
+  static constexpr const char* kStates[] = { "settled",     "step",        "step-pending",
+                                             "cap-reached", "no-capacity", "too-heavy" };
+  status["state"] = kStates[static_cast<std::size_t>(plan->m_state)];
+  status["remaining_share"] = remaining;
+  if (plan->m_state == policy::PlanState::Step) {
+    Json::Value fields(status);
+    fields["service"] = aService;
+    fields["moved_share"] = plan->m_movedShare;
+    if (Publish(aService, std::move(plan->m_table), newest->m_version)) {
+      m_context.m_events.Record("shift-step", fields);
+    }
+  }
+  std::lock_guard lock(m_mutex);
+  m_status[aService] = std::move(status);
+}
+
+bool ShiftController::Publish(const std::string& aService,
+                              policy::SteeringTable aTable,
+                              platform::Version aExpected)
+{
+  aTable.SetStamp({ m_context.m_incarnationText, std::to_string(m_nextNonce++) });
+  const std::string text = aTable.ToJson();
+  const std::string key = "table/" + aService;
+  const auto version = m_store.Put(key, text, aExpected, kCallTimeout);
+  if (version) {
+    m_steering.Receive(aService, text, *version);
+    return true;
+  }
+  // Another planner was faster, or the response was lost: the store's table is the one to
+  // continue from in both cases.
+  const auto object = m_store.Get(key, kCallTimeout);
+  if (object) {
+    m_steering.Receive(aService, object->m_value, object->m_version);
+  }
+  return false;
+}
+
+Json::Value ShiftController::Status() const
+{
+  std::lock_guard lock(m_mutex);
+  Json::Value json(Json::objectValue);
+  for (const auto& [service, status] : m_status) {
+    json[service] = status;
+  }
+  return json;
+}
+
+} // namespace jaylane::entry
--- /dev/null
+++ b/packages/entry/src/ShiftController.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "ConfigState.h"
+#include "Directory.h"
+#include "SteeringState.h"
+#include "jaylane/platform/Store.h"
+#include "jaylane/policy/ShiftPlanner.h"
+
+#include <map>
+#include <mutex>
+#include <string>
+
+namespace jaylane::entry {
+
+/// Plans traffic shifts and publishes them, and steps this VM's tables toward the newest.
+/// One VM plans for a service at a time, by rank; if several do, the conditional update lets
+/// one of them through.
+class ShiftController
+{
+public:
+  ShiftController(const VmContext& aContext,
+                  platform::Store& aStore,
+                  const ConfigState& aConfig,
+                  const Directory& aDirectory,
+                  SteeringState& aSteering);
+
+  /// One round for all services. Calls the store; runs on its own thread.
+  void Run();
+
+  /// @return {"<service>":{"state","remaining_share","next_at_ms"}} of the last round.
+  Json::Value Status() const;
+
+  /// The planner's input for a service, as known to this VM.
+  policy::PlanInput MakeInput(const Config& aConfig, const ServiceConfig& aService) const;
+
+private:
+  struct SiteLife
+  {
+    policy::SiteState m_state = policy::SiteState::Dead;
+    base::WallTime m_liveSince;
+  };
+
+  bool IsPlanner(const std::string& aService) const;
+  void RunService(const Config& aConfig, const ServiceConfig& aService);
+  void CreateTable(const std::string& aService, const policy::PlanInput& aInput);
+  void PlanNext(const std::string& aService, const policy::PlanInput& aInput);
+  bool Publish(const std::string& aService,
+               policy::SteeringTable aTable,
+               platform::Version aExpected);
+  policy::Topology MakeTopology(const Config& aConfig, const ServiceConfig& aService) const;
+  policy::SiteState StateOf(const Config& aConfig,
+                            const ServiceConfig& aService,
+                            const policy::SiteId& aSite) const;
+  base::WallTime ObserveSite(const std::string& aService,
+                             const policy::SiteId& aSite,
+                             policy::SiteState aState) const;
+
+  const VmContext& m_context;
+  platform::Store& m_store;
+  const ConfigState& m_config;
+  const Directory& m_directory;
+  SteeringState& m_steering;
+  mutable std::mutex m_mutex;
+  mutable std::map<std::pair<std::string, policy::SiteId>, SiteLife> m_sites;
+  std::map<std::string, Json::Value> m_status;
+  std::uint64_t m_nextNonce = 1;
+};
+
+} // namespace jaylane::entry
--- /dev/null
+++ b/packages/entry/src/StoreSync.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "ConfigState.h"
+#include "Directory.h"
+#include "ShareKeeper.h"
+#include "SteeringState.h"
+#include "jaylane/base/PeriodicThread.h"
+#include "jaylane/platform/Store.h"
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace jaylane::entry {
+
+/// Counts of calls to the platform.
+struct StoreCalls
+{
+  std::atomic<std::uint64_t> m_made{ 0 };
+  std::atomic<std::uint64_t> m_failed{ 0 };
+};
+
+/// Keeps this VM's copies of the platform's objects and VM list up to date: one thread for each
+/// watch and one for the list. An outage leaves the copies as they are.
+class StoreSync
+{
+public:
+  /// Receives an object that changed; deletions are ignored, since nothing here is deleted.
+  using ObjectHook = std::function<void(const platform::StoreObject&)>;
+
+  StoreSync(const VmContext& aContext, platform::Store& aStore);
+
+  /// Starts to watch the objects of a prefix.
+  void Watch(std::string aPrefix, ObjectHook aHook);
+
+  /// Starts to poll the VM list.
+  /// @param aHook receives each list and the time before its request.
+  void PollVms(std::function<void(const platform::VmList&, base::MonotonicTime)> aHook);
+
+  void Stop();
+
+  /// @return {"made","failed"}.
+  Json::Value ToJson() const;
+
+private:
+  void RunWatch(const std::string& aPrefix, platform::Version& aAfter, const ObjectHook& aHook);
+
+  const VmContext& m_context;
+  platform::Store& m_store;
+  StoreCalls m_calls;
+  std::atomic<bool> m_reachable{ true };
+  std::vector<std::unique_ptr<base::PeriodicThread>> m_threads;
+};
+
+} // namespace jaylane::entry
--- /dev/null
+++ b/packages/entry/src/ZoneSlots.cpp
@@ -0,0 +1,62 @@
+#include "ZoneSlots.h"
+
+namespace jaylane::entry {
+
+ZoneSlots::ZoneSlots(const VmContext& aContext, policy::SlotPool::Options aOptions)
+  : m_context(aContext)
+  , m_pool(aContext.m_incarnationText, aOptions)
+{
+}
+
+void ZoneSlots::SetUpstreams(const std::vector<UpstreamRef>& aUpstreams)
+{
+  std::lock_guard lock(m_mutex);
+  std::set<std::string> listed;
+  for (const UpstreamRef& upstream : aUpstreams) {
+    listed.insert(upstream.m_id);
+    m_pool.SetUpstream(upstream.m_id, upstream.m_slots);
+  }
+  for (const std::string& known : m_known) {
+    if (listed.count(known) == 0) {
+      m_pool.SetUpstream(known, 0);
+    }
+  }
+  m_known = std::move(listed);
+}
+
+std::optional<policy::SlotTicket> ZoneSlots::Acquire(const std::string& aUpstream,
+                                                     std::chrono::nanoseconds aTimeout)
+{
+  std::lock_guard lock(m_mutex);
+  const auto index = m_pool.Find(aUpstream);
+  return index ? m_pool.Acquire(*index, m_context.m_clock.Monotonic(), aTimeout) : std::nullopt;
+}
+
+bool ZoneSlots::MayDispatch(const policy::SlotTicket& aTicket,
+                            std::chrono::nanoseconds aTimeout) const
+{
+  std::lock_guard lock(m_mutex);
+  return m_pool.MayDispatch(aTicket, m_context.m_clock.Monotonic(), aTimeout);
+}
+
+void ZoneSlots::Release(const policy::SlotTicket& aTicket)
+{
+  std::lock_guard lock(m_mutex);
+  m_pool.Release(aTicket);
+}
+
+bool ZoneSlots::HasFree(const std::string& aUpstream, std::chrono::nanoseconds aTimeout) const
+{
+  std::lock_guard lock(m_mutex);
+  const auto index = m_pool.Find(aUpstream);
+  return index && m_pool.Free(*index, m_context.m_clock.Monotonic(), aTimeout) > 0;
+}
+
+std::uint32_t ZoneSlots::Owned(const std::string& aUpstream) const
+{
+  std::lock_guard lock(m_mutex);
+  const auto index = m_pool.Find(aUpstream);
+  return index ? m_pool.Owned(*index, m_context.m_clock.Monotonic()) : 0;
+}
+
+} // namespace jaylane::entry
--- /dev/null
+++ b/packages/entry/src/ZoneSlots.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "Directory.h"
+#include "VmContext.h"
+#include "jaylane/policy/ShareTable.h"
+#include "jaylane/policy/SlotPool.h"
+
+#include <functional>
+#include <mutex>
+#include <optional>
+#include <string>
+
+namespace jaylane::entry {
+
+/// The slots of this zone's upstreams that this VM may use: a thread-safe SlotPool.
+class ZoneSlots
+{
+public:
+  ZoneSlots(const VmContext& aContext, policy::SlotPool::Options aOptions);
+
+  /// @param aUpstreams upstreams of this zone; those missing get no further attempts.
+  void SetUpstreams(const std::vector<UpstreamRef>& aUpstreams);
+
+  /// @return a slot for one attempt, or nothing.
+  std::optional<policy::SlotTicket> Acquire(const std::string& aUpstream,
+                                            std::chrono::nanoseconds aTimeout);
+
+  /// @return whether an attempt may still be sent; checked right before dispatch.
+  bool MayDispatch(const policy::SlotTicket& aTicket, std::chrono::nanoseconds aTimeout) const;
+
+  void Release(const policy::SlotTicket& aTicket);
+
+  /// @return whether Acquire() would succeed.
+  bool HasFree(const std::string& aUpstream, std::chrono::nanoseconds aTimeout) const;
+
+  /// @return slots of the upstream that this VM owns.
+  std::uint32_t Owned(const std::string& aUpstream) const;
+
+  /// Runs a function on the pool under its lock.
+  template<typename Function>
+  auto With(Function aFunction)
+  {
+    std::lock_guard lock(m_mutex);
+    return aFunction(m_pool);
+  }
+
+private:
+  const VmContext& m_context;
+  mutable std::mutex m_mutex;
+  policy::SlotPool m_pool;
+  std::set<std::string> m_known;
+};
+
+} // namespace jaylane::entry
--- a/packages/testing/include/jaylane/testing/DeploymentHarness.h
+++ b/packages/testing/include/jaylane/testing/DeploymentHarness.h
@@ -32,9 +32,9 @@
   std::vector<ServicePlan> m_services;
   /// Value of the object settings/tree; not written if empty.
   std::string m_tree;
-  std::string m_peerKey = "test-peer-key";
-  std::string m_readToken = "test-read-token";
-  std::string m_writeToken = "test-write-token";
+  std::string m_peerKey = "test-peer-key-0123";
+  std::string m_readToken = "test-read-token-0123";
+  std::string m_writeToken = "test-write-token-0123";
   /// Whether traffic between zones and to the platform runs over link relays.
   bool m_links = false;
 };
--- a/packages/testing/include/jaylane/testing/HttpCall.h
+++ b/packages/testing/include/jaylane/testing/HttpCall.h
@@ -24,9 +24,11 @@
 /// @param aUrl whole URL.
 /// @param aBody sent as JSON, on a connection of its own.
 /// @param aTimeout of the whole call.
+/// @param aHeaders further header lines.
 /// @return the reply, or nothing if there was none.
 std::optional<HttpReply> HttpPost(const std::string& aUrl,
                                   const std::string& aBody,
-                                  std::chrono::milliseconds aTimeout);
+                                  std::chrono::milliseconds aTimeout,
+                                  const std::vector<std::string>& aHeaders = {});
 
 } // namespace jaylane::testing
--- /dev/null
+++ b/packages/testing/include/jaylane/testing/Scenario.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "jaylane/base/Error.h"
+#include "jaylane/settings/SettingsTree.h"
+#include "jaylane/testing/CallerOptions.h"
+#include "jaylane/testing/DeploymentHarness.h"
+#include "jaylane/testing/HistoryRules.h"
+#include "jaylane/testing/HttpCall.h"
+
+#include <chrono>
+#include <deque>
+#include <json/value.h>
+#include <memory>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace jaylane::testing {
+
+struct ScenarioOptions
+{
+  settings::SettingsTree m_tree;
+  unsigned m_entryVmsPerZone = 2;
+  unsigned m_upstreamsPerZone = 1;
+  unsigned m_slots = 4;
+  std::chrono::milliseconds m_serviceTime{ 20 };
+  /// Further flags of all upstreams.
+  std::vector<std::string> m_upstreamFlags;
+  /// Whether traffic between zones and to the platform runs over link relays.
+  bool m_links = false;
+};
+
+/// A deployment of processes with callers and a check of the history at the end.
+class Scenario
+{
+public:
+  /// Starts all processes and waits until every entry VM serves every service.
+  /// @param aDeployment from DeploymentHarness::Make().
+  static base::Result<std::unique_ptr<Scenario>> Make(
+    std::unique_ptr<DeploymentHarness> aDeployment,
+    const ScenarioOptions& aOptions);
+
+  /// Joins the callers.
+  ~Scenario();
+
+  DeploymentHarness& Deployment() { return *m_deployment; }
+
+  /// Starts a caller on a thread of its own. Its entries and record file are filled in.
+  void StartCaller(CallerOptions aOptions);
+
+  /// @return summaries of all callers, once they have ended.
+  const std::deque<Json::Value>& JoinCallers();
+
+  /// @return HistoryChecker::Report() over all records so far.
+  base::Result<Json::Value> Check(const HistoryRules& aRules) const;
+
+  /// Calls the administration API.
+  /// @param aVm id of the entry VM.
+  /// @param aPath with query.
+  std::optional<Json::Value> AdminGet(const std::string& aVm, const std::string& aPath) const;
+  std::optional<HttpReply> AdminPost(const std::string& aVm,
+                                     const std::string& aPath,
+                                     const Json::Value& aBody) const;
+
+  /// @return an address of a client block of the region, different for each number.
+  std::string CallerAddress(const std::string& aRegion, unsigned aNumber) const;
+
+  /// @return whether the VM answers a lookup for every service.
+  bool IsServing(const std::string& aVm) const;
+
+  /// @return ids of all entry VMs.
+  std::vector<std::string> EntryVms() const;
+
+private:
+  Scenario(std::unique_ptr<DeploymentHarness> aDeployment, settings::SettingsTree aTree);
+
+  std::unique_ptr<DeploymentHarness> m_deployment;
+  const settings::SettingsTree m_tree;
+  std::vector<std::thread> m_threads;
+  std::vector<std::string> m_callerFiles;
+  std::deque<Json::Value> m_summaries;
+};
+
+} // namespace jaylane::testing
--- a/packages/testing/src/DeploymentHarness.cpp
+++ b/packages/testing/src/DeploymentHarness.cpp
@@ -135,7 +135,6 @@
   settings.m_id = aId;
   settings.m_region = zone.m_region;
   settings.m_zone = zone.m_zone;
-  settings.m_incarnation = NewIncarnation();
   settings.m_platformUrl = m_links ? m_links->PlatformUrl(zone.m_zone) : m_platformUrl;
   settings.m_peerKey = m_plan.m_peerKey;
   settings.m_readToken = m_plan.m_readToken;
@@ -161,7 +160,7 @@
   vm.m_address = (*line)["caller_address"].asString();
   vm.m_peerAddress = (*line)["peer_address"].asString();
   vm.m_adminAddress = (*line)["admin_address"].asString();
-  vm.m_incarnation = settings.m_incarnation;
+  vm.m_incarnation = (*line)["incarnation"].asString();
   vm.m_state = platform::VmState::Running;
   return base::Success{};
 }
--- a/packages/testing/src/DeploymentSettings.cpp
+++ b/packages/testing/src/DeploymentSettings.cpp
@@ -12,13 +12,14 @@
   constexpr const char* kFormat = R"(id: "{}"
 region: "{}"
 zone: "{}"
-incarnation: "{}"
 caller_address: "127.0.0.1:0"
 peer_address: "127.0.0.1:0"
 admin_address: "127.0.0.1:0"
-platform: ["{}"]
+store_urls: ["{}"]
 peer_key: "{}"
-admin_tokens: {{ read: "{}", write: "{}" }}
+admin_tokens:
+  - {{ name: reader, token: "{}", role: read }}
+  - {{ name: writer, token: "{}", role: write }}
 trust_caller_header: true
 )";
   std::ofstream file(aPath);
@@ -26,7 +27,6 @@
                       aSettings.m_id,
                       aSettings.m_region,
                       aSettings.m_zone,
-                      aSettings.m_incarnation,
                       aSettings.m_platformUrl,
                       aSettings.m_peerKey,
                       aSettings.m_readToken,
--- a/packages/testing/src/DeploymentSettings.h
+++ b/packages/testing/src/DeploymentSettings.h
@@ -12,7 +12,6 @@
   std::string m_id;
   std::string m_region;
   std::string m_zone;
-  std::string m_incarnation;
   std::string m_platformUrl;
   std::string m_peerKey;
   std::string m_readToken;
--- a/packages/testing/src/HttpCall.cpp
+++ b/packages/testing/src/HttpCall.cpp
@@ -58,9 +58,10 @@
 
 std::optional<HttpReply> HttpPost(const std::string& aUrl,
                                   const std::string& aBody,
-                                  std::chrono::milliseconds aTimeout)
+                                  std::chrono::milliseconds aTimeout,
+                                  const std::vector<std::string>& aHeaders)
 {
-  return Call(aUrl, &aBody, aTimeout, {});
+  return Call(aUrl, &aBody, aTimeout, aHeaders);
 }
 
 } // namespace jaylane::testing
