Connect entry VMs with each other and hand over scopes at a planned stop

Half of the orders of the first demo run ended as not-run: lookups named a VM whose execution scope the answering VM did not know. VMs now exchange membership with scopes, settings, share tables and quarantines each second, lend each other slots, and hand their scopes to one peer when they stop. A lookup falls back to the answering VM's own scope.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 export CCACHE_NOHASHDIR := 1
 SOURCES = $(shell git ls-files 'packages/*.h' 'packages/*.cpp')
 
-.PHONY: all packages build test format-check lint
+.PHONY: all packages build test demo format-check lint
 
 all: build
 
@@ -22,6 +22,11 @@
 test: build
 	@ctest --test-dir $(BUILD) --output-on-failure -j 4
 
+# Runs a deployment on loopback addresses: DEPLOYMENT=inyenyeri or hormas.
+DEPLOYMENT ?= inyenyeri
+demo: build
+	@$(BUILD)/packages/testing/demo --tree=examples/$(DEPLOYMENT)/tree.yaml
+
 format-check:
 	@clang-format --dry-run --Werror $(SOURCES)
 
--- a/packages/entry/src/EntryVmImpl.cpp
+++ b/packages/entry/src/EntryVmImpl.cpp
@@ -85,6 +85,8 @@
   , m_failover(m_context, kFailoverWindow, kFailoverCap)
   , m_shares(m_context, m_store, m_directory, m_slots)
   , m_shifts(m_context, m_store, m_config, m_directory, m_steering)
+  , m_lending(m_context, m_slots, m_directory)
+  , m_peers(m_context, { m_config, m_directory, m_quarantine, m_ledger, m_shares, m_lending })
   , m_sync(m_context, m_store)
   , m_transport({ aSettings.m_upstreamThreads }, aClock)
   , m_claims(m_context, m_store)
@@ -92,7 +94,7 @@
               m_config,
               m_directory,
               m_steering,
-              [this](const std::string& aIncarnation) { return ScopeOf(aIncarnation); })
+              [this](const std::string& aIncarnation) { return m_peers.ScopeOf(aIncarnation); })
   , m_router(m_context,
              { m_config,
                m_directory,
@@ -103,13 +105,16 @@
                m_failover,
                m_metrics,
                m_transport,
-               [this](const std::string& aService) { return FindDispatcher(aService); } })
+               [this](const std::string& aService) { return FindDispatcher(aService); },
+               [this](const std::string& aIncarnation) { return m_peers.HeirOf(aIncarnation); } })
   , m_lifecycle(m_context)
 {
 }
 
 EntryVm::Impl::~Impl()
 {
+  m_lending.SetGrantHook(nullptr);
+  m_peers.StopExchanges();
   m_duties.clear();
   m_sync.Stop();
 }
@@ -134,7 +139,12 @@
     return admin.GetError();
   }
   m_adminServer = std::move(*admin);
+  auto peers = m_peers.Start();
+  if (!peers) {
+    return peers;
+  }
   m_config.SetChangeHook([this](const Config& aConfig) { OnConfig(aConfig); });
+  m_lending.SetGrantHook([this] { Tick(); });
   StartSync();
   StartDuties();
   return base::Success{};
@@ -164,16 +174,19 @@
   const auto add = [this](std::chrono::milliseconds aInterval, std::function<void()> aRun) {
     m_duties.push_back(std::make_unique<base::PeriodicThread>(aInterval, std::move(aRun)));
   };
-  add(kTickInterval, [this] {
-    for (const auto& [service, dispatcher] : Dispatchers()) {
-      dispatcher->Tick();
-    }
-  });
+  add(kTickInterval, [this] { Tick(); });
   add(kPlanInterval, [this] { m_shifts.Run(); });
   add(kShareInterval, [this] { m_shares.Run(); });
   add(kProbeInterval, [this] { Probe(); });
 }
 
+void EntryVm::Impl::Tick()
+{
+  for (const auto& [service, dispatcher] : Dispatchers()) {
+    dispatcher->Tick();
+  }
+}
+
 void EntryVm::Impl::OnConfig(const Config& aConfig)
 {
   {
@@ -183,7 +196,7 @@
         m_dispatchers.emplace(
           name,
           std::make_shared<ServiceDispatcher>(
-            m_context, name, service.m_effective, m_slots, m_quarantine, m_transport));
+            m_context, name, service.m_effective, m_slots, m_lending, m_quarantine, m_transport));
       }
     }
   }
@@ -195,6 +208,7 @@
 {
   m_directory.Apply(aList, aRequestedAt);
   m_shares.ObserveList(*m_directory.Current());
+  m_peers.OnDirectory(*m_directory.Current());
   ApplyUpstreams();
 }
 
@@ -252,14 +266,9 @@
   return m_dispatchers;
 }
 
-std::string EntryVm::Impl::ScopeOf(const std::string& aIncarnation)
-{
-  return aIncarnation == m_context.m_incarnationText ? m_ledger.CurrentScope() : std::string();
-}
-
 EntryAddresses EntryVm::Impl::Addresses() const
 {
-  return { m_callerServer->Address(), {}, m_adminServer->Address() };
+  return { m_callerServer->Address(), m_peers.Address(), m_adminServer->Address() };
 }
 
 Json::Value EntryVm::Impl::Status() const
@@ -283,11 +292,12 @@
   return json;
 }
 
-Json::Value EntryVm::Impl::Metrics() const
+Json::Value EntryVm::Impl::Metrics()
 {
   Json::Value json(Json::objectValue);
   json["requests"] = m_metrics.ToJson();
   json["store_calls"] = m_sync.ToJson();
+  json["peers"] = m_peers.ToJson();
   json["ledger_keys"] = Json::UInt64(m_ledger.size());
   return json;
 }
@@ -326,11 +336,13 @@
     return;
   }
   m_lookups.ExcludeSelf();
+  m_peers.BeginLeave();
   std::this_thread::sleep_for(LongestLookupLifetime());
   m_lifecycle.Fire("lookups-expired");
   m_callerServer->Quiesce();
   WaitForRequests();
   m_lifecycle.Fire("requests-done");
+  m_peers.HandOver();
   LeaveShares();
   m_lifecycle.Fire("handed-over");
 }
--- a/packages/entry/src/EntryVmImpl.h
+++ b/packages/entry/src/EntryVmImpl.h
@@ -7,6 +7,7 @@
 #include "FailoverGuard.h"
 #include "Lifecycle.h"
 #include "LookupService.h"
+#include "PeerService.h"
 #include "QuarantineGuard.h"
 #include "RequestMetrics.h"
 #include "RequestRouter.h"
@@ -14,6 +15,7 @@
 #include "ServiceDispatcher.h"
 #include "ShareKeeper.h"
 #include "ShiftController.h"
+#include "SlotLending.h"
 #include "SteeringState.h"
 #include "StoreSync.h"
 #include "VmContext.h"
@@ -50,12 +52,12 @@
   void OnConfig(const Config& aConfig);
   void OnVmList(const platform::VmList& aList, base::MonotonicTime aRequestedAt);
   void ApplyUpstreams();
+  void Tick();
   void Probe();
   std::shared_ptr<ServiceDispatcher> FindDispatcher(const std::string& aService) const;
   DispatcherMap Dispatchers() const;
   Json::Value Status() const;
-  Json::Value Metrics() const;
-  std::string ScopeOf(const std::string& aIncarnation);
+  Json::Value Metrics();
   std::chrono::milliseconds LongestLookupLifetime() const;
   void WaitForRequests() const;
   void LeaveShares();
@@ -77,6 +79,8 @@
   RequestMetrics m_metrics;
   ShareKeeper m_shares;
   ShiftController m_shifts;
+  SlotLending m_lending;
+  PeerService m_peers;
   StoreSync m_sync;
   proxy::UpstreamTransport m_transport;
   ClaimQueue m_claims;
--- a/packages/entry/src/LookupService.cpp
+++ b/packages/entry/src/LookupService.cpp
@@ -83,6 +83,11 @@
                                   std::uint64_t aGeneration,
                                   const std::vector<const EntryVmRef*>& aVms) const
 {
+  std::string scope = m_scopeOf(aVms.front()->m_incarnation);
+  if (scope.empty()) {
+    // The first VM's scope has not arrived yet; it forwards keys of this VM's scope.
+    scope = m_scopeOf(m_context.m_incarnationText);
+  }
   fmt::memory_buffer buffer;
   auto out = std::back_inserter(buffer);
   fmt::format_to(out,
@@ -90,7 +95,7 @@
                  aService.m_service.m_name,
                  aGeneration,
                  aService.m_effective.m_lookupLifetime.count(),
-                 m_scopeOf(aVms.front()->m_incarnation));
+                 scope);
   const char* separator = "";
   for (const EntryVmRef* vm : aVms) {
     fmt::format_to(out,
--- a/packages/entry/src/RequestRouter.cpp
+++ b/packages/entry/src/RequestRouter.cpp
@@ -326,9 +326,11 @@
   const std::string scope = aKey.m_scope.ToString();
   const std::string incarnation = scope.substr(0, scope.find('-'));
   const auto view = m_parts.m_directory.Current();
-  const EntryVmRef* vm = view->FindIncarnation(incarnation);
+  const std::string heir = m_parts.m_heirOf(incarnation);
+  const std::string& owner = heir.empty() ? incarnation : heir;
+  const EntryVmRef* vm = view->FindIncarnation(owner);
   const auto hops = aRequest->m_exchange->Request().m_headers.Find(kScopeHopHeader);
-  if (!vm || hops || incarnation == m_context.m_incarnationText) {
+  if (!vm || hops || owner == m_context.m_incarnationText) {
     aDone(Unknown("scope-gone", "the VM of the key's scope is gone; look up the service again"));
     return;
   }
--- a/packages/entry/src/RequestRouter.h
+++ b/packages/entry/src/RequestRouter.h
@@ -36,6 +36,8 @@
     proxy::UpstreamTransport& m_transport;
     /// @return the dispatcher of a service in this zone, or nullptr.
     std::function<std::shared_ptr<ServiceDispatcher>(const std::string&)> m_findDispatcher;
+    /// @return incarnation of the VM that took over the scopes of another; empty if unknown.
+    std::function<std::string(const std::string&)> m_heirOf;
   };
 
   RequestRouter(const VmContext& aContext, Parts aParts);
--- a/packages/entry/src/ServiceDispatcher.cpp
+++ b/packages/entry/src/ServiceDispatcher.cpp
@@ -65,12 +65,14 @@
                                      std::string aService,
                                      const settings::EffectiveSettings& aSettings,
                                      ZoneSlots& aSlots,
+                                     SlotLending& aLending,
                                      QuarantineGuard& aQuarantine,
                                      proxy::UpstreamTransport& aTransport)
   : m_context(aContext)
   , m_service(std::move(aService))
   , m_settings(aSettings)
   , m_slots(aSlots)
+  , m_lending(aLending)
   , m_quarantine(aQuarantine)
   , m_transport(aTransport)
   , m_selector(SelectorOptions(aSettings), MakeRandom())
@@ -166,6 +168,21 @@
   }
   while (m_queue.size() > 0 && DispatchNextLocked(aCompletions)) {
   }
+  BalanceSlotsLocked();
+}
+
+void ServiceDispatcher::BalanceSlotsLocked()
+{
+  for (const policy::UpstreamState& upstream : m_selector.Upstreams()) {
+    const auto phase = upstream.Phase();
+    const bool usable =
+      phase == policy::UpstreamPhase::Active || phase == policy::UpstreamPhase::Warming;
+    if (m_queue.size() > 0 && usable) {
+      m_lending.Need(upstream.m_id, static_cast<std::uint32_t>(m_queue.size()));
+    } else {
+      m_lending.Idle(upstream.m_id);
+    }
+  }
 }
 
 std::optional<policy::UpstreamChoice> ServiceDispatcher::PickLocked(
--- a/packages/entry/src/ServiceDispatcher.h
+++ b/packages/entry/src/ServiceDispatcher.h
@@ -3,6 +3,7 @@
 #include "Directory.h"
 #include "Outcome.h"
 #include "QuarantineGuard.h"
+#include "SlotLending.h"
 #include "VmContext.h"
 #include "ZoneSlots.h"
 #include "jaylane/base/LatencyHistogram.h"
@@ -45,6 +46,7 @@
                     std::string aService,
                     const settings::EffectiveSettings& aSettings,
                     ZoneSlots& aSlots,
+                    SlotLending& aLending,
                     QuarantineGuard& aQuarantine,
                     proxy::UpstreamTransport& aTransport);
 
@@ -99,6 +101,7 @@
   static void Run(Completions& aCompletions);
 
   void PumpLocked(Completions& aCompletions);
+  void BalanceSlotsLocked();
   bool DispatchNextLocked(Completions& aCompletions);
   std::optional<policy::UpstreamChoice> PickLocked(const std::vector<std::string>& aExcluded,
                                                    base::MonotonicTime aDeadline);
@@ -127,6 +130,7 @@
   const std::string m_service;
   const settings::EffectiveSettings m_settings;
   ZoneSlots& m_slots;
+  SlotLending& m_lending;
   QuarantineGuard& m_quarantine;
   proxy::UpstreamTransport& m_transport;
 
--- a/packages/entry/src/ShareKeeper.cpp
+++ b/packages/entry/src/ShareKeeper.cpp
@@ -52,7 +52,13 @@
   }
   m_slots.With([&](policy::SlotPool& aPool) { return aPool.ApplyTable(*table, aVersion, now); });
   m_departures.ObserveTable(*table, now);
-  m_known = Known{ std::move(*table), aVersion };
+  m_known = Known{ std::move(*table), aVersion, aText };
+}
+
+peer::VersionedText ShareKeeper::CurrentText() const
+{
+  const auto known = Snapshot();
+  return known ? peer::VersionedText{ known->m_version, known->m_text } : peer::VersionedText{};
 }
 
 void ShareKeeper::ObserveList(const DirectoryView& aView)
--- a/packages/entry/src/ShareKeeper.h
+++ b/packages/entry/src/ShareKeeper.h
@@ -2,6 +2,7 @@
 
 #include "Directory.h"
 #include "ZoneSlots.h"
+#include "jaylane/peer/Messages.h"
 #include "jaylane/platform/Store.h"
 #include "jaylane/policy/DepartureTracker.h"
 #include "jaylane/policy/SharePlans.h"
@@ -31,6 +32,9 @@
   /// Takes a table from the store or a peer; older versions are ignored.
   void Receive(const std::string& aText, platform::Version aVersion);
 
+  /// @return the newest table known; empty before the first.
+  peer::VersionedText CurrentText() const;
+
   /// Takes note of a VM list, which tells which owners no longer run.
   void ObserveList(const DirectoryView& aView);
 
@@ -48,6 +52,7 @@
   {
     policy::ShareTable m_table;
     platform::Version m_version = 0;
+    std::string m_text;
   };
 
   std::optional<Known> Snapshot() const;
--- a/packages/testing/src/Demo.cpp
+++ b/packages/testing/src/Demo.cpp
@@ -88,6 +88,8 @@
   Json::Value body;
   body["id"] = "demo-drain";
   body["site"] = site;
+  const auto current = aScenario.AdminGet(aScenario.EntryVms().front(), "/v1/status");
+  body["base_generation"] = current ? (*current)["generation"] : Json::Value(1);
   body["since"] = settings::FormatTime(base::SystemClock::Get().Wall());
   return Post(aScenario, "/v1/drain", body);
 }
