Measure load for the planner, and lend only slots that can be used

A VM now borrows only if a lease covers the request timeout. (2) The planner assumed half of all capacity in use and found no room for a law's traffic. Each VM now measures its load by service, origin and hot bucket, one VM per zone writes the sum to load/<zone>, and planners read all zones. (3) The load program resent a refused key; not-run is final for a key, so it now places the order again under a new one.

--- a/packages/entry/src/EntryVmImpl.cpp
+++ b/packages/entry/src/EntryVmImpl.cpp
@@ -15,6 +15,7 @@
 constexpr std::chrono::milliseconds kTickInterval{ 10 };
 constexpr std::chrono::milliseconds kPlanInterval{ 250 };
 constexpr std::chrono::milliseconds kShareInterval{ 250 };
+constexpr std::chrono::milliseconds kLoadInterval{ LoadMeter::kInterval };
 constexpr std::chrono::milliseconds kProbeInterval{ 500 };
 constexpr std::chrono::milliseconds kProbeTimeout{ 400 };
 // Poll of conditions during a graceful stop.
@@ -83,10 +84,13 @@
   , m_quarantine(m_context, {})
   , m_ledger(m_context, MakeLedger(m_context))
   , m_failover(m_context, kFailoverWindow, kFailoverCap)
+  , m_load(m_context)
   , m_shares(m_context, m_store, m_directory, m_slots)
-  , m_shifts(m_context, m_store, m_config, m_directory, m_steering)
   , m_lending(m_context, m_slots, m_directory)
-  , m_peers(m_context, { m_config, m_directory, m_quarantine, m_ledger, m_shares, m_lending })
+  , m_peers(m_context,
+            { m_config, m_directory, m_quarantine, m_ledger, m_shares, m_lending, m_load })
+  , m_loads(m_context, m_store, m_directory, m_load, [this] { return m_peers.ZoneLoads(); })
+  , m_shifts(m_context, m_store, m_config, m_directory, m_steering, m_loads)
   , m_sync(m_context, m_store)
   , m_transport({ aSettings.m_upstreamThreads }, aClock)
   , m_claims(m_context, m_store)
@@ -103,6 +107,7 @@
                m_claims,
                m_quarantine,
                m_failover,
+               m_load,
                m_metrics,
                m_transport,
                [this](const std::string& aService) { return FindDispatcher(aService); },
@@ -176,6 +181,7 @@
   };
   add(kTickInterval, [this] { Tick(); });
   add(kPlanInterval, [this] { m_shifts.Run(); });
+  add(kLoadInterval, [this] { m_loads.Publish(); });
   add(kShareInterval, [this] { m_shares.Run(); });
   add(kProbeInterval, [this] { Probe(); });
 }
--- a/packages/entry/src/EntryVmImpl.h
+++ b/packages/entry/src/EntryVmImpl.h
@@ -6,6 +6,8 @@
 #include "Directory.h"
 #include "FailoverGuard.h"
 #include "Lifecycle.h"
+#include "LoadExchange.h"
+#include "LoadMeter.h"
 #include "LookupService.h"
 #include "PeerService.h"
 #include "QuarantineGuard.h"
@@ -76,11 +78,13 @@
   QuarantineGuard m_quarantine;
   ScopeLedger m_ledger;
   FailoverGuard m_failover;
+  LoadMeter m_load;
   RequestMetrics m_metrics;
   ShareKeeper m_shares;
-  ShiftController m_shifts;
   SlotLending m_lending;
   PeerService m_peers;
+  LoadExchange m_loads;
+  ShiftController m_shifts;
   StoreSync m_sync;
   proxy::UpstreamTransport m_transport;
   ClaimQueue m_claims;
--- a/packages/entry/src/Outcome.h
+++ b/packages/entry/src/Outcome.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <string>
 
 namespace jaylane::entry {
@@ -54,6 +55,8 @@
   std::string m_message;
   unsigned m_attempts = 0;
   std::string m_upstream;
+  /// Time for which upstreams worked on the request.
+  std::chrono::nanoseconds m_busy{ 0 };
 };
 
 } // namespace jaylane::entry
--- a/packages/entry/src/PeerService.cpp
+++ b/packages/entry/src/PeerService.cpp
@@ -123,6 +123,11 @@
   message.m_strikes = m_parts.m_quarantine.Strikes();
   std::lock_guard lock(m_mutex);
   message.m_members = m_membership->Digest();
+  for (peer::MemberInfo& member : message.m_members) {
+    if (member.m_zone != aPeerZone) {
+      member.m_load.clear();
+    }
+  }
   return message;
 }
 
@@ -173,9 +178,10 @@
 {
   std::vector<peer::MemberInfo> partners;
   const std::string scope = m_parts.m_ledger.CurrentScope();
+  const std::string load = m_parts.m_load.Report().ToText();
   {
     std::lock_guard lock(m_mutex);
-    m_membership->Beat(scope, m_leaving, m_inherited);
+    m_membership->Beat(scope, m_leaving, m_inherited, load);
     partners = m_membership->PickPartners([this] { return m_random(); });
     if (m_newer) {
       partners.push_back(*std::exchange(m_newer, std::nullopt));
@@ -261,6 +267,12 @@
   return { true };
 }
 
+std::vector<std::string> PeerService::ZoneLoads()
+{
+  std::lock_guard lock(m_mutex);
+  return m_membership ? m_membership->ZoneLoads() : std::vector<std::string>();
+}
+
 std::string PeerService::ScopeOf(const std::string& aIncarnation)
 {
   if (aIncarnation == m_context.m_incarnationText) {
--- a/packages/entry/src/PeerService.h
+++ b/packages/entry/src/PeerService.h
@@ -2,6 +2,7 @@
 
 #include "ConfigState.h"
 #include "Directory.h"
+#include "LoadMeter.h"
 #include "QuarantineGuard.h"
 #include "ScopeLedger.h"
 #include "ShareKeeper.h"
@@ -35,6 +36,7 @@
     ScopeLedger& m_ledger;
     ShareKeeper& m_shares;
     SlotLending& m_lending;
+    LoadMeter& m_load;
   };
 
   PeerService(const VmContext& aContext, Parts aParts);
@@ -57,6 +59,9 @@
   /// @return incarnation of the VM that took over an incarnation's scopes; empty if none is known.
   std::string HeirOf(const std::string& aIncarnation);
 
+  /// @return load reports of the other VMs of this zone.
+  std::vector<std::string> ZoneLoads();
+
   /// Tells peers that this VM leaves.
   void BeginLeave() { m_leaving = true; }
 
--- a/packages/entry/src/RequestForwarder.cpp
+++ b/packages/entry/src/RequestForwarder.cpp
@@ -65,6 +65,7 @@
 {
   RequestResult result;
   result.m_attempts = 1;
+  result.m_busy = aOutcome.m_duration;
   result.m_upstream = aReport.m_upstream;
   result.m_error = fmt::format("forward-{}", proxy::AttemptResultName(aOutcome.m_result));
   result.m_message = aOutcome.m_detail;
--- a/packages/entry/src/RequestRouter.cpp
+++ b/packages/entry/src/RequestRouter.cpp
@@ -219,6 +219,14 @@
   }
   const policy::SiteId site = table->SiteAt(table->Lookup({ parsed.m_origin.m_block, *origin }));
   m_parts.m_failover.CountRequest();
+  aDone = [this, aRequest, done = std::move(aDone)](const RequestResult& aResult) {
+    const ParsedRequest& measured = aRequest->m_parsed;
+    m_parts.m_load.Record(measured.m_service->m_service.m_name,
+                          measured.m_origin.m_region,
+                          policy::SteeringTable::SlotOf(measured.m_origin.m_block).m_bucket,
+                          aResult.m_busy);
+    done(aResult);
+  };
   if (site == m_context.m_site) {
     ExecuteHere(aRequest, std::move(aDone));
   } else {
--- a/packages/entry/src/RequestRouter.h
+++ b/packages/entry/src/RequestRouter.h
@@ -3,6 +3,7 @@
 #include "ClaimQueue.h"
 #include "Directory.h"
 #include "FailoverGuard.h"
+#include "LoadMeter.h"
 #include "ParsedRequest.h"
 #include "QuarantineGuard.h"
 #include "RequestMetrics.h"
@@ -32,6 +33,7 @@
     ClaimQueue& m_claims;
     QuarantineGuard& m_quarantine;
     FailoverGuard& m_failover;
+    LoadMeter& m_load;
     RequestMetrics& m_metrics;
     proxy::UpstreamTransport& m_transport;
     /// @return the dispatcher of a service in this zone, or nullptr.
--- a/packages/entry/src/ServiceDispatcher.cpp
+++ b/packages/entry/src/ServiceDispatcher.cpp
@@ -135,7 +135,7 @@
     const std::uint64_t id = m_nextJob++;
     const auto deadline = std::min(aJob.m_deadline, now + m_settings.m_queueLimitWait);
     m_retries.OnRequest(now);
-    m_jobs.emplace(id, Job{ std::move(aJob), 0, false, {} });
+    m_jobs.emplace(id, Job{ std::move(aJob), 0, false, {}, {} });
     if (m_queue.Offer({ id, deadline }, { {}, ServiceSpeedLocked().m_perSlot }, now)) {
       PumpLocked(completions);
     } else {
@@ -177,7 +177,8 @@
     const auto phase = upstream.Phase();
     const bool usable =
       phase == policy::UpstreamPhase::Active || phase == policy::UpstreamPhase::Warming;
-    if (m_queue.size() > 0 && usable) {
+    const bool mayBorrow = SlotLending::CanServe(m_settings.m_requestTimeout);
+    if (m_queue.size() > 0 && usable && mayBorrow) {
       m_lending.Need(upstream.m_id, static_cast<std::uint32_t>(m_queue.size()));
     } else {
       m_lending.Idle(upstream.m_id);
@@ -389,6 +390,7 @@
     std::lock_guard lock(m_mutex);
     ObserveLocked(aAttempt, aOutcome);
     Job& job = m_jobs.at(aAttempt.m_job);
+    job.m_busy += aOutcome.m_duration;
     job.m_mayHaveRun |= !ProvenNotRun(aOutcome.m_result);
     RecordFingerprint(aAttempt, job.m_request.m_fingerprint, aOutcome);
     const auto now = m_context.m_clock.Monotonic();
@@ -414,6 +416,7 @@
     aResult.m_status = 502;
   }
   aResult.m_attempts = job.m_attempts;
+  aResult.m_busy = job.m_busy;
   aCompletions.push_back([done = std::move(found->second.m_request.m_done),
                           result = std::move(aResult)] { done(result); });
   m_jobs.erase(found);
--- a/packages/entry/src/ServiceDispatcher.h
+++ b/packages/entry/src/ServiceDispatcher.h
@@ -72,6 +72,7 @@
     DispatchJob m_request;
     unsigned m_attempts = 0;
     bool m_mayHaveRun = false;
+    std::chrono::nanoseconds m_busy{ 0 };
     std::vector<std::string> m_tried;
   };
 
--- a/packages/entry/src/ShiftController.cpp
+++ b/packages/entry/src/ShiftController.cpp
@@ -1,6 +1,7 @@
 #include "ShiftController.h"
 
 #include <algorithm>
+#include <span>
 #include <utility>
 #include <xxhash.h>
 
@@ -12,6 +13,9 @@
 // Share of the capacity that is assumed to be in use while no load is measured. Every bucket
 // then weighs the same, so the cap counts buckets.
 constexpr double kAssumedUse = 0.5;
+// The same where load is measured but little of it: a service at rest must still be movable, and
+// its buckets must not weigh nothing.
+constexpr double kLeastUse = 0.05;
 // Callers in the same region reach a site within this time; links add theirs.
 constexpr std::chrono::microseconds kLocalLatency{ 3000 };
 
@@ -57,12 +61,14 @@
                                  platform::Store& aStore,
                                  const ConfigState& aConfig,
                                  const Directory& aDirectory,
-                                 SteeringState& aSteering)
+                                 SteeringState& aSteering,
+                                 LoadExchange& aLoads)
   : m_context(aContext)
   , m_store(aStore)
   , m_config(aConfig)
   , m_directory(aDirectory)
   , m_steering(aSteering)
+  , m_loads(aLoads)
 {
 }
 
@@ -120,6 +126,55 @@
   return topology;
 }
 
+namespace {
+
+/// Sets the load of one origin's buckets: hot ones by themselves, the rest evenly.
+void SpreadOrigin(std::span<double> aBuckets, const OriginLoad& aLoad)
+{
+  double rest = aLoad.m_total;
+  for (const auto& [bucket, hot] : aLoad.m_hotBuckets) {
+    rest -= hot;
+  }
+  const double mean = std::max(0.0, rest) / static_cast<double>(aBuckets.size());
+  for (double& load : aBuckets) {
+    load = std::max(load, mean);
+  }
+  for (const auto& [bucket, hot] : aLoad.m_hotBuckets) {
+    if (bucket < aBuckets.size()) {
+      aBuckets[bucket] = std::max(aBuckets[bucket], hot);
+    }
+  }
+}
+
+} // namespace
+
+policy::BucketLoad ShiftController::MakeLoad(const Config& aConfig,
+                                             const ServiceConfig& aService,
+                                             double aCapacity) const
+{
+  const auto measured = m_loads.Total();
+  const std::size_t buckets = aConfig.m_origins.size() * policy::kBucketsPerOrigin;
+  const double use = measured ? kLeastUse : kAssumedUse;
+  policy::BucketLoad load;
+  load.m_buckets.assign(buckets, use * aCapacity / static_cast<double>(buckets));
+  if (!measured) {
+    return load;
+  }
+  const auto service = measured->m_services.find(aService.m_service.m_name);
+  if (service == measured->m_services.end()) {
+    return load;
+  }
+  for (std::size_t i = 0; i < aConfig.m_origins.size(); ++i) {
+    const auto origin = service->second.find(aConfig.m_origins[i]);
+    if (origin != service->second.end()) {
+      SpreadOrigin(
+        std::span(load.m_buckets).subspan(i * policy::kBucketsPerOrigin, policy::kBucketsPerOrigin),
+        origin->second);
+    }
+  }
+  return load;
+}
+
 policy::PlanInput ShiftController::MakeInput(const Config& aConfig,
                                              const ServiceConfig& aService) const
 {
@@ -131,8 +186,7 @@
   for (const policy::Site& site : input.m_topology.m_sites) {
     capacity += site.m_capacity;
   }
-  const auto buckets = aConfig.m_origins.size() * policy::kBucketsPerOrigin;
-  input.m_load.m_buckets.assign(buckets, kAssumedUse * capacity / static_cast<double>(buckets));
+  input.m_load = MakeLoad(aConfig, aService, capacity);
   return input;
 }
 
@@ -155,6 +209,11 @@
   if (!config || m_directory.Current()->m_entryVms.empty()) {
     return;
   }
+  const auto now = m_context.m_clock.Monotonic();
+  if (now - m_loadsReadAt >= LoadMeter::kInterval) {
+    m_loadsReadAt = now;
+    m_loads.Refresh();
+  }
   for (const auto& [name, service] : config->m_services) {
     RunService(*config, service);
   }
--- a/packages/entry/src/ShiftController.h
+++ b/packages/entry/src/ShiftController.h
@@ -2,6 +2,7 @@
 
 #include "ConfigState.h"
 #include "Directory.h"
+#include "LoadExchange.h"
 #include "SteeringState.h"
 #include "jaylane/platform/Store.h"
 #include "jaylane/policy/ShiftPlanner.h"
@@ -22,7 +23,8 @@
                   platform::Store& aStore,
                   const ConfigState& aConfig,
                   const Directory& aDirectory,
-                  SteeringState& aSteering);
+                  SteeringState& aSteering,
+                  LoadExchange& aLoads);
 
   /// One round for all services. Calls the store; runs on its own thread.
   void Run();
@@ -47,6 +49,9 @@
   bool Publish(const std::string& aService,
                policy::SteeringTable aTable,
                platform::Version aExpected);
+  policy::BucketLoad MakeLoad(const Config& aConfig,
+                              const ServiceConfig& aService,
+                              double aCapacity) const;
   policy::Topology MakeTopology(const Config& aConfig, const ServiceConfig& aService) const;
   policy::SiteState StateOf(const Config& aConfig,
                             const ServiceConfig& aService,
@@ -60,6 +65,8 @@
   const ConfigState& m_config;
   const Directory& m_directory;
   SteeringState& m_steering;
+  LoadExchange& m_loads;
+  base::MonotonicTime m_loadsReadAt;
   mutable std::mutex m_mutex;
   mutable std::map<std::pair<std::string, policy::SiteId>, SiteLife> m_sites;
   std::map<std::string, Json::Value> m_status;
--- a/packages/entry/src/SlotLending.cpp
+++ b/packages/entry/src/SlotLending.cpp
@@ -32,6 +32,13 @@
   m_thread.join();
 }
 
+bool SlotLending::CanServe(std::chrono::nanoseconds aTimeout)
+{
+  const policy::SlotBorrower::Options options;
+  return aTimeout + options.m_duration / options.m_rateMarginDivisor + kCallTimeout <
+         options.m_duration;
+}
+
 void SlotLending::Queue(const std::string& aLender, peer::BorrowRequest aRequest)
 {
   aRequest.m_borrower = m_context.m_incarnationText;
@@ -96,12 +103,9 @@
   if (!response || response->m_leases.empty()) {
     return;
   }
-  const policy::SlotGrant grant{ aCall.m_request.m_id,
-                                 m_context.m_incarnationText,
-                                 response->m_lender,
-                                 aCall.m_request.m_upstream,
-                                 response->m_leases,
-                                 response->m_duration };
+  const policy::SlotGrant grant{ aCall.m_request.m_id, m_context.m_incarnationText,
+                                 response->m_lender,   aCall.m_request.m_upstream,
+                                 response->m_leases,   response->m_duration };
   const auto now = m_context.m_clock.Monotonic();
   m_slots.With([&](policy::SlotPool&) { return m_borrower->OnGrant(grant, now); });
   if (m_onGrant) {
--- a/packages/entry/src/SlotLending.h
+++ b/packages/entry/src/SlotLending.h
@@ -27,6 +27,11 @@
   /// @param aHook called when borrowed slots have arrived.
   void SetGrantHook(std::function<void()> aHook) { m_onGrant = std::move(aHook); }
 
+  /// @param aTimeout longest time that a request takes.
+  /// @return whether borrowed slots could serve such requests; a lease that is shorter than the
+  ///   request would be held in vain, while its lender lacks the slot.
+  static bool CanServe(std::chrono::nanoseconds aTimeout);
+
   /// To be called when requests of this VM wait.
   /// @param aUpstream upstream whose slots would help.
   /// @param aWaiting requests waiting for it or one like it.
--- a/packages/peer/include/jaylane/peer/Membership.h
+++ b/packages/peer/include/jaylane/peer/Membership.h
@@ -35,7 +35,10 @@
   Membership(MemberInfo aSelf, MembershipOptions aOptions);
 
   /// Raises this VM's heartbeat and replaces what it says about itself.
-  void Beat(std::string aScope, bool aLeaving, std::vector<std::string> aInherited);
+  void Beat(std::string aScope,
+            bool aLeaving,
+            std::vector<std::string> aInherited,
+            std::string aLoad);
 
   /// Takes the members that the platform lists; others are forgotten.
   void SetListed(const std::vector<MemberInfo>& aListed, base::MonotonicTime aNow);
@@ -62,6 +65,9 @@
   /// @return incarnations that could not be reached; news clears the mark.
   std::set<std::string> Unreachable() const;
 
+  /// @return load reports of the other members of the own zone.
+  std::vector<std::string> ZoneLoads() const;
+
   /// @return the member, or nullptr.
   const MemberInfo* Find(const std::string& aIncarnation) const;
 
--- a/packages/peer/include/jaylane/peer/Messages.h
+++ b/packages/peer/include/jaylane/peer/Messages.h
@@ -25,6 +25,8 @@
   bool m_leaving = false;
   /// Incarnations whose scopes this VM has taken over.
   std::vector<std::string> m_inherited;
+  /// Measured load, only in messages within a zone; else empty.
+  std::string m_load;
 
   bool operator==(const MemberInfo&) const = default;
 };
--- a/packages/peer/src/Membership.cpp
+++ b/packages/peer/src/Membership.cpp
@@ -12,12 +12,16 @@
   m_self.m_heartbeat = 1;
 }
 
-void Membership::Beat(std::string aScope, bool aLeaving, std::vector<std::string> aInherited)
+void Membership::Beat(std::string aScope,
+                      bool aLeaving,
+                      std::vector<std::string> aInherited,
+                      std::string aLoad)
 {
   ++m_self.m_heartbeat;
   m_self.m_scope = std::move(aScope);
   m_self.m_leaving = aLeaving;
   m_self.m_inherited = std::move(aInherited);
+  m_self.m_load = std::move(aLoad);
 }
 
 bool Membership::IsTracked(const MemberInfo& aMember,
@@ -136,6 +140,18 @@
   return unreachable;
 }
 
+std::vector<std::string> Membership::ZoneLoads() const
+{
+  std::vector<std::string> loads;
+  for (const auto& [incarnation, member] : m_members) {
+    if (member.m_info.m_zone == m_self.m_zone && !member.m_unreachable &&
+        !member.m_info.m_load.empty()) {
+      loads.push_back(member.m_info.m_load);
+    }
+  }
+  return loads;
+}
+
 const MemberInfo* Membership::Find(const std::string& aIncarnation) const
 {
   if (aIncarnation == m_self.m_incarnation) {
--- a/packages/peer/src/MessageCodec.cpp
+++ b/packages/peer/src/MessageCodec.cpp
@@ -140,6 +140,7 @@
   json["heartbeat"] = Json::UInt64(aMember.m_heartbeat);
   json["leaving"] = aMember.m_leaving;
   json["inherited"] = ToArray(aMember.m_inherited);
+  json["load"] = aMember.m_load;
   return json;
 }
 
@@ -155,6 +156,7 @@
   member.m_heartbeat = aReader.Number("heartbeat");
   member.m_leaving = aReader.Flag("leaving");
   member.m_inherited = aReader.Texts("inherited");
+  member.m_load = aReader.Text("load");
   return member;
 }
 
--- a/packages/testing/src/CallerLoad.cpp
+++ b/packages/testing/src/CallerLoad.cpp
@@ -181,6 +181,7 @@
   const bool retry = aRequest->LastOutcome() == Outcome::NotRun && !aRequest->IsResend() &&
                      aRequest->Attempts() <= m_options.m_retries;
   if (retry && !aRequest->Expired(now + m_options.m_retryDelay)) {
+    aRequest->RenewKey();
     Wait(std::move(aRequest), now + m_options.m_retryDelay);
     return;
   }
--- a/packages/testing/src/CallerRequest.cpp
+++ b/packages/testing/src/CallerRequest.cpp
@@ -72,7 +72,8 @@
                              bool aCrash)
   : m_options(aOptions)
   , m_kind(aKind)
-  , m_id(std::move(aId))
+  , m_name(std::move(aId))
+  , m_id(m_name)
   , m_crash(aCrash)
   , m_created(Clock::now())
   , m_deadline(m_created + aOptions.m_deadline)
@@ -84,6 +85,14 @@
 
 CallerRequest::~CallerRequest() = default;
 
+void CallerRequest::RenewKey()
+{
+  if (m_kind == RequestKind::Order) {
+    m_id = fmt::format("{}-{}", m_name, m_attempts);
+    m_hasScope = false;
+  }
+}
+
 std::string CallerRequest::Path() const
 {
   return fmt::format("/{}/{}", KindName(m_kind), m_id);
--- a/packages/testing/src/CallerRequest.h
+++ b/packages/testing/src/CallerRequest.h
@@ -75,6 +75,10 @@
   std::uint64_t ReceivedBytes() const { return m_received; }
   bool IsResend() const { return m_resend; }
 
+  /// Makes the next attempt of an order a new one. not-run is final for a key: the caller is free
+  /// to place the order again under another key.
+  void RenewKey();
+
   /// Makes the next attempt a deliberate repetition with a new deadline.
   void MarkResend();
 
@@ -91,6 +95,7 @@
 
   const CallerOptions& m_options;
   const RequestKind m_kind;
+  const std::string m_name;
   std::string m_id;
   const bool m_crash;
   bool m_hasScope = false;
