Apply changed settings to running dispatchers and failover guards

The failover cap was a constant; it now comes from the settings, by service. The demo gives a law five seconds' notice and a cap of 40% per 2 s, so that its shift can finish.

--- a/packages/entry/src/EntryVmImpl.cpp
+++ b/packages/entry/src/EntryVmImpl.cpp
@@ -22,8 +22,6 @@
 constexpr std::chrono::milliseconds kStopPoll{ 20 };
 // A VM that cannot give its units away, because the store is down, leaves them to be reclaimed.
 constexpr std::chrono::seconds kMaxShareWait{ 5 };
-constexpr std::chrono::seconds kFailoverWindow{ 60 };
-constexpr double kFailoverCap = 0.05;
 
 policy::Incarnation MakeIncarnation()
 {
@@ -83,7 +81,7 @@
   , m_slots(m_context, {})
   , m_quarantine(m_context, {})
   , m_ledger(m_context, MakeLedger(m_context))
-  , m_failover(m_context, kFailoverWindow, kFailoverCap)
+  , m_failover(m_context)
   , m_load(m_context)
   , m_shares(m_context, m_store, m_directory, m_slots)
   , m_lending(m_context, m_slots, m_directory)
@@ -195,10 +193,14 @@
 
 void EntryVm::Impl::OnConfig(const Config& aConfig)
 {
+  m_failover.Apply(aConfig);
   {
     std::lock_guard lock(m_mutex);
     for (const auto& [name, service] : aConfig.m_services) {
-      if (m_dispatchers.count(name) == 0) {
+      const auto known = m_dispatchers.find(name);
+      if (known != m_dispatchers.end()) {
+        known->second->ApplySettings(service.m_effective);
+      } else {
         m_dispatchers.emplace(
           name,
           std::make_shared<ServiceDispatcher>(
--- a/packages/entry/src/EntryVmImpl.h
+++ b/packages/entry/src/EntryVmImpl.h
@@ -4,7 +4,7 @@
 #include "ClaimQueue.h"
 #include "ConfigState.h"
 #include "Directory.h"
-#include "FailoverGuard.h"
+#include "FailoverGuards.h"
 #include "Lifecycle.h"
 #include "LoadExchange.h"
 #include "LoadMeter.h"
@@ -77,7 +77,7 @@
   ZoneSlots m_slots;
   QuarantineGuard m_quarantine;
   ScopeLedger m_ledger;
-  FailoverGuard m_failover;
+  FailoverGuards m_failover;
   LoadMeter m_load;
   RequestMetrics m_metrics;
   ShareKeeper m_shares;
--- /dev/null
+++ b/packages/entry/src/FailoverGuards.cpp
@@ -0,0 +1,45 @@
+#include "FailoverGuards.h"
+
+namespace jaylane::entry {
+
+FailoverGuards::FailoverGuards(const VmContext& aContext)
+  : m_context(aContext)
+{
+}
+
+void FailoverGuards::Apply(const Config& aConfig)
+{
+  std::lock_guard lock(m_mutex);
+  for (const auto& [name, service] : aConfig.m_services) {
+    const auto window = service.m_effective.m_shiftWindow;
+    const auto percent = service.m_effective.m_shiftFailoverPartPercent;
+    Entry& entry = m_entries[name];
+    if (!entry.m_guard || entry.m_window != window || entry.m_percent != percent) {
+      entry = { window,
+                percent,
+                std::make_shared<FailoverGuard>(m_context, window, percent / 100.0) };
+    }
+  }
+}
+
+std::shared_ptr<FailoverGuard> FailoverGuards::Find(const std::string& aService) const
+{
+  std::lock_guard lock(m_mutex);
+  const auto found = m_entries.find(aService);
+  return found == m_entries.end() ? nullptr : found->second.m_guard;
+}
+
+void FailoverGuards::CountRequest(const std::string& aService)
+{
+  if (const auto guard = Find(aService)) {
+    guard->CountRequest();
+  }
+}
+
+bool FailoverGuards::TryAcquire(const std::string& aService)
+{
+  const auto guard = Find(aService);
+  return guard && guard->TryAcquire();
+}
+
+} // namespace jaylane::entry
--- /dev/null
+++ b/packages/entry/src/FailoverGuards.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "ConfigState.h"
+#include "FailoverGuard.h"
+
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+
+namespace jaylane::entry {
+
+/// The failover guards of all services, as configured. Thread safe.
+class FailoverGuards
+{
+public:
+  explicit FailoverGuards(const VmContext& aContext);
+
+  /// Takes a generation of the settings. A guard whose cap or window has changed starts anew, and
+  /// allows nothing until a window has passed.
+  void Apply(const Config& aConfig);
+
+  /// Counts a request received from a caller.
+  void CountRequest(const std::string& aService);
+
+  /// @return whether a request may be served here although another site should serve it.
+  bool TryAcquire(const std::string& aService);
+
+private:
+  struct Entry
+  {
+    std::chrono::seconds m_window{ 0 };
+    std::uint32_t m_percent = 0;
+    std::shared_ptr<FailoverGuard> m_guard;
+  };
+
+  std::shared_ptr<FailoverGuard> Find(const std::string& aService) const;
+
+  const VmContext& m_context;
+  mutable std::mutex m_mutex;
+  std::map<std::string, Entry> m_entries;
+};
+
+} // namespace jaylane::entry
--- a/packages/entry/src/RequestRouter.cpp
+++ b/packages/entry/src/RequestRouter.cpp
@@ -218,7 +218,7 @@
     return;
   }
   const policy::SiteId site = table->SiteAt(table->Lookup({ parsed.m_origin.m_block, *origin }));
-  m_parts.m_failover.CountRequest();
+  m_parts.m_failover.CountRequest(service);
   aDone = [this, aRequest, done = std::move(aDone)](const RequestResult& aResult) {
     const ParsedRequest& measured = aRequest->m_parsed;
     m_parts.m_load.Record(measured.m_service->m_service.m_name,
@@ -287,7 +287,7 @@
     aDone(NotRun(503, "site-unavailable", "the site is unavailable and this region may not serve"));
     return;
   }
-  if (!m_parts.m_failover.TryAcquire()) {
+  if (!m_parts.m_failover.TryAcquire(parsed.m_service->m_service.m_name)) {
     aDone(NotRun(503, "failover-cap", "the site is unavailable and the failover cap is used up"));
     return;
   }
--- a/packages/entry/src/RequestRouter.h
+++ b/packages/entry/src/RequestRouter.h
@@ -2,7 +2,7 @@
 
 #include "ClaimQueue.h"
 #include "Directory.h"
-#include "FailoverGuard.h"
+#include "FailoverGuards.h"
 #include "LoadMeter.h"
 #include "ParsedRequest.h"
 #include "QuarantineGuard.h"
@@ -32,7 +32,7 @@
     ScopeLedger& m_ledger;
     ClaimQueue& m_claims;
     QuarantineGuard& m_quarantine;
-    FailoverGuard& m_failover;
+    FailoverGuards& m_failover;
     LoadMeter& m_load;
     RequestMetrics& m_metrics;
     proxy::UpstreamTransport& m_transport;
--- a/packages/entry/src/ServiceDispatcher.cpp
+++ b/packages/entry/src/ServiceDispatcher.cpp
@@ -70,11 +70,11 @@
                                      proxy::UpstreamTransport& aTransport)
   : m_context(aContext)
   , m_service(std::move(aService))
-  , m_settings(aSettings)
   , m_slots(aSlots)
   , m_lending(aLending)
   , m_quarantine(aQuarantine)
   , m_transport(aTransport)
+  , m_settings(aSettings)
   , m_selector(SelectorOptions(aSettings), MakeRandom())
   , m_queue({ aSettings.m_queueLimitRequests, policy::AdmissionQueue::Order::Fifo })
   , m_retries(RetryOptions(aSettings))
@@ -88,6 +88,17 @@
   }
 }
 
+void ServiceDispatcher::ApplySettings(const settings::EffectiveSettings& aSettings)
+{
+  std::lock_guard lock(m_mutex);
+  if (aSettings.m_retryBudgetPercent != m_settings.m_retryBudgetPercent) {
+    m_retries = policy::RetryBudget(RetryOptions(aSettings));
+  }
+  m_selector.SetOptions(SelectorOptions(aSettings));
+  m_queue.SetCapacity(aSettings.m_queueLimitRequests);
+  m_settings = aSettings;
+}
+
 void ServiceDispatcher::ApplyUpstreams(const std::vector<UpstreamRef>& aUpstreams)
 {
   std::vector<policy::ListedUpstream> listed;
@@ -286,12 +297,18 @@
   return spec;
 }
 
+bool ServiceDispatcher::IsRefusal(const proxy::ResponseHead& aHead) const
+{
+  std::lock_guard lock(m_mutex);
+  const auto refusal = aHead.m_headers.Find(m_settings.m_refusalHeaderName);
+  return aHead.m_status == 503 && refusal == m_settings.m_refusalHeaderValue;
+}
+
 proxy::HeadVerdict ServiceDispatcher::JudgeHead(const Attempt& aAttempt,
                                                 unsigned aAttempts,
                                                 proxy::ResponseHead& aHead) const
 {
-  const auto refusal = aHead.m_headers.Find(m_settings.m_refusalHeaderName);
-  if (aHead.m_status == 503 && refusal == m_settings.m_refusalHeaderValue) {
+  if (IsRefusal(aHead)) {
     return proxy::HeadVerdict::Rejected;
   }
   const auto echoed = aHead.m_headers.Find(kAttemptHeader);
--- a/packages/entry/src/ServiceDispatcher.h
+++ b/packages/entry/src/ServiceDispatcher.h
@@ -50,6 +50,9 @@
                     QuarantineGuard& aQuarantine,
                     proxy::UpstreamTransport& aTransport);
 
+  /// Takes settings that have changed. Requests in progress keep their deadlines.
+  void ApplySettings(const settings::EffectiveSettings& aSettings);
+
   /// @param aUpstreams this service's upstreams in this zone.
   void ApplyUpstreams(const std::vector<UpstreamRef>& aUpstreams);
   void ApplyProbe(const std::string& aUpstream,
@@ -115,6 +118,7 @@
   proxy::HeadVerdict JudgeHead(const Attempt& aAttempt,
                                unsigned aAttempts,
                                proxy::ResponseHead& aHead) const;
+  bool IsRefusal(const proxy::ResponseHead& aHead) const;
   void OnAttemptDone(const Attempt& aAttempt, const proxy::AttemptOutcome& aOutcome);
   void ObserveLocked(const Attempt& aAttempt, const proxy::AttemptOutcome& aOutcome);
   void RecordFingerprint(const Attempt& aAttempt,
@@ -129,13 +133,13 @@
 
   const VmContext& m_context;
   const std::string m_service;
-  const settings::EffectiveSettings m_settings;
   ZoneSlots& m_slots;
   SlotLending& m_lending;
   QuarantineGuard& m_quarantine;
   proxy::UpstreamTransport& m_transport;
 
   mutable std::mutex m_mutex;
+  settings::EffectiveSettings m_settings;
   policy::UpstreamSelector m_selector;
   policy::AdmissionQueue m_queue;
   policy::RetryBudget m_retries;
--- a/packages/policy/include/jaylane/policy/AdmissionQueue.h
+++ b/packages/policy/include/jaylane/policy/AdmissionQueue.h
@@ -45,6 +45,9 @@
 
   explicit AdmissionQueue(Options aOptions);
 
+  /// Changes the capacity; entries above a smaller one stay.
+  void SetCapacity(std::size_t aCapacity) { m_options.m_capacity = aCapacity; }
+
   /// @return false if the queue is full or the entry cannot finish before its deadline: to be
   /// answered as not-run (429).
   bool Offer(const Entry& aEntry, const Service& aService, base::MonotonicTime aNow);
@@ -71,7 +74,7 @@
 
   Entry Remove(Entries::iterator aEntry);
 
-  const Options m_options;
+  Options m_options;
   Entries m_entries;     // by order of arrival
   Deadlines m_deadlines; // deadline and order of arrival
   std::map<std::uint64_t, std::uint64_t> m_sequenceOf;
--- a/packages/policy/include/jaylane/policy/RetryBudget.h
+++ b/packages/policy/include/jaylane/policy/RetryBudget.h
@@ -43,7 +43,7 @@
   std::int64_t PartOf(base::MonotonicTime aNow) const;
   Counts& Current(base::MonotonicTime aNow);
 
-  const Options m_options;
+  Options m_options;
   std::array<Counts, kParts + 1> m_counts{};
 };
 
--- a/packages/policy/include/jaylane/policy/UpstreamSelector.h
+++ b/packages/policy/include/jaylane/policy/UpstreamSelector.h
@@ -100,6 +100,9 @@
   /// @param aRandom source of the random candidates.
   UpstreamSelector(const UpstreamSelectorOptions& aOptions, Random aRandom);
 
+  /// Changes the options; they apply from the next decision on.
+  void SetOptions(const UpstreamSelectorOptions& aOptions) { m_options = aOptions; }
+
   /// Applies a VM list; upstreams that it lacks are gone.
   void ApplyList(std::span<const ListedUpstream> aList, base::MonotonicTime aNow);
 
--- a/packages/testing/src/Demo.cpp
+++ b/packages/testing/src/Demo.cpp
@@ -12,6 +12,7 @@
 
 namespace {
 
+constexpr std::chrono::seconds kLawNotice{ 5 };
 constexpr int kExitBroken = 1;
 constexpr int kExitNotRun = 2;
 
@@ -23,8 +24,8 @@
   };
   return { set("shift_window_seconds", 2),
            set("lookup_lifetime_ms", 500),
-           set("shift_total_cap_percent", 30),
-           set("shift_planned_part_percent", 20),
+           set("shift_total_cap_percent", 50),
+           set("shift_planned_part_percent", 40),
            set("shift_failover_part_percent", 10),
            set("recovery_hold_seconds", 2),
            set("slow_start_seconds", 1) };
@@ -161,6 +162,26 @@
   return open;
 }
 
+/// Prints the steps of all shifts, from the time lines of all VMs.
+void PrintShifts(const Scenario& aScenario)
+{
+  for (const std::string& vm : aScenario.EntryVms()) {
+    const auto timeLine = aScenario.AdminGet(vm, "/v1/timeline");
+    if (!timeLine) {
+      continue;
+    }
+    for (const Json::Value& event : (*timeLine)["events"]) {
+      if (event["kind"].asString() == "shift-step") {
+        const Json::Value& fields = event["fields"];
+        fmt::print("shift of {}: moved {:.1f}%, {:.1f}% left\n",
+                   fields["service"].asString(),
+                   100 * fields["moved_share"].asDouble(),
+                   100 * fields["remaining_share"].asDouble());
+      }
+    }
+  }
+}
+
 int Report(const Scenario& aScenario, const LegalRule& aRule)
 {
   HistoryRules rules;
@@ -195,12 +216,13 @@
   std::this_thread::sleep_for(aOptions.m_duration / 4);
   bool edited = DrainZone(aScenario, aTree.Regions()[0]);
   std::this_thread::sleep_for(aOptions.m_duration / 4);
-  // Whole seconds in the future: the rule's time has no fractions.
+  // The shift starts when the rule is accepted, so that it is done when the rule takes effect.
   const auto effectiveAt = std::chrono::floor<std::chrono::seconds>(
-    base::SystemClock::Get().Wall() + std::chrono::seconds{ 2 });
+    base::SystemClock::Get().Wall() + kLawNotice);
   const LegalRule rule = MakeRule(aTree, effectiveAt);
   edited = ChangeLaw(aScenario, rule, effectiveAt) && edited;
   const auto& summaries = aScenario.JoinCallers();
+  PrintShifts(aScenario);
   PrintOutcomes(aTree, summaries);
   const int result = Report(aScenario, rule);
   return edited ? result : kExitNotRun;
