--- /dev/null
+++ b/packages/policy/bench/SlotPoolBench.cpp
@@ -0,0 +1,140 @@
+#include "jaylane/policy/SlotPool.h"
+
+#include "jaylane/policy/SharePlans.h"
+#include "jaylane/policy/SlotBorrower.h"
+
+#include <benchmark/benchmark.h>
+#include <map>
+#include <memory>
+
+namespace jaylane::policy {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr base::MonotonicTime kNow{ std::chrono::hours{ 1 } };
+constexpr std::uint32_t kSlots = 4;
+
+std::vector<Incarnation> Vms(std::int64_t aCount)
+{
+  std::vector<Incarnation> vms;
+  for (std::int64_t i = 0; i < aCount; ++i) {
+    vms.push_back("0123456789abcdef0123456789abc" + std::to_string(100 + i));
+  }
+  return vms;
+}
+
+ShareTable EqualShares(const std::vector<Incarnation>& aVms)
+{
+  ShareTable table = *MakeInitial(aVms[0], aVms.size());
+  while (const auto donation = PlanDonation(table, aVms[0], aVms)) {
+    table = *ApplyDonation(table, *donation);
+  }
+  return table;
+}
+
+/// Arguments: entry VMs of the zone, upstreams.
+SlotPool MakePool(benchmark::State& aState, const Incarnation& aSelf, const ShareTable& aTable)
+{
+  SlotPool pool(aSelf, {});
+  for (std::int64_t i = 0; i < aState.range(1); ++i) {
+    pool.SetUpstream("upstream-" + std::to_string(i), kSlots);
+  }
+  pool.ApplyTable(aTable, 1, kNow);
+  return pool;
+}
+
+/// @return an upstream of which the VM owns a slot.
+UpstreamIndex FindOwned(const SlotPool& aPool)
+{
+  UpstreamIndex upstream = 0;
+  while (aPool.Owned(upstream, kNow) == 0) {
+    ++upstream;
+  }
+  return upstream;
+}
+
+void AcquireRelease(benchmark::State& aState)
+{
+  const auto vms = Vms(aState.range(0));
+  SlotPool pool = MakePool(aState, vms[1], EqualShares(vms));
+  const UpstreamIndex upstream = FindOwned(pool);
+  for (auto _ : aState) {
+    const auto ticket = pool.Acquire(upstream, kNow, seconds{ 1 });
+    pool.Release(*ticket);
+  }
+  double bytes = 0;
+  for (UpstreamIndex i = 0; i < aState.range(1); ++i) {
+    bytes += static_cast<double>(pool.BytesOf(i));
+  }
+  aState.counters["bytes/upstream"] = bytes / static_cast<double>(aState.range(1));
+  aState.counters["bytes/unit"] = static_cast<double>(SlotPool::BytesPerUnit());
+}
+
+void ApplyTable(benchmark::State& aState)
+{
+  const auto vms = Vms(aState.range(0));
+  const ShareTable table = EqualShares(vms);
+  SlotPool pool = MakePool(aState, vms[1], table);
+  std::uint64_t version = 1;
+  for (auto _ : aState) {
+    pool.ApplyTable(table, ++version, kNow);
+  }
+}
+
+void CheckDrained(benchmark::State& aState)
+{
+  const auto vms = Vms(aState.range(0));
+  const ShareTable table = EqualShares(vms);
+  SlotPool pool = MakePool(aState, vms[1], table);
+  const auto units = table.UnitsOf(vms[1]);
+  pool.BeginDrain(units);
+  for (auto _ : aState) {
+    benchmark::DoNotOptimize(pool.IsDrained(units, kNow));
+  }
+}
+
+void AskGrantReturn(benchmark::State& aState)
+{
+  const auto vms = Vms(aState.range(0));
+  const ShareTable table = EqualShares(vms);
+  SlotPool own = MakePool(aState, vms[1], table);
+  SlotBorrower borrower(vms[1], own, {});
+  auto now = kNow;
+  UpstreamIndex upstream = 0;
+  while (own.Owned(upstream, kNow) == kSlots) {
+    ++upstream;
+  }
+  // Every other owner of the upstream's slots answers.
+  std::map<Incarnation, std::unique_ptr<SlotPool>> pools;
+  std::map<Incarnation, std::unique_ptr<SlotLedger>> ledgers;
+  for (std::uint32_t slot = 0; slot < kSlots; ++slot) {
+    const Incarnation& owner = *own.OwnerOfSlot(upstream, slot);
+    auto& pool = pools[owner] = std::make_unique<SlotPool>(MakePool(aState, owner, table));
+    ledgers[owner] = std::make_unique<SlotLedger>(owner, *pool, SlotLedger::Options{});
+  }
+  for (auto _ : aState) {
+    now += milliseconds{ 50 };
+    const auto ask = borrower.MaybeAsk(upstream, 2, now);
+    SlotLedger& ledger = *ledgers[ask->m_lender];
+    const auto grant = ledger.OnAsk(ask->m_ask, 0, now);
+    borrower.OnGrant(*grant, now);
+    for (const SlotReturn& back : borrower.ReturnUnused(upstream, 0, now)) {
+      ledger.OnReturn(back);
+    }
+  }
+}
+
+void Sizes(benchmark::internal::Benchmark* aBenchmark)
+{
+  aBenchmark->Args({ 2, 12 })->Args({ 12, 150 })->Args({ 147, 1500 });
+}
+
+BENCHMARK(AcquireRelease)->Apply(Sizes);
+BENCHMARK(ApplyTable)->Apply(Sizes);
+BENCHMARK(CheckDrained)->Apply(Sizes);
+BENCHMARK(AskGrantReturn)->Apply(Sizes);
+
+} // namespace
+} // namespace jaylane::policy
--- a/packages/policy/include/jaylane/policy/SlotPool.h
+++ b/packages/policy/include/jaylane/policy/SlotPool.h
@@ -126,8 +126,10 @@
   const std::string& IdOf(UpstreamIndex aUpstream) const { return m_upstreams[aUpstream].m_id; }
   std::uint32_t Slots(UpstreamIndex aUpstream) const { return m_upstreams[aUpstream].m_slots; }
 
-  /// @return bytes held for one upstream, for the capacity page.
+  /// @return bytes held for one upstream, without the lookup by its id.
   std::size_t BytesOf(UpstreamIndex aUpstream) const;
+  /// @return bytes held for one unit, without the table.
+  static std::size_t BytesPerUnit() { return sizeof(Unit); }
 
 private:
   struct OwnSlot
--- a/packages/policy/src/SlotBorrower.cpp
+++ b/packages/policy/src/SlotBorrower.cpp
@@ -126,9 +126,8 @@
       lenders.push_back(held.m_lender);
     }
   }
-  std::ranges::sort(lenders);
-  const auto rest = std::ranges::unique(lenders);
-  lenders.erase(rest.begin(), rest.end());
+  std::sort(lenders.begin(), lenders.end());
+  lenders.erase(std::unique(lenders.begin(), lenders.end()), lenders.end());
   return lenders;
 }
 
