--- a/packages/entry/src/EntryVmImpl.cpp
+++ b/packages/entry/src/EntryVmImpl.cpp
@@ -191,8 +191,24 @@
   }
 }
 
+void EntryVm::Impl::SetQuarantine(const Config& aConfig)
+{
+  // Attempts that a VM left behind end by their deadline, and slots that it borrowed are in use until
+  // the lease ends. Bulk uploads are left out: without their sender they make no progress, and their
+  // timeouts of minutes would keep capacity unused after each restart.
+  std::chrono::milliseconds longest{ 0 };
+  for (const auto& [name, service] : aConfig.m_services) {
+    if (!service.m_service.m_bulk) {
+      longest = std::max(longest, service.m_effective.m_requestTimeout);
+    }
+  }
+  const auto quarantine = longest + SlotLending::LeaseDuration();
+  m_slots.With([&](policy::SlotPool& aPool) { aPool.SetQuarantine(quarantine); });
+}
+
 void EntryVm::Impl::OnConfig(const Config& aConfig)
 {
+  SetQuarantine(aConfig);
   m_failover.Apply(aConfig);
   {
     std::lock_guard lock(m_mutex);
--- a/packages/entry/src/EntryVmImpl.h
+++ b/packages/entry/src/EntryVmImpl.h
@@ -52,6 +52,7 @@
   void StartSync();
   void StartDuties();
   void OnConfig(const Config& aConfig);
+  void SetQuarantine(const Config& aConfig);
   void OnVmList(const platform::VmList& aList, base::MonotonicTime aRequestedAt);
   void ApplyUpstreams();
   void Tick();
--- a/packages/entry/src/FailoverGuard.cpp
+++ b/packages/entry/src/FailoverGuard.cpp
@@ -18,7 +18,7 @@
   limits.m_vmCount = 1;
   auto budget = policy::FailoverBudget::Make(limits, aContext.m_clock.Monotonic());
   if (budget) {
-    m_budget = std::move(*budget);
+    m_budget = *budget;
   }
 }
 
--- a/packages/entry/src/SlotLending.cpp
+++ b/packages/entry/src/SlotLending.cpp
@@ -32,6 +32,11 @@
   m_thread.join();
 }
 
+std::chrono::nanoseconds SlotLending::LeaseDuration()
+{
+  return policy::SlotBorrower::Options{}.m_duration;
+}
+
 bool SlotLending::CanServe(std::chrono::nanoseconds aTimeout)
 {
   const policy::SlotBorrower::Options options;
--- a/packages/entry/src/SlotLending.h
+++ b/packages/entry/src/SlotLending.h
@@ -27,6 +27,9 @@
   /// @param aHook called when borrowed slots have arrived.
   void SetGrantHook(std::function<void()> aHook) { m_onGrant = std::move(aHook); }
 
+  /// @return time for which slots are borrowed.
+  static std::chrono::nanoseconds LeaseDuration();
+
   /// @param aTimeout longest time that a request takes.
   /// @return whether borrowed slots could serve such requests; a lease that is shorter than the
   ///   request would be held in vain, while its lender lacks the slot.
--- a/packages/peer/src/MessageCodec.cpp
+++ b/packages/peer/src/MessageCodec.cpp
@@ -10,10 +10,10 @@
 namespace {
 
 /// Reads fields of a JSON object and remembers whether any of them had the wrong form.
-class Reader
+class FieldReader
 {
 public:
-  explicit Reader(const Json::Value& aJson)
+  explicit FieldReader(const Json::Value& aJson)
     : m_json(aJson)
     , m_ok(aJson.isObject())
   {
@@ -58,7 +58,7 @@
     const Json::Value& value = Field(aName);
     m_ok = m_ok && value.isArray();
     for (Json::ArrayIndex i = 0; m_ok && i < value.size(); ++i) {
-      Reader element(value[i]);
+      FieldReader element(value[i]);
       aFunction(element);
       m_ok = element.m_ok;
     }
@@ -144,7 +144,7 @@
   return json;
 }
 
-MemberInfo DecodeMember(Reader& aReader)
+MemberInfo DecodeMember(FieldReader& aReader)
 {
   MemberInfo member;
   member.m_id = aReader.Text("id");
@@ -173,7 +173,7 @@
   return json;
 }
 
-policy::Strike DecodeStrike(Reader& aReader)
+policy::Strike DecodeStrike(FieldReader& aReader)
 {
   policy::Strike strike;
   strike.m_fingerprint.m_high = aReader.Hex("high");
@@ -191,7 +191,7 @@
   return policy::ExecutionScope{ aIncarnation, 0 }.ToString();
 }
 
-policy::ExecutionScope ReadScope(Reader& aReader, const char* aName)
+policy::ExecutionScope ReadScope(FieldReader& aReader, const char* aName)
 {
   const auto scope = policy::ExecutionScope::Parse(aReader.Text(aName));
   if (!scope) {
@@ -218,13 +218,13 @@
   return json;
 }
 
-policy::TransferredEpoch DecodeEpoch(Reader& aReader)
+policy::TransferredEpoch DecodeEpoch(FieldReader& aReader)
 {
   policy::TransferredEpoch epoch;
   epoch.m_scope = ReadScope(aReader, "scope");
   epoch.m_remaining = std::chrono::milliseconds{ aReader.Number("remaining_ms") };
   epoch.m_closed = aReader.Flag("closed");
-  aReader.Each("keys", [&epoch](Reader& aKey) {
+  aReader.Each("keys", [&epoch](FieldReader& aKey) {
     policy::TransferredKey key;
     key.m_nonce = aKey.Text("nonce");
     const auto state = aKey.Number("state");
@@ -262,16 +262,16 @@
 template<>
 base::Result<ExchangeMessage> Decode(const Json::Value& aJson)
 {
-  Reader reader(aJson);
+  FieldReader reader(aJson);
   ExchangeMessage message;
   message.m_stamp = reader.Text("stamp");
   message.m_generation = reader.Number("generation");
   message.m_settings = reader.Text("settings");
   message.m_shares = { reader.Number("shares_version"), reader.Text("shares") };
   reader.Each("members",
-              [&message](Reader& aMember) { message.m_members.push_back(DecodeMember(aMember)); });
+              [&message](FieldReader& aMember) { message.m_members.push_back(DecodeMember(aMember)); });
   reader.Each("strikes",
-              [&message](Reader& aStrike) { message.m_strikes.push_back(DecodeStrike(aStrike)); });
+              [&message](FieldReader& aStrike) { message.m_strikes.push_back(DecodeStrike(aStrike)); });
   return reader.Finish(std::move(message));
 }
 
@@ -285,7 +285,7 @@
 template<>
 base::Result<ProbeRequest> Decode(const Json::Value& aJson)
 {
-  Reader reader(aJson);
+  FieldReader reader(aJson);
   ProbeRequest message{ reader.Text("address") };
   return reader.Finish(std::move(message));
 }
@@ -300,7 +300,7 @@
 template<>
 base::Result<ProbeResponse> Decode(const Json::Value& aJson)
 {
-  Reader reader(aJson);
+  FieldReader reader(aJson);
   const ProbeResponse message{ reader.Flag("reachable") };
   return reader.Finish(message);
 }
@@ -321,7 +321,7 @@
 template<>
 base::Result<BorrowRequest> Decode(const Json::Value& aJson)
 {
-  Reader reader(aJson);
+  FieldReader reader(aJson);
   BorrowRequest message;
   message.m_id = reader.Number("id");
   message.m_borrower = reader.Text("borrower");
@@ -345,7 +345,7 @@
 template<>
 base::Result<BorrowResponse> Decode(const Json::Value& aJson)
 {
-  Reader reader(aJson);
+  FieldReader reader(aJson);
   BorrowResponse message;
   message.m_lender = reader.Text("lender");
   message.m_leases = reader.Numbers("leases");
@@ -368,11 +368,11 @@
 template<>
 base::Result<HandoverRequest> Decode(const Json::Value& aJson)
 {
-  Reader reader(aJson);
+  FieldReader reader(aJson);
   HandoverRequest message;
   message.m_transfer.m_recipient = ReadScope(reader, "recipient").m_incarnation;
   message.m_transfer.m_exporter = ReadScope(reader, "exporter").m_incarnation;
-  reader.Each("epochs", [&message](Reader& aEpoch) {
+  reader.Each("epochs", [&message](FieldReader& aEpoch) {
     message.m_transfer.m_epochs.push_back(DecodeEpoch(aEpoch));
   });
   return reader.Finish(std::move(message));
@@ -388,7 +388,7 @@
 template<>
 base::Result<HandoverResponse> Decode(const Json::Value& aJson)
 {
-  Reader reader(aJson);
+  FieldReader reader(aJson);
   const HandoverResponse message{ reader.Flag("accepted") };
   return reader.Finish(message);
 }
--- a/packages/policy/bench/ShareTableBench.cpp
+++ b/packages/policy/bench/ShareTableBench.cpp
@@ -10,16 +10,16 @@
 namespace jaylane::policy {
 namespace {
 
-std::vector<Incarnation> Vms(std::int64_t aCount)
+std::vector<VmIncarnation> Vms(std::int64_t aCount)
 {
-  std::vector<Incarnation> vms;
+  std::vector<VmIncarnation> vms;
   for (std::int64_t i = 0; i < aCount; ++i) {
     vms.push_back("0123456789abcdef0123456789abc" + std::to_string(100 + i));
   }
   return vms;
 }
 
-ShareTable EqualShares(const std::vector<Incarnation>& aVms)
+ShareTable EqualShares(const std::vector<VmIncarnation>& aVms)
 {
   ShareTable table = *MakeInitial(aVms[0], aVms.size());
   while (const auto donation = PlanDonation(table, aVms[0], aVms)) {
@@ -63,7 +63,7 @@
 {
   const auto vms = Vms(aState.range(0));
   const ShareTable table = EqualShares(vms);
-  const Incarnation gone[] = { vms[1] };
+  const VmIncarnation gone[] = { vms[1] };
   for (auto _ : aState) {
     benchmark::DoNotOptimize(PlanReclaim(table, 2, gone, vms));
   }
--- a/packages/policy/bench/SlotPoolBench.cpp
+++ b/packages/policy/bench/SlotPoolBench.cpp
@@ -16,16 +16,16 @@
 constexpr base::MonotonicTime kNow{ std::chrono::hours{ 1 } };
 constexpr std::uint32_t kSlots = 4;
 
-std::vector<Incarnation> Vms(std::int64_t aCount)
+std::vector<VmIncarnation> Vms(std::int64_t aCount)
 {
-  std::vector<Incarnation> vms;
+  std::vector<VmIncarnation> vms;
   for (std::int64_t i = 0; i < aCount; ++i) {
     vms.push_back("0123456789abcdef0123456789abc" + std::to_string(100 + i));
   }
   return vms;
 }
 
-ShareTable EqualShares(const std::vector<Incarnation>& aVms)
+ShareTable EqualShares(const std::vector<VmIncarnation>& aVms)
 {
   ShareTable table = *MakeInitial(aVms[0], aVms.size());
   while (const auto donation = PlanDonation(table, aVms[0], aVms)) {
@@ -35,7 +35,7 @@
 }
 
 /// Arguments: entry VMs of the zone, upstreams.
-SlotPool MakePool(benchmark::State& aState, const Incarnation& aSelf, const ShareTable& aTable)
+SlotPool MakePool(benchmark::State& aState, const VmIncarnation& aSelf, const ShareTable& aTable)
 {
   SlotPool pool(aSelf, {});
   for (std::int64_t i = 0; i < aState.range(1); ++i) {
@@ -107,10 +107,10 @@
     ++upstream;
   }
   // Every other owner of the upstream's slots answers.
-  std::map<Incarnation, std::unique_ptr<SlotPool>> pools;
-  std::map<Incarnation, std::unique_ptr<SlotLedger>> ledgers;
+  std::map<VmIncarnation, std::unique_ptr<SlotPool>> pools;
+  std::map<VmIncarnation, std::unique_ptr<SlotLedger>> ledgers;
   for (std::uint32_t slot = 0; slot < kSlots; ++slot) {
-    const Incarnation& owner = *own.OwnerOfSlot(upstream, slot);
+    const VmIncarnation& owner = *own.OwnerOfSlot(upstream, slot);
     auto& pool = pools[owner] = std::make_unique<SlotPool>(MakePool(aState, owner, table));
     ledgers[owner] = std::make_unique<SlotLedger>(owner, *pool, SlotLedger::Options{});
   }
--- a/packages/policy/include/jaylane/policy/SlotPool.h
+++ b/packages/policy/include/jaylane/policy/SlotPool.h
@@ -49,6 +49,9 @@
 
   SlotPool(VmIncarnation aSelf, Options aOptions);
 
+  /// Changes the quarantine of units reclaimed from now on.
+  void SetQuarantine(std::chrono::nanoseconds aQuarantine) { m_options.m_quarantine = aQuarantine; }
+
   /// Adds an upstream or changes its number of slots.
   /// @param aSlots slots it has; 0 stops its use.
   UpstreamIndex SetUpstream(const std::string& aId, std::uint32_t aSlots);
@@ -171,7 +174,7 @@
                    base::MonotonicTime aNow) const;
 
   const VmIncarnation m_self;
-  const Options m_options;
+  Options m_options;
   std::optional<ShareTable> m_table;
   std::uint64_t m_version = 0;
   std::vector<Unit> m_units;
--- a/packages/policy/tests/ShareModelVm.h
+++ b/packages/policy/tests/ShareModelVm.h
@@ -26,7 +26,7 @@
     Time m_end{ 0 };
   };
 
-  Vm(Incarnation aId,
+  Vm(VmIncarnation aId,
      Time aLease,
      SlotPool::Options aPool,
      SlotLedger::Options aLedger,
--- a/packages/testing/src/Demo.cpp
+++ b/packages/testing/src/Demo.cpp
@@ -154,8 +154,8 @@
                  outcomes["completed"].asUInt64(),
                  outcomes["not-run"].asUInt64(),
                  outcomes["unknown"].asUInt64(),
-                 summary["p50_ms"].asDouble(),
-                 summary["p99_ms"].asDouble());
+                 summary["latency"]["p50_ms"].asDouble(),
+                 summary["latency"]["p99_ms"].asDouble());
       open += outcomes["unknown"].asUInt64();
     }
   }
