--- a/packages/platform/src/HttpStore.cpp
+++ b/packages/platform/src/HttpStore.cpp
@@ -157,6 +157,8 @@
         Return(std::move(handle));
         return Interpret(aCall, reply);
       }
+      // An endpoint that accepts connections and does not answer must not be tried first again.
+      m_preferred = (index + 1) % m_endpoints.size();
       long sent = 0;
       curl_easy_getinfo(handle.get(), CURLINFO_REQUEST_SIZE, &sent);
       error =
--- a/packages/testing/include/jaylane/testing/HttpCall.h
+++ b/packages/testing/include/jaylane/testing/HttpCall.h
@@ -11,6 +11,8 @@
 {
   long m_status = 0;
   std::string m_body;
+  /// Header lines as received.
+  std::string m_headers;
 };
 
 /// @param aUrl whole URL.
--- a/packages/testing/src/HttpCall.cpp
+++ b/packages/testing/src/HttpCall.cpp
@@ -35,6 +35,8 @@
   curl_easy_setopt(handle.get(), CURLOPT_TIMEOUT_MS, static_cast<long>(aTimeout.count()));
   curl_easy_setopt(handle.get(), CURLOPT_WRITEFUNCTION, &Append);
   curl_easy_setopt(handle.get(), CURLOPT_WRITEDATA, &reply.m_body);
+  curl_easy_setopt(handle.get(), CURLOPT_HEADERFUNCTION, &Append);
+  curl_easy_setopt(handle.get(), CURLOPT_HEADERDATA, &reply.m_headers);
   if (aBody) {
     curl_easy_setopt(handle.get(), CURLOPT_POSTFIELDS, aBody->data());
     curl_easy_setopt(
--- a/packages/testing/tests/PlatformStandInTest.cpp
+++ b/packages/testing/tests/PlatformStandInTest.cpp
@@ -89,6 +89,43 @@
   EXPECT_TRUE(store.Get("k", kTimeout));
 }
 
+// Guards against calling an endpoint that does not answer again and again.
+TEST_F(PlatformStandInTest, LeavesAnEndpointThatDoesNotAnswer)
+{
+  const auto silent = HttpServer::Make({},
+                                       { nullptr,
+                                         [](HttpRequest& aRequest) {
+                                           aRequest.ClosedWithin(kTimeout);
+                                           return HttpResponse{};
+                                         },
+                                         nullptr });
+  ASSERT_TRUE(silent);
+  HttpStore store({ "http://" + (*silent)->Address(), m_url });
+  EXPECT_EQ(store.Put("k", "v", 0, milliseconds{ 50 }).GetError().m_code, PlatformErrc::Timeout);
+  EXPECT_TRUE(store.Put("k", "v", 0, kTimeout));
+}
+
+// Guards against handles or responses shared by concurrent calls.
+TEST_F(PlatformStandInTest, ConcurrentCalls)
+{
+  HttpStore store({ m_url });
+  std::vector<std::thread> threads;
+  for (unsigned i = 0; i < 4; ++i) {
+    threads.emplace_back([&, i] {
+      for (unsigned j = 0; j < 20; ++j) {
+        const std::string key = std::to_string(i) + "/" + std::to_string(j);
+        EXPECT_TRUE(store.Put(key, "value " + key, 0, kTimeout));
+        const auto object = store.Get(key, kTimeout);
+        EXPECT_TRUE(object && object->m_value == "value " + key);
+      }
+    });
+  }
+  for (std::thread& thread : threads) {
+    thread.join();
+  }
+  EXPECT_EQ(store.List("", kTimeout)->m_objects.size(), 80u);
+}
+
 // Guards against a watch that misses a change or a deletion, or blocks forever.
 TEST_F(PlatformStandInTest, WatchReturnsChangesAndDeletions)
 {
--- a/packages/testing/tests/UpstreamStandInTest.cpp
+++ b/packages/testing/tests/UpstreamStandInTest.cpp
@@ -56,7 +56,9 @@
   Start(options);
   std::thread busy([this] { EXPECT_FALSE(HttpGet(m_url + "/long", milliseconds{ 300 })); });
   EXPECT_TRUE(WaitFor([this] { return m_upstream->Stats()["executed"].asUInt() == 1; }, kTimeout));
-  EXPECT_EQ(HttpGet(m_url + "/shed", kTimeout)->m_status, 503);
+  const auto shed = HttpGet(m_url + "/shed", kTimeout);
+  EXPECT_EQ(shed->m_status, 503);
+  EXPECT_NE(shed->m_headers.find("X-Refused: not-run"), std::string::npos);
   busy.join();
   EXPECT_TRUE(WaitFor([this] { return m_upstream->Stats()["in_flight"].asUInt() == 0; }, kTimeout));
   Control(R"({"service_ms":1})");
@@ -81,6 +83,25 @@
   EXPECT_EQ(m_upstream->Stats()["missed_deadlines"].asUInt(), 1u);
 }
 
+// Guards against a lost or unchanged attempt id, and a cold start that is not slow or not
+// reported.
+TEST_F(UpstreamStandInTest, AttemptIdAndColdStart)
+{
+  UpstreamOptions options;
+  options.m_serviceTime = milliseconds{ 20 };
+  options.m_coldTime = kTimeout;
+  options.m_coldFactor = 5;
+  Start(options);
+  EXPECT_EQ(HttpGet(m_url + "/health", kTimeout)->m_body, R"({"state":"warming"})");
+  const auto started = std::chrono::steady_clock::now();
+  const auto reply = HttpGet(m_url + "/x", kTimeout, { "X-Attempt: 7" });
+  EXPECT_GE(std::chrono::steady_clock::now() - started, milliseconds{ 100 });
+  EXPECT_NE(reply->m_headers.find("X-Attempt: 7\r\n"), std::string::npos);
+  Control(R"({"wrong_attempt_next":1,"service_ms":1})");
+  const auto wrong = HttpGet(m_url + "/x", kTimeout, { "X-Attempt: 7" });
+  EXPECT_NE(wrong->m_headers.find("X-Attempt: 7-other\r\n"), std::string::npos);
+}
+
 // Guards against reports that cannot be made stale, wrong or absent.
 TEST_F(UpstreamStandInTest, ReportsCanBeWrong)
 {
@@ -90,6 +111,8 @@
   Control(R"({"leaving":true,"load_error":3})");
   EXPECT_EQ(HttpGet(m_url + "/health", kTimeout)->m_body, R"({"state":"leaving"})");
   EXPECT_EQ(HttpGet(m_url + "/load", kTimeout)->m_body, R"({"in_flight":3,"slots":4})");
+  Control(R"({"load_error":0,"load_lag_ms":3600000})");
+  EXPECT_EQ(HttpGet(m_url + "/load", kTimeout)->m_body, R"({"in_flight":0,"slots":4})");
   Control(R"({"health":"active"})");
   EXPECT_EQ(HttpGet(m_url + "/health", kTimeout)->m_body, R"({"state":"active"})");
   Control(R"({"reports_stopped":true})");
