policy: Add tests for the other decisions and the benchmarks

Cause: block index, table, filter, budgets, catch-up and forecast had no tests; the forecast's test showed that a cap of zero split every bucket. Change: property-based tests and benchmarks; at most 1024 splits, none under a cap of zero, and joins when splits run short.

--- a/packages/policy/bench/CatchUpBench.cpp
+++ b/packages/policy/bench/CatchUpBench.cpp
@@ -1,1 +1,31 @@
 #include "jaylane/policy/CatchUp.h"
+
+#include "PolicyWorld.h"
+
+#include <benchmark/benchmark.h>
+
+namespace jaylane::policy {
+namespace {
+
+/// First step of a VM whose table differs in half of the buckets.
+void CatchUpStep(benchmark::State& aState)
+{
+  const auto world = bench::MakeWorld(aState.range(0), aState.range(1));
+  const auto applied = FirstApplied(world.m_table);
+  auto newest = world.m_table;
+  for (std::uint32_t bucket = 0; bucket < newest.BucketCount(); bucket += 2) {
+    newest.Assign(bucket, static_cast<SiteIndex>((newest.SiteOf(bucket) + 1) % aState.range(0)));
+  }
+  newest.SetGeneration(1000);
+  for (auto _ : aState) {
+    benchmark::DoNotOptimize(CatchUp(applied, newest, world.m_input, bench::kStart));
+  }
+}
+BENCHMARK(CatchUpStep)
+  ->Args({ 6, 3 })
+  ->Args({ 150, 6 })
+  ->Args({ 1500, 14 })
+  ->Unit(benchmark::kMillisecond);
+
+} // namespace
+} // namespace jaylane::policy
--- /dev/null
+++ b/packages/policy/bench/PolicyWorld.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "jaylane/policy/ShiftPlanner.h"
+
+#include <random>
+
+namespace jaylane::policy::bench {
+
+inline constexpr base::WallTime kStart{ std::chrono::seconds{ 1'700'000'000 } };
+
+/// A service with uneven load at 40% of its capacity.
+struct World
+{
+  PlanInput m_input;
+  SteeringTable m_table;
+};
+
+/// @param aSites sites, spread over the regions.
+/// @param aRegions regions, each also an origin.
+inline World MakeWorld(std::int64_t aSites, std::int64_t aRegions)
+{
+  PlanInput input;
+  std::vector<std::string> origins;
+  std::vector<SiteId> sites;
+  const auto name = [](std::int64_t aNumber) { return "region" + std::to_string(aNumber); };
+  for (std::int64_t i = 0; i < aRegions; ++i) {
+    origins.push_back(name(i));
+    for (std::int64_t j = 0; j < aRegions; ++j) {
+      const std::chrono::milliseconds latency{ 1 + 10 * std::abs(i - j) };
+      input.m_topology.m_latencies.push_back({ name(i), name(j), latency });
+    }
+  }
+  std::mt19937 random(1);
+  std::exponential_distribution<double> spread(1);
+  double total = 0;
+  for (std::int64_t i = 0; i < aRegions * kBucketsPerOrigin; ++i) {
+    input.m_load.m_buckets.push_back(spread(random));
+    total += input.m_load.m_buckets.back();
+  }
+  for (std::int64_t i = 0; i < aSites; ++i) {
+    sites.push_back({ name(i % aRegions), "zone" + std::to_string(i / aRegions) });
+    input.m_topology.m_sites.push_back(
+      { sites.back(), SiteState::Live, total / 0.4 / static_cast<double>(aSites), {} });
+  }
+  auto table = SteeringTable::Make("tables-svc", origins, sites);
+  return { input, *ShiftPlanner::MakeInitial(*table, input, kStart) };
+}
+
+/// Changes the state of a region's sites.
+inline void SetRegion(PlanInput& aInput, const std::string& aRegion, SiteState aState)
+{
+  for (auto& site : aInput.m_topology.m_sites) {
+    if (site.m_id.m_region == aRegion) {
+      site.m_state = aState;
+    }
+  }
+}
+
+} // namespace jaylane::policy::bench
--- a/packages/policy/include/jaylane/policy/SteeringTable.h
+++ b/packages/policy/include/jaylane/policy/SteeringTable.h
@@ -20,6 +20,8 @@
 inline constexpr std::uint32_t kBucketsPerOrigin = 4096;
 /// Parts of a bucket that is split because its load alone is too large for a step.
 inline constexpr std::uint32_t kPartsPerBucket = 64;
+/// Splits of a table. Bounds its stored form, which must stay below the store's limit of 1 MB.
+inline constexpr std::size_t kMaxSplits = 1024;
 
 /// Consecutive parts of buckets. Part p of bucket b of origin o has the number
 /// (o * kBucketsPerOrigin + b) * kPartsPerBucket + p; a whole bucket is a run of kPartsPerBucket.
@@ -107,6 +109,8 @@
   /// @return number of buckets over all origins.
   std::uint32_t BucketCount() const { return static_cast<std::uint32_t>(m_buckets.size()); }
   /// @param aBucket origin * kBucketsPerOrigin + bucket.
+  /// @return number of split buckets.
+  std::size_t SplitCount() const { return m_parts.size() / kPartsPerBucket - m_freeSplits.size(); }
   bool IsSplit(std::uint32_t aBucket) const { return (m_buckets[aBucket] & kSplitBit) != 0; }
   /// @return site of a part; for a bucket that is not split, of the whole bucket.
   SiteIndex SiteOf(std::uint32_t aBucket, std::uint32_t aPart = 0) const;
--- a/packages/policy/src/SteeringTable.cpp
+++ b/packages/policy/src/SteeringTable.cpp
@@ -13,7 +13,6 @@
 constexpr std::size_t kMaxSites = 0x7fff;
 /// Keeps part numbers, which count over all origins, within 32 bits.
 constexpr std::size_t kMaxOrigins = 4096;
-constexpr std::size_t kMaxSplits = 0x7fff;
 
 template<typename T>
 bool HasDuplicate(const std::vector<T>& aValues)
--- a/packages/policy/src/SteeringTableCodec.cpp
+++ b/packages/policy/src/SteeringTableCodec.cpp
@@ -231,7 +231,7 @@
   const auto& buckets = aJson["buckets"];
   const auto& parts = aJson["parts"];
   if (!buckets.isArray() || buckets.size() != aTable.m_origins.size() || !parts.isArray() ||
-      parts.size() >= SteeringTable::kSplitBit) {
+      parts.size() > kMaxSplits) {
     return false;
   }
   const std::span values(aTable.m_buckets);
--- a/packages/policy/src/StepBuilder.cpp
+++ b/packages/policy/src/StepBuilder.cpp
@@ -12,8 +12,10 @@
 
 /// Units of at most a fifth of the cap let a greedy step use at least four fifths of it.
 constexpr double kLargestUnit = 0.2;
-/// A split bucket is joined only well below the size at which it would be split again.
+/// A split bucket is joined only well below the size at which it would be split again, unless
+/// splits run short.
 constexpr double kJoinBelow = 0.5;
+constexpr std::size_t kManySplits = kMaxSplits / 2;
 /// Longest pause between steps that the next step makes up for, in windows. Bounds the size of
 /// the first step after a quiet time, because moved load reaches cold caches.
 constexpr int kPaceStepsPerWindow = 4;
@@ -116,7 +118,8 @@
                            MoveReason aReason,
                            std::vector<MoveUnit>& aUnits)
 {
-  if (!m_table.IsSplit(aBucket) && m_shares.Share(aBucket) > m_splitAbove) {
+  // Under a cap of zero no part could move either.
+  if (!m_table.IsSplit(aBucket) && m_splitAbove > 0 && m_shares.Share(aBucket) > m_splitAbove) {
     m_didSplit = m_table.Split(aBucket) || m_didSplit;
   }
   if (m_table.IsSplit(aBucket)) {
--- a/packages/policy/tests/CatchUpTest.cpp
+++ b/packages/policy/tests/CatchUpTest.cpp
@@ -1,1 +1,115 @@
 #include "jaylane/policy/CatchUp.h"
+
+#include "ShiftSimulation.h"
+
+#include <gtest/gtest.h>
+
+#include <rapidcheck/gtest.h>
+
+namespace jaylane::policy {
+namespace {
+
+using namespace std::chrono_literals;
+using testing::kStart;
+using testing::MakeInput;
+using testing::MakeTable;
+
+/// @return a table far from aTable, as after many generations.
+SteeringTable MakeFar(const SteeringTable& aTable, std::uint32_t aSeed)
+{
+  auto far = aTable;
+  std::mt19937 random(aSeed);
+  for (std::uint32_t bucket = 0; bucket < far.BucketCount(); ++bucket) {
+    const auto site = static_cast<SiteIndex>(random() % far.Sites().size());
+    if (random() % 200 == 0) {
+      far.Split(bucket);
+      far.AssignPart(bucket, random() % kPartsPerBucket, site);
+    } else if (random() % 2 == 0) {
+      far.Assign(bucket, site);
+    }
+  }
+  far.SetGeneration(aTable.Generation() + 1000);
+  return far;
+}
+
+// Guards against a VM that moves all its traffic at once after a partition, and against one that
+// never arrives, while newer tables keep coming.
+RC_GTEST_PROP(CatchUp, ArrivesUnderTheCap, ())
+{
+  auto input = MakeInput(3, 1, 600, 400);
+  input.m_limits.m_plannedCap = 0.3;
+  std::mt19937 random(*rc::gen::inRange<std::uint32_t>(0, 1'000'000));
+  const auto changeLoad = [&] {
+    for (auto& load : input.m_load.m_buckets) {
+      load = 0.05 + static_cast<double>(random() % 100) / 100;
+    }
+  };
+  changeLoad();
+  auto newest = MakeTable(input, 1);
+  auto applied = FirstApplied(newest);
+  std::vector<testing::PublishedMove> moves;
+  auto now = kStart;
+  for (int i = 0; i < 20 || applied.Generation() != newest.Generation(); ++i) {
+    RC_ASSERT(i < 60);
+    if (i == 0 || (i < 20 && random() % 8 == 0)) {
+      newest = MakeFar(newest, random());
+      changeLoad();
+    }
+    now += std::chrono::milliseconds{ random() % 20'000 };
+    auto next = CatchUp(applied, newest, input, now);
+    RC_ASSERT(static_cast<bool>(next));
+    moves.push_back({ now, testing::MovedShare(applied, *next, input.m_load) });
+    applied = std::move(*next);
+  }
+  RC_ASSERT(applied.SameAssignment(newest));
+  RC_ASSERT(testing::LargestWindow(moves, input.m_limits.m_window) <= 0.3 + 1e-9);
+}
+
+// Guards against load left at a dead site while the cap goes to other moves.
+TEST(CatchUp, LeavesDeadSiteFirst)
+{
+  auto input = MakeInput(3, 1, 600, 400);
+  input.m_limits.m_latencyWeight = 0;
+  const auto applied = FirstApplied(MakeTable(input, 1));
+  const auto newest = MakeFar(applied, 1);
+  input.m_topology.m_sites[4].m_state = SiteState::Dead;
+  const auto next = CatchUp(applied, newest, input, kStart);
+  for (std::uint32_t bucket = 0; bucket < applied.BucketCount(); ++bucket) {
+    if (applied.SiteOf(bucket) != next->SiteOf(bucket)) {
+      EXPECT_EQ(applied.SiteOf(bucket), 4);
+    }
+  }
+  EXPECT_FALSE(next->SameAssignment(applied));
+}
+
+// Guards against a table of another service, or with origins in another order.
+TEST(CatchUp, RejectsForeignTable)
+{
+  const auto input = MakeInput(3, 2, 600, 400);
+  const auto table = MakeTable(input, 2);
+  const auto other = SteeringTable::Make("other", table.Origins(), table.Sites());
+  const auto swapped = SteeringTable::Make(table.Service(), { "r1", "r0" }, table.Sites());
+  auto newer = *swapped;
+  newer.SetGeneration(2);
+  EXPECT_FALSE(CatchUp(table, *other, input, kStart));
+  EXPECT_FALSE(CatchUp(table, newer, input, kStart));
+}
+
+// Guards against sites and origins that are added while the VM is cut off.
+TEST(CatchUp, TakesNewSitesAndOrigins)
+{
+  const auto input = MakeInput(3, 2, 600, 400);
+  const auto applied = FirstApplied(MakeTable(MakeInput(2, 1, 600, 600), 1));
+  auto newest = applied;
+  const auto site = newest.AddSite({ "r2", "b" });
+  newest.AddOrigin("r1", site);
+  newest.Assign(3, site);
+  newest.SetGeneration(9);
+  const auto next = CatchUp(applied, newest, input, kStart);
+  ASSERT_TRUE(next) << next.GetError().Message();
+  EXPECT_EQ(next->Generation(), 9U);
+  EXPECT_TRUE(next->SameAssignment(newest));
+}
+
+} // namespace
+} // namespace jaylane::policy
