policy: Move the heaviest load first

A bucket above the cap also made a step end early. Change: heaviest first in planner, initial table and catch-up; full sites are tried again for clearly lighter weights; too heavy units no longer end a step; recovery that waits is reported last. Conclusion: the cap serves measured load first.

--- a/packages/policy/src/CatchUp.cpp
+++ b/packages/policy/src/CatchUp.cpp
@@ -149,7 +149,7 @@
   }
 }
 
-/// Moves the most urgent and then the lightest differences that the cap allows.
+/// Moves the most urgent and then the heaviest differences that the cap allows.
 /// @return what moved.
 MoveRecord MoveWithin(SteeringTable& aTable,
                       std::vector<Difference> aDifferences,
@@ -158,8 +158,8 @@
   std::sort(aDifferences.begin(),
             aDifferences.end(),
             [](const Difference& aLeft, const Difference& aRight) {
-              return std::tie(aRight.m_isUrgent, aLeft.m_share, aLeft.m_bucket, aLeft.m_parts) <
-                     std::tie(aLeft.m_isUrgent, aRight.m_share, aRight.m_bucket, aRight.m_parts);
+              return std::tie(aRight.m_isUrgent, aRight.m_share, aLeft.m_bucket, aLeft.m_parts) <
+                     std::tie(aLeft.m_isUrgent, aLeft.m_share, aRight.m_bucket, aRight.m_parts);
             });
   MoveRecord move;
   std::vector<Difference> moved;
--- a/packages/policy/src/ShiftPlanner.cpp
+++ b/packages/policy/src/ShiftPlanner.cpp
@@ -69,7 +69,7 @@
   std::vector<std::uint32_t> buckets(aTable.BucketCount());
   std::iota(buckets.begin(), buckets.end(), 0);
   std::stable_sort(buckets.begin(), buckets.end(), [&](std::uint32_t aLeft, std::uint32_t aRight) {
-    return aShares.Weight(aLeft) < aShares.Weight(aRight);
+    return aShares.Weight(aLeft) > aShares.Weight(aRight);
   });
   TargetPicker picker(aModel);
   for (const auto bucket : buckets) {
--- a/packages/policy/src/StepBuilder.cpp
+++ b/packages/policy/src/StepBuilder.cpp
@@ -15,6 +15,9 @@
 /// the first step after a quiet time, because moved load reaches cold caches.
 constexpr int kPaceStepsPerWindow = 4;
 
+/// Bounds the work on units of one site that gain nothing by a return.
+constexpr int kMaxReturnFailures = 64;
+
 template<typename F>
 void ForEachPart(PartMask aParts, F aVisit)
 {
@@ -37,11 +40,12 @@
   }
 }
 
-/// Whether aLeft comes after aRight: the most urgent come first, then the lightest.
+/// Whether aLeft comes after aRight: the most urgent come first, then the heaviest, so that the cap
+/// is not spent on the floor of idle buckets while busy ones wait.
 bool IsLater(const MoveUnit& aLeft, const MoveUnit& aRight)
 {
-  return std::tie(aRight.m_reason, aRight.m_weight, aRight.m_bucket, aRight.m_parts) <
-         std::tie(aLeft.m_reason, aLeft.m_weight, aLeft.m_bucket, aLeft.m_parts);
+  return std::tie(aRight.m_reason, aLeft.m_weight, aRight.m_bucket, aRight.m_parts) <
+         std::tie(aLeft.m_reason, aRight.m_weight, aLeft.m_bucket, aLeft.m_parts);
 }
 
 } // namespace
@@ -205,8 +209,12 @@
   TargetPicker picker(m_model);
   // A step moves few of the units, so they are not sorted all.
   auto units = LeavingUnits();
+  double lightest = cap;
+  for (const auto& unit : units) {
+    lightest = std::min(lightest, unit.m_share);
+  }
   std::make_heap(units.begin(), units.end(), IsLater);
-  while (!units.empty() && !m_capReached) {
+  while (!units.empty() && lightest <= cap - m_window.Used() - m_movedShare) {
     std::pop_heap(units.begin(), units.end(), IsLater);
     const auto unit = units.back();
     units.pop_back();
@@ -222,7 +230,7 @@
     }
   }
   for (const auto& unit : units) {
-    KeepForLater(unit, Outcome::CapReached);
+    KeepForLater(unit, unit.m_share > cap ? Outcome::TooHeavy : Outcome::CapReached);
   }
 }
 
@@ -256,26 +264,31 @@
 bool StepBuilder::MovePair(const ReturnPair& aPair, std::vector<MoveUnit> aUnits)
 {
   std::sort(aUnits.rbegin(), aUnits.rend(), IsLater);
+  int failures = 0;
   const auto cap = m_limits.m_plannedCap * m_limits.m_recoveryFraction;
   const auto pace = Pace(cap);
   TargetPicker picker(m_model);
   for (const auto& unit : aUnits) {
     const auto target = picker.Pick(aPair.m_origin, unit.m_from, unit.m_reason, unit.m_weight);
-    if (target == kNoSite || m_model.Score(aPair.m_origin, unit.m_from, 0) -
-                                 m_model.Score(aPair.m_origin, target, unit.m_weight) <=
-                               m_limits.m_recoveryMargin) {
-      return true;
+    if (unit.m_share > cap || target == kNoSite ||
+        m_model.Score(aPair.m_origin, unit.m_from, 0) -
+            m_model.Score(aPair.m_origin, target, unit.m_weight) <=
+          m_limits.m_recoveryMargin) {
+      // A lighter unit may still fit.
+      if (++failures == kMaxReturnFailures) {
+        break;
+      }
+      continue;
     }
     const auto remaining =
       std::min(cap - m_window.UsedByRecovery(), m_limits.m_plannedCap - m_window.Used()) -
       m_movedShare;
-    if (m_movedShare >= pace || (unit.m_share <= cap && unit.m_share > remaining)) {
-      KeepForLater(unit, Outcome::CapReached);
+    if (m_movedShare >= pace || unit.m_share > remaining) {
+      m_remaining[static_cast<std::size_t>(unit.m_reason)] += unit.m_share;
+      m_returnWaits = true;
       return false;
     }
-    if (unit.m_share <= cap) {
-      Apply(unit, target);
-    }
+    Apply(unit, target);
   }
   return true;
 }
@@ -333,6 +346,8 @@
     aPlan.m_state = PlanState::NoCapacity;
   } else if (m_tooHeavy) {
     aPlan.m_state = PlanState::TooHeavy;
+  } else if (m_returnWaits) {
+    aPlan.m_state = PlanState::CapReached;
   } else {
     aPlan.m_state = PlanState::Settled;
   }
--- a/packages/policy/src/StepBuilder.h
+++ b/packages/policy/src/StepBuilder.h
@@ -95,6 +95,7 @@
   bool m_capReached = false;
   bool m_noCapacity = false;
   bool m_tooHeavy = false;
+  bool m_returnWaits = false; ///< Recovery moves wait for the cap.
 };
 
 } // namespace jaylane::policy
--- a/packages/policy/src/TargetPicker.cpp
+++ b/packages/policy/src/TargetPicker.cpp
@@ -4,15 +4,24 @@
 
 namespace jaylane::policy {
 
+namespace {
+
+/// A full site is tried again for weights up to this part of the one that did not fit.
+constexpr double kLighter = 0.9;
+
+} // namespace
+
 TargetPicker::TargetPicker(const PlacementModel& aModel)
   : m_model(aModel)
 {
 }
 
-TargetPicker::Heap& TargetPicker::HeapFor(OriginIndex aOrigin, SiteIndex aFrom, MoveReason aReason)
+TargetPicker::Candidates& TargetPicker::CandidatesFor(OriginIndex aOrigin,
+                                                      SiteIndex aFrom,
+                                                      MoveReason aReason)
 {
   const auto region = aFrom == kNoSite ? m_model.Regions().size() : m_model.RegionOf(aFrom);
-  const auto [found, isNew] = m_heaps.try_emplace({ aOrigin, region, aReason });
+  const auto [found, isNew] = m_candidates.try_emplace({ aOrigin, region, aReason });
   if (isNew) {
     std::vector<Scored> scored;
     for (std::size_t site = 0; site < m_model.SiteCount(); ++site) {
@@ -21,42 +30,60 @@
         scored.emplace_back(m_model.Score(aOrigin, index, 0), index);
       }
     }
-    found->second = Heap(std::greater<>{}, std::move(scored));
+    found->second.m_open = Heap(std::greater<>{}, std::move(scored));
   }
   return found->second;
 }
 
-SiteIndex TargetPicker::Pick(OriginIndex aOrigin,
-                             SiteIndex aFrom,
-                             MoveReason aReason,
-                             double aWeight)
+void TargetPicker::Reopen(Candidates& aCandidates, OriginIndex aOrigin, double aWeight) const
+{
+  std::erase_if(aCandidates.m_full, [&](const Scored& aFull) {
+    if (aWeight > kLighter * aFull.first) {
+      return false;
+    }
+    aCandidates.m_open.emplace(m_model.Score(aOrigin, aFull.second, aWeight), aFull.second);
+    return true;
+  });
+}
+
+SiteIndex TargetPicker::PickOpen(Candidates& aCandidates,
+                                 OriginIndex aOrigin,
+                                 SiteIndex aFrom,
+                                 double aWeight) const
 {
-  auto& heap = HeapFor(aOrigin, aFrom, aReason);
+  auto& open = aCandidates.m_open;
   std::optional<Scored> source;
   SiteIndex picked = kNoSite;
-  while (!heap.empty()) {
-    const auto [oldScore, site] = heap.top();
-    heap.pop();
+  while (!open.empty() && picked == kNoSite) {
+    const auto [oldScore, site] = open.top();
+    open.pop();
     const auto score = m_model.Score(aOrigin, site, aWeight);
-    if (score > oldScore && !heap.empty() && score > heap.top().first) {
+    if (score > oldScore && !open.empty() && score > open.top().first) {
       // Loads grew since the site was last scored.
-      heap.emplace(score, site);
-      continue;
-    }
-    if (site == aFrom) {
+      open.emplace(score, site);
+    } else if (site == aFrom) {
       source.emplace(score, site);
-      continue;
-    }
-    if (m_model.Fits(aOrigin, aFrom, site, aWeight)) {
-      heap.emplace(score, site);
+    } else if (m_model.Fits(aOrigin, aFrom, site, aWeight)) {
+      open.emplace(score, site);
       picked = site;
-      break;
+    } else {
+      aCandidates.m_full.emplace_back(aWeight, site);
     }
   }
   if (source) {
-    heap.push(*source);
+    open.push(*source);
   }
   return picked;
 }
 
+SiteIndex TargetPicker::Pick(OriginIndex aOrigin,
+                             SiteIndex aFrom,
+                             MoveReason aReason,
+                             double aWeight)
+{
+  auto& candidates = CandidatesFor(aOrigin, aFrom, aReason);
+  Reopen(candidates, aOrigin, aWeight);
+  return PickOpen(candidates, aOrigin, aFrom, aWeight);
+}
+
 } // namespace jaylane::policy
--- a/packages/policy/src/TargetPicker.h
+++ b/packages/policy/src/TargetPicker.h
@@ -12,8 +12,8 @@
 
 /// Finds the site with the best score that has room.
 ///
-/// Weights must not fall from one call to the next for the same source region, origin and reason: a
-/// site without room is not tried again, so that full sites do not slow down a step.
+/// A site without room is tried again only for a clearly lighter weight, so that full sites do not
+/// slow down a step. Weights should fall from one call to the next.
 class TargetPicker
 {
 public:
@@ -28,10 +28,22 @@
   using Scored = std::pair<double, SiteIndex>;
   using Heap = std::priority_queue<Scored, std::vector<Scored>, std::greater<>>;
 
-  Heap& HeapFor(OriginIndex aOrigin, SiteIndex aFrom, MoveReason aReason);
+  struct Candidates
+  {
+    Heap m_open;
+    std::vector<Scored> m_full; ///< Weight that did not fit, and the site.
+  };
+
+  Candidates& CandidatesFor(OriginIndex aOrigin, SiteIndex aFrom, MoveReason aReason);
+
+  void Reopen(Candidates& aCandidates, OriginIndex aOrigin, double aWeight) const;
+  SiteIndex PickOpen(Candidates& aCandidates,
+                     OriginIndex aOrigin,
+                     SiteIndex aFrom,
+                     double aWeight) const;
 
   const PlacementModel& m_model;
-  std::map<std::tuple<OriginIndex, std::size_t, MoveReason>, Heap> m_heaps;
+  std::map<std::tuple<OriginIndex, std::size_t, MoveReason>, Candidates> m_candidates;
 };
 
 } // namespace jaylane::policy
