policy: Report the plan state without repeated branches

Cause: lint rejected a repeated branch; the test of the hash counted parts that no block had. Change: early returns; only parts in use count.

--- a/packages/policy/src/StepBuilder.cpp
+++ b/packages/policy/src/StepBuilder.cpp
@@ -333,24 +333,29 @@
   }
 }
 
+PlanState StepBuilder::State() const
+{
+  if (!m_moved.empty() || m_didSplit) {
+    return PlanState::Step;
+  }
+  if (m_capReached) {
+    return PlanState::CapReached;
+  }
+  if (m_noCapacity) {
+    return PlanState::NoCapacity;
+  }
+  if (m_tooHeavy) {
+    return PlanState::TooHeavy;
+  }
+  return m_returnWaits ? PlanState::CapReached : PlanState::Settled;
+}
+
 void StepBuilder::Report(Plan& aPlan) const
 {
+  aPlan.m_state = State();
   aPlan.m_movedShare = m_movedShare;
   aPlan.m_movedByReason = m_movedByReason;
   aPlan.m_remaining = m_remaining;
-  if (!m_moved.empty() || m_didSplit) {
-    aPlan.m_state = PlanState::Step;
-  } else if (m_capReached) {
-    aPlan.m_state = PlanState::CapReached;
-  } else if (m_noCapacity) {
-    aPlan.m_state = PlanState::NoCapacity;
-  } else if (m_tooHeavy) {
-    aPlan.m_state = PlanState::TooHeavy;
-  } else if (m_returnWaits) {
-    aPlan.m_state = PlanState::CapReached;
-  } else {
-    aPlan.m_state = PlanState::Settled;
-  }
 }
 
 std::vector<MoveRecord> StepBuilder::TakeMoves(std::uint64_t aGeneration) const
--- a/packages/policy/src/StepBuilder.h
+++ b/packages/policy/src/StepBuilder.h
@@ -59,6 +59,7 @@
     TooHeavy,
   };
 
+  PlanState State() const;
   double Pace(double aCap) const;
   void AddUnits(std::uint32_t aBucket,
                 SiteIndex aSite,
--- a/packages/policy/tests/SteeringTableTest.cpp
+++ b/packages/policy/tests/SteeringTableTest.cpp
@@ -134,7 +134,9 @@
   for (std::uint32_t block = 0; block < kBlocks; ++block) {
     const auto slot = SteeringTable::SlotOf(block << 8);
     ++buckets[slot.m_bucket];
-    partsOfFirst[slot.m_part] += slot.m_bucket == 0 ? 1 : 0;
+    if (slot.m_bucket == 0) {
+      ++partsOfFirst[slot.m_part];
+    }
   }
   for (const auto& [bucket, count] : buckets) {
     EXPECT_NEAR(count, kBlocks / 4096, 150) << bucket;
