--- a/packages/policy/src/StepBuilder.cpp
+++ b/packages/policy/src/StepBuilder.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <bit>
-#include <map>
 #include <set>
 #include <tuple>
 
@@ -12,12 +11,13 @@
 
 /// Units of at most a fifth of the cap let a greedy step use at least four fifths of it.
 constexpr double kLargestUnit = 0.2;
-/// A split bucket is joined only well below the size at which it would be split again.
-constexpr double kJoinBelow = 0.5;
 /// Longest pause between steps that the next step makes up for, in windows. Bounds the size of
 /// the first step after a quiet time, because moved load reaches cold caches.
 constexpr int kPaceStepsPerWindow = 4;
 
+/// Bounds the work on units of one site that gain nothing by a return.
+constexpr int kMaxReturnFailures = 64;
+
 template<typename F>
 void ForEachPart(PartMask aParts, F aVisit)
 {
@@ -40,11 +40,12 @@
   }
 }
 
-/// Whether aLeft comes after aRight: the most urgent come first, then the lightest.
+/// Whether aLeft comes after aRight: the most urgent come first, then the heaviest, so that the cap
+/// is not spent on the floor of idle buckets while busy ones wait.
 bool IsLater(const MoveUnit& aLeft, const MoveUnit& aRight)
 {
-  return std::tie(aRight.m_reason, aRight.m_weight, aRight.m_bucket, aRight.m_parts) <
-         std::tie(aLeft.m_reason, aLeft.m_weight, aLeft.m_bucket, aLeft.m_parts);
+  return std::tie(aRight.m_reason, aLeft.m_weight, aRight.m_bucket, aRight.m_parts) <
+         std::tie(aLeft.m_reason, aRight.m_weight, aLeft.m_bucket, aLeft.m_parts);
 }
 
 } // namespace
@@ -116,7 +117,8 @@
                            MoveReason aReason,
                            std::vector<MoveUnit>& aUnits)
 {
-  if (!m_table.IsSplit(aBucket) && m_shares.Share(aBucket) > m_splitAbove) {
+  // Under a cap of zero no part could move either.
+  if (!m_table.IsSplit(aBucket) && m_splitAbove > 0 && m_shares.Share(aBucket) > m_splitAbove) {
     m_didSplit = m_table.Split(aBucket) || m_didSplit;
   }
   if (m_table.IsSplit(aBucket)) {
@@ -207,8 +209,12 @@
   TargetPicker picker(m_model);
   // A step moves few of the units, so they are not sorted all.
   auto units = LeavingUnits();
+  double lightest = cap;
+  for (const auto& unit : units) {
+    lightest = std::min(lightest, unit.m_share);
+  }
   std::make_heap(units.begin(), units.end(), IsLater);
-  while (!units.empty() && !m_capReached) {
+  while (!units.empty() && lightest <= cap - m_window.Used() - m_movedShare) {
     std::pop_heap(units.begin(), units.end(), IsLater);
     const auto unit = units.back();
     units.pop_back();
@@ -224,7 +230,7 @@
     }
   }
   for (const auto& unit : units) {
-    KeepForLater(unit, Outcome::CapReached);
+    KeepForLater(unit, unit.m_share > cap ? Outcome::TooHeavy : Outcome::CapReached);
   }
 }
 
@@ -258,26 +264,31 @@
 bool StepBuilder::MovePair(const ReturnPair& aPair, std::vector<MoveUnit> aUnits)
 {
   std::sort(aUnits.rbegin(), aUnits.rend(), IsLater);
+  int failures = 0;
   const auto cap = m_limits.m_plannedCap * m_limits.m_recoveryFraction;
   const auto pace = Pace(cap);
   TargetPicker picker(m_model);
   for (const auto& unit : aUnits) {
     const auto target = picker.Pick(aPair.m_origin, unit.m_from, unit.m_reason, unit.m_weight);
-    if (target == kNoSite || m_model.Score(aPair.m_origin, unit.m_from, 0) -
-                                 m_model.Score(aPair.m_origin, target, unit.m_weight) <=
-                               m_limits.m_recoveryMargin) {
-      return true;
+    if (unit.m_share > cap || target == kNoSite ||
+        m_model.Score(aPair.m_origin, unit.m_from, 0) -
+            m_model.Score(aPair.m_origin, target, unit.m_weight) <=
+          m_limits.m_recoveryMargin) {
+      // A lighter unit may still fit.
+      if (++failures == kMaxReturnFailures) {
+        break;
+      }
+      continue;
     }
     const auto remaining =
       std::min(cap - m_window.UsedByRecovery(), m_limits.m_plannedCap - m_window.Used()) -
       m_movedShare;
-    if (m_movedShare >= pace || (unit.m_share <= cap && unit.m_share > remaining)) {
-      KeepForLater(unit, Outcome::CapReached);
+    if (m_movedShare >= pace || unit.m_share > remaining) {
+      m_remaining[static_cast<std::size_t>(unit.m_reason)] += unit.m_share;
+      m_returnWaits = true;
       return false;
     }
-    if (unit.m_share <= cap) {
-      Apply(unit, target);
-    }
+    Apply(unit, target);
   }
   return true;
 }
@@ -292,71 +303,59 @@
     return;
   }
   m_splitAbove *= m_limits.m_recoveryFraction;
-  std::map<std::pair<OriginIndex, SiteIndex>, std::vector<std::uint32_t>> buckets;
-  for (const auto& pair : pairs) {
-    buckets[{ pair.m_origin, pair.m_from }];
+  const auto indexOf = [this](OriginIndex aOrigin, SiteIndex aSite) {
+    return aOrigin * m_model.SiteCount() + aSite;
+  };
+  constexpr auto kNoPair = static_cast<std::size_t>(-1);
+  std::vector<std::size_t> positions(m_model.OriginCount() * m_model.SiteCount(), kNoPair);
+  for (std::size_t i = 0; i < pairs.size(); ++i) {
+    positions[indexOf(pairs[i].m_origin, pairs[i].m_from)] = i;
   }
+  std::vector<std::vector<std::uint32_t>> buckets(pairs.size());
   for (std::uint32_t bucket = 0; bucket < m_table.BucketCount(); ++bucket) {
     const auto parts = m_table.IsSplit(bucket) ? kPartsPerBucket : 1;
     for (std::uint32_t part = 0; part < parts; ++part) {
-      const auto found = buckets.find({ OriginOf(bucket), m_table.SiteOf(bucket, part) });
-      if (found != buckets.end() && (found->second.empty() || found->second.back() != bucket)) {
-        found->second.push_back(bucket);
+      const auto position = positions[indexOf(OriginOf(bucket), m_table.SiteOf(bucket, part))];
+      if (position != kNoPair &&
+          (buckets[position].empty() || buckets[position].back() != bucket)) {
+        buckets[position].push_back(bucket);
       }
     }
   }
-  for (const auto& pair : pairs) {
+  for (std::size_t i = 0; i < pairs.size(); ++i) {
     std::vector<MoveUnit> units;
-    for (const auto bucket : buckets[{ pair.m_origin, pair.m_from }]) {
-      AddUnits(bucket, pair.m_from, MoveReason::Recovery, units);
+    for (const auto bucket : buckets[i]) {
+      AddUnits(bucket, pairs[i].m_from, MoveReason::Recovery, units);
     }
-    if (!MovePair(pair, std::move(units))) {
+    if (!MovePair(pairs[i], std::move(units))) {
       return;
     }
   }
 }
 
-void StepBuilder::JoinCold()
+PlanState StepBuilder::State() const
 {
-  std::set<std::uint32_t> inUse;
-  const auto use = [&inUse](const PartRun& aRun) {
-    for (auto bucket = aRun.m_first / kPartsPerBucket;
-         bucket <= (aRun.m_first + aRun.m_count - 1) / kPartsPerBucket;
-         ++bucket) {
-      inUse.insert(bucket);
-    }
-  };
-  for (const auto& move : m_window.Moves()) {
-    std::for_each(move.m_parts.begin(), move.m_parts.end(), use);
+  if (!m_moved.empty() || m_didSplit) {
+    return PlanState::Step;
   }
-  for (const auto& unit : m_moved) {
-    inUse.insert(unit.m_bucket);
+  if (m_capReached) {
+    return PlanState::CapReached;
   }
-  const auto threshold =
-    kLargestUnit * kJoinBelow * m_limits.m_plannedCap * m_limits.m_recoveryFraction;
-  for (std::uint32_t bucket = 0; bucket < m_table.BucketCount(); ++bucket) {
-    if (m_table.IsSplit(bucket) && !inUse.contains(bucket) && m_shares.Share(bucket) < threshold) {
-      m_table.Join(bucket);
-    }
+  if (m_noCapacity) {
+    return PlanState::NoCapacity;
   }
+  if (m_tooHeavy) {
+    return PlanState::TooHeavy;
+  }
+  return m_returnWaits ? PlanState::CapReached : PlanState::Settled;
 }
 
 void StepBuilder::Report(Plan& aPlan) const
 {
+  aPlan.m_state = State();
   aPlan.m_movedShare = m_movedShare;
   aPlan.m_movedByReason = m_movedByReason;
   aPlan.m_remaining = m_remaining;
-  if (!m_moved.empty() || m_didSplit) {
-    aPlan.m_state = PlanState::Step;
-  } else if (m_capReached) {
-    aPlan.m_state = PlanState::CapReached;
-  } else if (m_noCapacity) {
-    aPlan.m_state = PlanState::NoCapacity;
-  } else if (m_tooHeavy) {
-    aPlan.m_state = PlanState::TooHeavy;
-  } else {
-    aPlan.m_state = PlanState::Settled;
-  }
 }
 
 std::vector<MoveRecord> StepBuilder::TakeMoves(std::uint64_t aGeneration) const
--- a/packages/policy/src/StepBuilder.h
+++ b/packages/policy/src/StepBuilder.h
@@ -38,9 +38,6 @@
   /// Moves load to better sites, slowly; only if nothing has moved or waits for the cap.
   void MoveReturning();
 
-  /// Represents split buckets whole again where nothing depends on their parts.
-  void JoinCold();
-
   /// Writes the result into aPlan, apart from table and times.
   void Report(Plan& aPlan) const;
 
@@ -62,6 +59,7 @@
     TooHeavy,
   };
 
+  PlanState State() const;
   double Pace(double aCap) const;
   void AddUnits(std::uint32_t aBucket,
                 SiteIndex aSite,
@@ -98,6 +96,7 @@
   bool m_capReached = false;
   bool m_noCapacity = false;
   bool m_tooHeavy = false;
+  bool m_returnWaits = false; ///< Recovery moves wait for the cap.
 };
 
 } // namespace jaylane::policy
