policy: Keep the linear ramp and drop the doubling one

Change: RampShape and Doubling are removed; the ramp is linear over 12 s. The VM list is matched through a hash set instead of a quadratic search. The parser's header includes yaml-cpp, since lint refuses its namespace in a forward declaration.

--- a/packages/base/src/StateChartParser.h
+++ b/packages/base/src/StateChartParser.h
@@ -3,10 +3,7 @@
 #include "jaylane/base/StateChart.h"
 
 #include <initializer_list>
-
-namespace YAML {
-class Node;
-}
+#include <yaml-cpp/node/node.h>
 
 namespace jaylane::base {
 
--- a/packages/policy/include/jaylane/policy/UpstreamSelector.h
+++ b/packages/policy/include/jaylane/policy/UpstreamSelector.h
@@ -48,25 +48,11 @@
   Cancelled,
 };
 
-/// How the share of a new or recovered upstream grows; see docs/decisions/slow-start.md.
-enum class RampShape
-{
-  /// With time.
-  Linear,
-  /// Doubles in equal steps, each taken only while the upstream is not much slower than the
-  /// others.
-  Doubling,
-};
-
 struct UpstreamSelectorOptions
 {
-  /// Time in which a new or recovered upstream reaches its full share at the earliest.
+  /// Time in which the share of a new or recovered upstream grows linearly to the full one; see
+  /// docs/decisions/slow-start.md.
   std::chrono::milliseconds m_ramp{ std::chrono::seconds{ 12 } };
-  /// The longest ramp, as a multiple of m_ramp; a slow upstream must not stay out for ever.
-  int m_maxRampFactor = 4;
-  RampShape m_rampShape = RampShape::Doubling;
-  /// Doubling continues while the latency is at most this multiple of the service's mean.
-  double m_usefulLatency = 2;
   /// Share at the start of the ramp.
   double m_rampFloor = 0.1;
   /// A listed upstream counts as ready after this time without a probe.
@@ -168,7 +154,6 @@
   bool EjectionIsOver(const UpstreamState& aUpstream, base::MonotonicTime aNow) const;
   void UpdateLatency(UpstreamState& aUpstream, double aSeconds, base::MonotonicTime aNow);
   double Latency(const UpstreamState& aUpstream, base::MonotonicTime aNow) const;
-  void AdvanceRamp(UpstreamState& aUpstream, base::MonotonicTime aNow);
   double RampShare(const UpstreamState& aUpstream, base::MonotonicTime aNow) const;
   double Score(const UpstreamState& aUpstream, base::MonotonicTime aNow) const;
   const UpstreamState& Better(const UpstreamState& aFirst,
--- a/packages/policy/include/jaylane/policy/UpstreamState.h
+++ b/packages/policy/include/jaylane/policy/UpstreamState.h
@@ -58,12 +58,9 @@
   std::uint32_t m_ejections = 0;
   /// Mean of recent latencies in seconds, 0 while unknown.
   double m_latency = 0;
-  /// Doublings of the share since the start of the ramp.
-  std::uint32_t m_doublings = 0;
   base::MonotonicTime m_latencyAt;
   base::MonotonicTime m_reportedAt;
   base::MonotonicTime m_enteredAt;
-  base::MonotonicTime m_doubledAt;
   std::optional<base::MonotonicTime> m_unlistedAt;
   std::optional<base::MonotonicTime> m_lastSuccess;
 
--- a/packages/policy/src/UpstreamSelection.cpp
+++ b/packages/policy/src/UpstreamSelection.cpp
@@ -130,9 +130,6 @@
     return 1;
   }
   const double floor = m_options.m_rampFloor;
-  if (m_options.m_rampShape == RampShape::Doubling) {
-    return std::min(std::ldexp(floor, static_cast<int>(aUpstream.m_doublings)), 1.0);
-  }
   using Fraction = std::chrono::duration<double>;
   const double progress = Fraction(aNow - aUpstream.m_enteredAt) / Fraction(m_options.m_ramp);
   return floor + (1 - floor) * std::clamp(progress, 0.0, 1.0);
--- a/packages/policy/src/UpstreamSelector.cpp
+++ b/packages/policy/src/UpstreamSelector.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <unordered_set>
 #include <xxhash.h>
 
 namespace jaylane::policy {
@@ -71,7 +72,9 @@
 
 void UpstreamSelector::ApplyList(std::span<const ListedUpstream> aList, MonotonicTime aNow)
 {
+  std::unordered_set<std::string_view> ids;
   for (const ListedUpstream& listed : aList) {
+    ids.insert(listed.m_id);
     auto* state = FindMutable(listed.m_id);
     if (state == nullptr) {
       auto added = MakeState(listed, HashIncarnation(listed.m_incarnation), aNow);
@@ -86,11 +89,7 @@
     ApplyListed(*state, listed, aNow);
   }
   for (UpstreamState& state : m_upstreams) {
-    const bool isListed =
-      std::any_of(aList.begin(), aList.end(), [&state](const ListedUpstream& aListed) {
-        return aListed.m_id == state.m_id;
-      });
-    if (!isListed) {
+    if (!ids.contains(state.m_id)) {
       ApplyMissing(state, aNow);
     }
   }
@@ -275,7 +274,9 @@
       }
       return;
     case UpstreamPhase::Warming:
-      AdvanceRamp(aUpstream, aNow);
+      if (elapsed >= m_options.m_ramp) {
+        Fire(aUpstream, UpstreamEvent::Warmed, aNow);
+      }
       return;
     case UpstreamPhase::Suspect:
       if (EjectionIsOver(aUpstream, aNow)) {
@@ -293,28 +294,6 @@
   }
 }
 
-void UpstreamSelector::AdvanceRamp(UpstreamState& aUpstream, MonotonicTime aNow)
-{
-  const auto elapsed = aNow - aUpstream.m_enteredAt;
-  if (m_options.m_rampShape == RampShape::Linear) {
-    if (elapsed >= m_options.m_ramp) {
-      Fire(aUpstream, UpstreamEvent::Warmed, aNow);
-    }
-    return;
-  }
-  const double doublings = std::log2(1 / m_options.m_rampFloor);
-  if (Seconds(aNow - aUpstream.m_doubledAt) * doublings >= Seconds(m_options.m_ramp)) {
-    aUpstream.m_doubledAt = aNow;
-    const bool isUseful = Latency(aUpstream, aNow) <= m_options.m_usefulLatency * m_meanLatency;
-    // Without any result yet there is no sign that growth does harm.
-    aUpstream.m_doublings += isUseful || m_meanLatency == 0 ? 1 : 0;
-  }
-  if (aUpstream.m_doublings >= doublings ||
-      elapsed >= m_options.m_maxRampFactor * m_options.m_ramp) {
-    Fire(aUpstream, UpstreamEvent::Warmed, aNow);
-  }
-}
-
 void UpstreamSelector::UpdateLatency(UpstreamState& aUpstream, double aSeconds, MonotonicTime aNow)
 {
   const double sample = std::max(aSeconds, kMinLatencySeconds);
--- a/packages/policy/src/UpstreamState.cpp
+++ b/packages/policy/src/UpstreamState.cpp
@@ -14,19 +14,13 @@
   aUpstream.m_probeFailures = 0;
 }
 
-void StartRamp(UpstreamState& aUpstream)
-{
-  ResetFailures(aUpstream);
-  aUpstream.m_doublings = 0;
-}
-
 base::BoundChart<UpstreamState> MakeChart()
 {
   const base::ChartHooks<UpstreamState> hooks{
     { { "was-running", [](const UpstreamState& aUpstream) { return aUpstream.m_wasRunning; } },
       { "may-eject", [](const UpstreamState& aUpstream) { return aUpstream.m_mayEject; } },
       { "has-left", [](const UpstreamState& aUpstream) { return aUpstream.m_left; } } },
-    { { "start-ramp", StartRamp },
+    { { "start-ramp", ResetFailures },
       { "start-ejection", [](UpstreamState& aUpstream) { ++aUpstream.m_ejections; } },
       { "mark-left", [](UpstreamState& aUpstream) { aUpstream.m_left = true; } },
       { "rejoin",
@@ -59,7 +53,6 @@
   }
   if (aUpstream.m_state != before) {
     aUpstream.m_enteredAt = aNow;
-    aUpstream.m_doubledAt = aNow;
   }
   return true;
 }
