policy: Bound latency penalties and forget them when an ejection ends

Cause: penalties multiplied without bound during a long outage, until the mean was infinite and, after the next completed request, not a number: the upstream was never preferred again. The latency from before an ejection also kept requests away from a recovered upstream while others were idle.

Change: samples are bounded by 60 s and failures no longer move the service's mean; a ramp starts with an unknown latency, which counts as the service's mean or, before any completed request, as 50 ms.

--- a/packages/policy/include/jaylane/policy/UpstreamSelector.h
+++ b/packages/policy/include/jaylane/policy/UpstreamSelector.h
@@ -153,6 +153,7 @@
   bool MayEject() const;
   bool EjectionIsOver(const UpstreamState& aUpstream, base::MonotonicTime aNow) const;
   void UpdateLatency(UpstreamState& aUpstream, double aSeconds, base::MonotonicTime aNow);
+  void UpdateMean(double aSeconds);
   double Latency(const UpstreamState& aUpstream, base::MonotonicTime aNow) const;
   double RampShare(const UpstreamState& aUpstream, base::MonotonicTime aNow) const;
   double Score(const UpstreamState& aUpstream, base::MonotonicTime aNow) const;
--- a/packages/policy/src/UpstreamSelector.cpp
+++ b/packages/policy/src/UpstreamSelector.cpp
@@ -18,6 +18,11 @@
 // upstream that fails fast would look like the best one.
 constexpr double kFailurePenalty = 2;
 constexpr double kMinLatencySeconds = 1e-4;
+// Penalties multiply during an outage; without a bound the mean would overflow and stay there.
+constexpr double kMaxLatencySeconds = 60;
+
+// Assumed until the first request of the service has completed.
+constexpr double kUnknownLatencySeconds = 0.05;
 
 double Seconds(std::chrono::nanoseconds aTime)
 {
@@ -196,6 +201,7 @@
       state->m_probeFailures = 0;
       state->m_lastSuccess = aNow;
       UpdateLatency(*state, Seconds(aLatency), aNow);
+      UpdateMean(Seconds(aLatency));
       Fire(*state, UpstreamEvent::Ready, aNow);
       Fire(*state, UpstreamEvent::Recover, aNow);
       return;
@@ -296,7 +302,7 @@
 
 void UpstreamSelector::UpdateLatency(UpstreamState& aUpstream, double aSeconds, MonotonicTime aNow)
 {
-  const double sample = std::max(aSeconds, kMinLatencySeconds);
+  const double sample = std::clamp(aSeconds, kMinLatencySeconds, kMaxLatencySeconds);
   const double memory = Seconds(m_options.m_latencyMemory);
   if (aUpstream.m_latency == 0) {
     aUpstream.m_latency = sample;
@@ -308,12 +314,18 @@
     aUpstream.m_latency += weight * (sample - aUpstream.m_latency);
   }
   aUpstream.m_latencyAt = aNow;
+}
+
+void UpstreamSelector::UpdateMean(double aSeconds)
+{
+  const double sample = std::clamp(aSeconds, kMinLatencySeconds, kMaxLatencySeconds);
+  // Over about the last hundred completed requests.
   m_meanLatency = m_meanLatency == 0 ? sample : m_meanLatency + 0.01 * (sample - m_meanLatency);
 }
 
 double UpstreamSelector::Latency(const UpstreamState& aUpstream, MonotonicTime aNow) const
 {
-  const double mean = std::max(m_meanLatency, kMinLatencySeconds);
+  const double mean = m_meanLatency == 0 ? kUnknownLatencySeconds : m_meanLatency;
   if (aUpstream.m_latency == 0) {
     return mean;
   }
--- a/packages/policy/src/UpstreamState.cpp
+++ b/packages/policy/src/UpstreamState.cpp
@@ -14,13 +14,20 @@
   aUpstream.m_probeFailures = 0;
 }
 
+void StartRamp(UpstreamState& aUpstream)
+{
+  ResetFailures(aUpstream);
+  // The latency from before an ejection would keep requests away for as long as others are free.
+  aUpstream.m_latency = 0;
+}
+
 base::BoundChart<UpstreamState> MakeChart()
 {
   const base::ChartHooks<UpstreamState> hooks{
     { { "was-running", [](const UpstreamState& aUpstream) { return aUpstream.m_wasRunning; } },
       { "may-eject", [](const UpstreamState& aUpstream) { return aUpstream.m_mayEject; } },
       { "has-left", [](const UpstreamState& aUpstream) { return aUpstream.m_left; } } },
-    { { "start-ramp", ResetFailures },
+    { { "start-ramp", StartRamp },
       { "start-ejection", [](UpstreamState& aUpstream) { ++aUpstream.m_ejections; } },
       { "mark-left", [](UpstreamState& aUpstream) { aUpstream.m_left = true; } },
       { "rejoin",
--- a/packages/policy/tests/UpstreamSelectorTest.cpp
+++ b/packages/policy/tests/UpstreamSelectorTest.cpp
@@ -261,6 +261,23 @@
   EXPECT_LT(world.Count(2000)["u0"], 50);
 }
 
+// Guards against penalties that grow without bound in a long outage and never fade again.
+TEST(UpstreamSelector, LatencyRecoversFromALongOutage)
+{
+  Fixture world(2);
+  world.Activate();
+  for (int i = 0; i < 40'000; ++i) {
+    world.Finish(i % 2 == 0 ? "u0" : "u1", OwnResult::Failed, 1ms);
+    world.m_now += 100ms;
+  }
+  for (int i = 0; i < 1000; ++i) {
+    world.Finish(i % 2 == 0 ? "u0" : "u1", OwnResult::Completed);
+    world.m_now += 100ms;
+  }
+  EXPECT_NEAR(world.m_selector.Find("u0")->m_latency, 0.060, 0.001);
+  EXPECT_NEAR(world.m_selector.Find("u1")->m_latency, 0.060, 0.001);
+}
+
 // Guards against slow upstreams and wrong or late load reports spoiling the latency. One seed of
 // the simulation that the benchmark runs.
 TEST(UpstreamSelector, MeetsItsLatencyGoals)
