policy: Test that retries apart clear innocent requests

Cause: the rule for requests in flight beside a crashing one had no test.

Change: RetriesApartClearInnocentRequests.

--- a/packages/policy/tests/QuarantineListTest.cpp
+++ b/packages/policy/tests/QuarantineListTest.cpp
@@ -189,6 +189,26 @@
   RC_ASSERT(deaths <= kVms * QuarantineOptions{}.m_deathsInAll);
 }
 
+// Guards against innocent requests that shared an upstream with a crashing one being convicted
+// with it: retried apart from each other, as IsSuspect() demands, only one meets a second death.
+TEST(QuarantineList, RetriesApartClearInnocentRequests)
+{
+  QuarantineList list({}, 1);
+  base::MonotonicTime now{ 1h };
+  for (std::uint64_t request = 0; request < 4; ++request) {
+    list.RecordLoss(Print(request), 1, now);
+  }
+  for (std::uint64_t request = 1; request < 4; ++request) {
+    EXPECT_TRUE(list.IsSuspect(Print(request), now));
+    list.RecordCompleted(Print(request), now += 100ms);
+  }
+  list.RecordLoss(Print(0), 2, now);
+  EXPECT_TRUE(list.IsQuarantined(Print(0), now));
+  // The next crash beside an unrelated request starts from zero.
+  list.RecordLoss(Print(1), 3, now += 1min);
+  EXPECT_FALSE(list.IsQuarantined(Print(1), now));
+}
+
 // Guards against a request that crashes some upstreams and completes at others.
 TEST(QuarantineList, CompletionsDiscountOnlyAFewDeaths)
 {
