--- a/packages/policy/include/jaylane/policy/UpstreamSelector.h
+++ b/packages/policy/include/jaylane/policy/UpstreamSelector.h
@@ -48,18 +48,11 @@
   Cancelled,
 };
 
-enum class RampShape
-{
-  Linear,
-  /// Doubles the share at equal steps.
-  Doubling,
-};
-
 struct UpstreamSelectorOptions
 {
-  /// Time in which a new or recovered upstream reaches its full share.
-  std::chrono::milliseconds m_ramp{ std::chrono::seconds{ 10 } };
-  RampShape m_rampShape = RampShape::Linear;
+  /// Time in which the share of a new or recovered upstream grows linearly to the full one; see
+  /// docs/decisions/slow-start.md.
+  std::chrono::milliseconds m_ramp{ std::chrono::seconds{ 12 } };
   /// Share at the start of the ramp.
   double m_rampFloor = 0.1;
   /// A listed upstream counts as ready after this time without a probe.
@@ -163,6 +156,7 @@
   bool MayEject() const;
   bool EjectionIsOver(const UpstreamState& aUpstream, base::MonotonicTime aNow) const;
   void UpdateLatency(UpstreamState& aUpstream, double aSeconds, base::MonotonicTime aNow);
+  void UpdateMean(double aSeconds);
   double Latency(const UpstreamState& aUpstream, base::MonotonicTime aNow) const;
   double RampShare(const UpstreamState& aUpstream, base::MonotonicTime aNow) const;
   double Score(const UpstreamState& aUpstream, base::MonotonicTime aNow) const;
--- a/packages/policy/src/UpstreamSelector.cpp
+++ b/packages/policy/src/UpstreamSelector.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <unordered_set>
 #include <xxhash.h>
 
 namespace jaylane::policy {
@@ -17,6 +18,11 @@
 // upstream that fails fast would look like the best one.
 constexpr double kFailurePenalty = 2;
 constexpr double kMinLatencySeconds = 1e-4;
+// Penalties multiply during an outage; without a bound the mean would overflow and stay there.
+constexpr double kMaxLatencySeconds = 60;
+
+// Assumed until the first request of the service has completed.
+constexpr double kUnknownLatencySeconds = 0.05;
 
 double Seconds(std::chrono::nanoseconds aTime)
 {
@@ -71,7 +77,9 @@
 
 void UpstreamSelector::ApplyList(std::span<const ListedUpstream> aList, MonotonicTime aNow)
 {
+  std::unordered_set<std::string_view> ids;
   for (const ListedUpstream& listed : aList) {
+    ids.insert(listed.m_id);
     auto* state = FindMutable(listed.m_id);
     if (state == nullptr) {
       auto added = MakeState(listed, HashIncarnation(listed.m_incarnation), aNow);
@@ -86,11 +94,7 @@
     ApplyListed(*state, listed, aNow);
   }
   for (UpstreamState& state : m_upstreams) {
-    const bool isListed =
-      std::any_of(aList.begin(), aList.end(), [&state](const ListedUpstream& aListed) {
-        return aListed.m_id == state.m_id;
-      });
-    if (!isListed) {
+    if (!ids.contains(state.m_id)) {
       ApplyMissing(state, aNow);
     }
   }
@@ -197,6 +201,7 @@
       state->m_probeFailures = 0;
       state->m_lastSuccess = aNow;
       UpdateLatency(*state, Seconds(aLatency), aNow);
+      UpdateMean(Seconds(aLatency));
       Fire(*state, UpstreamEvent::Ready, aNow);
       Fire(*state, UpstreamEvent::Recover, aNow);
       return;
@@ -297,7 +302,7 @@
 
 void UpstreamSelector::UpdateLatency(UpstreamState& aUpstream, double aSeconds, MonotonicTime aNow)
 {
-  const double sample = std::max(aSeconds, kMinLatencySeconds);
+  const double sample = std::clamp(aSeconds, kMinLatencySeconds, kMaxLatencySeconds);
   const double memory = Seconds(m_options.m_latencyMemory);
   if (aUpstream.m_latency == 0) {
     aUpstream.m_latency = sample;
@@ -309,12 +314,18 @@
     aUpstream.m_latency += weight * (sample - aUpstream.m_latency);
   }
   aUpstream.m_latencyAt = aNow;
+}
+
+void UpstreamSelector::UpdateMean(double aSeconds)
+{
+  const double sample = std::clamp(aSeconds, kMinLatencySeconds, kMaxLatencySeconds);
+  // Over about the last hundred completed requests.
   m_meanLatency = m_meanLatency == 0 ? sample : m_meanLatency + 0.01 * (sample - m_meanLatency);
 }
 
 double UpstreamSelector::Latency(const UpstreamState& aUpstream, MonotonicTime aNow) const
 {
-  const double mean = std::max(m_meanLatency, kMinLatencySeconds);
+  const double mean = m_meanLatency == 0 ? kUnknownLatencySeconds : m_meanLatency;
   if (aUpstream.m_latency == 0) {
     return mean;
   }
