Run suspect requests one at a time and start tables without foreign moves

A request whose upstream died and that is tried again could crash several upstreams at once through its copies, and convict an innocent request beside it. Suspects now wait until no other suspect is in progress. A VM's first steering table leaves out the moves recorded by other VMs' clocks, and catching up uses a clock that does not follow adjustments.

--- a/packages/entry/src/EntryVmImpl.cpp
+++ b/packages/entry/src/EntryVmImpl.cpp
@@ -193,9 +193,9 @@
 
 void EntryVm::Impl::SetQuarantine(const Config& aConfig)
 {
-  // Attempts that a VM left behind end by their deadline, and slots that it borrowed are in use until
-  // the lease ends. Bulk uploads are left out: without their sender they make no progress, and their
-  // timeouts of minutes would keep capacity unused after each restart.
+  // Attempts that a VM left behind end by their deadline, and slots that it borrowed are in use
+  // until the lease ends. Bulk uploads are left out: without their sender they make no progress,
+  // and their timeouts of minutes would keep capacity unused after each restart.
   std::chrono::milliseconds longest{ 0 };
   for (const auto& [name, service] : aConfig.m_services) {
     if (!service.m_service.m_bulk) {
--- a/packages/entry/src/QuarantineGuard.cpp
+++ b/packages/entry/src/QuarantineGuard.cpp
@@ -14,6 +14,12 @@
   return m_list.IsQuarantined(aFingerprint, m_context.m_clock.Monotonic());
 }
 
+bool QuarantineGuard::IsSuspect(const policy::RequestFingerprint& aFingerprint) const
+{
+  std::lock_guard lock(m_mutex);
+  return m_list.IsSuspect(aFingerprint, m_context.m_clock.Monotonic());
+}
+
 void QuarantineGuard::RecordLoss(const policy::RequestFingerprint& aFingerprint,
                                  std::uint64_t aUpstream)
 {
--- a/packages/entry/src/QuarantineGuard.h
+++ b/packages/entry/src/QuarantineGuard.h
@@ -15,6 +15,9 @@
   QuarantineGuard(const VmContext& aContext, policy::QuarantineOptions aOptions);
 
   bool IsQuarantined(const policy::RequestFingerprint& aFingerprint) const;
+  /// @return whether a lost connection counts against the request, so that it must not run beside
+  ///   another such request.
+  bool IsSuspect(const policy::RequestFingerprint& aFingerprint) const;
   void RecordLoss(const policy::RequestFingerprint& aFingerprint, std::uint64_t aUpstream);
   void RecordCompleted(const policy::RequestFingerprint& aFingerprint);
   std::vector<policy::Strike> Strikes() const;
--- a/packages/entry/src/ServiceDispatcher.cpp
+++ b/packages/entry/src/ServiceDispatcher.cpp
@@ -177,11 +177,26 @@
                  { Outcome::NotRun, 429, "overloaded", "no slot became free in time", 0, {} },
                  aCompletions);
   }
+  if (m_suspects.empty()) {
+    ResumeParkedLocked(aCompletions);
+  }
   while (m_queue.size() > 0 && DispatchNextLocked(aCompletions)) {
   }
   BalanceSlotsLocked();
 }
 
+void ServiceDispatcher::ResumeParkedLocked(Completions& aCompletions)
+{
+  const auto now = m_context.m_clock.Monotonic();
+  for (const std::uint64_t id : std::exchange(m_parked, {})) {
+    const Job& job = m_jobs.at(id);
+    if (!m_queue.Offer({ id, job.m_request.m_deadline }, {}, now)) {
+      FinishLocked(
+        id, { Outcome::NotRun, 429, "overloaded", "the deadline passed", 0, {}, {} }, aCompletions);
+    }
+  }
+}
+
 void ServiceDispatcher::BalanceSlotsLocked()
 {
   for (const policy::UpstreamState& upstream : m_selector.Upstreams()) {
@@ -215,6 +230,29 @@
   return m_selector.Pick(hasFree, aExcluded, now);
 }
 
+std::optional<policy::UpstreamChoice> ServiceDispatcher::PickForLocked(
+  std::uint64_t aJob,
+  const policy::UpstreamChoice& aAny)
+{
+  const Job& job = m_jobs.at(aJob);
+  std::vector<std::string> excluded = job.m_tried;
+  const bool suspect = m_quarantine.IsSuspect(job.m_request.m_fingerprint);
+  if (suspect) {
+    // A crash must convict only one request, and copies of it must not crash several upstreams.
+    for (const auto& [fingerprint, upstream] : m_suspects) {
+      excluded.push_back(upstream);
+    }
+  }
+  const auto other =
+    excluded.empty() ? std::nullopt : PickLocked(excluded, job.m_request.m_deadline);
+  const bool repeated = m_suspects.count(job.m_request.m_fingerprint) > 0;
+  if (suspect && (repeated || (!other && !m_suspects.empty()))) {
+    m_parked.push_back(aJob);
+    return std::nullopt;
+  }
+  return other ? other : aAny;
+}
+
 bool ServiceDispatcher::DispatchNextLocked(Completions& aCompletions)
 {
   const auto longest = m_context.m_clock.Monotonic() + m_settings.m_requestTimeout;
@@ -226,10 +264,8 @@
   if (!entry) {
     return false;
   }
-  const Job& job = m_jobs.at(entry->m_id);
-  const auto other = job.m_tried.empty() ? std::optional<policy::UpstreamChoice>()
-                                         : PickLocked(job.m_tried, job.m_request.m_deadline);
-  return StartLocked(entry->m_id, other.value_or(*any), aCompletions);
+  const auto choice = PickForLocked(entry->m_id, *any);
+  return !choice || StartLocked(entry->m_id, *choice, aCompletions);
 }
 
 bool ServiceDispatcher::StartLocked(std::uint64_t aJob,
@@ -247,6 +283,9 @@
   ++job.m_attempts;
   job.m_tried.push_back(aChoice.m_id);
   ++info.m_inFlight;
+  if (m_quarantine.IsSuspect(job.m_request.m_fingerprint)) {
+    m_suspects[job.m_request.m_fingerprint] = aChoice.m_id;
+  }
   m_selector.Dispatched(aChoice);
   const auto attempt = std::make_shared<Attempt>(
     Attempt{ aJob,
@@ -263,6 +302,7 @@
                         self->OnAttemptDone(*attempt, aOutcome);
                       });
   if (!started) {
+    m_suspects.erase(job.m_request.m_fingerprint);
     m_slots.Release(*ticket);
     --info.m_inFlight;
     m_selector.Finished(aChoice, policy::OwnResult::Cancelled, {}, now);
@@ -409,6 +449,7 @@
     Job& job = m_jobs.at(aAttempt.m_job);
     job.m_busy += aOutcome.m_duration;
     job.m_mayHaveRun |= !ProvenNotRun(aOutcome.m_result);
+    m_suspects.erase(job.m_request.m_fingerprint);
     RecordFingerprint(aAttempt, job.m_request.m_fingerprint, aOutcome);
     const auto now = m_context.m_clock.Monotonic();
     const bool requeued = MayRetryLocked(job, aOutcome) &&
--- a/packages/entry/src/ServiceDispatcher.h
+++ b/packages/entry/src/ServiceDispatcher.h
@@ -107,6 +107,9 @@
   void PumpLocked(Completions& aCompletions);
   void BalanceSlotsLocked();
   bool DispatchNextLocked(Completions& aCompletions);
+  std::optional<policy::UpstreamChoice> PickForLocked(std::uint64_t aJob,
+                                                      const policy::UpstreamChoice& aAny);
+  void ResumeParkedLocked(Completions& aCompletions);
   std::optional<policy::UpstreamChoice> PickLocked(const std::vector<std::string>& aExcluded,
                                                    base::MonotonicTime aDeadline);
   bool StartLocked(std::uint64_t aJob,
@@ -147,6 +150,10 @@
   std::map<std::uint64_t, Job> m_jobs;
   std::uint64_t m_nextJob = 1;
   std::uint64_t m_nextAttempt = 1;
+  /// Requests in progress that have lost a connection before, and their upstreams.
+  std::map<policy::RequestFingerprint, std::string> m_suspects;
+  /// Suspect requests that wait until those above have ended. Attempts have deadlines, so do they.
+  std::vector<std::uint64_t> m_parked;
   /// Smoothed time that an upstream takes for a request.
   std::chrono::nanoseconds m_meanTime{ 0 };
   base::LatencyHistogram m_latency;
--- a/packages/entry/src/SteeringState.cpp
+++ b/packages/entry/src/SteeringState.cpp
@@ -8,9 +8,17 @@
 
 SteeringState::SteeringState(const VmContext& aContext)
   : m_context(aContext)
+  , m_wallAtStart(aContext.m_clock.Wall())
+  , m_monotonicAtStart(aContext.m_clock.Monotonic())
 {
 }
 
+base::WallTime SteeringState::SteadyWall() const
+{
+  const auto elapsed = m_context.m_clock.Monotonic() - m_monotonicAtStart;
+  return m_wallAtStart + std::chrono::duration_cast<base::WallTime::duration>(elapsed);
+}
+
 void SteeringState::RecordApplied(const std::string& aService,
                                   const policy::SteeringTable& aTable) const
 {
@@ -41,9 +49,8 @@
   if (entry.m_newest && entry.m_newest->m_version >= aVersion) {
     return;
   }
-  // The first table a process reads is applied as it is: it moves nothing of this VM's traffic.
   if (!entry.m_applied) {
-    entry.m_applied = std::make_shared<const policy::SteeringTable>(*table);
+    entry.m_applied = std::make_shared<const policy::SteeringTable>(policy::FirstApplied(*table));
     RecordApplied(aService, *table);
   }
   entry.m_newest = StoredTable{ std::move(*table), aVersion, m_context.m_clock.Wall() };
@@ -60,8 +67,7 @@
   if (entry.m_applied->Generation() == entry.m_newest->m_table.Generation()) {
     return;
   }
-  auto next =
-    policy::CatchUp(*entry.m_applied, entry.m_newest->m_table, aInput, m_context.m_clock.Wall());
+  auto next = policy::CatchUp(*entry.m_applied, entry.m_newest->m_table, aInput, SteadyWall());
   if (!next) {
     Json::Value fields;
     fields["service"] = aService;
--- a/packages/entry/src/SteeringState.h
+++ b/packages/entry/src/SteeringState.h
@@ -52,7 +52,13 @@
 
   void RecordApplied(const std::string& aService, const policy::SteeringTable& aTable) const;
 
+  /// @return wall time that does not follow adjustments of the clock: a jump would free cap that
+  ///   was used.
+  base::WallTime SteadyWall() const;
+
   const VmContext& m_context;
+  const base::WallTime m_wallAtStart;
+  const base::MonotonicTime m_monotonicAtStart;
   mutable std::mutex m_mutex;
   std::map<std::string, Entry, std::less<>> m_entries;
 };
