Fix a use after free of the VM list view and add make sanitize

ThreadSanitizer on the daemons of the demo reported up to 12 races in a VM: ShareKeeper iterated over a view whose owning pointer was a temporary of the range-for expression, while the poll thread replaced the view.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 export CCACHE_NOHASHDIR := 1
 SOURCES = $(shell git ls-files 'packages/*.h' 'packages/*.cpp')
 
-.PHONY: all packages build test demo format-check lint
+.PHONY: all packages build test demo sanitize format-check lint
 
 all: build
 
@@ -27,6 +27,25 @@
 demo: build
 	@$(BUILD)/packages/testing/demo --tree=examples/$(DEPLOYMENT)/tree.yaml
 
+# Threaded parts under ThreadSanitizer, with a small deployment; parsers under Address- and
+# UndefinedBehaviorSanitizer. -Werror is off: GCC 12 warns inside Boost.Histogram there.
+SANITIZE_TESTS = base proxy peer entry
+SANITIZE_PARSERS = settings peer
+sanitize: packages
+	@cmake -S . -B build-tsan -G Ninja -DJAYLANE_SANITIZE=thread -DJAYLANE_WERROR=OFF >/dev/null
+	@cmake --build build-tsan -j $(JOBS) --target jaylane-entry demo platform_standin \
+	  upstream_standin link_relay $(SANITIZE_TESTS:%=%_tests)
+	@rm -f build-tsan/report.*
+	@for t in $(SANITIZE_TESTS); do \
+	  RC_PARAMS="seed=20261204 max_success=50" build-tsan/packages/$$t/$${t}_tests >/dev/null || exit 1; done
+	@TSAN_OPTIONS=log_path=$(CURDIR)/build-tsan/report build-tsan/packages/testing/demo \
+	  --tree=examples/inyenyeri/tree.yaml --upstreams_per_zone=1 --rate=10 --seconds=8
+	@if ls build-tsan/report.* 2>/dev/null; then echo "ThreadSanitizer reports above"; exit 1; fi
+	@cmake -S . -B build-asan -G Ninja -DJAYLANE_SANITIZE=address,undefined -DJAYLANE_WERROR=OFF >/dev/null
+	@cmake --build build-asan -j $(JOBS) --target $(SANITIZE_PARSERS:%=%_tests)
+	@for t in $(SANITIZE_PARSERS); do \
+	  RC_PARAMS="seed=20261204 max_success=50" build-asan/packages/$$t/$${t}_tests >/dev/null || exit 1; done
+
 format-check:
 	@clang-format --dry-run --Werror $(SOURCES)
 
--- a/packages/entry/src/ShareKeeper.cpp
+++ b/packages/entry/src/ShareKeeper.cpp
@@ -74,7 +74,9 @@
 std::vector<policy::VmIncarnation> ShareKeeper::RunningVms() const
 {
   std::vector<policy::VmIncarnation> running;
-  for (const EntryVmRef& vm : m_directory.Current()->m_entryVms) {
+  // Holds the view: a range-for does not extend the life of a temporary within its expression.
+  const auto view = m_directory.Current();
+  for (const EntryVmRef& vm : view->m_entryVms) {
     const bool isSelf = vm.m_incarnation == m_context.m_incarnationText;
     if (vm.m_site == m_context.m_site && !vm.m_leaving && !(isSelf && m_leaving)) {
       running.push_back(vm.m_incarnation);
--- a/packages/entry/tests/FailoverGuardTest.cpp
+++ b/packages/entry/tests/FailoverGuardTest.cpp
@@ -39,10 +39,9 @@
     }
     // The guard weighs requests by the load of the window before each of them.
     const auto from = history[last].first - 2 * kWindow;
-    const auto received = std::count_if(
-      history.begin(), history.begin() + static_cast<std::ptrdiff_t>(last) + 1, [&](const auto& aEntry) {
-        return aEntry.first >= from;
-      });
+    const auto received = std::count_if(history.begin(),
+                                        history.begin() + static_cast<std::ptrdiff_t>(last) + 1,
+                                        [&](const auto& aEntry) { return aEntry.first >= from; });
     RC_ASSERT(moved <= kCap * static_cast<double>(received) + 1);
   }
 }
--- a/packages/entry/tests/LoadMeterTest.cpp
+++ b/packages/entry/tests/LoadMeterTest.cpp
@@ -40,9 +40,12 @@
   const OriginLoad& sum = parsed->m_services.at("svc").at("east");
   EXPECT_DOUBLE_EQ(sum.m_total, 5.0);
   EXPECT_DOUBLE_EQ(sum.m_hotBuckets.at(7), 3.0);
-  for (const char* text :
-       { "", "[]", R"({"svc":1})", R"({"svc":{"e":{"total":"1","hot":{}}}})",
-         R"({"svc":{"e":{"total":-1,"hot":{}}}})", R"({"svc":{"e":{"total":1,"hot":{"x":1}}}})" }) {
+  for (const char* text : { "",
+                            "[]",
+                            R"({"svc":1})",
+                            R"({"svc":{"e":{"total":"1","hot":{}}}})",
+                            R"({"svc":{"e":{"total":-1,"hot":{}}}})",
+                            R"({"svc":{"e":{"total":1,"hot":{"x":1}}}})" }) {
     EXPECT_FALSE(LoadReport::Parse(text)) << text;
   }
 }
--- a/packages/entry/tests/ParsedRequestTest.cpp
+++ b/packages/entry/tests/ParsedRequestTest.cpp
@@ -80,7 +80,8 @@
   for (const auto& [text, expected] : { std::pair{ "1000", 1000 }, std::pair{ "900000", 5000 } }) {
     const auto parsed = Parse("GET", "/s/svc/x?a=b", { { kDeadlineHeader, text } });
     const auto& request = std::get<ParsedRequest>(parsed);
-    EXPECT_EQ(request.m_deadline - m_test.m_clock.Monotonic(), std::chrono::milliseconds{ expected });
+    EXPECT_EQ(request.m_deadline - m_test.m_clock.Monotonic(),
+              std::chrono::milliseconds{ expected });
     EXPECT_EQ(request.m_upstreamTarget, "/x?a=b");
   }
 }
