--- a/packages/entry/src/EntryVmImpl.cpp
+++ b/packages/entry/src/EntryVmImpl.cpp
@@ -20,7 +20,10 @@
 // Poll of conditions during a graceful stop.
 constexpr std::chrono::milliseconds kStopPoll{ 20 };
 // A VM that cannot give its units away, because the store is down, leaves them to be reclaimed.
-constexpr std::chrono::seconds kMaxShareWait{ 5 };
+// Longer than the leases of its slots, which borrowers ask for 10 s each.
+constexpr std::chrono::seconds kMaxShareWait{ 12 };
+// Two rounds of exchanges, in which peers learn that this VM leaves and stop naming it.
+constexpr std::chrono::seconds kLeaveSpread{ 2 };
 constexpr std::chrono::seconds kFailoverWindow{ 60 };
 constexpr double kFailoverCap = 0.05;
 
@@ -337,7 +340,7 @@
   }
   m_lookups.ExcludeSelf();
   m_peers.BeginLeave();
-  std::this_thread::sleep_for(LongestLookupLifetime());
+  std::this_thread::sleep_for(kLeaveSpread + LongestLookupLifetime());
   m_lifecycle.Fire("lookups-expired");
   m_callerServer->Quiesce();
   WaitForRequests();
--- a/packages/entry/src/PeerService.cpp
+++ b/packages/entry/src/PeerService.cpp
@@ -230,8 +230,24 @@
       m_context.m_events.Record(reachable ? "vm-reachable" : "vm-unreachable", fields);
     }
   }
+  auto unusable = LeavingMembers();
   std::lock_guard lock(m_mutex);
-  m_parts.m_directory.SetUnreachable(m_membership->Unreachable());
+  unusable.merge(std::set<std::string>(m_membership->Unreachable()));
+  m_parts.m_directory.SetUnreachable(std::move(unusable));
+}
+
+std::set<std::string> PeerService::LeavingMembers()
+{
+  const auto view = m_parts.m_directory.Current();
+  std::set<std::string> leaving;
+  std::lock_guard lock(m_mutex);
+  for (const EntryVmRef& vm : view->m_entryVms) {
+    const auto* member = m_membership->Find(vm.m_incarnation);
+    if (member && member->m_leaving) {
+      leaving.insert(vm.m_incarnation);
+    }
+  }
+  return leaving;
 }
 
 peer::ProbeResponse PeerService::OnProbe(const peer::ProbeRequest& aRequest)
--- a/packages/entry/src/PeerService.h
+++ b/packages/entry/src/PeerService.h
@@ -17,6 +17,7 @@
 #include <mutex>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 
 namespace jaylane::entry {
@@ -71,6 +72,8 @@
   void Round();
   void ExchangeWith(const peer::MemberInfo& aPeer);
   void ProbeSuspects();
+  /// @return members that said they leave; the platform's list may show it later.
+  std::set<std::string> LeavingMembers();
   bool IsReachable(const peer::MemberInfo& aSuspect);
   peer::ExchangeMessage MakeMessage(const std::string& aPeerZone, std::uint64_t aPeerGeneration);
   void Receive(const peer::ExchangeMessage& aMessage);
--- a/packages/entry/src/ShareKeeper.cpp
+++ b/packages/entry/src/ShareKeeper.cpp
@@ -76,7 +76,10 @@
   std::vector<policy::VmIncarnation> running;
   for (const EntryVmRef& vm : m_directory.Current()->m_entryVms) {
     const bool isSelf = vm.m_incarnation == m_context.m_incarnationText;
-    if (vm.m_site == m_context.m_site && !vm.m_leaving && !(isSelf && m_leaving)) {
+    // A VM that leaves is known from peers before the platform's list shows it; units given to it
+    // then would be lost until they are reclaimed.
+    const bool stays = isSelf ? !m_leaving && !vm.m_leaving : m_directory.IsUsable(vm);
+    if (vm.m_site == m_context.m_site && stays) {
       running.push_back(vm.m_incarnation);
     }
   }
