--- a/packages/entry/src/PeerService.cpp
+++ b/packages/entry/src/PeerService.cpp
@@ -141,8 +141,17 @@
     m_parts.m_shares.Receive(aMessage.m_shares.m_text, aMessage.m_shares.m_version);
   }
   m_parts.m_quarantine.Merge(aMessage.m_strikes);
+  // A VM knows only the address that it is bound to; the list has the one that leads to it.
+  const auto view = m_parts.m_directory.Current();
+  auto members = aMessage.m_members;
+  for (peer::MemberInfo& member : members) {
+    const EntryVmRef* listed = view->FindIncarnation(member.m_incarnation);
+    if (listed) {
+      member.m_peerAddress = listed->m_peerAddress.ToString();
+    }
+  }
   std::lock_guard lock(m_mutex);
-  m_membership->Merge(aMessage.m_members, m_context.m_clock.Monotonic());
+  m_membership->Merge(members, m_context.m_clock.Monotonic());
 }
 
 peer::ExchangeMessage PeerService::OnExchange(const peer::ExchangeMessage& aMessage)
@@ -153,7 +162,8 @@
     // The sender has newer settings, but does not know that this VM lacks them.
     {
       std::lock_guard lock(m_mutex);
-      m_newer = aMessage.m_members.front();
+      const auto* sender = m_membership->Find(aMessage.m_members.front().m_incarnation);
+      m_newer = sender ? *sender : aMessage.m_members.front();
     }
     m_thread->Wake();
   }
--- a/packages/testing/include/jaylane/testing/Scenario.h
+++ b/packages/testing/include/jaylane/testing/Scenario.h
@@ -47,7 +47,8 @@
   DeploymentHarness& Deployment() { return *m_deployment; }
   const DeploymentHarness& Deployment() const { return *m_deployment; }
 
-  /// Starts a caller on a thread of its own. Its entries and record file are filled in.
+  /// Starts a caller on a thread of its own. Its record file is filled in, and its
+  /// entries if there are none.
   void StartCaller(CallerOptions aOptions);
 
   /// @return summaries of all callers, once they have ended.
--- a/packages/testing/src/Scenario.cpp
+++ b/packages/testing/src/Scenario.cpp
@@ -117,7 +117,9 @@
 void Scenario::StartCaller(CallerOptions aOptions)
 {
   const std::size_t number = m_threads.size();
-  aOptions.m_entries = m_deployment->EntryAddresses();
+  if (aOptions.m_entries.empty()) {
+    aOptions.m_entries = m_deployment->EntryAddresses();
+  }
   aOptions.m_name = fmt::format("caller-{}", number);
   aOptions.m_recordFile = m_deployment->Processes().PathOf(aOptions.m_name + ".records");
   aOptions.m_seed += static_cast<std::uint32_t>(number);
