--- /dev/null
+++ b/packages/base/src/PauseDetector.cpp
@@ -0,0 +1,39 @@
+#include "jaylane/base/PauseDetector.h"
+
+namespace jaylane::base {
+
+PauseDetector::PauseDetector(const Clock& aClock, Options aOptions)
+  : m_clock(aClock)
+  , m_options(aOptions)
+  , m_lastTick(aClock.Monotonic())
+  , m_pausedAt(MonotonicTime::min())
+  , m_resumedAt(MonotonicTime::min())
+{
+}
+
+void PauseDetector::Tick()
+{
+  const auto now = m_clock.Monotonic();
+  const auto last = m_lastTick.load();
+  if (now - last > m_options.m_longestGap) {
+    m_pausedAt = last;
+    m_resumedAt = now;
+  }
+  m_lastTick = now;
+}
+
+MonotonicTime PauseDetector::ArrivalTime() const
+{
+  const auto now = m_clock.Monotonic();
+  const auto last = m_lastTick.load();
+  // Another thread may run before the next tick has noticed the pause.
+  if (now - last > m_options.m_longestGap) {
+    return last;
+  }
+  const auto resumed = m_resumedAt.load();
+  const bool afterPause =
+    resumed != MonotonicTime::min() && now - resumed < m_options.m_backlogTime;
+  return afterPause ? m_pausedAt.load() : now;
+}
+
+} // namespace jaylane::base
--- a/packages/entry/src/EntryVmImpl.cpp
+++ b/packages/entry/src/EntryVmImpl.cpp
@@ -21,7 +21,10 @@
 // Poll of conditions during a graceful stop.
 constexpr std::chrono::milliseconds kStopPoll{ 20 };
 // A VM that cannot give its units away, because the store is down, leaves them to be reclaimed.
-constexpr std::chrono::seconds kMaxShareWait{ 5 };
+// Longer than the leases of its slots, which borrowers ask for 10 s each.
+constexpr std::chrono::seconds kMaxShareWait{ 12 };
+// Two rounds of exchanges, in which peers learn that this VM leaves and stop naming it.
+constexpr std::chrono::seconds kLeaveSpread{ 2 };
 
 policy::Incarnation MakeIncarnation()
 {
@@ -74,6 +77,7 @@
   , m_hybrid(aClock)
   , m_events(aSettings.m_id, m_hybrid, aSettings.m_eventLogCapacity)
   , m_context(MakeContext(m_settings, aClock, m_log, m_hybrid, m_events))
+  , m_pauses(aClock, {})
   , m_store(aSettings.m_storeUrls)
   , m_config(m_context)
   , m_directory(m_context)
@@ -129,7 +133,7 @@
   options.m_threads = m_settings.m_callerThreads;
   auto callers = proxy::CallerServer::Make(
     options,
-    m_context.m_clock,
+    [this] { return m_pauses.ArrivalTime(); },
     [this](const proxy::LookupRequest& aRequest) { return m_lookups.Handle(aRequest); },
     [this](std::shared_ptr<proxy::Exchange> aExchange) { m_router.Handle(std::move(aExchange)); });
   if (!callers) {
@@ -177,7 +181,10 @@
   const auto add = [this](std::chrono::milliseconds aInterval, std::function<void()> aRun) {
     m_duties.push_back(std::make_unique<base::PeriodicThread>(aInterval, std::move(aRun)));
   };
-  add(kTickInterval, [this] { Tick(); });
+  add(kTickInterval, [this] {
+    m_pauses.Tick();
+    Tick();
+  });
   add(kPlanInterval, [this] { m_shifts.Run(); });
   add(kLoadInterval, [this] { m_loads.Publish(); });
   add(kShareInterval, [this] { m_shares.Run(); });
@@ -361,7 +368,7 @@
   }
   m_lookups.ExcludeSelf();
   m_peers.BeginLeave();
-  std::this_thread::sleep_for(LongestLookupLifetime());
+  std::this_thread::sleep_for(kLeaveSpread + LongestLookupLifetime());
   m_lifecycle.Fire("lookups-expired");
   m_callerServer->Quiesce();
   WaitForRequests();
--- a/packages/entry/src/EntryVmImpl.h
+++ b/packages/entry/src/EntryVmImpl.h
@@ -22,6 +22,7 @@
 #include "StoreSync.h"
 #include "VmContext.h"
 #include "ZoneSlots.h"
+#include "jaylane/base/PauseDetector.h"
 #include "jaylane/base/PeriodicThread.h"
 #include "jaylane/entry/EntryVm.h"
 #include "jaylane/platform/HttpStore.h"
@@ -71,6 +72,7 @@
   base::EventLog m_events;
   const VmContext m_context;
 
+  base::PauseDetector m_pauses;
   platform::HttpStore m_store;
   ConfigState m_config;
   Directory m_directory;
--- a/packages/proxy/include/jaylane/proxy/CallerServer.h
+++ b/packages/proxy/include/jaylane/proxy/CallerServer.h
@@ -45,6 +45,8 @@
     std::chrono::seconds m_requestIdleTimeout{ 600 };
   };
 
+  /// @return time at which a request that is read now may have arrived at the earliest.
+  using ArrivalHook = std::function<base::MonotonicTime()>;
   /// Produces the response to a lookup; must not block.
   using LookupHook = std::function<LookupReply(const LookupRequest&)>;
   /// Takes over a request once its body is complete or fills the replay buffer; must not
@@ -53,10 +55,10 @@
 
   /// Binds and starts serving.
   /// @param aOptions address and limits; port 0 lets the kernel choose.
-  /// @param aClock must outlive the server.
+  /// @param aArrival deadlines of requests count from its result.
   /// @return the server, or ListenFailed.
   static base::Result<std::unique_ptr<CallerServer>> Make(const Options& aOptions,
-                                                          const base::Clock& aClock,
+                                                          ArrivalHook aArrival,
                                                           LookupHook aLookup,
                                                           RequestHook aRequest);
 
--- a/packages/proxy/src/CallerServer.cpp
+++ b/packages/proxy/src/CallerServer.cpp
@@ -125,7 +125,7 @@
 struct CallerServer::State
 {
   Options m_options;
-  const base::Clock* m_clock = nullptr;
+  ArrivalHook m_arrival;
   LookupHook m_lookup;
   RequestHook m_request;
   base::SocketAddress m_address;
@@ -185,7 +185,7 @@
   head.m_target = aRequest.m_target;
   head.m_clientHost = ClientHost(aConnection);
   MHD_get_connection_values(aConnection, MHD_HEADER_KIND, &CollectHeader, &head.m_headers);
-  aRequest.m_exchange = std::make_shared<Exchange>(std::move(head), m_clock->Monotonic());
+  aRequest.m_exchange = std::make_shared<Exchange>(std::move(head), m_arrival());
   aRequest.m_exchange->SetResumeCaller([aConnection] { MHD_resume_connection(aConnection); });
   m_inFlight.fetch_add(1);
   const auto timeout = static_cast<unsigned>(m_options.m_requestIdleTimeout.count());
@@ -308,13 +308,13 @@
 }
 
 base::Result<std::unique_ptr<CallerServer>> CallerServer::Make(const Options& aOptions,
-                                                               const base::Clock& aClock,
+                                                               ArrivalHook aArrival,
                                                                LookupHook aLookup,
                                                                RequestHook aRequest)
 {
   auto state = std::make_unique<State>();
   state->m_options = aOptions;
-  state->m_clock = &aClock;
+  state->m_arrival = std::move(aArrival);
   state->m_lookup = std::move(aLookup);
   state->m_request = std::move(aRequest);
   state->m_daemon = state->StartDaemon();
