testing: let the entry stub print an incarnation

Cause: the harness takes the incarnation from the first line of the entry VM, and the daemon prints it, but the stub did not. So DeploymentHarness.StartsAndRestartsEntryVms compared two empty texts and failed in every run. The test itself is unchanged.

--- a/packages/testing/tests/EntryStub.cpp
+++ b/packages/testing/tests/EntryStub.cpp
@@ -2,6 +2,7 @@
 
 #include <fstream>
 #include <string>
+#include <unistd.h>
 
 /// Stands for jaylane-entry in the tests of the harness: reads its settings file and prints
 /// addresses.
@@ -16,6 +17,8 @@
   Json::Value line;
   line["caller_address"] = "127.0.0.1:1";
   line["peer_address"] = "127.0.0.1:2";
+  // Differs from process to process, as the daemon's does.
+  line["incarnation"] = std::to_string(getpid());
   line["admin_address"] = "127.0.0.1:3";
   jaylane::testing::PrintLine(line);
   jaylane::testing::WaitForTermination();
