Fix two tests: a new key per try, and no whole assignment of split buckets

Pause: the test repeated one key until it completed, but not-run is final for a key, so the first refusal after the pause decided it. Each try now has its own key, as callers do. CatchUp: with assertions on (they were off before), the generated table assigned a whole site to a bucket that was already split, against the contract of Assign; it now assigns a part.

--- a/packages/policy/tests/CatchUpTest.cpp
+++ b/packages/policy/tests/CatchUpTest.cpp
@@ -21,8 +21,10 @@
   std::mt19937 random(aSeed);
   for (std::uint32_t bucket = 0; bucket < far.BucketCount(); ++bucket) {
     const auto site = static_cast<SiteIndex>(random() % far.Sites().size());
-    if (random() % 200 == 0) {
-      far.Split(bucket);
+    if (far.IsSplit(bucket) || random() % 200 == 0) {
+      if (!far.IsSplit(bucket)) {
+        far.Split(bucket);
+      }
       far.AssignPart(bucket, random() % kPartsPerBucket, site);
     } else if (random() % 2 == 0) {
       far.Assign(bucket, site);
--- a/packages/testing/tests/e2e/PauseTest.cpp
+++ b/packages/testing/tests/e2e/PauseTest.cpp
@@ -40,11 +40,15 @@
   std::this_thread::sleep_for(kPause);
   process.Resume();
   EXPECT_TRUE(WaitFor([&] { return scenario->IsServing(kPaused); }, kTimeout));
+  // A new key for each try: not-run is final for a key.
+  unsigned tries = 0;
   EXPECT_TRUE(WaitFor(
     [&] {
       const auto again = TargetOf(*scenario, kPaused, "r0");
-      return again &&
-             SendOrder(*scenario, kPaused, again->m_scope + ".after-pause").m_status == 200;
+      return again && SendOrder(*scenario,
+                                kPaused,
+                                fmt::format("{}.after-pause-{}", again->m_scope, ++tries))
+                          .m_status == 200;
     },
     kTimeout))
     << "the VM does not serve after its pause";
