Make jaylanectl and the daemon agree on the administration API

Cause: nothing ran jaylanectl against a real daemon. Two faults were found by reading: after a lost response of the store, a failed read back was reported as `store-unavailable` ("did not write") although the write may have taken effect; and two generations that arrive at once from store, peers and edits could be taken into effect in the wrong order.

The generation in effect is recorded once dispatchers and budgets use it, under a mutex that keeps the order of generations. jaylanectl treats `no-settings` as the empty document, so that `apply` creates the first generation.

The generation in effect of other VMs is left out of the status, as the contract allows; jaylanectl asks each VM.

Not covered by a test: the 504 after a lost response, and the order of generations.

--- a/packages/ctl/src/Common.cpp
+++ b/packages/ctl/src/Common.cpp
@@ -49,6 +49,12 @@
 ExitCode ReadCurrent(CurrentTree& aCurrent, CtlContext& aContext)
 {
   const AdminReply reply = aContext.m_fleet.Get("/v1/settings");
+  if (reply.ErrorCode() == "no-settings") {
+    // An edit of the empty document creates the first generation. If the store has one that the
+    // VM does not know yet, the edit conflicts with it.
+    aCurrent = {};
+    return ExitCode::Ok;
+  }
   if (!reply.Succeeded()) {
     return ReportFailure(reply, aContext);
   }
--- a/packages/entry/src/AdminServer.cpp
+++ b/packages/entry/src/AdminServer.cpp
@@ -16,6 +16,8 @@
 constexpr std::chrono::milliseconds kCallTimeout{ 2000 };
 // Editors rarely race; each loser of a conditional update merges again on the new version.
 constexpr unsigned kMaxWrites = 10;
+// Bounds the size of one response; clients ask for the rest.
+constexpr unsigned kMaxEvents = 1000;
 
 using settings::AdminModel;
 using settings::AdminResponse;
@@ -33,11 +35,27 @@
   return { host ? *host : 0, aAddress.m_port };
 }
 
+AdminResponse NoSuchPath()
+{
+  return AdminModel::Error(404, "not-found", "the administration API has no such path");
+}
+
 AdminResponse StoreError(const base::Error& aError)
 {
+  if (aError.m_code == platform::PlatformErrc::TooLarge) {
+    return AdminModel::Error(413, "too-large", "the document would exceed the store's limit");
+  }
   return AdminModel::Error(503, "store-unavailable", aError.Message());
 }
 
+/// @param aMaybeWritten whether an earlier write of the same edit may have taken effect.
+AdminResponse WriteError(const base::Error& aError, bool aMaybeWritten)
+{
+  return aMaybeWritten
+           ? AdminModel::Error(504, "unknown", "ask for the status of the edit by its id")
+           : StoreError(aError);
+}
+
 } // namespace
 
 AdminServer::AdminServer(const VmContext& aContext,
@@ -73,8 +91,8 @@
 
 base::HttpReply AdminServer::Handle(const base::HttpRequest& aRequest)
 {
-  const auto role =
-    aRequest.m_method == "GET" ? settings::AdminRole::Read : settings::AdminRole::Write;
+  const bool writes = aRequest.m_method != "GET" && aRequest.m_path != "/v1/plan";
+  const auto role = writes ? settings::AdminRole::Write : settings::AdminRole::Read;
   const auto who = AdminModel::Authorize(
     m_context.m_settings.m_adminTokens, aRequest.Header("authorization"), role);
   const AdminResponse response = who ? Route(aRequest, *who) : AdminModel::Error(who.GetError());
@@ -110,19 +128,26 @@
   if (aRequest.m_path.starts_with(kEditsPrefix)) {
     return EditStatus(aRequest);
   }
+  return ReadSettings(aRequest);
+}
+
+AdminResponse AdminServer::ReadSettings(const base::HttpRequest& aRequest) const
+{
+  const std::string& path = aRequest.m_path;
+  if (path != "/v1/settings" && path != "/v1/settings/effective" && path != "/v1/history") {
+    return NoSuchPath();
+  }
   const auto config = m_config.Current();
-  const settings::SettingsDocument empty;
-  const settings::SettingsDocument& document = config ? config->m_document : empty;
-  if (aRequest.m_path == "/v1/settings") {
-    return AdminModel::Settings(document);
+  if (!config) {
+    return AdminModel::Error(503, "no-settings", "this VM has not received any settings yet");
   }
-  if (aRequest.m_path == "/v1/settings/effective") {
-    return AdminModel::Effective(document, aRequest.Query("path"));
+  if (path == "/v1/settings") {
+    return AdminModel::Settings(config->m_document);
   }
-  if (aRequest.m_path == "/v1/history") {
-    return AdminModel::History(document);
+  if (path == "/v1/history") {
+    return AdminModel::History(config->m_document);
   }
-  return AdminModel::Error(404, "unknown-path", "the administration API has no such path");
+  return AdminModel::Effective(config->m_document, aRequest.Query("path"));
 }
 
 AdminResponse AdminServer::TimeLine(const base::HttpRequest& aRequest) const
@@ -130,9 +155,15 @@
   Json::Value body(Json::objectValue);
   body["vm"] = m_context.m_settings.m_id;
   body["events"] = Json::arrayValue;
-  for (const base::Event& event : m_context.m_events.After(ToNumber(aRequest.Query("after")))) {
+  std::uint64_t last = ToNumber(aRequest.Query("after"));
+  for (const base::Event& event : m_context.m_events.After(last)) {
+    if (body["events"].size() == kMaxEvents) {
+      break;
+    }
     body["events"].append(event.ToJson());
+    last = event.m_sequence;
   }
+  body["last"] = Json::UInt64(last);
   return { 200, std::move(body) };
 }
 
@@ -144,7 +175,7 @@
     return edit ? ApplyEdit(*edit, aWho) : AdminModel::Error(edit.GetError());
   }
   if (aRequest.m_path != "/v1/edits" && aRequest.m_path != "/v1/plan") {
-    return AdminModel::Error(404, "unknown-path", "the administration API has no such path");
+    return NoSuchPath();
   }
   const auto edit = AdminModel::ParseEdit(aRequest.m_body);
   if (!edit) {
@@ -173,12 +204,27 @@
   return std::pair{ std::move(*document), object->m_version };
 }
 
+void AdminServer::TakeAccepted(const settings::MergeResult& aMerged,
+                               const std::string& aText,
+                               const std::string& aId)
+{
+  m_config.Apply(aText);
+  Json::Value fields;
+  fields["edit"] = aId;
+  fields["generation"] = Json::UInt64(aMerged.m_generation);
+  m_context.m_events.Record("edit-accepted", fields);
+}
+
 AdminResponse AdminServer::ApplyEdit(const settings::Edit& aEdit, const std::string& aWho)
 {
+  // Whether a write with a lost response may have taken effect, and the version it expected.
+  bool uncertain = false;
+  platform::Version expected = platform::kAbsent;
+  base::Error error = platform::MakeError(platform::PlatformErrc::Conflict, "too many writers");
   for (unsigned i = 0; i < kMaxWrites; ++i) {
     const auto loaded = Load();
     if (!loaded) {
-      return StoreError(loaded.GetError());
+      return WriteError(loaded.GetError(), uncertain);
     }
     const settings::EditContext context{
       aWho, m_context.m_clock.Wall(), m_context.m_incarnationText, std::to_string(m_nextNonce++)
@@ -187,24 +233,25 @@
     if (merged.m_outcome != settings::MergeOutcome::Accepted) {
       return AdminModel::Merged(merged, aEdit);
     }
+    // Once the document has changed without the edit, the uncertain write can no longer succeed.
+    uncertain = uncertain && expected == loaded->second;
+    expected = loaded->second;
     const std::string text = merged.m_document->Serialize();
-    const auto version = m_store.Put(kSettingsKey, text, loaded->second, kCallTimeout);
+    const auto version = m_store.Put(kSettingsKey, text, expected, kCallTimeout);
     if (version) {
-      m_config.Apply(text);
-      Json::Value fields;
-      fields["edit"] = aEdit.m_id;
-      fields["generation"] = Json::UInt64(merged.m_generation);
-      m_context.m_events.Record("edit-accepted", fields);
+      TakeAccepted(merged, text, aEdit.m_id);
       return AdminModel::Merged(merged, aEdit);
     }
-    const auto code = version.GetError().m_code;
-    if (code != platform::PlatformErrc::Conflict && code != platform::PlatformErrc::Timeout) {
-      return StoreError(version.GetError());
+    error = version.GetError();
+    if (error.m_code == platform::PlatformErrc::Timeout) {
+      uncertain = true;
+    } else if (error.m_code != platform::PlatformErrc::Conflict) {
+      return WriteError(error, uncertain);
     }
     // After a conflict or a lost response the next round reads the document again: it finds the
     // edit in the history, or merges it anew.
   }
-  return AdminModel::Error(503, "outcome-unknown", "ask for the status of the edit by its id");
+  return WriteError(error, uncertain);
 }
 
 AdminResponse AdminServer::EditStatus(const base::HttpRequest& aRequest)
--- a/packages/entry/src/AdminServer.h
+++ b/packages/entry/src/AdminServer.h
@@ -4,10 +4,13 @@
 #include "jaylane/base/HttpServer.h"
 #include "jaylane/platform/Store.h"
 #include "jaylane/settings/AdminModel.h"
+#include "jaylane/settings/EditMerger.h"
 
 #include <atomic>
 #include <functional>
 #include <memory>
+#include <string>
+#include <utility>
 
 namespace jaylane::entry {
 
@@ -41,8 +44,12 @@
   base::HttpReply Handle(const base::HttpRequest& aRequest);
   settings::AdminResponse Route(const base::HttpRequest& aRequest, const std::string& aWho);
   settings::AdminResponse Read(const base::HttpRequest& aRequest);
+  settings::AdminResponse ReadSettings(const base::HttpRequest& aRequest) const;
   settings::AdminResponse TimeLine(const base::HttpRequest& aRequest) const;
   settings::AdminResponse Write(const base::HttpRequest& aRequest, const std::string& aWho);
+  void TakeAccepted(const settings::MergeResult& aMerged,
+                    const std::string& aText,
+                    const std::string& aId);
   settings::AdminResponse ApplyEdit(const settings::Edit& aEdit, const std::string& aWho);
   settings::AdminResponse EditStatus(const base::HttpRequest& aRequest);
   base::Result<std::pair<settings::SettingsDocument, platform::Version>> Load();
--- a/packages/entry/src/Directory.cpp
+++ b/packages/entry/src/Directory.cpp
@@ -20,7 +20,8 @@
            { aVm.m_region, aVm.m_zone },
            ParseOrNone(aVm.m_address),
            ParseOrNone(aVm.m_peerAddress),
-           aVm.m_state == platform::VmState::Leaving };
+           aVm.m_state == platform::VmState::Leaving,
+           aVm.m_adminAddress };
 }
 
 UpstreamRef ToUpstream(const platform::VmEntry& aVm)
--- a/packages/entry/src/Directory.h
+++ b/packages/entry/src/Directory.h
@@ -22,6 +22,8 @@
   base::SocketAddress m_address;
   base::SocketAddress m_peerAddress;
   bool m_leaving = false;
+  /// As listed; only operators use it.
+  std::string m_adminAddress;
 };
 
 /// An upstream of the platform's list.
--- a/packages/entry/src/EntryVmImpl.cpp
+++ b/packages/entry/src/EntryVmImpl.cpp
@@ -1,5 +1,6 @@
 #include "EntryVmImpl.h"
 
+#include "StatusReport.h"
 #include "UpstreamProber.h"
 
 #include <algorithm>
@@ -193,9 +194,9 @@
 
 void EntryVm::Impl::SetQuarantine(const Config& aConfig)
 {
-  // Attempts that a VM left behind end by their deadline, and slots that it borrowed are in use until
-  // the lease ends. Bulk uploads are left out: without their sender they make no progress, and their
-  // timeouts of minutes would keep capacity unused after each restart.
+  // Attempts that a VM left behind end by their deadline, and slots that it borrowed are in use
+  // until the lease ends. Bulk uploads are left out: without their sender they make no progress,
+  // and their timeouts of minutes would keep capacity unused after each restart.
   std::chrono::milliseconds longest{ 0 };
   for (const auto& [name, service] : aConfig.m_services) {
     if (!service.m_service.m_bulk) {
@@ -207,6 +208,18 @@
 }
 
 void EntryVm::Impl::OnConfig(const Config& aConfig)
+{
+  // Generations arrive from the store, from peers and from edits at once; without the order an
+  // older one could replace a newer one here.
+  std::lock_guard lock(m_configMutex);
+  const std::uint64_t generation = aConfig.m_document.m_generation;
+  if (generation > m_generationInEffect) {
+    ApplyConfig(aConfig);
+    m_generationInEffect = generation;
+  }
+}
+
+void EntryVm::Impl::ApplyConfig(const Config& aConfig)
 {
   SetQuarantine(aConfig);
   m_failover.Apply(aConfig);
@@ -297,13 +310,15 @@
 
 Json::Value EntryVm::Impl::Status() const
 {
-  Json::Value json(Json::objectValue);
-  json["vm"] = m_settings.m_id;
-  json["incarnation"] = m_context.m_incarnationText;
-  json["region"] = m_settings.m_region;
-  json["zone"] = m_settings.m_zone;
-  json["state"] = m_lifecycle.State();
-  json["generation"] = Json::UInt64(m_config.Generation());
+  // In this order the generation in effect never leads the one received.
+  const std::uint64_t inEffect = m_generationInEffect;
+  Json::Value json = MakeStatus(m_context,
+                                *m_directory.Current(),
+                                { m_lifecycle.State(),
+                                  m_adminServer->Address().ToString(),
+                                  m_config.Generation(),
+                                  inEffect,
+                                  m_sync.IsReachable() });
   json["in_flight"] = Json::UInt64(m_callerServer->InFlight());
   json["shifts"] = m_shifts.Status();
   json["services"] = Json::arrayValue;
--- a/packages/entry/src/EntryVmImpl.h
+++ b/packages/entry/src/EntryVmImpl.h
@@ -27,8 +27,11 @@
 #include "jaylane/platform/HttpStore.h"
 #include "jaylane/proxy/CallerServer.h"
 
+#include <atomic>
+#include <cstdint>
 #include <map>
 #include <memory>
+#include <mutex>
 #include <string>
 #include <vector>
 
@@ -52,6 +55,7 @@
   void StartSync();
   void StartDuties();
   void OnConfig(const Config& aConfig);
+  void ApplyConfig(const Config& aConfig);
   void SetQuarantine(const Config& aConfig);
   void OnVmList(const platform::VmList& aList, base::MonotonicTime aRequestedAt);
   void ApplyUpstreams();
@@ -93,6 +97,10 @@
   RequestRouter m_router;
   Lifecycle m_lifecycle;
 
+  /// Held while a generation is taken into effect.
+  std::mutex m_configMutex;
+  std::atomic<std::uint64_t> m_generationInEffect{ 0 };
+
   mutable std::mutex m_mutex;
   DispatcherMap m_dispatchers;
 
--- a/packages/entry/src/StoreSync.h
+++ b/packages/entry/src/StoreSync.h
@@ -42,6 +42,9 @@
 
   void Stop();
 
+  /// @return whether the last watch was answered.
+  bool IsReachable() const { return m_reachable; }
+
   /// @return {"made","failed"}.
   Json::Value ToJson() const;
 
