Forecast the steering in POST /v1/plan

Cause: a plan told which settings differ, but not what an edit does to the traffic: how long the shift takes, how full sites get, and what a law refuses when it takes effect before the shift is done.

Change: the daemon runs policy::MakeForecast for each service on the newest table with the planner's input of the edited tree, and jaylanectl prints it as a table or JSON. ShiftController takes the time since when a site has its state from a function, so that the input of an edited tree does not disturb what the planner has observed. A forecast is bounded to 200 steps.

Conclusion: the planner's topology has no link limits, so the peak of links is a load in slots and not a part of a rate. Until load is measured, half of the capacity counts as used, as in the planner itself.

--- a/packages/ctl/src/FileCommands.cpp
+++ b/packages/ctl/src/FileCommands.cpp
@@ -1,4 +1,5 @@
 #include "Commands.h"
+#include "ForecastText.h"
 #include "Text.h"
 #include "jaylane/settings/Edit.h"
 #include "jaylane/settings/SettingsReference.h"
@@ -46,6 +47,7 @@
   PrintDifferences(aPlan["changes"], aOut);
   aOut << "effective differences: " << Compact(aPlan["effective_total"]) << "\n";
   PrintDifferences(aPlan["effective"], aOut);
+  aOut << ShowForecast(aPlan["forecast"]);
   for (const Json::Value& entry : aPlan["warnings"]) {
     aOut << "warning: " << Printable(entry["key"].asString()) << ": "
          << Printable(entry["message"].asString()) << "\n";
--- a/packages/entry/src/AdminServer.cpp
+++ b/packages/entry/src/AdminServer.cpp
@@ -181,11 +181,20 @@
   if (!edit) {
     return AdminModel::Error(edit.GetError());
   }
-  if (aRequest.m_path == "/v1/edits") {
-    return ApplyEdit(*edit, aWho);
-  }
+  return aRequest.m_path == "/v1/edits" ? ApplyEdit(*edit, aWho) : Plan(*edit);
+}
+
+AdminResponse AdminServer::Plan(const settings::Edit& aEdit) const
+{
   const auto config = m_config.Current();
-  return AdminModel::Plan(config ? config->m_document : settings::SettingsDocument(), *edit);
+  const settings::SettingsDocument empty;
+  const settings::SettingsDocument& document = config ? config->m_document : empty;
+  AdminResponse response = AdminModel::Plan(document, aEdit);
+  const auto merged = settings::EditMerger::Merge(document, aEdit, {});
+  if (merged.m_outcome == settings::MergeOutcome::Accepted) {
+    response.m_body["forecast"] = m_hooks.m_forecast(*merged.m_document);
+  }
+  return response;
 }
 
 base::Result<std::pair<settings::SettingsDocument, platform::Version>> AdminServer::Load()
--- a/packages/entry/src/AdminServer.h
+++ b/packages/entry/src/AdminServer.h
@@ -24,6 +24,8 @@
   {
     std::function<Json::Value()> m_status;
     std::function<Json::Value()> m_metrics;
+    /// Steering forecast of an edited document, for each service.
+    std::function<Json::Value(const settings::SettingsDocument&)> m_forecast;
   };
 
   /// @param aStore for edits; reads are served from this VM's copy.
@@ -47,6 +49,7 @@
   settings::AdminResponse ReadSettings(const base::HttpRequest& aRequest) const;
   settings::AdminResponse TimeLine(const base::HttpRequest& aRequest) const;
   settings::AdminResponse Write(const base::HttpRequest& aRequest, const std::string& aWho);
+  settings::AdminResponse Plan(const settings::Edit& aEdit) const;
   void TakeAccepted(const settings::MergeResult& aMerged,
                     const std::string& aText,
                     const std::string& aId);
--- a/packages/entry/src/ConfigState.h
+++ b/packages/entry/src/ConfigState.h
@@ -76,9 +76,11 @@
   /// @return text of the generation in effect, for peers; empty before the first.
   std::string CurrentText() const;
 
-private:
+  /// @param aText as for Apply(); does not take effect.
+  /// @return what Apply() would take into effect, or why the text is invalid.
   base::Result<std::shared_ptr<const Config>> Build(const std::string& aText) const;
 
+private:
   const VmContext& m_context;
   mutable std::mutex m_mutex;
   std::shared_ptr<const Config> m_current;
--- a/packages/entry/src/EntryVmImpl.cpp
+++ b/packages/entry/src/EntryVmImpl.cpp
@@ -1,6 +1,5 @@
 #include "EntryVmImpl.h"
 
-#include "StatusReport.h"
 #include "UpstreamProber.h"
 
 #include <algorithm>
@@ -138,7 +137,12 @@
   }
   m_callerServer = std::move(*callers);
   auto admin = AdminServer::Make(
-    m_context, m_store, m_config, { [this] { return Status(); }, [this] { return Metrics(); } });
+    m_context,
+    m_store,
+    m_config,
+    { [this] { return Status(); },
+      [this] { return Metrics(); },
+      [this](const settings::SettingsDocument& aDocument) { return Forecast(aDocument); } });
   if (!admin) {
     return admin.GetError();
   }
@@ -308,39 +312,6 @@
   return { m_callerServer->Address(), m_peers.Address(), m_adminServer->Address() };
 }
 
-Json::Value EntryVm::Impl::Status() const
-{
-  // In this order the generation in effect never leads the one received.
-  const std::uint64_t inEffect = m_generationInEffect;
-  Json::Value json = MakeStatus(m_context,
-                                *m_directory.Current(),
-                                { m_lifecycle.State(),
-                                  m_adminServer->Address().ToString(),
-                                  m_config.Generation(),
-                                  inEffect,
-                                  m_sync.IsReachable() });
-  json["in_flight"] = Json::UInt64(m_callerServer->InFlight());
-  json["shifts"] = m_shifts.Status();
-  json["services"] = Json::arrayValue;
-  for (const auto& [service, dispatcher] : Dispatchers()) {
-    Json::Value entry = dispatcher->Status();
-    const auto table = m_steering.Applied(service);
-    entry["table_generation"] = Json::UInt64(table ? table->Generation() : 0);
-    json["services"].append(std::move(entry));
-  }
-  return json;
-}
-
-Json::Value EntryVm::Impl::Metrics()
-{
-  Json::Value json(Json::objectValue);
-  json["requests"] = m_metrics.ToJson();
-  json["store_calls"] = m_sync.ToJson();
-  json["peers"] = m_peers.ToJson();
-  json["ledger_keys"] = Json::UInt64(m_ledger.size());
-  return json;
-}
-
 std::chrono::milliseconds EntryVm::Impl::LongestLookupLifetime() const
 {
   std::chrono::milliseconds longest{ 0 };
--- a/packages/entry/src/EntryVmImpl.h
+++ b/packages/entry/src/EntryVmImpl.h
@@ -65,6 +65,7 @@
   DispatcherMap Dispatchers() const;
   Json::Value Status() const;
   Json::Value Metrics();
+  Json::Value Forecast(const settings::SettingsDocument& aDocument) const;
   std::chrono::milliseconds LongestLookupLifetime() const;
   void WaitForRequests() const;
   void LeaveShares();
--- a/packages/entry/src/ShiftController.cpp
+++ b/packages/entry/src/ShiftController.cpp
@@ -1,5 +1,7 @@
 #include "ShiftController.h"
 
+#include "ForecastReport.h"
+
 #include <algorithm>
 #include <span>
 #include <utility>
@@ -16,6 +18,8 @@
 // The same where load is measured but little of it: a service at rest must still be movable, and
 // its buckets must not weigh nothing.
 constexpr double kLeastUse = 0.05;
+// Bounds the work of a plan; a forecast that ends here says that it is incomplete.
+constexpr std::size_t kMaxForecastSteps = 200;
 // Callers in the same region reach a site within this time; links add theirs.
 constexpr std::chrono::microseconds kLocalLatency{ 3000 };
 
@@ -91,7 +95,7 @@
 
 base::WallTime ShiftController::ObserveSite(const std::string& aService,
                                             const policy::SiteId& aSite,
-                                            policy::SiteState aState) const
+                                            policy::SiteState aState)
 {
   std::lock_guard lock(m_mutex);
   SiteLife& life = m_sites[{ aService, aSite }];
@@ -102,8 +106,19 @@
   return life.m_liveSince;
 }
 
+base::WallTime ShiftController::AssumeSite(const std::string& aService,
+                                           const policy::SiteId& aSite,
+                                           policy::SiteState aState) const
+{
+  std::lock_guard lock(m_mutex);
+  const auto known = m_sites.find({ aService, aSite });
+  return known != m_sites.end() && known->second.m_state == aState ? known->second.m_liveSince
+                                                                   : m_context.m_clock.Wall();
+}
+
 policy::Topology ShiftController::MakeTopology(const Config& aConfig,
-                                               const ServiceConfig& aService) const
+                                               const ServiceConfig& aService,
+                                               const SiteClock& aClock) const
 {
   const std::string& service = aService.m_service.m_name;
   const auto view = m_directory.Current();
@@ -112,10 +127,8 @@
     for (const std::string& zone : region.m_zones) {
       const policy::SiteId id{ region.m_name, zone };
       const auto state = StateOf(aConfig, aService, id);
-      topology.m_sites.push_back({ id,
-                                   state,
-                                   static_cast<double>(view->Capacity(service, id)),
-                                   ObserveSite(service, id, state) });
+      topology.m_sites.push_back(
+        { id, state, static_cast<double>(view->Capacity(service, id)), aClock(id, state) });
     }
     topology.m_latencies.push_back({ region.m_name, region.m_name, kLocalLatency });
   }
@@ -176,10 +189,11 @@
 }
 
 policy::PlanInput ShiftController::MakeInput(const Config& aConfig,
-                                             const ServiceConfig& aService) const
+                                             const ServiceConfig& aService,
+                                             const SiteClock& aClock) const
 {
   policy::PlanInput input;
-  input.m_topology = MakeTopology(aConfig, aService);
+  input.m_topology = MakeTopology(aConfig, aService, aClock);
   input.m_legal = aService.m_legal;
   input.m_limits = LimitsOf(aConfig.m_document.m_tree, aService.m_service.m_name);
   double capacity = 0;
@@ -190,6 +204,22 @@
   return input;
 }
 
+std::optional<base::Result<policy::Forecast>> ShiftController::Forecast(
+  const Config& aConfig,
+  const ServiceConfig& aService) const
+{
+  const std::string& name = aService.m_service.m_name;
+  const auto newest = m_steering.Newest(name);
+  if (!newest) {
+    return std::nullopt;
+  }
+  const auto input =
+    MakeInput(aConfig, aService, [&](const policy::SiteId& aSite, policy::SiteState aState) {
+      return AssumeSite(name, aSite, aState);
+    });
+  return policy::MakeForecast(newest->m_table, input, m_context.m_clock.Wall(), kMaxForecastSteps);
+}
+
 bool ShiftController::IsPlanner(const std::string& aService) const
 {
   const auto rank = [&](const std::string& aIncarnation) {
@@ -222,7 +252,10 @@
 void ShiftController::RunService(const Config& aConfig, const ServiceConfig& aService)
 {
   const std::string& name = aService.m_service.m_name;
-  const auto input = MakeInput(aConfig, aService);
+  const auto input =
+    MakeInput(aConfig, aService, [&](const policy::SiteId& aSite, policy::SiteState aState) {
+      return ObserveSite(name, aSite, aState);
+    });
   m_steering.CatchUp(name, input);
   if (!IsPlanner(name)) {
     return;
@@ -276,9 +309,7 @@
   for (const double share : plan->m_remaining) {
     remaining += share;
   }
-  static constexpr const char* kStates[] = { "settled",     "step",        "step-pending",
-                                             "cap-reached", "no-capacity", "too-heavy" };
-  status["state"] = kStates[static_cast<std::size_t>(plan->m_state)];
+  status["state"] = PlanStateName(plan->m_state);
   status["remaining_share"] = remaining;
   if (plan->m_state == policy::PlanState::Step) {
     Json::Value fields(status);
--- a/packages/entry/src/ShiftController.h
+++ b/packages/entry/src/ShiftController.h
@@ -5,11 +5,15 @@
 #include "LoadExchange.h"
 #include "SteeringState.h"
 #include "jaylane/platform/Store.h"
+#include "jaylane/policy/Forecast.h"
 #include "jaylane/policy/ShiftPlanner.h"
 
+#include <functional>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <string>
+#include <utility>
 
 namespace jaylane::entry {
 
@@ -32,10 +36,18 @@
   /// @return {"<service>":{"state","remaining_share","next_at_ms"}} of the last round.
   Json::Value Status() const;
 
-  /// The planner's input for a service, as known to this VM.
-  policy::PlanInput MakeInput(const Config& aConfig, const ServiceConfig& aService) const;
+  /// Dry run of the shift that settings would start if they took effect now.
+  /// @param aConfig settings, in effect or not.
+  /// @param aService one of its services.
+  /// @return the course or the planner's error; nothing while there is no table.
+  std::optional<base::Result<policy::Forecast>> Forecast(const Config& aConfig,
+                                                         const ServiceConfig& aService) const;
 
 private:
+  /// Since when a site of the planner's input has its state.
+  using SiteClock =
+    std::function<base::WallTime(const policy::SiteId& aSite, policy::SiteState aState)>;
+
   struct SiteLife
   {
     policy::SiteState m_state = policy::SiteState::Dead;
@@ -52,13 +64,21 @@
   policy::BucketLoad MakeLoad(const Config& aConfig,
                               const ServiceConfig& aService,
                               double aCapacity) const;
-  policy::Topology MakeTopology(const Config& aConfig, const ServiceConfig& aService) const;
+  policy::PlanInput MakeInput(const Config& aConfig,
+                              const ServiceConfig& aService,
+                              const SiteClock& aClock) const;
+  policy::Topology MakeTopology(const Config& aConfig,
+                                const ServiceConfig& aService,
+                                const SiteClock& aClock) const;
   policy::SiteState StateOf(const Config& aConfig,
                             const ServiceConfig& aService,
                             const policy::SiteId& aSite) const;
   base::WallTime ObserveSite(const std::string& aService,
                              const policy::SiteId& aSite,
-                             policy::SiteState aState) const;
+                             policy::SiteState aState);
+  base::WallTime AssumeSite(const std::string& aService,
+                            const policy::SiteId& aSite,
+                            policy::SiteState aState) const;
 
   const VmContext& m_context;
   platform::Store& m_store;
@@ -68,7 +88,7 @@
   LoadExchange& m_loads;
   base::MonotonicTime m_loadsReadAt;
   mutable std::mutex m_mutex;
-  mutable std::map<std::pair<std::string, policy::SiteId>, SiteLife> m_sites;
+  std::map<std::pair<std::string, policy::SiteId>, SiteLife> m_sites;
   std::map<std::string, Json::Value> m_status;
   std::uint64_t m_nextNonce = 1;
 };
--- a/packages/testing/tests/CtlE2eTest.cpp
+++ b/packages/testing/tests/CtlE2eTest.cpp
@@ -1,3 +1,4 @@
+#include "jaylane/base/Clock.h"
 #include "jaylane/platform/JsonText.h"
 #include "jaylane/testing/Scenario.h"
 #include "jaylane/testing/WaitFor.h"
@@ -6,6 +7,7 @@
 #include <fstream>
 #include <gtest/gtest.h>
 #include <json/reader.h>
+#include <json/writer.h>
 #include <sstream>
 #include <sys/wait.h>
 
@@ -26,9 +28,18 @@
   - { prefix: 10.1.0.0/16, region: north }
   - { prefix: 10.2.0.0/16, region: south }
 nodes:
-  /: { shift_window_seconds: 2, lookup_lifetime_ms: 500 }
+  /: { shift_window_seconds: 2, lookup_lifetime_ms: 500, latency_weight_percent: 100 }
 )";
 
+/// With a second zone in the south. While no load is measured, half of the capacity counts as
+/// used, which the zones of the south can take over from the north.
+std::string WideTree()
+{
+  std::string tree = kTree;
+  const std::string zone = "[south-a]";
+  return tree.replace(tree.find(zone), zone.size(), "[south-a, south-b]");
+}
+
 std::string ReadFile(const std::string& aPath)
 {
   std::ostringstream text;
@@ -70,10 +81,10 @@
     m_deployment = std::move(*deployment);
   }
 
-  /// Starts an entry VM in each of two regions.
-  void StartScenario()
+  /// Starts an entry VM in each zone.
+  void StartScenario(const std::string& aTree = kTree)
   {
-    const auto tree = settings::SettingsTree::ParseYaml(kTree, "tree");
+    const auto tree = settings::SettingsTree::ParseYaml(aTree, "tree");
     ASSERT_TRUE(tree) << settings::ToString(tree.m_diagnostics);
     ScenarioOptions options;
     options.m_tree = *tree;
@@ -207,6 +218,62 @@
   EXPECT_NE(waits.m_err.find("not in effect: " + paused), std::string::npos) << waits;
 }
 
+// Guards against a plan that hides how long a drain takes, or that changes what it plans for.
+TEST_F(CtlE2e, ForecastsDrain)
+{
+  ASSERT_NO_FATAL_FAILURE(StartScenario(WideTree()));
+  const std::string drain = R"({"site":"north/north-a","since":"2026-01-01T00:00:00Z"})";
+  const std::vector<std::string> arguments{ "plan", "set", "@drains", "site:north/north-a", drain };
+  const Output table = Ctl(arguments, 0, false);
+  EXPECT_EQ(table.m_code, 0) << table;
+  EXPECT_TRUE(table.Has("peak use of sites: north/north-a")) << table;
+  auto withJson = arguments;
+  withJson.push_back("--output=json");
+  const Json::Value forecast = Ctl(withJson, 1, false).Json()["forecast"][0];
+  EXPECT_EQ(forecast["service"], "tables") << forecast;
+  EXPECT_EQ(forecast["state"], "settled") << forecast;
+  // By latency alone, the north has the half of the load that comes from its callers. At most the
+  // planned cap of 6% moves in a window.
+  EXPECT_NEAR(forecast["moved_share"].asDouble(), 0.5, 0.05) << forecast;
+  EXPECT_GE(forecast["steps"].size(), 8u) << forecast;
+  for (const Json::Value& step : forecast["steps"]) {
+    EXPECT_LE(step["moved_share"].asDouble(), 0.06) << step;
+  }
+  // One of the VMs plans for the service and reports the state of its shift.
+  const auto isSettled = [this] {
+    unsigned planners = 0;
+    for (const std::string& vm : m_scenario->EntryVms()) {
+      const auto status = m_scenario->AdminGet(vm, "/v1/status");
+      const Json::Value shift = status ? (*status)["shifts"]["tables"] : Json::Value();
+      planners += shift.isNull() ? 0 : 1;
+      EXPECT_TRUE(shift.isNull() || shift["state"] == "settled") << shift;
+      EXPECT_TRUE(!status || (*status)["generation"].asUInt64() == 1) << *status;
+    }
+    return planners > 0;
+  };
+  EXPECT_TRUE(WaitFor(isSettled, kTimeout));
+}
+
+// Guards against a plan that does not tell what a law refuses before the shift is done.
+TEST_F(CtlE2e, ForecastsLaw)
+{
+  ASSERT_NO_FATAL_FAILURE(StartScenario(WideTree()));
+  const auto plan = [this](std::chrono::seconds aNotice) {
+    Json::Value law;
+    law["id"] = "north-out";
+    law["origin_region"] = "north";
+    law["allowed_regions"].append("south");
+    law["effective_at"] = settings::FormatTime(base::SystemClock::Get().Wall() + aNotice);
+    const Output output = Ctl(
+      { "plan", "set", "@laws", "north-out", platform::WriteJson(law), "--output=json" }, 0, false);
+    EXPECT_EQ(output.m_code, 0) << output;
+    const Json::Value json = output.Json();
+    return json["forecast"][0]["laws"][0]["refused_share"].asDouble();
+  };
+  EXPECT_GT(plan(std::chrono::seconds{ 5 }), 0.1);
+  EXPECT_EQ(plan(std::chrono::hours{ 2 }), 0);
+}
+
 // Guards against drains that the daemon rejects, and a status that hides VMs.
 TEST_F(CtlE2e, DrainsAndShowsStatus)
 {
