--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 export CCACHE_NOHASHDIR := 1
 SOURCES = $(shell git ls-files 'packages/*.h' 'packages/*.cpp')
 
-.PHONY: all packages build test demo format-check lint
+.PHONY: all packages build test demo package format-check lint
 
 all: build
 
@@ -27,6 +27,12 @@
 demo: build
 	@$(BUILD)/packages/testing/demo --tree=examples/$(DEPLOYMENT)/tree.yaml
 
+# Builds a Debian package of the two binaries, examples and documents in $(BUILD).
+package: packages
+	@cmake -S . -B $(BUILD) -G Ninja >/dev/null
+	@cmake --build $(BUILD) -j $(JOBS) --target jaylane-entry jaylanectl
+	@cd $(BUILD) && cpack -G DEB
+
 format-check:
 	@clang-format --dry-run --Werror $(SOURCES)
 
