--- a/cmake/InstallTest.cmake
+++ b/cmake/InstallTest.cmake
@@ -24,7 +24,7 @@
 endforeach()
 # A tree is no VM settings file.
 run(2 ${root}/bin/jaylane-entry --settings=${documents}/examples/inyenyeri/tree.yaml --check)
-foreach(file README.md docs/design.md docs/settings.md docs/admin-api.md)
+foreach(file README.md docs/design.md docs/operators.md docs/settings.md docs/admin-api.md)
   if(NOT EXISTS ${root}/${documents}/${file})
     message(FATAL_ERROR "not installed: ${file}")
   endif()
