--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 export CCACHE_NOHASHDIR := 1
 SOURCES = $(shell git ls-files 'packages/*.h' 'packages/*.cpp')
 
-.PHONY: all packages build test demo sanitize format-check lint
+.PHONY: all packages build test demo sanitize package format-check lint
 
 all: build
 
@@ -53,6 +53,12 @@
 	@for t in $(SANITIZE_PARSERS); do \
 	  RC_PARAMS="seed=20261204 max_success=50" build-asan/packages/$$t/$${t}_tests >/dev/null || exit 1; done
 
+# Builds a Debian package of the two binaries, examples and documents in $(BUILD).
+package: packages
+	@cmake -S . -B $(BUILD) -G Ninja >/dev/null
+	@cmake --build $(BUILD) -j $(JOBS) --target jaylane-entry jaylanectl
+	@cd $(BUILD) && cpack -G DEB
+
 format-check:
 	@clang-format --dry-run --Werror $(SOURCES)
 
--- a/packages/entry/src/EntryVmImpl.cpp
+++ b/packages/entry/src/EntryVmImpl.cpp
@@ -141,7 +141,12 @@
   }
   m_callerServer = std::move(*callers);
   auto admin = AdminServer::Make(
-    m_context, m_store, m_config, { [this] { return Status(); }, [this] { return Metrics(); } });
+    m_context,
+    m_store,
+    m_config,
+    { [this] { return Status(); },
+      [this] { return Metrics(); },
+      [this](const settings::SettingsDocument& aDocument) { return Forecast(aDocument); } });
   if (!admin) {
     return admin.GetError();
   }
@@ -214,6 +219,18 @@
 }
 
 void EntryVm::Impl::OnConfig(const Config& aConfig)
+{
+  // Generations arrive from the store, from peers and from edits at once; without the order an
+  // older one could replace a newer one here.
+  std::lock_guard lock(m_configMutex);
+  const std::uint64_t generation = aConfig.m_document.m_generation;
+  if (generation > m_generationInEffect) {
+    ApplyConfig(aConfig);
+    m_generationInEffect = generation;
+  }
+}
+
+void EntryVm::Impl::ApplyConfig(const Config& aConfig)
 {
   SetQuarantine(aConfig);
   m_failover.Apply(aConfig);
@@ -302,37 +319,6 @@
   return { m_callerServer->Address(), m_peers.Address(), m_adminServer->Address() };
 }
 
-Json::Value EntryVm::Impl::Status() const
-{
-  Json::Value json(Json::objectValue);
-  json["vm"] = m_settings.m_id;
-  json["incarnation"] = m_context.m_incarnationText;
-  json["region"] = m_settings.m_region;
-  json["zone"] = m_settings.m_zone;
-  json["state"] = m_lifecycle.State();
-  json["generation"] = Json::UInt64(m_config.Generation());
-  json["in_flight"] = Json::UInt64(m_callerServer->InFlight());
-  json["shifts"] = m_shifts.Status();
-  json["services"] = Json::arrayValue;
-  for (const auto& [service, dispatcher] : Dispatchers()) {
-    Json::Value entry = dispatcher->Status();
-    const auto table = m_steering.Applied(service);
-    entry["table_generation"] = Json::UInt64(table ? table->Generation() : 0);
-    json["services"].append(std::move(entry));
-  }
-  return json;
-}
-
-Json::Value EntryVm::Impl::Metrics()
-{
-  Json::Value json(Json::objectValue);
-  json["requests"] = m_metrics.ToJson();
-  json["store_calls"] = m_sync.ToJson();
-  json["peers"] = m_peers.ToJson();
-  json["ledger_keys"] = Json::UInt64(m_ledger.size());
-  return json;
-}
-
 std::chrono::milliseconds EntryVm::Impl::LongestLookupLifetime() const
 {
   std::chrono::milliseconds longest{ 0 };
--- a/packages/entry/src/EntryVmImpl.h
+++ b/packages/entry/src/EntryVmImpl.h
@@ -28,8 +28,11 @@
 #include "jaylane/platform/HttpStore.h"
 #include "jaylane/proxy/CallerServer.h"
 
+#include <atomic>
+#include <cstdint>
 #include <map>
 #include <memory>
+#include <mutex>
 #include <string>
 #include <vector>
 
@@ -53,6 +56,7 @@
   void StartSync();
   void StartDuties();
   void OnConfig(const Config& aConfig);
+  void ApplyConfig(const Config& aConfig);
   void SetQuarantine(const Config& aConfig);
   void OnVmList(const platform::VmList& aList, base::MonotonicTime aRequestedAt);
   void ApplyUpstreams();
@@ -62,6 +66,7 @@
   DispatcherMap Dispatchers() const;
   Json::Value Status() const;
   Json::Value Metrics();
+  Json::Value Forecast(const settings::SettingsDocument& aDocument) const;
   std::chrono::milliseconds LongestLookupLifetime() const;
   void WaitForRequests() const;
   void LeaveShares();
@@ -95,6 +100,10 @@
   RequestRouter m_router;
   Lifecycle m_lifecycle;
 
+  /// Held while a generation is taken into effect.
+  std::mutex m_configMutex;
+  std::atomic<std::uint64_t> m_generationInEffect{ 0 };
+
   mutable std::mutex m_mutex;
   DispatcherMap m_dispatchers;
 
--- a/packages/testing/tests/e2e/PauseTest.cpp
+++ b/packages/testing/tests/e2e/PauseTest.cpp
@@ -2,6 +2,7 @@
 
 #include "jaylane/testing/WaitFor.h"
 
+#include <fmt/format.h>
 #include <thread>
 
 namespace jaylane::testing {
