Add make bench

Cause: the measurements had no common entry point.

Change: make bench builds and runs the Google Benchmark programs, policy_sim and path_bench, prints their tables and leaves JSON under out/.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 export CCACHE_NOHASHDIR := 1
 SOURCES = $(shell git ls-files 'packages/*.h' 'packages/*.cpp')
 
-.PHONY: all packages build test demo format-check lint
+.PHONY: all packages build test demo bench capacity format-check lint
 
 all: build
 
@@ -27,6 +27,22 @@
 demo: build
 	@$(BUILD)/packages/testing/demo --tree=examples/$(DEPLOYMENT)/tree.yaml
 
+# Measurements; not part of CI. Each program prints a table and leaves its figures in out/<name>.json.
+# The time limits bound the whole run to about three minutes; path_bench needs two of them.
+GOOGLE_BENCHES = policy/policy_bench settings/settings_bench peer/peer_bench testing/testing_bench
+BENCH_TIME = --benchmark_min_time=0.02
+bench: packages
+	@cmake -S . -B $(BUILD) -G Ninja >/dev/null
+	@cmake --build $(BUILD) -j $(JOBS) --target $(notdir $(GOOGLE_BENCHES)) policy_sim path_bench
+	@mkdir -p out; uptime; status=0; for program in $(GOOGLE_BENCHES); do \
+	  timeout 60 $(BUILD)/packages/$$program $(BENCH_TIME) --benchmark_out_format=json \
+	    --benchmark_out=out/$$(basename $$program).json || status=1; \
+	done; \
+	timeout 60 $(BUILD)/packages/policy/policy_sim >out/policy_sim.txt || status=1; \
+	tail -n 1 out/policy_sim.txt >out/policy_sim.json; head -n -1 out/policy_sim.txt; \
+	timeout 180 $(BUILD)/packages/testing/path_bench --json=out/path_bench.json || status=1; \
+	uptime; exit $$status
+
 format-check:
 	@clang-format --dry-run --Werror $(SOURCES)
 
