entry: Render VMs of lookup responses once a list, not once a lookup

Change: the directory keeps each VM as rendered JSON; a lookup appends it to a text of reserved size. PickVms() returns at four VMs.

--- a/packages/entry/src/Directory.cpp
+++ b/packages/entry/src/Directory.cpp
@@ -1,6 +1,7 @@
 #include "Directory.h"
 
 #include <algorithm>
+#include <fmt/format.h>
 #include <utility>
 
 namespace jaylane::entry {
@@ -15,12 +16,19 @@
 
 EntryVmRef ToEntryVm(const platform::VmEntry& aVm)
 {
-  return { aVm.m_id,
-           aVm.m_incarnation,
-           { aVm.m_region, aVm.m_zone },
-           ParseOrNone(aVm.m_address),
-           ParseOrNone(aVm.m_peerAddress),
-           aVm.m_state == platform::VmState::Leaving };
+  EntryVmRef vm{ aVm.m_id,
+                 aVm.m_incarnation,
+                 { aVm.m_region, aVm.m_zone },
+                 ParseOrNone(aVm.m_address),
+                 ParseOrNone(aVm.m_peerAddress),
+                 aVm.m_state == platform::VmState::Leaving,
+                 {} };
+  vm.m_lookupJson = fmt::format(R"({{"id":"{}","address":"{}","region":"{}","zone":"{}"}})",
+                                vm.m_id,
+                                vm.m_address.ToString(),
+                                vm.m_site.m_region,
+                                vm.m_site.m_zone);
+  return vm;
 }
 
 UpstreamRef ToUpstream(const platform::VmEntry& aVm)
--- a/packages/entry/src/Directory.h
+++ b/packages/entry/src/Directory.h
@@ -22,6 +22,8 @@
   base::SocketAddress m_address;
   base::SocketAddress m_peerAddress;
   bool m_leaving = false;
+  /// The VM as an object of a lookup response; rendered once a list instead of once a lookup.
+  std::string m_lookupJson;
 };
 
 /// An upstream of the platform's list.
--- a/packages/entry/src/LookupService.cpp
+++ b/packages/entry/src/LookupService.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <fmt/format.h>
-#include <iterator>
 #include <utility>
 
 namespace jaylane::entry {
@@ -10,6 +9,8 @@
 namespace {
 
 constexpr std::chrono::seconds kRetryAfter{ 1 };
+// A response with four VMs; longer ones only cost a second allocation.
+constexpr std::size_t kExpectedBytes = 768;
 
 proxy::LookupReply Refuse(unsigned aStatus, std::string_view aCode, std::string_view aMessage)
 {
@@ -64,6 +65,7 @@
     return aService.m_legal.Allows(aOrigin.m_region, aCandidate.m_region, now);
   };
   std::vector<const EntryVmRef*> vms;
+  vms.reserve(kMaxVms);
   const policy::SiteId& assigned = aTable.SiteAt(aSite);
   if (legal(assigned)) {
     AppendSite(aView, assigned, aOrigin.m_block, vms);
@@ -71,6 +73,9 @@
   // The others only help if the assigned site fails; the origin's own region comes first.
   for (const bool near : { true, false }) {
     for (const policy::SiteId& site : aTable.Sites()) {
+      if (vms.size() == kMaxVms) {
+        return vms;
+      }
       if (site != assigned && (site.m_region == aOrigin.m_region) == near && legal(site)) {
         AppendSite(aView, site, aOrigin.m_block, vms);
       }
@@ -88,27 +93,19 @@
     // The first VM's scope has not arrived yet; it forwards keys of this VM's scope.
     scope = m_scopeOf(m_context.m_incarnationText);
   }
-  fmt::memory_buffer buffer;
-  auto out = std::back_inserter(buffer);
-  fmt::format_to(out,
-                 R"({{"service":"{}","generation":{},"lifetime_ms":{},"scope":"{}","vms":[)",
-                 aService.m_service.m_name,
-                 aGeneration,
-                 aService.m_effective.m_lookupLifetime.count(),
-                 scope);
-  const char* separator = "";
+  const fmt::format_int generation(aGeneration);
+  const fmt::format_int lifetime(aService.m_effective.m_lookupLifetime.count());
+  std::string text;
+  text.reserve(kExpectedBytes);
+  text.append(R"({"service":")").append(aService.m_service.m_name);
+  text.append(R"(","generation":)").append(generation.data(), generation.size());
+  text.append(R"(,"lifetime_ms":)").append(lifetime.data(), lifetime.size());
+  text.append(R"(,"scope":")").append(scope).append(R"(","vms":[)");
   for (const EntryVmRef* vm : aVms) {
-    fmt::format_to(out,
-                   R"({}{{"id":"{}","address":"{}","region":"{}","zone":"{}"}})",
-                   separator,
-                   vm->m_id,
-                   vm->m_address.ToString(),
-                   vm->m_site.m_region,
-                   vm->m_site.m_zone);
-    separator = ",";
+    text.append(vm->m_lookupJson).push_back(',');
   }
-  buffer.append(std::string_view("]}"));
-  return fmt::to_string(buffer);
+  text.pop_back();
+  return text.append("]}");
 }
 
 proxy::LookupReply LookupService::Handle(const proxy::LookupRequest& aRequest) const
