Add make capacity

Cause: the cost at the target size was an estimate.

Change: capacity_bench measures state, message sizes and CPU time of the real classes at three sizes or more of each axis, fits a line and prints its largest deviation. Sizes that do not follow a line show it by that error.

--- a/Makefile
+++ b/Makefile
@@ -43,6 +43,12 @@
 	timeout 180 $(BUILD)/packages/testing/path_bench --json=out/path_bench.json || status=1; \
 	uptime; exit $$status
 
+# Slopes of memory, messages and CPU time for docs/CAPACITY.md, as table and out/capacity.json.
+capacity: packages
+	@cmake -S . -B $(BUILD) -G Ninja >/dev/null
+	@cmake --build $(BUILD) -j $(JOBS) --target capacity_bench
+	@mkdir -p out; timeout 180 $(BUILD)/packages/testing/capacity_bench --json=out/capacity.json
+
 format-check:
 	@clang-format --dry-run --Werror $(SOURCES)
 
