peer: Send members without their identity, and shares only to those behind

Cause: an exchange message carried 64 whole members of 235 bytes that the receiver has from the platform's list, and each message within a zone carried the share table.

Change: all members but the sender are an array of incarnation, heartbeat and scope, with the rare fields only where they are set. Membership keeps id, zone and address as listed, so a peer cannot replace them. Share tables go only into the response to a peer with a lower version; a VM with an older one gets it at its own next exchange. The member codec and FieldReader have their own files. The format is not compatible with VMs of earlier revisions.

--- a/packages/entry/src/PeerService.cpp
+++ b/packages/entry/src/PeerService.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <limits>
 #include <utility>
 
 namespace jaylane::entry {
@@ -109,7 +110,8 @@
 }
 
 peer::ExchangeMessage PeerService::MakeMessage(const std::string& aPeerZone,
-                                               std::uint64_t aPeerGeneration)
+                                               std::uint64_t aPeerGeneration,
+                                               platform::Version aPeerShares)
 {
   peer::ExchangeMessage message;
   message.m_stamp = m_context.m_hybrid.Now().ToString();
@@ -119,6 +121,9 @@
   }
   if (aPeerZone == m_context.m_site.m_zone) {
     message.m_shares = m_parts.m_shares.CurrentText();
+    if (message.m_shares.m_version <= aPeerShares) {
+      message.m_shares.m_text.clear();
+    }
   }
   message.m_strikes = m_parts.m_quarantine.Strikes();
   std::lock_guard lock(m_mutex);
@@ -162,12 +167,13 @@
     }
     m_thread->Wake();
   }
-  return MakeMessage(zone, aMessage.m_generation);
+  return MakeMessage(zone, aMessage.m_generation, aMessage.m_shares.m_version);
 }
 
 void PeerService::ExchangeWith(const peer::MemberInfo& aPeer)
 {
-  const auto message = MakeMessage(aPeer.m_zone, ~std::uint64_t{ 0 });
+  const auto message =
+    MakeMessage(aPeer.m_zone, ~std::uint64_t{ 0 }, std::numeric_limits<platform::Version>::max());
   const auto response = m_client.Exchange(PeerAddress(aPeer), message, kCallTimeout);
   if (response) {
     Receive(*response);
--- a/packages/entry/src/PeerService.h
+++ b/packages/entry/src/PeerService.h
@@ -77,7 +77,10 @@
   void ExchangeWith(const peer::MemberInfo& aPeer);
   void ProbeSuspects();
   bool IsReachable(const peer::MemberInfo& aSuspect);
-  peer::ExchangeMessage MakeMessage(const std::string& aPeerZone, std::uint64_t aPeerGeneration);
+  /// @param aPeerGeneration, aPeerShares what the peer has; newer settings and shares are added.
+  peer::ExchangeMessage MakeMessage(const std::string& aPeerZone,
+                                    std::uint64_t aPeerGeneration,
+                                    platform::Version aPeerShares);
   void Receive(const peer::ExchangeMessage& aMessage);
   peer::ExchangeMessage OnExchange(const peer::ExchangeMessage& aMessage);
   peer::ProbeResponse OnProbe(const peer::ProbeRequest& aRequest);
--- a/packages/peer/include/jaylane/peer/Membership.h
+++ b/packages/peer/include/jaylane/peer/Membership.h
@@ -43,10 +43,11 @@
   /// Takes the members that the platform lists; others are forgotten.
   void SetListed(const std::vector<MemberInfo>& aListed, base::MonotonicTime aNow);
 
-  /// Takes what a peer knows. Unlisted members and older heartbeats are ignored.
+  /// Takes what a peer knows. Unlisted members and older heartbeats are ignored; the identity of a
+  /// member stays as listed.
   void Merge(const std::vector<MemberInfo>& aMembers, base::MonotonicTime aNow);
 
-  /// @return this VM and the members with the freshest news.
+  /// @return this VM, then the members with the freshest news, without their identity.
   std::vector<MemberInfo> Digest() const;
 
   /// @param aRandom returns uniformly distributed 64 bits.
--- a/packages/peer/include/jaylane/peer/Messages.h
+++ b/packages/peer/include/jaylane/peer/Messages.h
@@ -28,6 +28,18 @@
   /// Measured load, only in messages within a zone; else empty.
   std::string m_load;
 
+  /// @return the member without id, region, zone and address, which the receiver has from the
+  ///   platform's list.
+  MemberInfo WithoutIdentity() const
+  {
+    MemberInfo news(*this);
+    news.m_id.clear();
+    news.m_region.clear();
+    news.m_zone.clear();
+    news.m_peerAddress.clear();
+    return news;
+  }
+
   bool operator==(const MemberInfo&) const = default;
 };
 
@@ -44,12 +56,14 @@
 struct ExchangeMessage
 {
   std::string m_stamp;
+  /// The sender in front; the others without their identity.
   std::vector<MemberInfo> m_members;
   /// Generation of the settings that the sender applies.
   std::uint64_t m_generation = 0;
   /// The settings, in a response to a sender with a lower generation; else empty.
   std::string m_settings;
-  /// Share table of the sender's zone, only between VMs of a zone; else empty.
+  /// Share table of the sender's zone, only between VMs of a zone; the text only in a response to a
+  /// sender with a lower version.
   VersionedText m_shares;
   std::vector<policy::Strike> m_strikes;
 };
--- a/packages/peer/src/Membership.cpp
+++ b/packages/peer/src/Membership.cpp
@@ -52,7 +52,14 @@
     if (found == m_members.end() || found->second.m_info.m_heartbeat >= news.m_heartbeat) {
       continue;
     }
-    found->second = Member{ news, aNow };
+    MemberInfo& known = found->second.m_info;
+    known.m_scope = news.m_scope;
+    known.m_heartbeat = news.m_heartbeat;
+    known.m_leaving = news.m_leaving;
+    known.m_inherited = news.m_inherited;
+    known.m_load = news.m_load;
+    found->second.m_newsAt = aNow;
+    found->second.m_unreachable = false;
   }
 }
 
@@ -70,7 +77,7 @@
     [](const Member* aLeft, const Member* aRight) { return aLeft->m_newsAt > aRight->m_newsAt; });
   std::vector<MemberInfo> digest{ m_self };
   for (std::size_t i = 0; i < count; ++i) {
-    digest.push_back(freshest[i]->m_info);
+    digest.push_back(freshest[i]->m_info.WithoutIdentity());
   }
   return digest;
 }
--- a/packages/peer/src/MessageCodec.cpp
+++ b/packages/peer/src/MessageCodec.cpp
@@ -1,114 +1,14 @@
 #include "jaylane/peer/MessageCodec.h"
 
-#include "jaylane/peer/PeerError.h"
+#include "FieldReader.h"
+#include "MemberCodec.h"
 
-#include <charconv>
 #include <fmt/format.h>
 
 namespace jaylane::peer {
 
 namespace {
 
-/// Reads fields of a JSON object and remembers whether any of them had the wrong form.
-class FieldReader
-{
-public:
-  explicit FieldReader(const Json::Value& aJson)
-    : m_json(aJson)
-    , m_ok(aJson.isObject())
-  {
-  }
-
-  std::string Text(const char* aName)
-  {
-    const Json::Value& value = Field(aName);
-    m_ok = m_ok && value.isString();
-    return m_ok ? value.asString() : std::string();
-  }
-
-  std::uint64_t Number(const char* aName)
-  {
-    const Json::Value& value = Field(aName);
-    m_ok = m_ok && value.isUInt64();
-    return m_ok ? value.asUInt64() : 0;
-  }
-
-  bool Flag(const char* aName)
-  {
-    const Json::Value& value = Field(aName);
-    m_ok = m_ok && value.isBool();
-    return m_ok && value.asBool();
-  }
-
-  /// Reads a number written as hexadecimal text, since JSON numbers lose the low bits of large
-  /// ones.
-  std::uint64_t Hex(const char* aName)
-  {
-    const std::string text = Text(aName);
-    std::uint64_t number = 0;
-    const char* const last = text.data() + text.size();
-    const auto parsed = std::from_chars(text.data(), last, number, 16);
-    m_ok = m_ok && parsed.ec == std::errc{} && parsed.ptr == last;
-    return number;
-  }
-
-  template<typename Function>
-  void Each(const char* aName, Function aFunction)
-  {
-    const Json::Value& value = Field(aName);
-    m_ok = m_ok && value.isArray();
-    for (Json::ArrayIndex i = 0; m_ok && i < value.size(); ++i) {
-      FieldReader element(value[i]);
-      aFunction(element);
-      m_ok = element.m_ok;
-    }
-  }
-
-  std::vector<std::string> Texts(const char* aName)
-  {
-    std::vector<std::string> texts;
-    const Json::Value& value = Field(aName);
-    m_ok = m_ok && value.isArray();
-    for (Json::ArrayIndex i = 0; m_ok && i < value.size(); ++i) {
-      m_ok = value[i].isString();
-      texts.push_back(m_ok ? value[i].asString() : std::string());
-    }
-    return texts;
-  }
-
-  std::vector<std::uint64_t> Numbers(const char* aName)
-  {
-    std::vector<std::uint64_t> numbers;
-    const Json::Value& value = Field(aName);
-    m_ok = m_ok && value.isArray();
-    for (Json::ArrayIndex i = 0; m_ok && i < value.size(); ++i) {
-      m_ok = value[i].isUInt64();
-      numbers.push_back(m_ok ? value[i].asUInt64() : 0);
-    }
-    return numbers;
-  }
-
-  template<typename Value>
-  base::Result<Value> Finish(Value aValue) const
-  {
-    if (!m_ok) {
-      return base::Error{ make_error_code(PeerErrc::Malformed), {} };
-    }
-    return aValue;
-  }
-
-  void Fail() { m_ok = false; }
-
-private:
-  const Json::Value& Field(const char* aName) const
-  {
-    return m_json.isObject() ? m_json[aName] : Json::Value::nullSingleton();
-  }
-
-  const Json::Value& m_json;
-  bool m_ok;
-};
-
 std::string ToHex(std::uint64_t aNumber)
 {
   return fmt::format("{:x}", aNumber);
@@ -128,38 +28,6 @@
   return array;
 }
 
-Json::Value EncodeMember(const MemberInfo& aMember)
-{
-  Json::Value json(Json::objectValue);
-  json["id"] = aMember.m_id;
-  json["incarnation"] = aMember.m_incarnation;
-  json["region"] = aMember.m_region;
-  json["zone"] = aMember.m_zone;
-  json["address"] = aMember.m_peerAddress;
-  json["scope"] = aMember.m_scope;
-  json["heartbeat"] = Json::UInt64(aMember.m_heartbeat);
-  json["leaving"] = aMember.m_leaving;
-  json["inherited"] = ToArray(aMember.m_inherited);
-  json["load"] = aMember.m_load;
-  return json;
-}
-
-MemberInfo DecodeMember(FieldReader& aReader)
-{
-  MemberInfo member;
-  member.m_id = aReader.Text("id");
-  member.m_incarnation = aReader.Text("incarnation");
-  member.m_region = aReader.Text("region");
-  member.m_zone = aReader.Text("zone");
-  member.m_peerAddress = aReader.Text("address");
-  member.m_scope = aReader.Text("scope");
-  member.m_heartbeat = aReader.Number("heartbeat");
-  member.m_leaving = aReader.Flag("leaving");
-  member.m_inherited = aReader.Texts("inherited");
-  member.m_load = aReader.Text("load");
-  return member;
-}
-
 Json::Value EncodeStrike(const policy::Strike& aStrike)
 {
   Json::Value json(Json::objectValue);
@@ -268,10 +136,16 @@
   message.m_generation = reader.Number("generation");
   message.m_settings = reader.Text("settings");
   message.m_shares = { reader.Number("shares_version"), reader.Text("shares") };
-  reader.Each("members",
-              [&message](FieldReader& aMember) { message.m_members.push_back(DecodeMember(aMember)); });
-  reader.Each("strikes",
-              [&message](FieldReader& aStrike) { message.m_strikes.push_back(DecodeStrike(aStrike)); });
+  reader.EachValue("members", [&message](const Json::Value& aJson) {
+    const auto member = DecodeMember(aJson);
+    if (member) {
+      message.m_members.push_back(*member);
+    }
+    return member.has_value();
+  });
+  reader.Each("strikes", [&message](FieldReader& aStrike) {
+    message.m_strikes.push_back(DecodeStrike(aStrike));
+  });
   return reader.Finish(std::move(message));
 }
 
--- a/packages/peer/tests/MembershipTest.cpp
+++ b/packages/peer/tests/MembershipTest.cpp
@@ -46,6 +46,20 @@
   EXPECT_EQ(m_membership.Find("i-ghost"), nullptr);
 }
 
+// Guards against messages that replace a listed address, or leave a member without one.
+TEST_F(MembershipTest, IdentityStaysAsListed)
+{
+  ListPeers();
+  MemberInfo news = MakeMember("near", "a", 3).WithoutIdentity();
+  news.m_scope = "i-near-1";
+  news.m_leaving = true;
+  m_membership.Merge({ news }, m_clock.Monotonic());
+  MemberInfo expected = MakeMember("near", "a", 3);
+  expected.m_scope = "i-near-1";
+  expected.m_leaving = true;
+  EXPECT_EQ(*m_membership.Find("i-near"), expected);
+}
+
 // Guards against a paused VM being used for ever, and against one that woke staying excluded.
 TEST_F(MembershipTest, SilenceMakesSuspectAndNewsClears)
 {
--- a/packages/peer/tests/MessageCodecTest.cpp
+++ b/packages/peer/tests/MessageCodecTest.cpp
@@ -33,6 +33,43 @@
   EXPECT_EQ(decoded->m_generation, message.m_generation);
 }
 
+// Guards against news that are lost or changed in the short form, with and without its optional
+// part.
+TEST(MessageCodec, MembersWithoutIdentityRoundTrip)
+{
+  const MemberInfo whole{ "vm", "inc", "r", "z", "127.0.0.1:1", "inc-3", 9, false, {}, "" };
+  MemberInfo leaving = whole;
+  leaving.m_leaving = true;
+  leaving.m_inherited = { "old", "older" };
+  leaving.m_load = "load";
+  MemberInfo foreign = whole;
+  foreign.m_scope = "other-3";
+  ExchangeMessage message;
+  for (const MemberInfo& member : { whole, leaving, foreign }) {
+    message.m_members.push_back(member);
+    message.m_members.push_back(member.WithoutIdentity());
+  }
+  const auto decoded = Decode<ExchangeMessage>(Encode(message));
+  ASSERT_TRUE(decoded);
+  EXPECT_EQ(decoded->m_members, message.m_members);
+}
+
+// Guards against a malformed short form being taken for a valid one.
+TEST(MessageCodec, DamagedNewsAreRejected)
+{
+  ExchangeMessage message;
+  message.m_members.push_back({ "", "inc", "", "", "", "inc-3", 9, true, { "old" }, "load" });
+  const Json::Value whole = Encode(message);
+  for (Json::ArrayIndex i = 0; i < whole["members"][0].size(); ++i) {
+    Json::Value damaged(whole);
+    damaged["members"][0][i] = Json::nullValue;
+    EXPECT_FALSE(Decode<ExchangeMessage>(damaged)) << i;
+  }
+  Json::Value cut(whole);
+  cut["members"][0].resize(4);
+  EXPECT_FALSE(Decode<ExchangeMessage>(cut));
+}
+
 // Guards against keys that change state during a handover, which could run them twice.
 RC_GTEST_PROP(MessageCodec, HandoverRoundTrips, (std::uint64_t aHigh, std::uint64_t aLow))
 {
