--- a/packages/entry/src/Directory.h
+++ b/packages/entry/src/Directory.h
@@ -24,6 +24,8 @@
   bool m_leaving = false;
   /// As listed; only operators use it.
   std::string m_adminAddress;
+  /// The VM as an object of a lookup response; rendered once a list instead of once a lookup.
+  std::string m_lookupJson;
 };
 
 /// An upstream of the platform's list.
