Steer callers by /24 network instead of by configured client block

The examples configure one /16 block a region, and all callers of a block shared a bucket, so that a shift could only move a whole region's callers and the cap could not be used in part. A configured block now only gives the origin; the caller's /24 decides the bucket.

--- a/packages/entry/src/ConfigState.cpp
+++ b/packages/entry/src/ConfigState.cpp
@@ -8,6 +8,8 @@
 
 namespace {
 
+constexpr std::uint32_t kSteeredMask = 0xffffff00;
+
 std::vector<policy::LegalRule> LegalRules(const settings::SettingsTree& aTree)
 {
   std::vector<policy::LegalRule> rules;
@@ -58,7 +60,7 @@
   if (!match) {
     return std::nullopt;
   }
-  return CallerOrigin{ match->m_block, aConfig.m_origins[match->m_origin] };
+  return CallerOrigin{ *address & kSteeredMask, aConfig.m_origins[match->m_origin] };
 }
 
 ConfigState::ConfigState(const VmContext& aContext)
--- a/packages/entry/src/ConfigState.h
+++ b/packages/entry/src/ConfigState.h
@@ -41,6 +41,8 @@
 /// Origin of a caller.
 struct CallerOrigin
 {
+  /// The caller's /24 network: what is steered as one. Configured blocks may be as large as a
+  /// region, and a shift could only move such a block as a whole.
   std::uint32_t m_block = 0;
   std::string m_region;
 };
--- a/packages/entry/tests/ConfigStateTest.cpp
+++ b/packages/entry/tests/ConfigStateTest.cpp
@@ -34,6 +34,9 @@
   EXPECT_EQ(FindOrigin(*config, "10.1.2.3")->m_region, "east");
   EXPECT_EQ(FindOrigin(*config, "10.2.2.3")->m_region, "west");
   EXPECT_FALSE(FindOrigin(*config, "10.3.2.3"));
+  // Guards against a large block that can only be moved as a whole.
+  EXPECT_EQ(FindOrigin(*config, "10.1.2.3")->m_block, FindOrigin(*config, "10.1.2.9")->m_block);
+  EXPECT_NE(FindOrigin(*config, "10.1.2.3")->m_block, FindOrigin(*config, "10.1.3.3")->m_block);
   EXPECT_FALSE(FindOrigin(*config, "caller"));
 }
 
--- a/packages/testing/src/Demo.cpp
+++ b/packages/testing/src/Demo.cpp
@@ -217,8 +217,8 @@
   bool edited = DrainZone(aScenario, aTree.Regions()[0]);
   std::this_thread::sleep_for(aOptions.m_duration / 4);
   // The shift starts when the rule is accepted, so that it is done when the rule takes effect.
-  const auto effectiveAt = std::chrono::floor<std::chrono::seconds>(
-    base::SystemClock::Get().Wall() + kLawNotice);
+  const auto effectiveAt =
+    std::chrono::floor<std::chrono::seconds>(base::SystemClock::Get().Wall() + kLawNotice);
   const LegalRule rule = MakeRule(aTree, effectiveAt);
   edited = ChangeLaw(aScenario, rule, effectiveAt) && edited;
   const auto& summaries = aScenario.JoinCallers();
