peer: Exchange random members, and suspect later in large zones

All VMs passed on the same freshest members, so the news of others did not spread, and 3 s are too short once a message holds a part of the members only. A VM probes four suspects a round, so a failed one waited behind healthy ones.

Change: a message holds random members. The suspicion time is 3 s for up to 63 members and grows by 3 s for each further 64; small deployments keep 3 s.

--- a/packages/entry/src/PeerService.cpp
+++ b/packages/entry/src/PeerService.cpp
@@ -127,7 +127,7 @@
   }
   message.m_strikes = m_parts.m_quarantine.Strikes();
   std::lock_guard lock(m_mutex);
-  message.m_members = m_membership->Digest();
+  message.m_members = m_membership->Digest([this] { return m_random(); });
   for (peer::MemberInfo& member : message.m_members) {
     if (member.m_zone != aPeerZone) {
       member.m_load.clear();
--- a/packages/peer/bench/MembershipBench.cpp
+++ b/packages/peer/bench/MembershipBench.cpp
@@ -3,6 +3,7 @@
 
 #include <benchmark/benchmark.h>
 #include <json/writer.h>
+#include <random>
 
 namespace jaylane::peer {
 namespace {
@@ -33,11 +34,13 @@
   membership.SetListed(fleet, {});
   Json::StreamWriterBuilder builder;
   builder["indentation"] = "";
+  std::mt19937_64 generator(1);
+  const auto random = [&generator] { return generator(); };
   std::size_t bytes = 0;
   for (auto unused : aState) {
     (void)unused;
     ExchangeMessage message;
-    message.m_members = membership.Digest();
+    message.m_members = membership.Digest(random);
     membership.Merge(message.m_members, {});
     bytes = Json::writeString(builder, Encode(message)).size();
   }
--- a/packages/peer/include/jaylane/peer/Membership.h
+++ b/packages/peer/include/jaylane/peer/Membership.h
@@ -15,7 +15,7 @@
 
 struct MembershipOptions
 {
-  /// A member without news for this long is probed.
+  /// A member without news for this long is probed; longer if a digest does not hold all members.
   std::chrono::milliseconds m_suspectAfter{ 3000 };
   /// Members described in one message; bounds its size whatever the fleet's.
   std::size_t m_maxDigest = 64;
@@ -47,8 +47,11 @@
   /// member stays as listed.
   void Merge(const std::vector<MemberInfo>& aMembers, base::MonotonicTime aNow);
 
-  /// @return this VM, then the members with the freshest news, without their identity.
-  std::vector<MemberInfo> Digest() const;
+  /// Random members, because news that only the freshest members of each VM carry does not spread
+  /// to all once a digest cannot hold them.
+  /// @param aRandom returns uniformly distributed 64 bits.
+  /// @return this VM, then other members without their identity.
+  std::vector<MemberInfo> Digest(const std::function<std::uint64_t()>& aRandom) const;
 
   /// @param aRandom returns uniformly distributed 64 bits.
   /// @return a member of the own zone and one of another zone, as far as there are any.
@@ -86,6 +89,7 @@
     bool m_unreachable = false;
   };
 
+  std::chrono::milliseconds SuspectAfter() const;
   bool IsTracked(const MemberInfo& aMember, std::map<std::string, std::size_t>& aPerZone) const;
 
   MemberInfo m_self;
--- a/packages/peer/src/Membership.cpp
+++ b/packages/peer/src/Membership.cpp
@@ -63,25 +63,28 @@
   }
 }
 
-std::vector<MemberInfo> Membership::Digest() const
+std::vector<MemberInfo> Membership::Digest(const std::function<std::uint64_t()>& aRandom) const
 {
-  std::vector<const Member*> freshest;
+  std::vector<const MemberInfo*> rest;
   for (const auto& [incarnation, member] : m_members) {
-    freshest.push_back(&member);
+    rest.push_back(&member.m_info);
   }
-  const std::size_t count = std::min(m_options.m_maxDigest, freshest.size());
-  std::partial_sort(
-    freshest.begin(),
-    freshest.begin() + static_cast<std::ptrdiff_t>(count),
-    freshest.end(),
-    [](const Member* aLeft, const Member* aRight) { return aLeft->m_newsAt > aRight->m_newsAt; });
   std::vector<MemberInfo> digest{ m_self };
+  const std::size_t count = std::min(m_options.m_maxDigest, rest.size());
   for (std::size_t i = 0; i < count; ++i) {
-    digest.push_back(freshest[i]->m_info.WithoutIdentity());
+    std::swap(rest[i], rest[i + aRandom() % (rest.size() - i)]);
+    digest.push_back(rest[i]->WithoutIdentity());
   }
   return digest;
 }
 
+std::chrono::milliseconds Membership::SuspectAfter() const
+{
+  // A digest that holds only a part of the members takes as many times longer to spread news.
+  const std::size_t parts = m_members.size() / std::max<std::size_t>(1, m_options.m_maxDigest);
+  return m_options.m_suspectAfter * static_cast<int>(parts + 1);
+}
+
 std::vector<MemberInfo> Membership::PickPartners(
   const std::function<std::uint64_t()>& aRandom) const
 {
@@ -103,7 +106,7 @@
 {
   std::vector<const Member*> silent;
   for (const auto& [incarnation, member] : m_members) {
-    if (aNow - member.m_newsAt >= m_options.m_suspectAfter) {
+    if (aNow - member.m_newsAt >= SuspectAfter()) {
       silent.push_back(&member);
     }
   }
