testing: Let the entry stub print an incarnation

Cause: DeploymentHarness.StartsAndRestartsEntryVms failed since the harness takes the incarnation from the line that the daemon prints: the stub printed none, so it was empty before and after the restart.

Change: the stub prints one that differs between starts. The test is unchanged.

Checked: the test failed twice before; testing_tests passes with the change.

--- a/packages/testing/tests/EntryStub.cpp
+++ b/packages/testing/tests/EntryStub.cpp
@@ -1,10 +1,12 @@
 #include "jaylane/testing/Program.h"
 
+#include <fmt/format.h>
 #include <fstream>
 #include <string>
+#include <unistd.h>
 
 /// Stands for jaylane-entry in the tests of the harness: reads its settings file and prints
-/// addresses.
+/// addresses and an incarnation.
 int main(int aArgc, char** aArgv)
 {
   const std::string flag = "--settings=";
@@ -17,6 +19,8 @@
   line["caller_address"] = "127.0.0.1:1";
   line["peer_address"] = "127.0.0.1:2";
   line["admin_address"] = "127.0.0.1:3";
+  // The process id differs between two starts, as the random incarnation of the daemon does.
+  line["incarnation"] = fmt::format("{:032x}", getpid());
   jaylane::testing::PrintLine(line);
   jaylane::testing::WaitForTermination();
   return 0;
