Use the claim, probe, quarantine and lease settings; back off from the store

The claim queue now goes through ClaimRegistry, which limits writes and deletes expired claims. The default lease is 10 s, longer than the example request timeouts, since a service whose timeout is not shorter does not borrow.

--- a/packages/entry/src/ClaimQueue.cpp
+++ b/packages/entry/src/ClaimQueue.cpp
@@ -1,8 +1,5 @@
 #include "ClaimQueue.h"
 
-#include "JsonText.h"
-#include "jaylane/platform/PlatformError.h"
-
 #include <utility>
 
 namespace jaylane::entry {
@@ -11,8 +8,6 @@
 
 constexpr std::size_t kMaxWaiting = 256;
 constexpr unsigned kThreads = 4;
-constexpr std::chrono::milliseconds kCallTimeout{ 1000 };
-constexpr unsigned kMaxReads = 3;
 
 } // namespace
 
@@ -21,6 +16,7 @@
   , m_store(aStore)
   , m_claims(kMaxWaiting)
 {
+  Configure({});
   for (unsigned i = 0; i < kThreads; ++i) {
     m_threads.emplace_back([this] { Run(); });
   }
@@ -54,32 +50,34 @@
 
 ClaimQueue::Verdict ClaimQueue::Execute(const std::string& aKey)
 {
-  Json::Value value(Json::objectValue);
-  value["writer"] = m_context.m_incarnationText;
-  value["nonce"] = Json::UInt64(m_nextNonce++);
-  const std::string text = WriteJson(value);
-  const std::string key = "claim/" + aKey;
-  const auto created = m_store.Put(key, text, platform::kAbsent, kCallTimeout);
-  if (created) {
-    return Verdict::Claimed;
-  }
-  const auto code = created.GetError().m_code;
-  if (code == platform::PlatformErrc::Conflict) {
-    return Verdict::AlreadyClaimed;
+  switch (Registry()->Claim(aKey).m_result) {
+    case platform::ClaimResult::Claimed:
+      return Verdict::Claimed;
+    case platform::ClaimResult::AlreadyClaimed:
+      return Verdict::AlreadyClaimed;
+    case platform::ClaimResult::StoreUnavailable:
+      break;
   }
-  if (code != platform::PlatformErrc::Timeout) {
-    return Verdict::Unavailable;
-  }
-  // The write may have taken effect, or may still do so: only a value that is there is final.
-  for (unsigned i = 0; i < kMaxReads; ++i) {
-    const auto object = m_store.Get(key, kCallTimeout);
-    if (object) {
-      return object->m_value == text ? Verdict::Claimed : Verdict::AlreadyClaimed;
-    }
-  }
-  // Nothing was run for this claim. Should the write still take effect, the key is refused from
-  // then on, which is safe.
   return Verdict::Unavailable;
 }
 
+void ClaimQueue::Configure(const platform::ClaimOptions& aOptions)
+{
+  auto registry = std::make_shared<platform::ClaimRegistry>(
+    m_store, m_context.m_clock, aOptions, m_context.m_incarnationText, platform::MakeNonceSource());
+  std::lock_guard lock(m_mutex);
+  m_registry = std::move(registry);
+}
+
+std::shared_ptr<platform::ClaimRegistry> ClaimQueue::Registry() const
+{
+  std::lock_guard lock(m_mutex);
+  return m_registry;
+}
+
+void ClaimQueue::CleanUp()
+{
+  Registry()->CleanUp();
+}
+
 } // namespace jaylane::entry
--- a/packages/entry/src/ClaimQueue.h
+++ b/packages/entry/src/ClaimQueue.h
@@ -2,6 +2,7 @@
 
 #include "VmContext.h"
 #include "jaylane/base/BoundedRing.h"
+#include "jaylane/platform/ClaimRegistry.h"
 #include "jaylane/platform/Store.h"
 
 #include <functional>
@@ -33,6 +34,12 @@
   /// Finishes what was submitted.
   ~ClaimQueue();
 
+  /// Replaces the limits; claims waiting are made under the new ones.
+  void Configure(const platform::ClaimOptions& aOptions);
+
+  /// Deletes expired claims. Calls the store; to be called periodically from one thread.
+  void CleanUp();
+
   /// @param aKey the caller's key.
   /// @param aDone called on a thread of the queue.
   /// @return false if too many claims are waiting; aDone is not called then.
@@ -47,11 +54,13 @@
 
   void Run();
   Verdict Execute(const std::string& aKey);
+  std::shared_ptr<platform::ClaimRegistry> Registry() const;
 
   const VmContext& m_context;
   platform::Store& m_store;
   base::BoundedRing<Claim> m_claims;
-  std::atomic<std::uint64_t> m_nextNonce{ 1 };
+  mutable std::mutex m_mutex;
+  std::shared_ptr<platform::ClaimRegistry> m_registry;
   std::vector<std::thread> m_threads;
 };
 
--- a/packages/entry/src/EntryVmImpl.cpp
+++ b/packages/entry/src/EntryVmImpl.cpp
@@ -16,8 +16,9 @@
 constexpr std::chrono::milliseconds kPlanInterval{ 250 };
 constexpr std::chrono::milliseconds kShareInterval{ 250 };
 constexpr std::chrono::milliseconds kLoadInterval{ LoadMeter::kInterval };
-constexpr std::chrono::milliseconds kProbeInterval{ 500 };
-constexpr std::chrono::milliseconds kProbeTimeout{ 400 };
+constexpr std::chrono::seconds kClaimCleanUpInterval{ 10 };
+// Resolution of the probe intervals of the settings.
+constexpr std::chrono::milliseconds kProbeStep{ 100 };
 // Poll of conditions during a graceful stop.
 constexpr std::chrono::milliseconds kStopPoll{ 20 };
 // A VM that cannot give its units away, because the store is down, leaves them to be reclaimed.
@@ -55,6 +56,14 @@
            { aSettings.m_region, aSettings.m_zone } };
 }
 
+bool IsDrained(const Config& aConfig, const std::string& aUpstream)
+{
+  const auto& drains = aConfig.m_document.m_tree.Drains();
+  return std::any_of(drains.begin(), drains.end(), [&](const settings::Drain& aDrain) {
+    return aDrain.m_scope == settings::DrainScope::Upstream && aDrain.m_target == aUpstream;
+  });
+}
+
 policy::ExecutionLedger MakeLedger(const VmContext& aContext)
 {
   auto ledger =
@@ -193,7 +202,8 @@
   add(kPlanInterval, [this] { m_shifts.Run(); });
   add(kLoadInterval, [this] { m_loads.Publish(); });
   add(kShareInterval, [this] { m_shares.Run(); });
-  add(kProbeInterval, [this] { Probe(); });
+  add(kClaimCleanUpInterval, [this] { m_claims.CleanUp(); });
+  add(kProbeStep, [this] { Probe(); });
 }
 
 void EntryVm::Impl::Tick()
@@ -203,19 +213,31 @@
   }
 }
 
-void EntryVm::Impl::SetQuarantine(const Config& aConfig)
+void EntryVm::Impl::ApplyLimits(const Config& aConfig)
 {
   // Attempts that a VM left behind end by their deadline, and slots that it borrowed are in use
   // until the lease ends. Bulk uploads are left out: without their sender they make no progress,
   // and their timeouts of minutes would keep capacity unused after each restart.
-  std::chrono::milliseconds longest{ 0 };
+  std::chrono::milliseconds longestRequest{ 0 };
+  std::chrono::milliseconds lease{ 0 };
+  std::chrono::milliseconds quarantine{ 0 };
+  platform::ClaimOptions claims;
+  claims.m_lifetime = std::chrono::milliseconds{ 0 };
   for (const auto& [name, service] : aConfig.m_services) {
+    const settings::EffectiveSettings& effective = service.m_effective;
     if (!service.m_service.m_bulk) {
-      longest = std::max(longest, service.m_effective.m_requestTimeout);
+      longestRequest = std::max(longestRequest, effective.m_requestTimeout);
     }
+    lease = std::max(lease, effective.m_leaseDuration);
+    quarantine = std::max<std::chrono::milliseconds>(quarantine, effective.m_quarantineTime);
+    claims.m_lifetime =
+      std::max<std::chrono::milliseconds>(claims.m_lifetime, effective.m_claimLifetime);
+    claims.m_writesPerSecond = effective.m_claimRatePerSecond;
   }
-  const auto quarantine = longest + SlotLending::LeaseDuration();
-  m_slots.With([&](policy::SlotPool& aPool) { aPool.SetQuarantine(quarantine); });
+  m_slots.With([&](policy::SlotPool& aPool) { aPool.SetQuarantine(longestRequest + lease); });
+  m_lending.SetLeaseDuration(lease);
+  m_quarantine.SetLifetime(quarantine);
+  m_claims.Configure(claims);
 }
 
 void EntryVm::Impl::OnConfig(const Config& aConfig)
@@ -232,7 +254,7 @@
 
 void EntryVm::Impl::ApplyConfig(const Config& aConfig)
 {
-  SetQuarantine(aConfig);
+  ApplyLimits(aConfig);
   m_failover.Apply(aConfig);
   {
     std::lock_guard lock(m_mutex);
@@ -265,8 +287,10 @@
   const auto view = m_directory.Current();
   std::map<std::string, std::vector<UpstreamRef>> byService;
   std::vector<UpstreamRef> own;
-  for (const UpstreamRef& upstream : view->m_upstreams) {
+  const auto config = m_config.Current();
+  for (UpstreamRef upstream : view->m_upstreams) {
     if (upstream.m_site == m_context.m_site) {
+      upstream.m_leaving = upstream.m_leaving || (config && IsDrained(*config, upstream.m_id));
       byService[upstream.m_service].push_back(upstream);
       own.push_back(upstream);
     }
@@ -284,12 +308,19 @@
   std::vector<ProbeTarget> targets;
   for (const UpstreamRef& upstream : view->m_upstreams) {
     const auto* service = config ? config->FindService(upstream.m_service) : nullptr;
-    if (service && upstream.m_site == m_context.m_site) {
+    if (!service || upstream.m_site != m_context.m_site) {
+      continue;
+    }
+    const settings::EffectiveSettings& effective = service->m_effective;
+    auto& probedAt = m_probedAt[upstream.m_id];
+    const auto now = m_context.m_clock.Monotonic();
+    if (now - probedAt >= effective.m_probeInterval) {
+      probedAt = now;
       targets.push_back(
-        { upstream, service->m_effective.m_healthPath, service->m_effective.m_loadPath });
+        { upstream, effective.m_healthPath, effective.m_loadPath, effective.m_probeTimeout });
     }
   }
-  const auto reports = ProbeAll(targets, kProbeTimeout);
+  const auto reports = ProbeAll(targets);
   for (std::size_t i = 0; i < reports.size(); ++i) {
     const auto dispatcher = FindDispatcher(targets[i].m_upstream.m_service);
     if (dispatcher) {
--- a/packages/entry/src/EntryVmImpl.h
+++ b/packages/entry/src/EntryVmImpl.h
@@ -57,7 +57,7 @@
   void StartDuties();
   void OnConfig(const Config& aConfig);
   void ApplyConfig(const Config& aConfig);
-  void SetQuarantine(const Config& aConfig);
+  void ApplyLimits(const Config& aConfig);
   void OnVmList(const platform::VmList& aList, base::MonotonicTime aRequestedAt);
   void ApplyUpstreams();
   void Tick();
@@ -104,6 +104,9 @@
   std::mutex m_configMutex;
   std::atomic<std::uint64_t> m_generationInEffect{ 0 };
 
+  /// Used by the probing thread only.
+  std::map<std::string, base::MonotonicTime> m_probedAt;
+
   mutable std::mutex m_mutex;
   DispatcherMap m_dispatchers;
 
--- a/packages/entry/src/QuarantineGuard.cpp
+++ b/packages/entry/src/QuarantineGuard.cpp
@@ -8,6 +8,12 @@
 {
 }
 
+void QuarantineGuard::SetLifetime(std::chrono::milliseconds aLifetime)
+{
+  std::lock_guard lock(m_mutex);
+  m_list.SetLifetime(aLifetime);
+}
+
 bool QuarantineGuard::IsQuarantined(const policy::RequestFingerprint& aFingerprint) const
 {
   std::lock_guard lock(m_mutex);
--- a/packages/entry/src/QuarantineGuard.h
+++ b/packages/entry/src/QuarantineGuard.h
@@ -14,6 +14,7 @@
 public:
   QuarantineGuard(const VmContext& aContext, policy::QuarantineOptions aOptions);
 
+  void SetLifetime(std::chrono::milliseconds aLifetime);
   bool IsQuarantined(const policy::RequestFingerprint& aFingerprint) const;
   /// @return whether a lost connection counts against the request, so that it must not run beside
   ///   another such request.
--- a/packages/entry/src/ServiceDispatcher.cpp
+++ b/packages/entry/src/ServiceDispatcher.cpp
@@ -203,7 +203,7 @@
     const auto phase = upstream.Phase();
     const bool usable =
       phase == policy::UpstreamPhase::Active || phase == policy::UpstreamPhase::Warming;
-    const bool mayBorrow = SlotLending::CanServe(m_settings.m_requestTimeout);
+    const bool mayBorrow = m_lending.CanServe(m_settings.m_requestTimeout);
     if (m_queue.size() > 0 && usable && mayBorrow) {
       m_lending.Need(upstream.m_id, static_cast<std::uint32_t>(m_queue.size()));
     } else {
--- a/packages/entry/src/SlotLending.cpp
+++ b/packages/entry/src/SlotLending.cpp
@@ -32,16 +32,17 @@
   m_thread.join();
 }
 
-std::chrono::nanoseconds SlotLending::LeaseDuration()
+void SlotLending::SetLeaseDuration(std::chrono::milliseconds aDuration)
 {
-  return policy::SlotBorrower::Options{}.m_duration;
+  m_duration = aDuration;
+  m_slots.With([&](policy::SlotPool&) { m_borrower->SetDuration(aDuration); });
 }
 
-bool SlotLending::CanServe(std::chrono::nanoseconds aTimeout)
+bool SlotLending::CanServe(std::chrono::nanoseconds aTimeout) const
 {
-  const policy::SlotBorrower::Options options;
-  return aTimeout + options.m_duration / options.m_rateMarginDivisor + kCallTimeout <
-         options.m_duration;
+  const std::chrono::nanoseconds duration = m_duration.load();
+  const auto margin = duration / policy::SlotBorrower::Options{}.m_rateMarginDivisor;
+  return aTimeout + margin + kCallTimeout < duration;
 }
 
 void SlotLending::Queue(const std::string& aLender, peer::BorrowRequest aRequest)
--- a/packages/entry/src/SlotLending.h
+++ b/packages/entry/src/SlotLending.h
@@ -9,6 +9,7 @@
 #include "jaylane/policy/SlotBorrower.h"
 #include "jaylane/policy/SlotLedger.h"
 
+#include <atomic>
 #include <functional>
 #include <string>
 #include <thread>
@@ -27,13 +28,13 @@
   /// @param aHook called when borrowed slots have arrived.
   void SetGrantHook(std::function<void()> aHook) { m_onGrant = std::move(aHook); }
 
-  /// @return time for which slots are borrowed.
-  static std::chrono::nanoseconds LeaseDuration();
+  /// @param aDuration time for which slots are borrowed from now on.
+  void SetLeaseDuration(std::chrono::milliseconds aDuration);
 
   /// @param aTimeout longest time that a request takes.
   /// @return whether borrowed slots could serve such requests; a lease that is shorter than the
   ///   request would be held in vain, while its lender lacks the slot.
-  static bool CanServe(std::chrono::nanoseconds aTimeout);
+  bool CanServe(std::chrono::nanoseconds aTimeout) const;
 
   /// To be called when requests of this VM wait.
   /// @param aUpstream upstream whose slots would help.
@@ -65,6 +66,7 @@
   /// Both are used under the lock of m_slots.
   std::optional<policy::SlotLedger> m_ledger;
   std::optional<policy::SlotBorrower> m_borrower;
+  std::atomic<std::chrono::milliseconds> m_duration{ std::chrono::seconds{ 10 } };
   std::function<void()> m_onGrant;
   base::BoundedRing<Call> m_calls;
   std::thread m_thread;
--- a/packages/entry/src/StoreSync.cpp
+++ b/packages/entry/src/StoreSync.cpp
@@ -1,5 +1,6 @@
 #include "StoreSync.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace jaylane::entry {
@@ -9,8 +10,11 @@
 // Bounds how long a stop has to wait for a pending watch.
 constexpr std::chrono::milliseconds kWatchWait{ 2000 };
 constexpr std::chrono::milliseconds kCallTimeout{ 2000 };
-// Pause between two calls of a watch; bounds the call rate during an outage to 5 a second.
+// Pause between two calls of a watch, and the first delay after a failure.
 constexpr std::chrono::milliseconds kWatchPause{ 200 };
+// Delays double up to this one. Together with a watch it stays below the 3 s within which changes
+// must arrive after a reunion.
+constexpr std::chrono::milliseconds kMaxRetryDelay{ 1600 };
 constexpr std::chrono::milliseconds kVmListInterval{ 500 };
 
 } // namespace
@@ -21,52 +25,73 @@
 {
 }
 
-void StoreSync::RunWatch(const std::string& aPrefix,
-                         platform::Version& aAfter,
-                         const ObjectHook& aHook)
+void StoreSync::RunWatch(const std::string& aPrefix, Progress& aProgress, const ObjectHook& aHook)
 {
+  if (!IsDue(aProgress)) {
+    return;
+  }
   // A batch is followed by the next watch without a pause, so that changes arrive at once.
   for (bool more = true; more;) {
     ++m_calls.m_made;
-    const auto batch = m_store.Watch(aPrefix, aAfter, kWatchWait, kCallTimeout);
+    const auto batch = m_store.Watch(aPrefix, aProgress.m_after, kWatchWait, kCallTimeout);
     const bool reachable = static_cast<bool>(batch);
     if (m_reachable.exchange(reachable) != reachable) {
       m_context.m_events.Record(reachable ? "store-reachable" : "store-unreachable");
     }
     if (!batch) {
-      ++m_calls.m_failed;
+      RecordFailure(aProgress);
       return;
     }
+    aProgress.m_failures = 0;
     for (const platform::ObjectChange& change : batch->m_changes) {
       if (!change.m_deleted) {
         aHook(change.m_object);
       }
     }
-    aAfter = batch->m_revision;
+    aProgress.m_after = batch->m_revision;
     more = !batch->m_changes.empty();
   }
 }
 
+bool StoreSync::IsDue(const Progress& aProgress) const
+{
+  return m_context.m_clock.Monotonic() >= aProgress.m_retryAt;
+}
+
+void StoreSync::RecordFailure(Progress& aProgress)
+{
+  ++m_calls.m_failed;
+  constexpr unsigned kMaxDoublings = 3;
+  const auto delay = kWatchPause * (1U << std::min(aProgress.m_failures, kMaxDoublings));
+  ++aProgress.m_failures;
+  aProgress.m_retryAt =
+    m_context.m_clock.Monotonic() + std::min<std::chrono::milliseconds>(delay, kMaxRetryDelay);
+}
+
 void StoreSync::Watch(std::string aPrefix, ObjectHook aHook)
 {
-  auto after = std::make_shared<platform::Version>(0);
+  auto progress = std::make_shared<Progress>();
   m_threads.push_back(std::make_unique<base::PeriodicThread>(
-    kWatchPause, [this, prefix = std::move(aPrefix), after, hook = std::move(aHook)] {
-      RunWatch(prefix, *after, hook);
+    kWatchPause, [this, prefix = std::move(aPrefix), progress, hook = std::move(aHook)] {
+      RunWatch(prefix, *progress, hook);
     }));
 }
 
 void StoreSync::PollVms(std::function<void(const platform::VmList&, base::MonotonicTime)> aHook)
 {
-  m_threads.push_back(
-    std::make_unique<base::PeriodicThread>(kVmListInterval, [this, hook = std::move(aHook)] {
+  m_threads.push_back(std::make_unique<base::PeriodicThread>(
+    kVmListInterval, [this, progress = Progress{}, hook = std::move(aHook)]() mutable {
+      if (!IsDue(progress)) {
+        return;
+      }
       const auto requestedAt = m_context.m_clock.Monotonic();
       ++m_calls.m_made;
       const auto list = m_store.ListVms(kCallTimeout);
       if (list) {
+        progress.m_failures = 0;
         hook(*list, requestedAt);
       } else {
-        ++m_calls.m_failed;
+        RecordFailure(progress);
       }
     }));
 }
--- a/packages/entry/src/StoreSync.h
+++ b/packages/entry/src/StoreSync.h
@@ -49,7 +49,17 @@
   Json::Value ToJson() const;
 
 private:
-  void RunWatch(const std::string& aPrefix, platform::Version& aAfter, const ObjectHook& aHook);
+  /// State of one watch or poll.
+  struct Progress
+  {
+    platform::Version m_after = 0;
+    unsigned m_failures = 0;
+    base::MonotonicTime m_retryAt;
+  };
+
+  void RunWatch(const std::string& aPrefix, Progress& aProgress, const ObjectHook& aHook);
+  bool IsDue(const Progress& aProgress) const;
+  void RecordFailure(Progress& aProgress);
 
   const VmContext& m_context;
   platform::Store& m_store;
--- a/packages/entry/src/UpstreamProber.cpp
+++ b/packages/entry/src/UpstreamProber.cpp
@@ -105,14 +105,13 @@
 
 } // namespace
 
-std::vector<ProbeReport> ProbeAll(const std::vector<ProbeTarget>& aTargets,
-                                  std::chrono::milliseconds aTimeout)
+std::vector<ProbeReport> ProbeAll(const std::vector<ProbeTarget>& aTargets)
 {
   std::vector<std::unique_ptr<Query>> queries;
   for (const ProbeTarget& target : aTargets) {
     const base::SocketAddress& address = target.m_upstream.m_address;
-    queries.push_back(MakeQuery(address, target.m_healthPath, aTimeout));
-    queries.push_back(MakeQuery(address, target.m_loadPath, aTimeout));
+    queries.push_back(MakeQuery(address, target.m_healthPath, target.m_timeout));
+    queries.push_back(MakeQuery(address, target.m_loadPath, target.m_timeout));
   }
   if (!queries.empty()) {
     RunAll(queries);
--- a/packages/entry/src/UpstreamProber.h
+++ b/packages/entry/src/UpstreamProber.h
@@ -27,12 +27,12 @@
   UpstreamRef m_upstream;
   std::string m_healthPath;
   std::string m_loadPath;
+  /// After this, the upstream counts as unreachable.
+  std::chrono::milliseconds m_timeout{ 0 };
 };
 
 /// Asks all upstreams for their health and load at the same time.
-/// @param aTimeout after this, an upstream that has not responded counts as unreachable.
 /// @return one report for each target, in order.
-std::vector<ProbeReport> ProbeAll(const std::vector<ProbeTarget>& aTargets,
-                                  std::chrono::milliseconds aTimeout);
+std::vector<ProbeReport> ProbeAll(const std::vector<ProbeTarget>& aTargets);
 
 } // namespace jaylane::entry
--- a/packages/entry/tests/LoadMeterTest.cpp
+++ b/packages/entry/tests/LoadMeterTest.cpp
@@ -54,9 +54,17 @@
 // not use them, while the lender lacked them and refused half of its requests.
 TEST(SlotLending, BorrowsOnlyWhatItCanUse)
 {
-  EXPECT_TRUE(SlotLending::CanServe(std::chrono::seconds{ 5 }));
-  EXPECT_FALSE(SlotLending::CanServe(std::chrono::seconds{ 600 }));
-  EXPECT_FALSE(SlotLending::CanServe(SlotLending::LeaseDuration()));
+  using std::chrono::seconds;
+  TestContext test;
+  ZoneSlots slots(test.m_context, {});
+  const Directory directory(test.m_context);
+  SlotLending lending(test.m_context, slots, directory);
+  lending.SetLeaseDuration(seconds{ 10 });
+  EXPECT_TRUE(lending.CanServe(seconds{ 5 }));
+  EXPECT_FALSE(lending.CanServe(seconds{ 600 }));
+  EXPECT_FALSE(lending.CanServe(seconds{ 10 }));
+  lending.SetLeaseDuration(seconds{ 20 });
+  EXPECT_TRUE(lending.CanServe(seconds{ 10 }));
 }
 
 } // namespace
--- a/packages/policy/include/jaylane/policy/QuarantineList.h
+++ b/packages/policy/include/jaylane/policy/QuarantineList.h
@@ -58,6 +58,9 @@
   /// @param aObserver random number of this process, makes the ids of its strikes unique.
   QuarantineList(const QuarantineOptions& aOptions, std::uint64_t aObserver);
 
+  /// Changes the lifetime of strikes recorded from now on.
+  void SetLifetime(std::chrono::milliseconds aLifetime) { m_options.m_lifetime = aLifetime; }
+
   /// @param aIncarnation as far as known; two incarnations never share a death.
   static std::uint64_t HashUpstream(std::string_view aId, std::string_view aIncarnation);
 
--- a/packages/policy/include/jaylane/policy/SlotBorrower.h
+++ b/packages/policy/include/jaylane/policy/SlotBorrower.h
@@ -39,6 +39,9 @@
   /// @param aPool must outlive this.
   SlotBorrower(VmIncarnation aSelf, SlotPool& aPool, Options aOptions);
 
+  /// Changes the duration that is asked for.
+  void SetDuration(std::chrono::nanoseconds aDuration) { m_options.m_duration = aDuration; }
+
   /// To be called when a request has to wait for a slot.
   /// @param aWaiting requests that wait for this upstream.
   /// @return an ask for another owner of the upstream's slots, in turn, or nothing.
@@ -89,7 +92,7 @@
 
   const VmIncarnation m_self;
   SlotPool& m_pool;
-  const Options m_options;
+  Options m_options;
   std::map<std::uint64_t, Pending> m_pending;
   std::map<UpstreamIndex, State> m_states;
   std::optional<base::MonotonicTime> m_lastAsk;
