Limit forwarded uploads to the VM's share of the link between regions

A forwarded upload to another region now draws its bytes from the VM's fixed share; bulk services only from link_bulk_percent of it.

Responses between regions are not limited yet.

--- a/packages/entry/src/EntryVmImpl.cpp
+++ b/packages/entry/src/EntryVmImpl.cpp
@@ -96,6 +96,7 @@
   , m_ledger(m_context, MakeLedger(m_context))
   , m_failover(m_context)
   , m_load(m_context)
+  , m_links(m_context)
   , m_shares(m_context, m_store, m_directory, m_slots)
   , m_lending(m_context, m_slots, m_directory)
   , m_peers(m_context,
@@ -119,6 +120,7 @@
                m_quarantine,
                m_failover,
                m_load,
+               m_links,
                m_metrics,
                m_transport,
                [this](const std::string& aService) { return FindDispatcher(aService); },
@@ -288,6 +290,9 @@
   std::map<std::string, std::vector<UpstreamRef>> byService;
   std::vector<UpstreamRef> own;
   const auto config = m_config.Current();
+  if (config) {
+    m_links.Apply(*config, *view);
+  }
   for (UpstreamRef upstream : view->m_upstreams) {
     if (upstream.m_site == m_context.m_site) {
       upstream.m_leaving = upstream.m_leaving || (config && IsDrained(*config, upstream.m_id));
--- a/packages/entry/src/EntryVmImpl.h
+++ b/packages/entry/src/EntryVmImpl.h
@@ -6,6 +6,7 @@
 #include "Directory.h"
 #include "FailoverGuards.h"
 #include "Lifecycle.h"
+#include "LinkGuard.h"
 #include "LoadExchange.h"
 #include "LoadMeter.h"
 #include "LookupService.h"
@@ -87,6 +88,7 @@
   ScopeLedger m_ledger;
   FailoverGuards m_failover;
   LoadMeter m_load;
+  LinkGuard m_links;
   RequestMetrics m_metrics;
   ShareKeeper m_shares;
   SlotLending m_lending;
--- a/packages/entry/src/RequestForwarder.cpp
+++ b/packages/entry/src/RequestForwarder.cpp
@@ -99,6 +99,7 @@
   spec.m_headers = ForwardHeaders(aContext, aRequest, aExchange->Request().m_headers, aTarget);
   spec.m_deadline = aRequest.m_deadline;
   spec.m_reuseConnection = aRequest.m_idempotent;
+  spec.m_uploadAllowance = aTarget.m_uploadAllowance;
   spec.m_onHead = [report](proxy::ResponseHead& aHead) { return JudgeHead(*report, aHead); };
   return aTransport.Start(aExchange,
                           std::move(spec),
--- a/packages/entry/src/RequestForwarder.h
+++ b/packages/entry/src/RequestForwarder.h
@@ -13,6 +13,8 @@
 struct ForwardTarget
 {
   EntryVmRef m_vm;
+  /// Limits the upload on a link between regions; empty within a region.
+  std::function<std::size_t(std::size_t)> m_uploadAllowance;
   /// The other VM has to check the key, because it owns the key's scope. Otherwise this VM has
   /// checked it, and the other one only executes.
   bool m_keepKey = false;
--- a/packages/entry/src/RequestRouter.cpp
+++ b/packages/entry/src/RequestRouter.cpp
@@ -319,7 +319,14 @@
                             bool aKeepKey,
                             Done aDone)
 {
-  const ForwardTarget target{ aVm, aKeepKey };
+  ForwardTarget target{ aVm, {}, aKeepKey };
+  const std::string& region = aVm.m_site.m_region;
+  if (region != m_context.m_site.m_region) {
+    const bool bulk = aRequest->m_parsed.m_service->m_service.m_bulk;
+    target.m_uploadAllowance = [this, region, bulk](std::size_t aReady) {
+      return m_parts.m_links.Draw(region, bulk, aReady);
+    };
+  }
   const bool started = StartForward(
     m_context, m_parts.m_transport, aRequest->m_exchange, aRequest->m_parsed, target, aDone);
   if (!started) {
--- a/packages/entry/src/RequestRouter.h
+++ b/packages/entry/src/RequestRouter.h
@@ -3,6 +3,7 @@
 #include "ClaimQueue.h"
 #include "Directory.h"
 #include "FailoverGuards.h"
+#include "LinkGuard.h"
 #include "LoadMeter.h"
 #include "ParsedRequest.h"
 #include "QuarantineGuard.h"
@@ -34,6 +35,7 @@
     QuarantineGuard& m_quarantine;
     FailoverGuards& m_failover;
     LoadMeter& m_load;
+    LinkGuard& m_links;
     RequestMetrics& m_metrics;
     proxy::UpstreamTransport& m_transport;
     /// @return the dispatcher of a service in this zone, or nullptr.
--- a/packages/proxy/include/jaylane/proxy/UpstreamTransport.h
+++ b/packages/proxy/include/jaylane/proxy/UpstreamTransport.h
@@ -73,6 +73,9 @@
   bool m_reuseConnection = false;
   /// Checked after connecting, right before the first byte is sent; may be empty.
   std::function<bool()> m_maySend;
+  /// Bytes of the upload that may be sent now, out of the number ready; 0 to try again soon. May be
+  /// empty for no limit.
+  std::function<std::size_t(std::size_t)> m_uploadAllowance;
   /// Judges the response head and may change it; may be empty.
   std::function<HeadVerdict(ResponseHead&)> m_onHead;
 };
--- a/packages/proxy/src/UpstreamAttempt.cpp
+++ b/packages/proxy/src/UpstreamAttempt.cpp
@@ -52,8 +52,9 @@
                                                                m_clock.Monotonic());
 }
 
-bool UpstreamAttempt::Begin()
+bool UpstreamAttempt::Begin(std::vector<CURL*>& aThrottled)
 {
+  m_throttled = &aThrottled;
   const auto remaining = Remaining();
   if (remaining <= std::chrono::milliseconds{ 0 }) {
     return false;
@@ -130,13 +131,32 @@
   return self->m_sendAllowed ? CURL_PREREQFUNC_OK : CURL_PREREQFUNC_ABORT;
 }
 
+std::size_t UpstreamAttempt::Allow(std::size_t aReady)
+{
+  if (!m_spec.m_uploadAllowance) {
+    return aReady;
+  }
+  if (m_allowance == 0) {
+    m_allowance = m_spec.m_uploadAllowance(aReady);
+  }
+  if (m_allowance == 0) {
+    m_throttled->push_back(m_easy);
+  }
+  return std::min(m_allowance, aReady);
+}
+
 size_t UpstreamAttempt::OnRead(char* aTarget, size_t aSize, size_t aCount, void* aSelf)
 {
   auto* self = static_cast<UpstreamAttempt*>(aSelf);
-  const auto read = self->m_exchange->ReadUpload(self->m_uploadOffset, aTarget, aSize * aCount);
+  const std::size_t allowed = self->Allow(aSize * aCount);
+  if (allowed == 0) {
+    return CURL_READFUNC_PAUSE;
+  }
+  const auto read = self->m_exchange->ReadUpload(self->m_uploadOffset, aTarget, allowed);
   switch (read.m_state) {
     case Exchange::ReadState::Data:
       self->m_uploadOffset += read.m_size;
+      self->m_allowance -= std::min(self->m_allowance, read.m_size);
       return read.m_size;
     case Exchange::ReadState::Pending:
       return CURL_READFUNC_PAUSE;
--- a/packages/proxy/src/UpstreamAttempt.h
+++ b/packages/proxy/src/UpstreamAttempt.h
@@ -21,8 +21,9 @@
   UpstreamAttempt& operator=(const UpstreamAttempt&) = delete;
 
   /// Prepares the transfer.
+  /// @param aThrottled receives the handle when the upload has to wait for an allowance.
   /// @return false if the deadline has passed.
-  bool Begin();
+  bool Begin(std::vector<CURL*>& aThrottled);
 
   bool Started() const { return m_easy != nullptr; }
   CURL* Handle() const { return m_easy; }
@@ -43,6 +44,8 @@
   std::chrono::milliseconds Remaining() const;
   AttemptResult Classify(CURLcode aCode) const;
   bool SentNothing() const;
+  /// @return bytes that may be sent now; 0 after the attempt was put on the throttled list.
+  std::size_t Allow(std::size_t aReady);
   bool CommitHead();
   void ParseStatusLine(std::string_view aLine);
   size_t HandleHeaderLine(std::string_view aLine);
@@ -61,6 +64,8 @@
   CURL* m_easy = nullptr;
   curl_slist* m_headerLines = nullptr;
   std::array<char, CURL_ERROR_SIZE> m_errorText{};
+  std::vector<CURL*>* m_throttled = nullptr;
+  std::size_t m_allowance = 0;
   std::uint64_t m_uploadOffset = 0;
   bool m_sendAllowed = false;
   bool m_callerGone = false;
--- a/packages/proxy/src/UpstreamTransport.cpp
+++ b/packages/proxy/src/UpstreamTransport.cpp
@@ -8,6 +8,7 @@
 #include <mutex>
 #include <thread>
 #include <unordered_map>
+#include <utility>
 
 namespace jaylane::proxy {
 
@@ -15,6 +16,8 @@
 
 // Upper bound of a wait for network events, so that aborted attempts are noticed.
 constexpr std::chrono::milliseconds kMaxPoll{ 1000 };
+// The same while an upload waits for its allowance.
+constexpr std::chrono::milliseconds kThrottlePoll{ 10 };
 // Idle persistent connections kept per thread.
 constexpr long kMaxIdleConnections = 256;
 
@@ -86,7 +89,9 @@
       int running = 0;
       curl_multi_perform(m_multi, &running);
       ReapFinished();
-      curl_multi_poll(m_multi, nullptr, 0, static_cast<int>(kMaxPoll.count()), nullptr);
+      const auto poll = m_throttled.empty() ? kMaxPoll : kThrottlePoll;
+      curl_multi_poll(m_multi, nullptr, 0, static_cast<int>(poll.count()), nullptr);
+      ResumeThrottled();
     }
     AbortAll();
   }
@@ -112,7 +117,7 @@
   void Begin(std::shared_ptr<detail::UpstreamAttempt> aAttempt)
   {
     aAttempt->m_wakePending = false;
-    if (aAttempt->Body().CallerGone() || !aAttempt->Begin()) {
+    if (aAttempt->Body().CallerGone() || !aAttempt->Begin(m_throttled)) {
       m_attempts.fetch_sub(1);
       aAttempt->ReportNotSent("the deadline passed or the caller left before the request was sent");
       return;
@@ -122,6 +127,15 @@
     curl_multi_add_handle(m_multi, handle);
   }
 
+  void ResumeThrottled()
+  {
+    for (CURL* handle : std::exchange(m_throttled, {})) {
+      if (m_active.count(handle)) {
+        curl_easy_pause(handle, CURLPAUSE_CONT);
+      }
+    }
+  }
+
   void ReapFinished()
   {
     int left = 0;
@@ -160,6 +174,7 @@
   base::BoundedRing<std::shared_ptr<detail::UpstreamAttempt>> m_commands;
   CURLM* const m_multi;
   std::unordered_map<CURL*, std::shared_ptr<detail::UpstreamAttempt>> m_active;
+  std::vector<CURL*> m_throttled;
   std::atomic<std::size_t> m_attempts{ 0 };
   std::atomic<bool> m_stop{ false };
   std::thread m_thread;
--- a/packages/proxy/tests/UpstreamTransportTest.cpp
+++ b/packages/proxy/tests/UpstreamTransportTest.cpp
@@ -157,6 +157,37 @@
   }
 }
 
+// Guards against a large upload that fills a link between regions: it goes only as fast as its
+// allowance, and arrives whole.
+TEST_F(UpstreamTransportTest, UploadKeepsWithinItsAllowance)
+{
+  const std::string body(300'000, 'x');
+  std::atomic<std::size_t> received{ 0 };
+  RawUpstream upstream([&](int aSocket, const std::string& aRequest) {
+    received = aRequest.size() - aRequest.find("\r\n\r\n") - 4;
+    char block[65536];
+    while (received < body.size()) {
+      const ssize_t size = recv(aSocket, block, sizeof(block), 0);
+      ASSERT_GT(size, 0);
+      received += static_cast<std::size_t>(size);
+    }
+    RawUpstream::Send(aSocket, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+  });
+  std::size_t calls = 0;
+  std::size_t granted = 0;
+  AttemptSpec spec = MakeSpec(upstream.Address());
+  spec.m_uploadAllowance = [&](std::size_t aReady) {
+    // Every other call has to wait.
+    const std::size_t allowed = ++calls % 2 ? 0 : std::min<std::size_t>(aReady, 20'000);
+    granted += allowed;
+    return allowed;
+  };
+  EXPECT_EQ(Run(MakeExchange("PUT", body), spec).m_result, AttemptResult::Completed);
+  EXPECT_EQ(received, body.size());
+  EXPECT_GE(granted, body.size());
+  EXPECT_GE(calls, 2 * body.size() / 20'000);
+}
+
 // Guards against an upstream slot held by a request whose caller has left.
 TEST_F(UpstreamTransportTest, CallerLeavingCancelsTheAttempt)
 {
