Parse JSON in one place, strictly and with a bounded depth

The daemon's own parser let jsoncpp throw on deep nesting: an upstream that answers a probe with 4 kB of brackets would have ended the entry VM.

--- /dev/null
+++ b/packages/base/src/JsonText.cpp
@@ -0,0 +1,43 @@
+#include "jaylane/base/JsonText.h"
+
+#include <exception>
+#include <json/reader.h>
+#include <json/writer.h>
+#include <memory>
+
+namespace jaylane::base {
+
+namespace {
+
+// Messages and documents nest at most 7 levels.
+constexpr int kMaxDepth = 32;
+
+} // namespace
+
+std::string WriteJson(const Json::Value& aValue)
+{
+  Json::StreamWriterBuilder builder;
+  builder["indentation"] = "";
+  return Json::writeString(builder, aValue);
+}
+
+Result<Json::Value> ParseJson(std::string_view aText)
+{
+  Json::CharReaderBuilder builder;
+  Json::CharReaderBuilder::strictMode(&builder.settings_);
+  builder["strictRoot"] = false;
+  builder["stackLimit"] = kMaxDepth;
+  const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
+  Json::Value value;
+  std::string problems;
+  try {
+    if (reader->parse(aText.data(), aText.data() + aText.size(), &value, &problems)) {
+      return value;
+    }
+  } catch (const std::exception& error) {
+    problems = error.what();
+  }
+  return Error{ BaseErrc::InvalidValue, problems };
+}
+
+} // namespace jaylane::base
--- a/packages/entry/src/AdminServer.cpp
+++ b/packages/entry/src/AdminServer.cpp
@@ -1,6 +1,6 @@
 #include "AdminServer.h"
 
-#include "JsonText.h"
+#include "jaylane/base/JsonText.h"
 #include "jaylane/platform/PlatformError.h"
 #include "jaylane/settings/EditMerger.h"
 
@@ -98,7 +98,7 @@
   const AdminResponse response = who ? Route(aRequest, *who) : AdminModel::Error(who.GetError());
   base::HttpReply reply;
   reply.m_status = static_cast<unsigned>(response.m_status);
-  reply.m_body = WriteJson(response.m_body);
+  reply.m_body = base::WriteJson(response.m_body);
   reply.m_headers["Content-Type"] = "application/json";
   return reply;
 }
--- a/packages/entry/src/LoadReport.cpp
+++ b/packages/entry/src/LoadReport.cpp
@@ -1,6 +1,6 @@
 #include "LoadReport.h"
 
-#include "JsonText.h"
+#include "jaylane/base/JsonText.h"
 
 #include <charconv>
 
@@ -59,12 +59,12 @@
       }
     }
   }
-  return WriteJson(json);
+  return base::WriteJson(json);
 }
 
 base::Result<LoadReport> LoadReport::Parse(std::string_view aText)
 {
-  const auto json = ParseJson(aText);
+  const auto json = base::ParseJson(aText);
   if (!json || !json->isObject()) {
     return Malformed();
   }
--- a/packages/entry/src/ParsedRequest.cpp
+++ b/packages/entry/src/ParsedRequest.cpp
@@ -1,5 +1,7 @@
 #include "ParsedRequest.h"
 
+#include "jaylane/base/Secrets.h"
+
 #include <algorithm>
 #include <charconv>
 #include <fmt/format.h>
@@ -18,17 +20,6 @@
   return { Outcome::NotRun, aStatus, std::move(aError), std::move(aMessage), 0, {} };
 }
 
-/// Compares in time that does not depend on where the texts differ.
-bool EqualSecrets(std::string_view aLeft, std::string_view aRight)
-{
-  unsigned difference = aLeft.size() == aRight.size() ? 0 : 1;
-  for (std::size_t i = 0; i < aLeft.size(); ++i) {
-    const char other = aRight.empty() ? '\0' : aRight[i % aRight.size()];
-    difference |= static_cast<unsigned char>(aLeft[i]) ^ static_cast<unsigned char>(other);
-  }
-  return difference == 0;
-}
-
 std::optional<bool> ReadIdempotent(const proxy::RequestHead& aHead,
                                    const settings::Service& aService)
 {
@@ -157,7 +148,7 @@
     return Refuse(404, "unknown-service", "the settings contain no such service");
   }
   const auto forwarded = head.m_headers.Find(kForwardedHeader);
-  request.m_fromPeer = forwarded && EqualSecrets(*forwarded, aContext.m_settings.m_peerKey);
+  request.m_fromPeer = forwarded && base::EqualSecrets(*forwarded, aContext.m_settings.m_peerKey);
   request.m_admitted = request.m_fromPeer && !head.m_headers.Find(kScopeHopHeader);
   if (forwarded && !request.m_fromPeer) {
     return Refuse(403, "not-a-peer", "the header Jaylane-Forwarded is reserved for entry VMs");
--- a/packages/entry/src/ShareKeeper.cpp
+++ b/packages/entry/src/ShareKeeper.cpp
@@ -1,6 +1,6 @@
 #include "ShareKeeper.h"
 
-#include "JsonText.h"
+#include "jaylane/base/JsonText.h"
 #include "jaylane/platform/PlatformError.h"
 #include "jaylane/policy/SlotError.h"
 
@@ -38,7 +38,7 @@
 
 void ShareKeeper::Receive(const std::string& aText, platform::Version aVersion)
 {
-  const auto json = ParseJson(aText);
+  const auto json = base::ParseJson(aText);
   auto table = json ? policy::ShareTable::FromJson(*json)
                     : base::Result<policy::ShareTable>(policy::SlotErrc::InvalidShareTable);
   if (!table) {
@@ -166,7 +166,7 @@
 void ShareKeeper::Write(policy::ShareTable aTable, platform::Version aExpected, const char* aReason)
 {
   aTable.Stamp(m_context.m_incarnationText, std::to_string(m_nextNonce++));
-  const std::string text = WriteJson(aTable.ToJson());
+  const std::string text = base::WriteJson(aTable.ToJson());
   const auto version = m_store.Put(m_key, text, aExpected, kCallTimeout);
   if (!version) {
     // Whether the write was lost, refused or only its response was lost, the store tells.
--- a/packages/entry/src/UpstreamProber.cpp
+++ b/packages/entry/src/UpstreamProber.cpp
@@ -1,6 +1,6 @@
 #include "UpstreamProber.h"
 
-#include "JsonText.h"
+#include "jaylane/base/JsonText.h"
 
 #include <curl/curl.h>
 #include <fmt/format.h>
@@ -83,8 +83,8 @@
 
 policy::ProbeResult ReadHealth(const Query& aQuery)
 {
-  const auto json = aQuery.m_ok ? ParseJson(aQuery.m_body) : std::nullopt;
-  if (!json || !json->isObject()) {
+  const auto json = base::ParseJson(aQuery.m_body);
+  if (!aQuery.m_ok || !json || !json->isObject()) {
     return policy::ProbeResult::Unreachable;
   }
   const std::string state = (*json)["state"].isString() ? (*json)["state"].asString() : "";
@@ -96,8 +96,8 @@
 
 std::optional<std::uint32_t> ReadLoad(const Query& aQuery)
 {
-  const auto json = aQuery.m_ok ? ParseJson(aQuery.m_body) : std::nullopt;
-  if (!json || !json->isObject() || !(*json)["in_flight"].isUInt()) {
+  const auto json = base::ParseJson(aQuery.m_body);
+  if (!aQuery.m_ok || !json || !json->isObject() || !(*json)["in_flight"].isUInt()) {
     return std::nullopt;
   }
   return (*json)["in_flight"].asUInt();
--- a/packages/peer/src/PeerServer.cpp
+++ b/packages/peer/src/PeerServer.cpp
@@ -2,6 +2,7 @@
 
 #include "PeerProtocol.h"
 #include "jaylane/base/HttpServer.h"
+#include "jaylane/base/Secrets.h"
 #include "jaylane/peer/MessageCodec.h"
 #include "jaylane/peer/PeerError.h"
 
@@ -24,17 +25,6 @@
   bool SendResponse(const std::string&, void*) override { return true; }
 };
 
-/// Compares in time that does not depend on where the texts differ.
-bool EqualSecrets(const std::string& aLeft, const std::string& aRight)
-{
-  unsigned difference = aLeft.size() == aRight.size() ? 0 : 1;
-  for (std::size_t i = 0; i < aLeft.size(); ++i) {
-    const char other = aRight.empty() ? '\0' : aRight[i % aRight.size()];
-    difference |= static_cast<unsigned char>(aLeft[i]) ^ static_cast<unsigned char>(other);
-  }
-  return difference == 0;
-}
-
 std::string LowerCase(std::string aText)
 {
   std::transform(aText.begin(), aText.end(), aText.begin(), [](unsigned char aChar) {
@@ -130,7 +120,7 @@
   base::HttpReply Handle(const base::HttpRequest& aRequest)
   {
     base::HttpReply reply;
-    if (!EqualSecrets(aRequest.Header(LowerCase(kKeyHeader)), m_key)) {
+    if (!base::EqualSecrets(aRequest.Header(LowerCase(kKeyHeader)), m_key)) {
       reply.m_status = 403;
     } else if (aRequest.m_path != kRpcPath || aRequest.m_method != "POST") {
       reply.m_status = 404;
--- a/packages/settings/src/AdminModel.cpp
+++ b/packages/settings/src/AdminModel.cpp
@@ -1,5 +1,7 @@
 #include "jaylane/settings/AdminModel.h"
 
+#include "jaylane/base/Secrets.h"
+
 #include "jaylane/settings/JsonText.h"
 #include "jaylane/settings/SettingsError.h"
 
@@ -12,17 +14,6 @@
 /// The effective differences of a plan; a change at the root of a large tree touches every site.
 constexpr std::size_t kMaxPlanDifferences = 200;
 
-/// Compares without revealing by its duration how much of the text is right.
-bool EqualInConstantTime(std::string_view aLeft, std::string_view aRight)
-{
-  unsigned char difference = aLeft.size() == aRight.size() ? 0 : 1;
-  for (std::size_t i = 0; i < aRight.size(); ++i) {
-    const char left = aLeft.empty() ? '\0' : aLeft[i % aLeft.size()];
-    difference |= static_cast<unsigned char>(left ^ aRight[i]);
-  }
-  return difference == 0;
-}
-
 base::Result<Json::Value> ParseBody(std::string_view aBody)
 {
   base::Result<Json::Value> json = ParseJson(aBody);
@@ -161,7 +152,7 @@
   const AdminToken* match = nullptr;
   // Always looks at all tokens, so that the duration does not depend on the one that matches.
   for (const AdminToken& token : aTokens) {
-    if (EqualInConstantTime(given, token.m_token)) {
+    if (base::EqualSecrets(given, token.m_token)) {
       match = &token;
     }
   }
