--- a/packages/entry/src/ServiceDispatcher.cpp
+++ b/packages/entry/src/ServiceDispatcher.cpp
@@ -1,5 +1,7 @@
 #include "ServiceDispatcher.h"
 
+#include "AttemptRules.h"
+
 #include <algorithm>
 #include <fmt/format.h>
 #include <random>
@@ -18,47 +20,6 @@
   return [engine = std::mt19937_64(std::random_device{}())]() mutable { return engine(); };
 }
 
-policy::UpstreamSelectorOptions SelectorOptions(const settings::EffectiveSettings& aSettings)
-{
-  policy::UpstreamSelectorOptions options;
-  options.m_ramp = aSettings.m_slowStartTime;
-  options.m_maxEjected = aSettings.m_maxEjectedPercent / 100.0;
-  return options;
-}
-
-policy::RetryBudget::Options RetryOptions(const settings::EffectiveSettings& aSettings)
-{
-  policy::RetryBudget::Options options;
-  options.m_perMille = aSettings.m_retryBudgetPercent * 10;
-  return options;
-}
-
-policy::OwnResult ToOwnResult(const proxy::AttemptOutcome& aOutcome)
-{
-  switch (aOutcome.m_result) {
-    case proxy::AttemptResult::Completed:
-      return policy::OwnResult::Completed;
-    case proxy::AttemptResult::Rejected:
-      return policy::OwnResult::Refused;
-    case proxy::AttemptResult::NotSent:
-      return aOutcome.m_connectFailed ? policy::OwnResult::Failed : policy::OwnResult::Cancelled;
-    case proxy::AttemptResult::TimedOut:
-      return policy::OwnResult::TimedOut;
-    case proxy::AttemptResult::CallerGone:
-      return policy::OwnResult::Cancelled;
-    case proxy::AttemptResult::ConnectionLost:
-    case proxy::AttemptResult::InvalidResponse:
-    case proxy::AttemptResult::Truncated:
-      break;
-  }
-  return policy::OwnResult::Failed;
-}
-
-bool ProvenNotRun(proxy::AttemptResult aResult)
-{
-  return aResult == proxy::AttemptResult::NotSent || aResult == proxy::AttemptResult::Rejected;
-}
-
 } // namespace
 
 ServiceDispatcher::ServiceDispatcher(const VmContext& aContext,
@@ -415,27 +376,13 @@
          !m_quarantine.IsQuarantined(aJob.m_request.m_fingerprint) && m_retries.TryRetry(now);
 }
 
-RequestResult ServiceDispatcher::ResultOf(const Job& aJob,
-                                          const Attempt& aAttempt,
-                                          const proxy::AttemptOutcome& aOutcome) const
+RequestResult ServiceDispatcher::MakeResult(const Job& aJob,
+                                            const Attempt& aAttempt,
+                                            const proxy::AttemptOutcome& aOutcome)
 {
-  using proxy::AttemptResult;
-  RequestResult result;
+  RequestResult result = ResultOf(aOutcome, aJob.m_mayHaveRun);
   result.m_attempts = aJob.m_attempts;
   result.m_upstream = aAttempt.m_choice.m_id;
-  result.m_error = fmt::format("upstream-{}", proxy::AttemptResultName(aOutcome.m_result));
-  result.m_message = aOutcome.m_detail;
-  if (aOutcome.m_result == AttemptResult::Completed) {
-    result.m_outcome = Outcome::Completed;
-    result.m_status = aOutcome.m_status;
-    result.m_error.clear();
-  } else if (!aJob.m_mayHaveRun) {
-    result.m_outcome = Outcome::NotRun;
-    result.m_status = 503;
-  } else {
-    result.m_outcome = Outcome::Unknown;
-    result.m_status = aOutcome.m_result == AttemptResult::TimedOut ? 504 : 502;
-  }
   return result;
 }
 
@@ -455,7 +402,7 @@
     const bool requeued = MayRetryLocked(job, aOutcome) &&
                           m_queue.Offer({ aAttempt.m_job, job.m_request.m_deadline }, {}, now);
     if (!requeued) {
-      FinishLocked(aAttempt.m_job, ResultOf(job, aAttempt, aOutcome), completions);
+      FinishLocked(aAttempt.m_job, MakeResult(job, aAttempt, aOutcome), completions);
     }
     PumpLocked(completions);
   }
--- a/packages/entry/src/ServiceDispatcher.h
+++ b/packages/entry/src/ServiceDispatcher.h
@@ -130,9 +130,9 @@
   bool MayRetryLocked(const Job& aJob, const proxy::AttemptOutcome& aOutcome);
   void FinishLocked(std::uint64_t aJob, RequestResult aResult, Completions& aCompletions);
   policy::AdmissionQueue::Service ServiceSpeedLocked() const;
-  RequestResult ResultOf(const Job& aJob,
-                         const Attempt& aAttempt,
-                         const proxy::AttemptOutcome& aOutcome) const;
+  static RequestResult MakeResult(const Job& aJob,
+                                  const Attempt& aAttempt,
+                                  const proxy::AttemptOutcome& aOutcome);
 
   const VmContext& m_context;
   const std::string m_service;
