--- a/packages/entry/tests/AttemptRulesTest.cpp
+++ b/packages/entry/tests/AttemptRulesTest.cpp
@@ -35,7 +35,8 @@
   EXPECT_EQ(ResultOf(MakeOutcome(AttemptResult::Completed), true).m_outcome, Outcome::Completed);
 }
 
-// Guards against cancelled attempts that eject a healthy upstream, and against failures that do not.
+// Guards against cancelled attempts that eject a healthy upstream, and against failures that do
+// not.
 TEST(AttemptRules, OnlyFailuresCountAgainstTheUpstream)
 {
   EXPECT_EQ(ToOwnResult(MakeOutcome(AttemptResult::NotSent)), policy::OwnResult::Cancelled);
