Stop the threads that report ends of requests before what they report to

Found by reading: the transport and the claim queue were destroyed after the router and the dispatchers that their callbacks use. A request whose caller left at the moment of the stop could have reached a destroyed object. They now go first. Checked: e2e_stop passes.

--- a/packages/entry/src/EntryVmImpl.cpp
+++ b/packages/entry/src/EntryVmImpl.cpp
@@ -104,8 +104,10 @@
   , m_loads(m_context, m_store, m_directory, m_load, [this] { return m_peers.ZoneLoads(); })
   , m_shifts(m_context, m_store, m_config, m_directory, m_steering, m_loads)
   , m_sync(m_context, m_store)
-  , m_transport({ aSettings.m_upstreamThreads }, aClock)
-  , m_claims(m_context, m_store)
+  , m_transport(std::make_unique<proxy::UpstreamTransport>(
+      proxy::UpstreamTransport::Options{ aSettings.m_upstreamThreads },
+      aClock))
+  , m_claims(std::make_unique<ClaimQueue>(m_context, m_store))
   , m_lookups(m_context,
               m_config,
               m_directory,
@@ -116,13 +118,13 @@
                m_directory,
                m_steering,
                m_ledger,
-               m_claims,
+               *m_claims,
                m_quarantine,
                m_failover,
                m_load,
                m_links,
                m_metrics,
-               m_transport,
+               *m_transport,
                [this](const std::string& aService) { return FindDispatcher(aService); },
                [this](const std::string& aIncarnation) { return m_peers.HeirOf(aIncarnation); } })
   , m_lifecycle(m_context)
@@ -135,6 +137,11 @@
   m_peers.StopExchanges();
   m_duties.clear();
   m_sync.Stop();
+  m_adminServer.reset();
+  // Their threads report the end of requests to the router and the dispatchers, so they go first.
+  m_callerServer.reset();
+  m_claims.reset();
+  m_transport.reset();
 }
 
 base::Status EntryVm::Impl::Start()
@@ -204,7 +211,7 @@
   add(kPlanInterval, [this] { m_shifts.Run(); });
   add(kLoadInterval, [this] { m_loads.Publish(); });
   add(kShareInterval, [this] { m_shares.Run(); });
-  add(kClaimCleanUpInterval, [this] { m_claims.CleanUp(); });
+  add(kClaimCleanUpInterval, [this] { m_claims->CleanUp(); });
   add(kProbeStep, [this] { Probe(); });
 }
 
@@ -239,7 +246,7 @@
   m_slots.With([&](policy::SlotPool& aPool) { aPool.SetQuarantine(longestRequest + lease); });
   m_lending.SetLeaseDuration(lease);
   m_quarantine.SetLifetime(quarantine);
-  m_claims.Configure(claims);
+  m_claims->Configure(claims);
 }
 
 void EntryVm::Impl::OnConfig(const Config& aConfig)
@@ -268,7 +275,7 @@
         m_dispatchers.emplace(
           name,
           std::make_shared<ServiceDispatcher>(
-            m_context, name, service.m_effective, m_slots, m_lending, m_quarantine, m_transport));
+            m_context, name, service.m_effective, m_slots, m_lending, m_quarantine, *m_transport));
       }
     }
   }
--- a/packages/entry/src/EntryVmImpl.h
+++ b/packages/entry/src/EntryVmImpl.h
@@ -96,8 +96,8 @@
   LoadExchange m_loads;
   ShiftController m_shifts;
   StoreSync m_sync;
-  proxy::UpstreamTransport m_transport;
-  ClaimQueue m_claims;
+  std::unique_ptr<proxy::UpstreamTransport> m_transport;
+  std::unique_ptr<ClaimQueue> m_claims;
   LookupService m_lookups;
   RequestRouter m_router;
   Lifecycle m_lifecycle;
