--- a/packages/entry/src/ShiftController.cpp
+++ b/packages/entry/src/ShiftController.cpp
@@ -288,7 +288,9 @@
   }
   auto table = policy::ShiftPlanner::MakeInitial(*empty, aInput, m_context.m_clock.Wall());
   if (table) {
-    Publish(aService, std::move(*table), platform::kAbsent);
+    if (Publish(aService, std::move(*table), platform::kAbsent) != PublishResult::Published) {
+      Reload(aService);
+    }
   }
 }
 
@@ -311,21 +313,38 @@
   }
   status["state"] = PlanStateName(plan->m_state);
   status["remaining_share"] = remaining;
-  if (plan->m_state == policy::PlanState::Step) {
-    Json::Value fields(status);
-    fields["service"] = aService;
-    fields["moved_share"] = plan->m_movedShare;
-    if (Publish(aService, std::move(plan->m_table), newest->m_version)) {
-      m_context.m_events.Record("shift-step", fields);
-    }
+  Json::Value fields(status);
+  fields["service"] = aService;
+  fields["moved_share"] = plan->m_movedShare;
+  ShiftMachine& machine = m_machines[aService];
+  const std::string before = machine.StateName();
+  const bool published =
+    machine.OnPlan(plan->m_state,
+                   { [&] { return Publish(aService, std::move(plan->m_table), newest->m_version); },
+                     [&] { Reload(aService); } });
+  if (published) {
+    m_context.m_events.Record("shift-step", fields);
+  }
+  if (machine.StateName() != before) {
+    fields["from"] = before;
+    fields["to"] = machine.StateName();
+    m_context.m_events.Record("shift-state", fields);
   }
   std::lock_guard lock(m_mutex);
   m_status[aService] = std::move(status);
 }
 
-bool ShiftController::Publish(const std::string& aService,
-                              policy::SteeringTable aTable,
-                              platform::Version aExpected)
+void ShiftController::Reload(const std::string& aService)
+{
+  const auto object = m_store.Get("table/" + aService, kCallTimeout);
+  if (object) {
+    m_steering.Receive(aService, object->m_value, object->m_version);
+  }
+}
+
+PublishResult ShiftController::Publish(const std::string& aService,
+                                       policy::SteeringTable aTable,
+                                       platform::Version aExpected)
 {
   aTable.SetStamp({ m_context.m_incarnationText, std::to_string(m_nextNonce++) });
   const std::string text = aTable.ToJson();
@@ -333,15 +352,14 @@
   const auto version = m_store.Put(key, text, aExpected, kCallTimeout);
   if (version) {
     m_steering.Receive(aService, text, *version);
-    return true;
+    return PublishResult::Published;
   }
-  // Another planner was faster, or the response was lost: the store's table is the one to
-  // continue from in both cases.
-  const auto object = m_store.Get(key, kCallTimeout);
-  if (object) {
-    m_steering.Receive(aService, object->m_value, object->m_version);
-  }
-  return false;
+  const auto code = version.GetError().m_code;
+  // After a lost response the write may have taken effect: the store's table is the one to
+  // continue from, as after a conflict.
+  const bool reread =
+    code == platform::PlatformErrc::Conflict || code == platform::PlatformErrc::Timeout;
+  return reread ? PublishResult::Conflict : PublishResult::StoreFailed;
 }
 
 Json::Value ShiftController::Status() const
--- a/packages/entry/src/ShiftController.h
+++ b/packages/entry/src/ShiftController.h
@@ -3,6 +3,7 @@
 #include "ConfigState.h"
 #include "Directory.h"
 #include "LoadExchange.h"
+#include "ShiftMachine.h"
 #include "SteeringState.h"
 #include "jaylane/platform/Store.h"
 #include "jaylane/policy/Forecast.h"
@@ -58,9 +59,10 @@
   void RunService(const Config& aConfig, const ServiceConfig& aService);
   void CreateTable(const std::string& aService, const policy::PlanInput& aInput);
   void PlanNext(const std::string& aService, const policy::PlanInput& aInput);
-  bool Publish(const std::string& aService,
-               policy::SteeringTable aTable,
-               platform::Version aExpected);
+  void Reload(const std::string& aService);
+  PublishResult Publish(const std::string& aService,
+                        policy::SteeringTable aTable,
+                        platform::Version aExpected);
   policy::BucketLoad MakeLoad(const Config& aConfig,
                               const ServiceConfig& aService,
                               double aCapacity) const;
@@ -90,6 +92,8 @@
   mutable std::mutex m_mutex;
   std::map<std::pair<std::string, policy::SiteId>, SiteLife> m_sites;
   std::map<std::string, Json::Value> m_status;
+  /// Used by the planning thread only.
+  std::map<std::string, ShiftMachine> m_machines;
   std::uint64_t m_nextNonce = 1;
 };
 
