--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 JOBS ?= 8
 export CCACHE_BASEDIR := $(CURDIR)
 export CCACHE_NOHASHDIR := 1
-SOURCES = $(shell git ls-files 'packages/*.h' 'packages/*.cpp')
+SOURCES = $(shell git ls-files 'packages/*.h' 'packages/*.cpp' 'platform/*.h' 'platform/*.cpp')
 
 .PHONY: all packages build test demo sanitize package bench capacity format-check lint
 
@@ -85,4 +85,4 @@
 	@clang-format --dry-run --Werror $(SOURCES)
 
 lint: build
-	@git ls-files 'packages/*/src/*.cpp' | xargs -P $(JOBS) -n 2 clang-tidy -p $(BUILD) --quiet 2>/dev/null
+	@git ls-files 'packages/*/src/*.cpp' 'platform/src/*.cpp' | xargs -P $(JOBS) -n 2 clang-tidy -p $(BUILD) --quiet 2>/dev/null
--- a/cmake/Jaylane.cmake
+++ b/cmake/Jaylane.cmake
@@ -1,6 +1,6 @@
 # Helpers for the package workspace.
 
-set(JAYLANE_PACKAGE_ORDER base settings policy platform peer proxy entry ctl testing)
+set(JAYLANE_PACKAGE_ORDER base settings policy gateway platform peer proxy entry ctl testing)
 # rapidcheck picks a random seed by default; CI must repeat.
 set(JAYLANE_RC_PARAMS "seed=20261204 max_success=500" CACHE STRING "rapidcheck parameters for tests")
 
@@ -29,6 +29,9 @@
   if(NOT ARG_TIMEOUT)
     set(ARG_TIMEOUT 120)
   endif()
+  if(JAYLANE_DEPLOY)
+    return()
+  endif()
   add_executable(${name}_tests ${ARG_SOURCES})
   target_include_directories(${name}_tests PRIVATE src tests)
   target_link_libraries(${name}_tests PRIVATE jaylane_${name} ${ARG_LIBRARIES}
@@ -42,6 +45,9 @@
 # Google Benchmark program of a package; built with the rest, run by `make bench`.
 function(jaylane_bench name)
   cmake_parse_arguments(ARG "" "" "SOURCES;LIBRARIES" ${ARGN})
+  if(JAYLANE_DEPLOY)
+    return()
+  endif()
   add_executable(${name}_bench ${ARG_SOURCES})
   target_include_directories(${name}_bench PRIVATE src)
   target_link_libraries(${name}_bench PRIVATE jaylane_${name} ${ARG_LIBRARIES}
--- a/packages/base/include/jaylane/base/Clock.h
+++ b/packages/base/include/jaylane/base/Clock.h
@@ -32,6 +32,17 @@
   static const SystemClock& Get();
 };
 
+/// Clocks that also count time for which the machine was suspended; the steady clock does not.
+class BootClock final : public Clock
+{
+public:
+  MonotonicTime Monotonic() const override;
+  WallTime Wall() const override;
+
+  /// @return the shared instance.
+  static const BootClock& Get();
+};
+
 /// A clock that moves only when told to.
 class ManualClock final : public Clock
 {
--- /dev/null
+++ b/packages/base/src/AsyncLog.cpp
@@ -0,0 +1,138 @@
+#include "jaylane/base/AsyncLog.h"
+
+#include <fmt/chrono.h>
+#include <fmt/format.h>
+#include <unistd.h>
+#include <utility>
+
+namespace jaylane::base {
+
+namespace {
+
+/// Longest sleep of the writer thread; only bounds how late dropped records are reported.
+constexpr std::chrono::seconds kWriterWait{ 5 };
+
+void WriteToStandardOutput(std::string_view aLine)
+{
+  while (!aLine.empty()) {
+    const ssize_t written = ::write(STDOUT_FILENO, aLine.data(), aLine.size());
+    if (written <= 0) {
+      return; // Nobody reads the log; there is no other place to report it to.
+    }
+    aLine.remove_prefix(static_cast<std::size_t>(written));
+  }
+}
+
+} // namespace
+
+LogRecord::LogRecord(std::string_view aEvent)
+{
+  Add("event", aEvent);
+}
+
+void LogRecord::AppendString(std::string_view aText)
+{
+  m_members += '"';
+  for (const char character : aText) {
+    if (character == '"' || character == '\\') {
+      m_members += '\\';
+      m_members += character;
+    } else if (static_cast<unsigned char>(character) < 0x20 || character == 0x7F) {
+      m_members += fmt::format("\\u{:04x}", static_cast<unsigned char>(character));
+    } else {
+      m_members += character;
+    }
+  }
+  m_members += '"';
+}
+
+LogRecord& LogRecord::Add(std::string_view aName, std::string_view aValue)
+{
+  m_members += m_members.empty() ? "" : ",";
+  AppendString(aName);
+  m_members += ':';
+  AppendString(aValue);
+  return *this;
+}
+
+LogRecord& LogRecord::AddRaw(std::string_view aName, std::string_view aValue)
+{
+  m_members += m_members.empty() ? "" : ",";
+  AppendString(aName);
+  m_members += ':';
+  m_members += aValue;
+  return *this;
+}
+
+AsyncLog::AsyncLog(std::string aProcess, const Clock& aClock, Options aOptions)
+  : m_process(std::move(aProcess))
+  , m_clock(aClock)
+  , m_options(std::move(aOptions))
+  , m_ring(m_options.m_capacity)
+  , m_writer([this] { RunWriter(); })
+{
+}
+
+AsyncLog::~AsyncLog()
+{
+  m_ring.Close();
+  m_writer.join();
+}
+
+bool AsyncLog::TakeFromRate()
+{
+  const auto now =
+    std::chrono::duration_cast<std::chrono::seconds>(m_clock.Monotonic().time_since_epoch());
+  if (m_second.exchange(now.count()) != now.count()) {
+    m_inSecond = 0;
+  }
+  return m_inSecond.fetch_add(1) < m_options.m_perSecond;
+}
+
+void AsyncLog::Write(const LogRecord& aRecord)
+{
+  const auto now = m_clock.Wall();
+  const auto millis =
+    std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()).count() % 1000;
+  std::string line = fmt::format(R"({{"time":"{:%Y-%m-%dT%H:%M:%S}.{:03}Z","vm":"{}",{}}})",
+                                 fmt::gmtime(std::chrono::system_clock::to_time_t(now)),
+                                 millis,
+                                 m_process,
+                                 aRecord.Members());
+  line += '\n';
+  if (!TakeFromRate() || !m_ring.TryPush(std::move(line))) {
+    ++m_dropped;
+  }
+}
+
+void AsyncLog::Emit(const std::string& aLine)
+{
+  if (m_options.m_sink) {
+    m_options.m_sink(aLine);
+  } else {
+    WriteToStandardOutput(aLine);
+  }
+}
+
+void AsyncLog::RunWriter()
+{
+  std::uint64_t reported = 0;
+  while (true) {
+    const bool wasClosed = m_ring.IsClosed();
+    if (const std::optional<std::string> line = m_ring.Pop(kWriterWait)) {
+      Emit(*line);
+    } else if (wasClosed) {
+      return;
+    }
+    const std::uint64_t dropped = m_dropped;
+    if (dropped != reported && m_ring.size() == 0) {
+      Emit(fmt::format(R"({{"vm":"{}","event":"log_dropped","records":{}}})"
+                       "\n",
+                       m_process,
+                       dropped - reported));
+      reported = dropped;
+    }
+  }
+}
+
+} // namespace jaylane::base
--- a/packages/base/src/Clock.cpp
+++ b/packages/base/src/Clock.cpp
@@ -1,5 +1,7 @@
 #include "jaylane/base/Clock.h"
 
+#include <ctime>
+
 namespace jaylane::base {
 
 MonotonicTime SystemClock::Monotonic() const
@@ -18,6 +20,25 @@
   return sClock;
 }
 
+MonotonicTime BootClock::Monotonic() const
+{
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  return MonotonicTime{ std::chrono::seconds{ now.tv_sec } +
+                        std::chrono::nanoseconds{ now.tv_nsec } };
+}
+
+WallTime BootClock::Wall() const
+{
+  return std::chrono::system_clock::now();
+}
+
+const BootClock& BootClock::Get()
+{
+  static const BootClock sClock;
+  return sClock;
+}
+
 MonotonicTime ManualClock::Monotonic() const
 {
   std::lock_guard lock(m_mutex);
--- /dev/null
+++ b/packages/gateway/include/jaylane/gateway/Gateway.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "jaylane/base/AsyncLog.h"
+#include "jaylane/base/Clock.h"
+#include "jaylane/base/Error.h"
+#include "jaylane/gateway/GatewaySettings.h"
+#include "jaylane/gateway/StoreDialect.h"
+#include "jaylane/gateway/WireProfile.h"
+
+#include <functional>
+#include <memory>
+
+namespace jaylane::gateway {
+
+/// One entry VM on an object store: accepts callers, steers their requests to upstreams, tells
+/// callers which VM to use.
+class Gateway
+{
+public:
+  struct Parts
+  {
+    GatewaySettings m_settings;
+    WireProfile m_wire;
+    const StoreDialect& m_dialect;
+    const base::Clock& m_clock;
+    base::AsyncLog& m_log;
+    /// Reads the settings file anew; called on SIGHUP and when the file's time changes.
+    std::function<base::Result<GatewaySettings>()> m_reload;
+  };
+
+  explicit Gateway(Parts aParts);
+  ~Gateway();
+
+  /// Serves until SIGTERM or SIGINT and the requests in flight then are done.
+  /// @return an error if the VM could not start.
+  base::Status Run();
+
+private:
+  class Impl;
+  std::unique_ptr<Impl> m_impl;
+};
+
+} // namespace jaylane::gateway
--- /dev/null
+++ b/packages/gateway/src/CallerRequest.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "jaylane/base/Clock.h"
+
+#include <boost/beast/http/fields.hpp>
+#include <optional>
+#include <string>
+
+namespace jaylane::gateway {
+
+/// A whole request of a caller.
+struct CallerRequest
+{
+  std::string m_id;
+  std::string m_method;
+  std::string m_target;
+  std::string m_host;
+  std::string m_affinityKey;
+  /// End-to-end headers in the order of arrival, as header lines.
+  std::string m_headerLines;
+  std::string m_body;
+  bool m_hasBody = false;
+  /// How long the caller waits from m_receivedAt on.
+  std::optional<std::chrono::milliseconds> m_timeout;
+  base::MonotonicTime m_receivedAt;
+};
+
+/// A response to a caller, the upstream's or the gateway's own.
+struct CallerResponse
+{
+  unsigned m_status = 0;
+  std::string m_reason;
+  /// End-to-end headers as header lines.
+  std::string m_headerLines;
+  std::string m_body;
+  /// The response to a HEAD request: a length without a body.
+  std::optional<std::string> m_headLength;
+};
+
+} // namespace jaylane::gateway
--- /dev/null
+++ b/packages/gateway/src/Gateway.cpp
@@ -0,0 +1,419 @@
+#include "jaylane/gateway/Gateway.h"
+
+#include "CallerServer.h"
+#include "GatewayContext.h"
+#include "HttpFetch.h"
+#include "InfoServer.h"
+#include "PeerLink.h"
+#include "StoreSync.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+#include <set>
+
+namespace jaylane::gateway {
+
+namespace {
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+
+/// Time between looks at expiring state; bounds how late a cold or lapsed upstream is reconsidered.
+constexpr milliseconds kTick{ 200 };
+/// Time between sweeps of idle connections, in ticks.
+constexpr std::uint32_t kSweepTicks = 5;
+/// Whole time for a health probe.
+constexpr milliseconds kProbeTimeout{ 500 };
+/// Planned stop, parts of the grace time: accepting ends, then further requests are rejected, then
+/// idle connections are closed, and at last the process ends.
+constexpr double kStopAccepting = 0.5;
+constexpr double kCloseIdle = 0.55;
+constexpr double kEnd = 0.95;
+
+} // namespace
+
+class Gateway::Impl
+{
+public:
+  explicit Impl(Parts aParts);
+  base::Status Run();
+
+private:
+  base::Status Listen();
+  StoreSync::Hooks StoreHooks();
+  KindWatcher::Hooks Hooks(std::function<void(std::vector<StoredObject>)> aOnList,
+                           std::function<void(std::vector<StoredObject>)> aOnChanges);
+  void OnConfigurations(const std::vector<StoredObject>& aObjects);
+  void OnUpstreamList(const std::vector<StoredObject>& aObjects);
+  void OnUpstreamChanges(const std::vector<StoredObject>& aObjects);
+  void OnEvacuations(const std::vector<StoredObject>& aObjects, bool aIsList);
+  std::optional<policy::Upstream> Decode(const StoredObject& aObject);
+  void UpdateMembers();
+  void Tick();
+  void Probe(const Steering::ProbeTarget& aTarget);
+  void AwaitSignal();
+  void Reload();
+  void Stop();
+  void ContinueStop();
+  InfoResponse OnReady() const;
+  InfoResponse OnLookup(std::string_view aTarget) const;
+
+  Parts m_parts;
+  asio::io_context m_io{ 1 };
+  Steering m_steering;
+  UpstreamPool m_pool;
+  GatewayMetrics m_metrics;
+  GatewayContext m_context;
+  CallerServer m_callers;
+  PeerLink m_peers;
+  InfoServer m_ready;
+  InfoServer m_lookup;
+  InfoServer m_metricsServer;
+  asio::signal_set m_signals;
+  asio::steady_timer m_tick;
+  asio::steady_timer m_stopTimer;
+  std::uint32_t m_ticks = 0;
+  std::set<std::string> m_evacuated;
+  base::MonotonicTime m_stopStarted;
+};
+
+Gateway::Impl::Impl(Parts aParts)
+  : m_parts(std::move(aParts))
+  , m_steering(m_parts.m_settings, m_parts.m_clock, m_parts.m_log)
+  , m_pool(m_parts.m_clock)
+  , m_context{ m_io,          m_parts.m_settings, m_parts.m_wire, m_parts.m_clock,
+               m_parts.m_log, m_steering,         m_pool,         m_metrics }
+  , m_callers(m_context)
+  , m_peers(m_io,
+            m_parts.m_settings,
+            m_parts.m_clock,
+            m_parts.m_log,
+            { [this] { return m_steering.Quarantine().Strikes(m_parts.m_clock.Monotonic()); },
+              [this](const std::vector<policy::Strike>& aStrikes) {
+                m_steering.Quarantine().Merge(aStrikes, m_parts.m_clock.Monotonic());
+              },
+              [this] { UpdateMembers(); } })
+  , m_ready(m_io, [this](std::string_view) { return OnReady(); })
+  , m_lookup(m_io, [this](std::string_view aTarget) { return OnLookup(aTarget); })
+  , m_metricsServer(m_io,
+                    [this](std::string_view) {
+                      return InfoResponse{ 200, "text/plain", m_metrics.ToText() };
+                    })
+  , m_signals(m_io, SIGTERM, SIGINT, SIGHUP)
+  , m_tick(m_io)
+  , m_stopTimer(m_io)
+{
+}
+
+base::Status Gateway::Impl::Listen()
+{
+  const GatewaySettings& settings = m_parts.m_settings;
+  if (auto status = m_callers.Listen(); !status) {
+    return status;
+  }
+  if (auto status = m_peers.Start(); !status) {
+    return status;
+  }
+  if (!settings.m_readyAddress.empty()) {
+    if (auto status = m_ready.Listen(settings.m_readyAddress); !status) {
+      return status;
+    }
+  }
+  if (!settings.m_lookupAddress.empty()) {
+    if (auto status = m_lookup.Listen(settings.m_lookupAddress); !status) {
+      return status;
+    }
+  }
+  if (!settings.m_metricsAddress.empty()) {
+    return m_metricsServer.Listen(settings.m_metricsAddress);
+  }
+  return base::Success{};
+}
+
+base::Status Gateway::Impl::Run()
+{
+  std::signal(SIGPIPE, SIG_IGN);
+  if (auto status = Listen(); !status) {
+    return status;
+  }
+  m_parts.m_log.Write(base::LogRecord("start")
+                        .Add("zone", m_parts.m_settings.m_zone)
+                        .Add("caller_address", m_parts.m_settings.m_callerAddress)
+                        .Add("store", m_parts.m_settings.m_storeAddress));
+  AwaitSignal();
+  Tick();
+  const StoreSync sync(m_parts.m_settings,
+                       m_parts.m_dialect,
+                       m_parts.m_log,
+                       PeerLink::Describe(m_parts.m_settings),
+                       StoreHooks());
+  m_io.run();
+  m_parts.m_log.Write(base::LogRecord("stop").Add("in_flight", m_metrics.m_inFlight));
+  return base::Success{};
+}
+
+KindWatcher::Hooks Gateway::Impl::Hooks(std::function<void(std::vector<StoredObject>)> aOnList,
+                                        std::function<void(std::vector<StoredObject>)> aOnChanges)
+{
+  // The hooks run on the store's thread and pass their arguments to the request thread.
+  KindWatcher::Hooks hooks;
+  hooks.m_onList = [this, onList = std::move(aOnList)](std::vector<StoredObject> aObjects) {
+    asio::post(m_io,
+               [onList, objects = std::move(aObjects)]() mutable { onList(std::move(objects)); });
+  };
+  hooks.m_onChanges = [this,
+                       onChanges = std::move(aOnChanges)](std::vector<StoredObject> aObjects) {
+    asio::post(m_io, [onChanges, objects = std::move(aObjects)]() mutable {
+      onChanges(std::move(objects));
+    });
+  };
+  hooks.m_onRecovered = [] {};
+  hooks.m_onCall = [this](bool aSucceeded) {
+    asio::post(m_io, [this, aSucceeded] {
+      ++(aSucceeded ? m_metrics.m_storeBatches : m_metrics.m_storeFailures);
+    });
+  };
+  return hooks;
+}
+
+StoreSync::Hooks Gateway::Impl::StoreHooks()
+{
+  const auto onConfigurations = [this](const std::vector<StoredObject>& aObjects) {
+    OnConfigurations(aObjects);
+  };
+  StoreSync::Hooks hooks;
+  hooks.m_configuration = Hooks(onConfigurations, onConfigurations);
+  hooks.m_upstreams =
+    Hooks([this](const std::vector<StoredObject>& aObjects) { OnUpstreamList(aObjects); },
+          [this](const std::vector<StoredObject>& aObjects) { OnUpstreamChanges(aObjects); });
+  hooks.m_upstreams.m_onRecovered = [this] {
+    asio::post(m_io, [this] { m_steering.OnStoreRecovered(); });
+  };
+  hooks.m_evacuations =
+    Hooks([this](const std::vector<StoredObject>& aObjects) { OnEvacuations(aObjects, true); },
+          [this](const std::vector<StoredObject>& aObjects) { OnEvacuations(aObjects, false); });
+  hooks.m_onMembers = [this](std::vector<StoredObject> aObjects) {
+    asio::post(m_io, [this, objects = std::move(aObjects)] {
+      std::vector<Json::Value> members;
+      for (const StoredObject& object : objects) {
+        members.push_back(object.m_value);
+      }
+      m_peers.AddMembers(members);
+      UpdateMembers();
+    });
+  };
+  return hooks;
+}
+
+void Gateway::Impl::UpdateMembers()
+{
+  m_steering.SetMembers(m_peers.Names());
+}
+
+void Gateway::Impl::OnConfigurations(const std::vector<StoredObject>& aObjects)
+{
+  for (const StoredObject& object : aObjects) {
+    if (object.m_deleted) {
+      continue;
+    }
+    auto configuration = m_parts.m_dialect.DecodeConfiguration(object);
+    if (configuration) {
+      m_steering.ApplyConfiguration(std::move(*configuration));
+    } else {
+      m_parts.m_log.Write(base::LogRecord("configuration_rejected")
+                            .Add("object", object.m_name)
+                            .Add("reason", configuration.GetError().Message()));
+    }
+  }
+}
+
+std::optional<policy::Upstream> Gateway::Impl::Decode(const StoredObject& aObject)
+{
+  auto upstream = m_parts.m_dialect.DecodeUpstream(aObject);
+  if (!upstream) {
+    m_parts.m_log.Write(base::LogRecord("upstream_entry_rejected")
+                          .Add("upstream", aObject.m_name)
+                          .Add("reason", upstream.GetError().Message()));
+    return std::nullopt;
+  }
+  const auto region = m_parts.m_settings.m_zones.find(upstream->m_zone);
+  if (region != m_parts.m_settings.m_zones.end()) {
+    upstream->m_region = region->second;
+  }
+  return std::move(*upstream);
+}
+
+void Gateway::Impl::OnUpstreamList(const std::vector<StoredObject>& aObjects)
+{
+  std::vector<policy::Upstream> upstreams;
+  for (const StoredObject& object : aObjects) {
+    if (auto upstream = Decode(object)) {
+      upstreams.push_back(std::move(*upstream));
+    }
+  }
+  m_steering.ReplaceUpstreams(std::move(upstreams));
+}
+
+void Gateway::Impl::OnUpstreamChanges(const std::vector<StoredObject>& aObjects)
+{
+  for (const StoredObject& object : aObjects) {
+    auto upstream = object.m_deleted ? std::nullopt : Decode(object);
+    if (upstream) {
+      m_steering.PutUpstream(std::move(*upstream));
+    } else {
+      m_steering.RemoveUpstream(object.m_name, object.m_revision);
+    }
+  }
+  m_steering.Tick();
+}
+
+void Gateway::Impl::OnEvacuations(const std::vector<StoredObject>& aObjects, bool aIsList)
+{
+  if (aIsList) {
+    m_evacuated.clear();
+  }
+  for (const StoredObject& object : aObjects) {
+    if (object.m_deleted) {
+      m_evacuated.erase(object.m_name);
+    } else {
+      m_evacuated.insert(object.m_name);
+    }
+  }
+  m_steering.SetEvacuations(m_evacuated);
+}
+
+void Gateway::Impl::Tick()
+{
+  m_steering.Tick();
+  for (const Steering::ProbeTarget& target : m_steering.TakeDueProbes()) {
+    Probe(target);
+  }
+  if (++m_ticks % kSweepTicks == 0) {
+    m_pool.Sweep(m_steering.UpstreamIds());
+  }
+  m_tick.expires_after(kTick);
+  m_tick.async_wait([this](const boost::system::error_code& aError) {
+    if (!aError) {
+      Tick();
+    }
+  });
+}
+
+void Gateway::Impl::Probe(const Steering::ProbeTarget& aTarget)
+{
+  if (aTarget.m_healthPath.empty()) {
+    return;
+  }
+  const auto fetch = std::make_shared<HttpFetch>(m_io, aTarget.m_address);
+  fetch->Start({ "GET", aTarget.m_healthPath, {}, kProbeTimeout },
+               [this, id = aTarget.m_id](const FetchResponse& aResponse) {
+                 const auto health =
+                   m_parts.m_wire.m_parseHealth(aResponse.m_status, aResponse.m_fields);
+                 if (health && health->m_upstream == id) {
+                   m_steering.OnProbed(id, health->m_coldRemaining);
+                 } else if (health) {
+                   m_steering.OnAddressReused(id);
+                 }
+               });
+}
+
+InfoResponse Gateway::Impl::OnReady() const
+{
+  const bool isReady = m_context.m_phase == LifecyclePhase::Serving && m_steering.IsReady();
+  return { isReady ? 200U : 503U, "text/plain", isReady ? "ready\n" : "not ready\n" };
+}
+
+InfoResponse Gateway::Impl::OnLookup(std::string_view aTarget) const
+{
+  const auto place = m_parts.m_wire.m_parseLookup(aTarget);
+  const auto addresses = m_peers.AddressesFor(place.m_zone, place.m_region);
+  if (addresses.empty()) {
+    return { 503, "text/plain", "no running VM is known\n" };
+  }
+  return { 200,
+           "application/json",
+           m_parts.m_wire.m_formatLookup(addresses, m_parts.m_settings.m_lookupLifetime) };
+}
+
+void Gateway::Impl::AwaitSignal()
+{
+  m_signals.async_wait([this](const boost::system::error_code& aError, int aSignal) {
+    if (aError) {
+      return;
+    }
+    if (aSignal == SIGHUP) {
+      Reload();
+    } else if (m_context.m_phase == LifecyclePhase::Serving) {
+      Stop();
+    }
+    AwaitSignal();
+  });
+}
+
+void Gateway::Impl::Reload()
+{
+  const auto settings = m_parts.m_reload();
+  base::LogRecord record("reload");
+  if (settings) {
+    record.Add("outcome", "accepted");
+    // Listening addresses and the VM's place stay as they are until a restart.
+    m_parts.m_settings.m_stopGrace = settings.Value().m_stopGrace;
+    m_parts.m_settings.m_lookupLifetime = settings.Value().m_lookupLifetime;
+    m_parts.m_settings.m_retryShare = settings.Value().m_retryShare;
+    m_parts.m_settings.m_retrySlack = settings.Value().m_retrySlack;
+    m_parts.m_settings.m_coldFactor = settings.Value().m_coldFactor;
+    m_parts.m_settings.m_coldSlack = settings.Value().m_coldSlack;
+  } else {
+    record.Add("outcome", "rejected").Add("reason", settings.GetError().Message());
+  }
+  m_parts.m_log.Write(record);
+}
+
+void Gateway::Impl::Stop()
+{
+  m_parts.m_log.Write(base::LogRecord("stopping").Add("in_flight", m_metrics.m_inFlight));
+  m_context.m_phase = LifecyclePhase::Draining;
+  m_stopStarted = m_parts.m_clock.Monotonic();
+  m_peers.AnnounceLeaving();
+  ContinueStop();
+}
+
+void Gateway::Impl::ContinueStop()
+{
+  const auto elapsed = m_parts.m_clock.Monotonic() - m_stopStarted;
+  const auto grace = m_parts.m_settings.m_stopGrace;
+  if (elapsed >= grace * kStopAccepting) {
+    m_callers.StopAccepting();
+    m_context.m_phase = LifecyclePhase::Closing;
+  }
+  if (elapsed >= grace * kCloseIdle) {
+    m_callers.CloseIdle();
+  }
+  const bool isDone =
+    m_context.m_phase == LifecyclePhase::Closing && m_callers.ConnectionCount() == 0;
+  if (isDone || elapsed >= grace * kEnd) {
+    m_io.stop();
+    return;
+  }
+  m_stopTimer.expires_after(kTick / 2);
+  m_stopTimer.async_wait([this](const boost::system::error_code& aError) {
+    if (!aError) {
+      ContinueStop();
+    }
+  });
+}
+
+Gateway::Gateway(Parts aParts)
+  : m_impl(std::make_unique<Impl>(std::move(aParts)))
+{
+}
+
+Gateway::~Gateway() = default;
+
+base::Status Gateway::Run()
+{
+  return m_impl->Run();
+}
+
+} // namespace jaylane::gateway
--- /dev/null
+++ b/packages/gateway/src/GatewayContext.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "GatewayMetrics.h"
+#include "Steering.h"
+#include "UpstreamPool.h"
+#include "jaylane/gateway/WireProfile.h"
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+
+namespace jaylane::gateway {
+
+/// Progress of a planned stop.
+enum class LifecyclePhase
+{
+  Serving,
+  /// Requests are served, and connections are closed behind their responses.
+  Draining,
+  /// New requests are rejected, those in flight finish.
+  Closing,
+};
+
+/// What the parts of the request thread share.
+struct GatewayContext
+{
+  boost::asio::io_context& m_io;
+  const GatewaySettings& m_settings;
+  const WireProfile& m_wire;
+  const base::Clock& m_clock;
+  base::AsyncLog& m_log;
+  Steering& m_steering;
+  UpstreamPool& m_pool;
+  GatewayMetrics& m_metrics;
+  LifecyclePhase m_phase = LifecyclePhase::Serving;
+};
+
+} // namespace jaylane::gateway
--- /dev/null
+++ b/packages/gateway/src/GatewayMetrics.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "jaylane/base/LatencyHistogram.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace jaylane::gateway {
+
+/// Counters and latencies of one process. Used by the request thread only.
+struct GatewayMetrics
+{
+  /// Finished requests by outcome.
+  std::map<std::string, std::uint64_t> m_outcomes;
+  std::uint64_t m_attempts = 0;
+  std::uint64_t m_retries = 0;
+  std::uint64_t m_callerConnections = 0;
+  std::uint64_t m_inFlight = 0;
+  std::uint64_t m_storeBatches = 0;
+  std::uint64_t m_storeFailures = 0;
+  base::LatencyHistogram m_requestLatency;
+  base::LatencyHistogram m_upstreamLatency;
+
+  /// @return the metrics in the text format "name{label} value", one a line.
+  std::string ToText() const;
+};
+
+} // namespace jaylane::gateway
--- /dev/null
+++ b/packages/gateway/src/HttpFetch.cpp
@@ -0,0 +1,157 @@
+#include "HttpFetch.h"
+
+#include "SocketOptions.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <fmt/format.h>
+
+namespace jaylane::gateway {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+constexpr std::size_t kReadBytes = 16 * 1024;
+/// A list of objects is about one megabyte at most.
+constexpr std::uint64_t kMaxBodyBytes = 16ULL << 20;
+
+} // namespace
+
+HttpFetch::HttpFetch(asio::io_context& aIo, std::string aAddress)
+  : m_io(aIo)
+  , m_address(std::move(aAddress))
+  , m_socket(aIo)
+  , m_timer(aIo)
+{
+}
+
+void HttpFetch::Start(FetchRequest aRequest, Done aDone)
+{
+  m_request = std::move(aRequest);
+  m_done = std::move(aDone);
+  ++m_exchange;
+  m_timer.expires_after(m_request.m_timeout);
+  m_timer.async_wait(
+    [self = shared_from_this(), exchange = m_exchange](const boost::system::error_code& aError) {
+      if (!aError && exchange == self->m_exchange) {
+        self->Finish({});
+      }
+    });
+  if (m_socket.is_open() && IsIdleAndOpen(m_socket)) {
+    Send();
+  } else {
+    Connect();
+  }
+}
+
+void HttpFetch::Close()
+{
+  ++m_exchange;
+  m_done = nullptr;
+  m_timer.cancel();
+  boost::system::error_code ignored;
+  m_socket.close(ignored);
+  m_buffer.clear();
+}
+
+void HttpFetch::Connect()
+{
+  boost::system::error_code ignored;
+  m_socket.close(ignored);
+  m_buffer.clear();
+  const auto endpoint = ParseEndpoint(m_address);
+  if (!endpoint) {
+    asio::post(m_io, [self = shared_from_this()] { self->Finish({}); });
+    return;
+  }
+  m_socket.async_connect(
+    *endpoint,
+    [self = shared_from_this(), exchange = m_exchange](const boost::system::error_code& aError) {
+      if (exchange != self->m_exchange) {
+        return;
+      }
+      if (aError) {
+        self->Finish({});
+        return;
+      }
+      SetSilenceLimits(self->m_socket, {});
+      self->Send();
+    });
+}
+
+void HttpFetch::Send()
+{
+  m_text = fmt::format(
+    "{} {} HTTP/1.1\r\nHost: {}\r\n", m_request.m_method, m_request.m_target, m_address);
+  if (!m_request.m_body.empty()) {
+    m_text += fmt::format("Content-Type: application/json\r\nContent-Length: {}\r\n",
+                          m_request.m_body.size());
+  }
+  m_text += "\r\n";
+  m_text += m_request.m_body;
+  m_parser.emplace();
+  m_parser->eager(true);
+  m_parser->body_limit(kMaxBodyBytes);
+  asio::async_write(m_socket,
+                    asio::buffer(m_text),
+                    [self = shared_from_this()](const boost::system::error_code&, std::size_t) {});
+  Read();
+}
+
+void HttpFetch::Read()
+{
+  m_socket.async_read_some(m_buffer.prepare(kReadBytes),
+                           [self = shared_from_this(), exchange = m_exchange](
+                             const boost::system::error_code& aError, std::size_t aBytes) {
+                             if (exchange == self->m_exchange) {
+                               self->OnRead(aError, aBytes);
+                             }
+                           });
+}
+
+void HttpFetch::OnRead(const boost::system::error_code& aError, std::size_t aBytes)
+{
+  if (aError) {
+    Finish({});
+    return;
+  }
+  m_buffer.commit(aBytes);
+  while (m_buffer.size() > 0 && !m_parser->is_done()) {
+    boost::system::error_code error;
+    m_buffer.consume(m_parser->put(m_buffer.data(), error));
+    if (error == http::error::need_more) {
+      break;
+    }
+    if (error) {
+      Finish({});
+      return;
+    }
+  }
+  if (!m_parser->is_done()) {
+    Read();
+    return;
+  }
+  auto message = m_parser->release();
+  FetchResponse response{ message.result_int(), std::move(message.body()), std::move(message) };
+  if (!response.m_fields.count(http::field::connection) && m_buffer.size() == 0) {
+    ++m_exchange;
+    m_timer.cancel();
+    const Done done = std::move(m_done);
+    done(std::move(response));
+    return;
+  }
+  Finish(std::move(response));
+}
+
+void HttpFetch::Finish(FetchResponse aResponse)
+{
+  const Done done = std::move(m_done);
+  Close();
+  if (done) {
+    done(std::move(aResponse));
+  }
+}
+
+} // namespace jaylane::gateway
--- /dev/null
+++ b/packages/gateway/src/InfoServer.cpp
@@ -0,0 +1,150 @@
+#include "InfoServer.h"
+
+#include "Listen.h"
+#include "SocketOptions.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <fmt/format.h>
+#include <memory>
+#include <optional>
+
+namespace jaylane::gateway {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+/// Requests here are a few hundred bytes.
+constexpr std::uint32_t kMaxHeaderBytes = 8 * 1024;
+constexpr std::uint64_t kMaxBodyBytes = 1024;
+constexpr std::size_t kReadBytes = 1024;
+constexpr std::chrono::seconds kIdleLimit{ 30 };
+
+/// One connection: requests are answered one after the other.
+class Session : public std::enable_shared_from_this<Session>
+{
+public:
+  Session(asio::io_context& aIo, asio::ip::tcp::socket aSocket, const InfoServer::Handler& aHandler)
+    : m_socket(std::move(aSocket))
+    , m_timer(aIo)
+    , m_handler(aHandler)
+  {
+  }
+
+  void Read()
+  {
+    if (!m_parser) {
+      m_parser.emplace();
+      m_parser->eager(true);
+      m_parser->header_limit(kMaxHeaderBytes);
+      m_parser->body_limit(kMaxBodyBytes);
+    }
+    m_timer.expires_after(kIdleLimit);
+    m_timer.async_wait([weak = weak_from_this()](const boost::system::error_code& aError) {
+      const auto self = weak.lock();
+      if (!aError && self) {
+        boost::system::error_code ignored;
+        self->m_socket.close(ignored);
+      }
+    });
+    m_socket.async_read_some(
+      m_buffer.prepare(kReadBytes),
+      [self = shared_from_this()](const boost::system::error_code& aError, std::size_t aBytes) {
+        if (!aError) {
+          self->m_buffer.commit(aBytes);
+          self->Parse();
+        }
+      });
+  }
+
+private:
+  void Parse()
+  {
+    boost::system::error_code error;
+    m_buffer.consume(m_parser->put(m_buffer.data(), error));
+    if (error && error != http::error::need_more) {
+      return;
+    }
+    if (m_parser->is_done()) {
+      Respond();
+    } else {
+      Read();
+    }
+  }
+
+  void Respond()
+  {
+    const auto& request = m_parser->get();
+    const InfoResponse response = m_handler({ request.target().data(), request.target().size() });
+    const bool isKept = request.keep_alive();
+    m_text = fmt::format("HTTP/1.1 {} {}\r\nContent-Type: {}\r\nContent-Length: {}\r\n{}\r\n{}",
+                         response.m_status,
+                         response.m_status == 200 ? "OK" : "Unavailable",
+                         response.m_contentType,
+                         response.m_body.size(),
+                         isKept ? "" : "Connection: close\r\n",
+                         response.m_body);
+    m_parser.reset();
+    asio::async_write(
+      m_socket,
+      asio::buffer(m_text),
+      [self = shared_from_this(), isKept](const boost::system::error_code& aError, std::size_t) {
+        if (!aError && isKept) {
+          self->Read();
+        }
+      });
+  }
+
+  asio::ip::tcp::socket m_socket;
+  asio::steady_timer m_timer;
+  InfoServer::Handler m_handler;
+  boost::beast::flat_buffer m_buffer;
+  std::optional<http::request_parser<http::string_body>> m_parser;
+  std::string m_text;
+};
+
+} // namespace
+
+InfoServer::InfoServer(asio::io_context& aIo, Handler aHandler)
+  : m_io(aIo)
+  , m_handler(std::move(aHandler))
+  , m_acceptor(aIo)
+{
+}
+
+base::Status InfoServer::Listen(const std::string& aAddress)
+{
+  const base::Status status = ListenOn(m_acceptor, aAddress);
+  if (status) {
+    Accept();
+  }
+  return status;
+}
+
+void InfoServer::Accept()
+{
+  m_acceptor.async_accept(
+    [this](const boost::system::error_code& aError, asio::ip::tcp::socket aSocket) {
+      if (!m_acceptor.is_open()) {
+        return;
+      }
+      if (!aError) {
+        SetSilenceLimits(aSocket, {});
+        std::make_shared<Session>(m_io, std::move(aSocket), m_handler)->Read();
+      }
+      Accept();
+    });
+}
+
+void InfoServer::Close()
+{
+  boost::system::error_code ignored;
+  m_acceptor.close(ignored);
+}
+
+} // namespace jaylane::gateway
--- /dev/null
+++ b/packages/gateway/src/InfoServer.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "jaylane/base/Error.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <functional>
+#include <string>
+
+namespace jaylane::gateway {
+
+/// A small response that is known at once.
+struct InfoResponse
+{
+  unsigned m_status = 200;
+  const char* m_contentType = "text/plain";
+  std::string m_body;
+};
+
+/// Serves GET requests whose responses need no waiting: readiness, lookups, metrics.
+class InfoServer
+{
+public:
+  /// @param aTarget request target.
+  using Handler = std::function<InfoResponse(std::string_view aTarget)>;
+
+  InfoServer(boost::asio::io_context& aIo, Handler aHandler);
+
+  base::Status Listen(const std::string& aAddress);
+  void Close();
+
+private:
+  void Accept();
+
+  boost::asio::io_context& m_io;
+  Handler m_handler;
+  boost::asio::ip::tcp::acceptor m_acceptor;
+};
+
+} // namespace jaylane::gateway
--- /dev/null
+++ b/packages/gateway/src/Listen.cpp
@@ -0,0 +1,38 @@
+#include "Listen.h"
+
+#include "SocketOptions.h"
+#include "jaylane/gateway/GatewayError.h"
+
+namespace jaylane::gateway {
+
+namespace {
+
+/// Connections that may wait to be accepted; beyond, the kernel drops their first packet and the
+/// caller loses seconds.
+constexpr int kBacklog = 1024;
+
+} // namespace
+
+base::Status ListenOn(boost::asio::ip::tcp::acceptor& aAcceptor, const std::string& aAddress)
+{
+  const auto endpoint = ParseEndpoint(aAddress);
+  if (!endpoint) {
+    return base::Error{ make_error_code(GatewayErrc::ListenFailed), aAddress };
+  }
+  boost::system::error_code error;
+  aAcceptor.open(endpoint->protocol(), error);
+  if (!error) {
+    aAcceptor.set_option(boost::asio::socket_base::reuse_address(true), error);
+    aAcceptor.bind(*endpoint, error);
+  }
+  if (!error) {
+    aAcceptor.listen(kBacklog, error);
+  }
+  if (error) {
+    return base::Error{ make_error_code(GatewayErrc::ListenFailed),
+                        std::string{ aAddress }.append(": ").append(error.message()) };
+  }
+  return base::Success{};
+}
+
+} // namespace jaylane::gateway
--- /dev/null
+++ b/packages/gateway/src/PeerLink.cpp
@@ -0,0 +1,332 @@
+#include "PeerLink.h"
+
+#include "SocketOptions.h"
+#include "jaylane/base/JsonText.h"
+#include "jaylane/gateway/GatewayError.h"
+
+#include <algorithm>
+#include <charconv>
+#include <fmt/format.h>
+
+namespace jaylane::gateway {
+
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::udp;
+using std::chrono::milliseconds;
+
+/// Time between messages, and silence after which a VM is left out of lookups: three messages may
+/// be lost before.
+constexpr milliseconds kInterval{ 400 };
+constexpr milliseconds kSilence{ 1800 };
+/// VMs of other regions that get each message.
+constexpr std::size_t kOthers = 2;
+/// VMs of the own region that get each message at most.
+constexpr std::size_t kMostInRegion = 12;
+/// Rounds in which seeds are told of this VM, in case the store is away.
+constexpr std::uint32_t kSeedRounds = 20;
+/// Strikes a message; more would not fit into a datagram.
+constexpr std::size_t kStrikesPerMessage = 24;
+
+std::string ToHex(std::uint64_t aValue)
+{
+  return fmt::format("{:x}", aValue);
+}
+
+std::uint64_t FromHex(const Json::Value& aValue)
+{
+  std::uint64_t value = 0;
+  if (aValue.isString()) {
+    const std::string text = aValue.asString();
+    std::from_chars(text.data(), text.data() + text.size(), value, 16);
+  }
+  return value;
+}
+
+Json::Value ToJson(const policy::Strike& aStrike)
+{
+  Json::Value json(Json::arrayValue);
+  json.append(ToHex(aStrike.m_fingerprint.m_high));
+  json.append(ToHex(aStrike.m_fingerprint.m_low));
+  json.append(ToHex(aStrike.m_id));
+  json.append(ToHex(aStrike.m_upstream));
+  json.append(Json::Int64{ aStrike.m_remaining.count() });
+  json.append((aStrike.m_correlated ? 1 : 0) + (aStrike.m_cleared ? 2 : 0));
+  return json;
+}
+
+std::vector<policy::Strike> StrikesFrom(const Json::Value& aJson)
+{
+  std::vector<policy::Strike> strikes;
+  if (!aJson.isArray()) {
+    return strikes;
+  }
+  for (const Json::Value& entry : aJson) {
+    if (!entry.isArray() || entry.size() != 6 || !entry[4].isInt64() || !entry[5].isInt()) {
+      continue;
+    }
+    policy::Strike strike;
+    strike.m_fingerprint = { FromHex(entry[0]), FromHex(entry[1]) };
+    strike.m_id = FromHex(entry[2]);
+    strike.m_upstream = FromHex(entry[3]);
+    strike.m_remaining = milliseconds{ entry[4].asInt64() };
+    strike.m_correlated = (entry[5].asInt() & 1) != 0;
+    strike.m_cleared = (entry[5].asInt() & 2) != 0;
+    strikes.push_back(strike);
+  }
+  return strikes;
+}
+
+std::optional<udp::endpoint> UdpEndpoint(std::string_view aText)
+{
+  const auto endpoint = ParseEndpoint(aText);
+  if (!endpoint) {
+    return std::nullopt;
+  }
+  return udp::endpoint{ endpoint->address(), endpoint->port() };
+}
+
+std::string TextOf(const Json::Value& aObject, const char* aKey)
+{
+  const Json::Value& value = aObject[aKey];
+  return value.isString() ? value.asString() : std::string{};
+}
+
+} // namespace
+
+PeerLink::PeerLink(asio::io_context& aIo,
+                   const GatewaySettings& aSettings,
+                   const base::Clock& aClock,
+                   base::AsyncLog& aLog,
+                   Hooks aHooks)
+  : m_settings(aSettings)
+  , m_clock(aClock)
+  , m_log(aLog)
+  , m_hooks(std::move(aHooks))
+  , m_socket(aIo)
+  , m_timer(aIo)
+  , m_random(std::random_device{}())
+{
+}
+
+Json::Value PeerLink::Describe(const GatewaySettings& aSettings)
+{
+  Json::Value description(Json::objectValue);
+  description["name"] = aSettings.m_name;
+  description["zone"] = aSettings.m_zone;
+  description["region"] = aSettings.m_region;
+  description["caller_address"] = aSettings.m_callerAddress;
+  description["peer_address"] = aSettings.m_peerAddress;
+  return description;
+}
+
+base::Status PeerLink::Start()
+{
+  const auto own = UdpEndpoint(m_settings.m_peerAddress);
+  boost::system::error_code error = asio::error::invalid_argument;
+  if (own) {
+    m_socket.open(own->protocol(), error);
+  }
+  if (!error) {
+    m_socket.bind(*own, error);
+  }
+  if (error) {
+    return base::Error{ make_error_code(GatewayErrc::ListenFailed),
+                        std::string{ m_settings.m_peerAddress }.append(": ").append(
+                          error.message()) };
+  }
+  m_socket.non_blocking(true, error);
+  for (const std::string& seed : m_settings.m_seeds) {
+    // Seeds are named by another port of the VM; the peer port is the same on all.
+    if (const auto endpoint = UdpEndpoint(seed);
+        endpoint && endpoint->address() != own->address()) {
+      m_seeds.emplace_back(endpoint->address(), own->port());
+    }
+  }
+  Receive();
+  SendRound();
+  return base::Success{};
+}
+
+void PeerLink::AddMembers(const std::vector<Json::Value>& aMembers)
+{
+  for (const Json::Value& member : aMembers) {
+    if (!member.isObject()) {
+      continue;
+    }
+    if (const auto endpoint = UdpEndpoint(TextOf(member, "peer_address"))) {
+      Learn(member, *endpoint, false);
+    }
+  }
+}
+
+void PeerLink::Learn(const Json::Value& aDescription,
+                     const udp::endpoint& aEndpoint,
+                     bool aIsDirect)
+{
+  const std::string name = TextOf(aDescription, "name");
+  if (name.empty() || name == m_settings.m_name) {
+    return;
+  }
+  const auto [entry, isNew] = m_peers.try_emplace(name);
+  Peer& peer = entry->second;
+  if (!isNew && !aIsDirect) {
+    return;
+  }
+  const bool wasRunning = !isNew && IsRunning(peer);
+  peer.m_name = name;
+  peer.m_zone = TextOf(aDescription, "zone");
+  peer.m_region = TextOf(aDescription, "region");
+  peer.m_callerAddress = TextOf(aDescription, "caller_address");
+  peer.m_endpoint = aEndpoint;
+  if (aIsDirect) {
+    peer.m_heard = m_clock.Monotonic();
+    peer.m_hasBeenHeard = true;
+    peer.m_leaving = aDescription["leaving"].isBool() && aDescription["leaving"].asBool();
+  }
+  if (wasRunning != IsRunning(peer)) {
+    m_log.Write(base::LogRecord("peer")
+                  .Add("peer", name)
+                  .Add("state", IsRunning(peer) ? "running" : "leaving"));
+  }
+  if (isNew) {
+    m_hooks.m_onNewPeer();
+  }
+}
+
+void PeerLink::Receive()
+{
+  m_socket.async_receive_from(asio::buffer(m_received),
+                              m_sender,
+                              [this](const boost::system::error_code& aError, std::size_t aBytes) {
+                                if (aError == asio::error::operation_aborted) {
+                                  return;
+                                }
+                                if (!aError) {
+                                  OnMessage(aBytes);
+                                }
+                                Receive();
+                              });
+}
+
+void PeerLink::OnMessage(std::size_t aBytes)
+{
+  const auto message = base::ParseJson({ m_received.data(), aBytes });
+  if (!message || !message->isObject() || TextOf(*message, "method") != "announce" ||
+      !(*message)["params"].isObject()) {
+    return;
+  }
+  const Json::Value& params = (*message)["params"];
+  Learn(params, m_sender, true);
+  m_hooks.m_onStrikes(StrikesFrom(params["strikes"]));
+}
+
+std::string PeerLink::Message() const
+{
+  Json::Value message(Json::objectValue);
+  message["jsonrpc"] = "2.0";
+  message["method"] = "announce";
+  Json::Value params = Describe(m_settings);
+  params["leaving"] = m_leaving;
+  Json::Value strikes(Json::arrayValue);
+  for (const policy::Strike& strike : m_hooks.m_strikes()) {
+    if (strikes.size() < kStrikesPerMessage) {
+      strikes.append(ToJson(strike));
+    }
+  }
+  params["strikes"] = strikes;
+  message["params"] = params;
+  return base::WriteJson(message);
+}
+
+void PeerLink::SendTo(const std::string& aMessage, const udp::endpoint& aEndpoint)
+{
+  boost::system::error_code ignored; // Datagrams may be lost anyway; the next round repeats it.
+  m_socket.send_to(asio::buffer(aMessage), aEndpoint, 0, ignored);
+}
+
+void PeerLink::SendRound()
+{
+  const std::string message = Message();
+  std::vector<const Peer*> region;
+  std::vector<const Peer*> others;
+  for (const auto& [name, peer] : m_peers) {
+    (peer.m_region == m_settings.m_region ? region : others).push_back(&peer);
+  }
+  std::ranges::shuffle(region, m_random);
+  std::ranges::shuffle(others, m_random);
+  region.resize(std::min(region.size(), kMostInRegion));
+  others.resize(std::min(others.size(), kOthers));
+  for (const auto* group : { &region, &others }) {
+    for (const Peer* peer : *group) {
+      SendTo(message, peer->m_endpoint);
+    }
+  }
+  if (m_rounds++ < kSeedRounds) {
+    for (const udp::endpoint& seed : m_seeds) {
+      SendTo(message, seed);
+    }
+  }
+  ScheduleSend();
+}
+
+void PeerLink::ScheduleSend()
+{
+  m_timer.expires_after(kInterval);
+  m_timer.async_wait([this](const boost::system::error_code& aError) {
+    if (!aError) {
+      SendRound();
+    }
+  });
+}
+
+void PeerLink::AnnounceLeaving()
+{
+  m_leaving = true;
+  SendRound();
+}
+
+bool PeerLink::IsRunning(const Peer& aPeer) const
+{
+  return aPeer.m_hasBeenHeard && !aPeer.m_leaving && m_clock.Monotonic() - aPeer.m_heard < kSilence;
+}
+
+std::vector<std::string> PeerLink::AddressesFor(const std::string& aZone,
+                                                const std::string& aRegion) const
+{
+  const auto collect = [this](const auto& aMatches) {
+    std::vector<std::string> addresses;
+    if (!m_leaving && aMatches(m_settings.m_zone, m_settings.m_region)) {
+      addresses.push_back(m_settings.m_callerAddress);
+    }
+    for (const auto& [name, peer] : m_peers) {
+      if (IsRunning(peer) && aMatches(peer.m_zone, peer.m_region)) {
+        addresses.push_back(peer.m_callerAddress);
+      }
+    }
+    return addresses;
+  };
+  auto addresses =
+    collect([&](const std::string& aOther, const std::string&) { return aOther == aZone; });
+  if (addresses.empty()) {
+    addresses =
+      collect([&](const std::string&, const std::string& aOther) { return aOther == aRegion; });
+  }
+  if (addresses.empty()) {
+    addresses = collect(
+      [&](const std::string& aOther, const std::string&) { return aOther == m_settings.m_zone; });
+  }
+  return addresses;
+}
+
+std::set<std::string> PeerLink::Names() const
+{
+  std::set<std::string> names{ m_settings.m_name };
+  for (const auto& [name, peer] : m_peers) {
+    names.insert(name);
+  }
+  return names;
+}
+
+} // namespace jaylane::gateway
--- /dev/null
+++ b/packages/gateway/src/RequestExchange.cpp
@@ -0,0 +1,343 @@
+#include "RequestExchange.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <xxhash.h>
+
+namespace jaylane::gateway {
+
+namespace {
+
+using policy::AttemptFailure;
+using policy::RequestKind;
+using policy::ServiceBalancer;
+using std::chrono::milliseconds;
+
+/// Attempts that reached no upstream do not count against the route's attempts, but end here.
+constexpr std::uint32_t kMaxUnreachable = 3;
+/// An upstream that respects its time limit responds by itself; this much later it does not.
+constexpr milliseconds kDeadlineGrace{ 60 };
+/// Time limit of requests without any.
+constexpr milliseconds kLongestTimeout{ 60'000 };
+/// Callers return after at most this part of their remaining time.
+constexpr int kRetryAfterPart = 3;
+constexpr milliseconds kShortestRetryAfter{ 100 };
+
+std::uint64_t HashOf(std::string_view aText)
+{
+  return XXH64(aText.data(), aText.size(), 0);
+}
+
+bool IsServerFailure(unsigned aStatus)
+{
+  return aStatus >= 500;
+}
+
+} // namespace
+
+RequestExchange::RequestExchange(GatewayContext& aContext,
+                                 CallerRequest aRequest,
+                                 std::function<void()> aOnResponse)
+  : m_context(aContext)
+  , m_request(std::make_shared<CallerRequest>(std::move(aRequest)))
+  , m_onResponse(std::move(aOnResponse))
+  , m_routes(aContext.m_steering.Routes())
+  , m_timer(aContext.m_io)
+{
+}
+
+void RequestExchange::Start()
+{
+  ++m_context.m_metrics.m_inFlight;
+  if (m_context.m_phase == LifecyclePhase::Closing) {
+    Reject("stopping", milliseconds{ 0 });
+  } else if (!m_routes || !m_context.m_steering.IsReady()) {
+    Reject("no_configuration", kShortestRetryAfter * 5);
+  } else if (FindDestination()) {
+    StartTimer();
+    TryUpstream();
+  }
+}
+
+bool RequestExchange::FindDestination()
+{
+  m_route = m_routes->Find(m_request->m_host, m_request->m_target);
+  if (!m_route) {
+    Respond(404, "no_route");
+    return false;
+  }
+  m_service = m_routes->NextService(*m_route);
+  if (!m_service) {
+    Reject("no_service", kShortestRetryAfter * 5);
+    return false;
+  }
+  const bool hasAffinity = m_route->m_sticky && !m_request->m_affinityKey.empty();
+  m_key = HashOf(hasAffinity ? m_request->m_affinityKey : m_request->m_id);
+  const milliseconds routeLimit =
+    m_route->m_timeout.count() > 0 ? m_route->m_timeout : kLongestTimeout;
+  m_deadline =
+    m_request->m_receivedAt + std::min(routeLimit, m_request->m_timeout.value_or(routeLimit));
+  if (m_context.m_steering.Quarantine().IsQuarantined(Fingerprint(),
+                                                      m_context.m_clock.Monotonic())) {
+    Reject("quarantined", kLongestTimeout);
+    return false;
+  }
+  m_context.m_steering.Retries(m_service->m_name).OnRequest(m_context.m_clock.Monotonic());
+  return true;
+}
+
+void RequestExchange::StartTimer()
+{
+  m_timer.expires_after(std::max(Remaining(), milliseconds{ 0 }) + kDeadlineGrace);
+  m_timer.async_wait([self = shared_from_this()](const boost::system::error_code& aError) {
+    if (!aError && !self->m_isDone) {
+      self->OnDeadline();
+    }
+  });
+}
+
+milliseconds RequestExchange::Remaining() const
+{
+  return std::chrono::duration_cast<milliseconds>(m_deadline - m_context.m_clock.Monotonic());
+}
+
+bool RequestExchange::IsReturned() const
+{
+  // A caller that was rejected comes back with what is left of its time; others allow more than
+  // the route does.
+  return m_request->m_timeout && *m_request->m_timeout < m_route->m_timeout;
+}
+
+policy::RequestFingerprint RequestExchange::Fingerprint() const
+{
+  return policy::RequestFingerprint::Of(
+    m_service->m_name, m_request->m_method, m_request->m_target, HashOf(m_request->m_body));
+}
+
+ServiceBalancer::Query RequestExchange::MakeQuery() const
+{
+  ServiceBalancer::Query query;
+  query.m_key = m_key;
+  query.m_hasAffinity = m_route->m_sticky && !m_request->m_affinityKey.empty();
+  query.m_allowedRegions = &m_route->m_allowedRegions;
+  query.m_tried = &m_tried;
+  query.m_remaining = Remaining();
+  query.m_targetLatency = m_route->m_targetLatency;
+  query.m_returned = IsReturned();
+  return query;
+}
+
+void RequestExchange::TryUpstream()
+{
+  ServiceBalancer& balancer = m_context.m_steering.Balancer(m_service->m_name);
+  const ServiceBalancer::Choice choice =
+    balancer.Choose(MakeQuery(), m_context.m_clock.Monotonic());
+  if (choice.m_verdict == ServiceBalancer::Verdict::Send) {
+    SendTo(choice);
+  } else if (m_failureResponse) {
+    Finish(std::move(*m_failureResponse), "upstream_failure");
+  } else if (m_mayHaveRun) {
+    Respond(502, "upstream_lost");
+  } else {
+    Reject(choice.m_verdict == ServiceBalancer::Verdict::Overloaded ? "overloaded" : "no_upstream",
+           RetryAfter(choice.m_expected));
+  }
+}
+
+void RequestExchange::SendTo(const ServiceBalancer::Choice& aChoice)
+{
+  const ServiceBalancer::Query query = MakeQuery();
+  const std::string& upstream = aChoice.m_upstream->m_id;
+  m_tried.push_back(upstream);
+  ++m_context.m_metrics.m_attempts;
+  m_context.m_log.Write(base::LogRecord("attempt")
+                          .Add("id", m_request->m_id)
+                          .Add("upstream", upstream)
+                          .Add("rank", aChoice.m_rank)
+                          .Add("cold", aChoice.m_isCold ? 1 : 0)
+                          .Add("expected_ms", aChoice.m_expected)
+                          .Add("remaining_ms", Remaining())
+                          .Add("config", m_routes->Config().m_version)
+                          .Add("entry_revision", aChoice.m_upstream->m_revision));
+  m_context.m_steering.Balancer(m_service->m_name)
+    .OnSent(upstream, query, m_context.m_clock.Monotonic());
+  m_attempt = std::make_shared<UpstreamAttempt>(
+    UpstreamAttempt::Parts{ m_context.m_io, m_context.m_pool, m_context.m_clock, m_context.m_wire },
+    *aChoice.m_upstream,
+    m_request,
+    Remaining(),
+    [self = shared_from_this(), query](AttemptResult aResult) {
+      self->OnAttemptEnd(query, std::move(aResult));
+    });
+  m_attempt->Start();
+}
+
+void RequestExchange::OnAttemptEnd(const ServiceBalancer::Query& aQuery, AttemptResult aResult)
+{
+  const auto now = m_context.m_clock.Monotonic();
+  const std::string upstream = m_attempt->UpstreamId();
+  ServiceBalancer& balancer = m_context.m_steering.Balancer(m_service->m_name);
+  m_sends += m_attempt->WasSent() ? 1 : 0;
+  m_attempt.reset();
+  m_context.m_metrics.m_upstreamLatency.Record(aResult.m_latency);
+  if (aResult.m_failure) {
+    balancer.OnFailure(upstream, *aResult.m_failure, aResult.m_load, now);
+    if (aResult.m_response.m_status == 421) {
+      m_context.m_steering.OnAddressReused(upstream);
+    }
+    if (*aResult.m_failure == AttemptFailure::Unreachable) {
+      ++m_unreachable;
+      m_context.m_steering.OnUnreachable(upstream);
+    }
+    if (aResult.m_endedSilently) {
+      m_context.m_steering.Quarantine().RecordLoss(
+        Fingerprint(), policy::QuarantineList::HashUpstream(upstream, {}), now);
+    }
+    OnAttemptFailure(std::move(aResult));
+    return;
+  }
+  if (IsServerFailure(aResult.m_response.m_status)) {
+    balancer.OnFailure(upstream, AttemptFailure::Error, aResult.m_load, now);
+    m_mayHaveRun = true;
+    m_failureResponse = aResult.m_response;
+    aResult.m_failure = AttemptFailure::Error;
+    OnAttemptFailure(std::move(aResult));
+    return;
+  }
+  balancer.OnResponse(upstream, aQuery, aResult.m_latency, aResult.m_load, now);
+  m_context.m_steering.Quarantine().RecordCompleted(Fingerprint(), now);
+  Finish(std::move(aResult.m_response), "completed");
+}
+
+bool RequestExchange::MayRetry(const AttemptResult& aResult) const
+{
+  const bool isSafe = m_route->m_kind == RequestKind::Idempotent || !m_mayHaveRun;
+  const bool hasAttempts = m_sends < m_route->m_attempts && m_unreachable < kMaxUnreachable;
+  if (!isSafe || !hasAttempts || Remaining().count() <= 0) {
+    return false;
+  }
+  if (aResult.m_failure == AttemptFailure::Unreachable) {
+    return true;
+  }
+  return m_context.m_steering.Retries(m_service->m_name).TryRetry(m_context.m_clock.Monotonic());
+}
+
+void RequestExchange::OnAttemptFailure(AttemptResult aResult)
+{
+  if (aResult.m_failure == AttemptFailure::Lost) {
+    m_mayHaveRun = true;
+  }
+  if (MayRetry(aResult)) {
+    ++m_context.m_metrics.m_retries;
+    TryUpstream();
+  } else if (m_failureResponse) {
+    Finish(std::move(*m_failureResponse), "upstream_failure");
+  } else if (m_mayHaveRun) {
+    Respond(502, "upstream_lost");
+  } else if (aResult.m_failure == AttemptFailure::Rejected) {
+    Reject("upstream_rejected", RetryAfter(m_route->m_targetLatency));
+  } else {
+    Reject("upstream_unreachable", kShortestRetryAfter);
+  }
+}
+
+void RequestExchange::OnDeadline()
+{
+  if (m_attempt) {
+    const std::string upstream = m_attempt->UpstreamId();
+    m_mayHaveRun = m_mayHaveRun || m_attempt->WasSent();
+    m_attempt->Cancel();
+    m_attempt.reset();
+    m_context.m_steering.Balancer(m_service->m_name)
+      .OnFailure(upstream, AttemptFailure::TimedOut, std::nullopt, m_context.m_clock.Monotonic());
+  }
+  Respond(504, "deadline");
+}
+
+milliseconds RequestExchange::RetryAfter(milliseconds aExpected) const
+{
+  // Spread by the id over half to all of the expected wait, so that callers rejected together do
+  // not return together.
+  const auto spread = static_cast<int>(HashOf(m_request->m_id) % 512);
+  const milliseconds wait = aExpected * (512 + spread) / 1024;
+  const milliseconds longest = m_request->m_timeout.value_or(Remaining()) / kRetryAfterPart;
+  return std::max(kShortestRetryAfter, std::min(wait, longest));
+}
+
+void RequestExchange::Reject(std::string_view aReason, milliseconds aRetryAfter)
+{
+  CallerResponse response;
+  response.m_status = 503;
+  response.m_reason = "Service Unavailable";
+  response.m_headerLines =
+    fmt::format("Retry-After: {:.3f}\r\n", std::chrono::duration<double>(aRetryAfter).count());
+  Finish(std::move(response), aReason);
+}
+
+void RequestExchange::Respond(unsigned aStatus, std::string_view aReason)
+{
+  CallerResponse response;
+  response.m_status = aStatus;
+  response.m_reason = aStatus == 404   ? "Not Found"
+                      : aStatus == 502 ? "Bad Gateway"
+                                       : "Gateway Timeout";
+  Finish(std::move(response), aReason);
+}
+
+void RequestExchange::Finish(CallerResponse aResponse, std::string_view aOutcome)
+{
+  if (m_isDone) {
+    return;
+  }
+  m_isDone = true;
+  m_timer.cancel();
+  m_response = std::move(aResponse);
+  if (m_response.m_headerLines.find(m_context.m_wire.m_requestId) == std::string::npos &&
+      !m_request->m_id.empty()) {
+    m_response.m_headerLines.append(m_context.m_wire.m_requestId).append(": ");
+    m_response.m_headerLines.append(m_request->m_id).append("\r\n");
+  }
+  --m_context.m_metrics.m_inFlight;
+  LogEnd(aOutcome);
+  const auto onResponse = std::move(m_onResponse);
+  onResponse();
+}
+
+void RequestExchange::LogEnd(std::string_view aOutcome) const
+{
+  const auto latency = m_context.m_clock.Monotonic() - m_request->m_receivedAt;
+  m_context.m_metrics.m_requestLatency.Record(latency);
+  ++m_context.m_metrics.m_outcomes[std::string(aOutcome)];
+  base::LogRecord record("request");
+  record.Add("id", m_request->m_id)
+    .Add("outcome", aOutcome)
+    .Add("status", m_response.m_status)
+    .Add("latency_ms", latency)
+    .Add("attempts", m_tried.size());
+  if (m_route) {
+    record.Add("route", m_route->m_name).Add("config", m_routes->Config().m_version);
+  }
+  if (m_service) {
+    record.Add("service", m_service->m_name);
+  }
+  m_context.m_log.Write(record);
+}
+
+void RequestExchange::Cancel()
+{
+  if (m_isDone) {
+    return;
+  }
+  m_isDone = true;
+  m_onResponse = nullptr;
+  m_timer.cancel();
+  if (m_attempt) {
+    m_context.m_steering.Balancer(m_service->m_name).OnCancelled(m_attempt->UpstreamId());
+    m_attempt->Cancel();
+    m_attempt.reset();
+  }
+  --m_context.m_metrics.m_inFlight;
+  LogEnd("caller_left");
+}
+
+} // namespace jaylane::gateway
--- /dev/null
+++ b/packages/gateway/src/SocketOptions.cpp
@@ -0,0 +1,55 @@
+#include "SocketOptions.h"
+
+#include <boost/asio/ip/address.hpp>
+#include <charconv>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace jaylane::gateway {
+
+namespace {
+
+void SetOption(int aSocket, int aLevel, int aName, int aValue)
+{
+  ::setsockopt(aSocket, aLevel, aName, &aValue, sizeof aValue);
+}
+
+} // namespace
+
+void SetSilenceLimits(boost::asio::ip::tcp::socket& aSocket, const SilenceLimits& aLimits)
+{
+  const int socket = aSocket.native_handle();
+  SetOption(socket, IPPROTO_TCP, TCP_NODELAY, 1);
+  SetOption(
+    socket, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(aLimits.m_unacknowledged.count()));
+  SetOption(socket, SOL_SOCKET, SO_KEEPALIVE, 1);
+  SetOption(socket, IPPROTO_TCP, TCP_KEEPIDLE, static_cast<int>(aLimits.m_probeAfter.count()));
+  SetOption(socket, IPPROTO_TCP, TCP_KEEPINTVL, static_cast<int>(aLimits.m_probeInterval.count()));
+  SetOption(socket, IPPROTO_TCP, TCP_KEEPCNT, aLimits.m_probes);
+}
+
+std::optional<boost::asio::ip::tcp::endpoint> ParseEndpoint(std::string_view aText)
+{
+  const std::size_t colon = aText.rfind(':');
+  if (colon == std::string_view::npos) {
+    return std::nullopt;
+  }
+  boost::system::error_code error;
+  const auto address = boost::asio::ip::make_address(std::string(aText.substr(0, colon)), error);
+  std::uint16_t port = 0;
+  const char* end = aText.data() + aText.size();
+  const auto parsed = std::from_chars(aText.data() + colon + 1, end, port);
+  if (error || parsed.ec != std::errc{} || parsed.ptr != end) {
+    return std::nullopt;
+  }
+  return boost::asio::ip::tcp::endpoint{ address, port };
+}
+
+bool IsIdleAndOpen(boost::asio::ip::tcp::socket& aSocket)
+{
+  char byte = 0;
+  const ssize_t received = ::recv(aSocket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+} // namespace jaylane::gateway
--- /dev/null
+++ b/packages/gateway/src/Steering.cpp
@@ -0,0 +1,302 @@
+#include "Steering.h"
+
+#include "jaylane/policy/ColdPacer.h"
+
+#include <algorithm>
+#include <random>
+#include <xxhash.h>
+
+namespace jaylane::gateway {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Round trips assumed before any measurement: within a zone, a region, and between regions.
+constexpr milliseconds kZoneRoundTrip{ 1 };
+constexpr milliseconds kRegionRoundTrip{ 3 };
+constexpr milliseconds kOtherRegionRoundTrip{ 60 };
+/// First pause before an unreachable upstream is probed again; doubles up to the longest.
+constexpr milliseconds kFirstProbe{ 300 };
+constexpr milliseconds kLongestProbe{ 2000 };
+/// Parts of the retry bound of all VMs that are handed out. The rest covers VMs that start anew
+/// with a full allowance.
+constexpr double kIssuedRetryShare = 0.75;
+constexpr double kIssuedRetrySlack = 0.6;
+
+policy::QuarantineOptions QuarantineLimits()
+{
+  policy::QuarantineOptions options;
+  options.m_lifetime = std::chrono::seconds{ 60 };
+  return options;
+}
+
+std::uint64_t HashOf(const std::string& aText)
+{
+  return XXH64(aText.data(), aText.size(), 0);
+}
+
+} // namespace
+
+Steering::Steering(const GatewaySettings& aSettings,
+                   const base::Clock& aClock,
+                   base::AsyncLog& aLog)
+  : m_settings(aSettings)
+  , m_clock(aClock)
+  , m_log(aLog)
+  , m_registry({})
+  , m_quarantine(QuarantineLimits(), std::random_device{}())
+{
+}
+
+bool Steering::ApplyConfiguration(policy::Configuration aConfiguration)
+{
+  const std::uint64_t version = aConfiguration.m_version;
+  const std::uint64_t present = m_routes ? m_routes->Config().m_version : 0;
+  const bool isNewer =
+    !m_routes || version > present ||
+    (version == present && aConfiguration.m_revision > m_routes->Config().m_revision);
+  m_log.Write(base::LogRecord("configuration")
+                .Add("version", version)
+                .Add("revision", aConfiguration.m_revision)
+                .Add("present_version", present)
+                .Add("outcome", isNewer ? "in force" : "ignored, older"));
+  if (!isNewer) {
+    return false;
+  }
+  m_routes = std::make_shared<policy::RouteTable>(std::move(aConfiguration));
+  Rebuild();
+  return true;
+}
+
+void Steering::ReplaceUpstreams(std::vector<policy::Upstream> aUpstreams)
+{
+  m_registry.Replace(std::move(aUpstreams), m_clock.Monotonic());
+  m_hasUpstreams = true;
+  Rebuild();
+}
+
+void Steering::PutUpstream(policy::Upstream aUpstream)
+{
+  m_log.Write(base::LogRecord("upstream_changed")
+                .Add("upstream", aUpstream.m_id)
+                .Add("service", aUpstream.m_service)
+                .Add("state", aUpstream.m_draining ? "draining" : "ready")
+                .Add("cold_ms", aUpstream.m_coldRemaining)
+                .Add("revision", aUpstream.m_revision));
+  m_registry.Put(std::move(aUpstream), m_clock.Monotonic());
+}
+
+void Steering::RemoveUpstream(const std::string& aId, std::uint64_t aRevision)
+{
+  m_log.Write(base::LogRecord("upstream_removed").Add("upstream", aId).Add("revision", aRevision));
+  m_registry.Remove(aId, aRevision, m_clock.Monotonic());
+}
+
+void Steering::SetEvacuations(std::set<std::string> aZones)
+{
+  const auto now = m_clock.Monotonic();
+  for (const std::string& zone : m_evacuated) {
+    if (!aZones.contains(zone)) {
+      m_evacuationEnds[zone] = now;
+      m_log.Write(base::LogRecord("evacuation_ended").Add("zone", zone));
+    }
+  }
+  for (const std::string& zone : aZones) {
+    if (!m_evacuated.contains(zone)) {
+      m_log.Write(base::LogRecord("evacuation_started").Add("zone", zone));
+    }
+  }
+  m_evacuated = std::move(aZones);
+  Rebuild();
+}
+
+void Steering::SetMembers(std::set<std::string> aNames)
+{
+  aNames.insert(m_settings.m_name);
+  if (aNames != m_members) {
+    m_members = std::move(aNames);
+    m_retries.clear();
+    Rebuild();
+  }
+}
+
+void Steering::OnStoreRecovered()
+{
+  m_registry.OnStoreRecovered(m_clock.Monotonic());
+}
+
+void Steering::Tick()
+{
+  m_registry.Expire(m_clock.Monotonic());
+  Rebuild();
+}
+
+void Steering::OnUnreachable(const std::string& aId)
+{
+  const auto [entry, isNew] = m_unreachable.try_emplace(aId);
+  if (isNew) {
+    m_log.Write(base::LogRecord("upstream_unreachable").Add("upstream", aId));
+    entry->second = { m_clock.Monotonic() + kFirstProbe, kFirstProbe };
+    Rebuild();
+  }
+}
+
+void Steering::OnProbed(const std::string& aId, milliseconds aColdRemaining)
+{
+  m_log.Write(
+    base::LogRecord("upstream_reachable").Add("upstream", aId).Add("cold_ms", aColdRemaining));
+  m_unreachable.erase(aId);
+  if (aColdRemaining.count() > 0) {
+    m_probedCold[aId] = m_clock.Monotonic() + aColdRemaining;
+  }
+  Rebuild();
+}
+
+void Steering::OnAddressReused(const std::string& aId)
+{
+  m_log.Write(base::LogRecord("upstream_replaced").Add("upstream", aId));
+  m_reused.insert(aId);
+  Rebuild();
+}
+
+std::vector<Steering::ProbeTarget> Steering::TakeDueProbes()
+{
+  std::vector<ProbeTarget> due;
+  const auto now = m_clock.Monotonic();
+  for (auto& [id, state] : m_unreachable) {
+    const auto record = m_registry.Records().find(id);
+    if (now < state.m_nextProbe || record == m_registry.Records().end()) {
+      continue;
+    }
+    state.m_interval = std::min(state.m_interval * 2, kLongestProbe);
+    state.m_nextProbe = now + state.m_interval;
+    due.push_back(
+      { id, record->second.m_upstream.m_address, HealthPath(record->second.m_upstream) });
+  }
+  return due;
+}
+
+std::string Steering::HealthPath(const policy::Upstream& aUpstream) const
+{
+  if (!m_routes) {
+    return {};
+  }
+  const auto service = m_routes->Config().m_services.find(aUpstream.m_service);
+  return service == m_routes->Config().m_services.end() ? std::string{}
+                                                        : service->second.m_healthPath;
+}
+
+policy::ServiceBalancer& Steering::Balancer(const std::string& aService)
+{
+  return m_balancers.try_emplace(aService, policy::BalancerOptions{}, m_settings.m_region)
+    .first->second;
+}
+
+policy::RetryBudget& Steering::Retries(const std::string& aService)
+{
+  const auto existing = m_retries.find(aService);
+  if (existing != m_retries.end()) {
+    return existing->second;
+  }
+  policy::RetryBudget::Options options;
+  options.m_window = m_settings.m_retryWindow;
+  options.m_perMille =
+    static_cast<std::uint32_t>(m_settings.m_retryShare * kIssuedRetryShare * 1000);
+  const auto vms = std::max<std::size_t>(m_members.size(), 1);
+  options.m_floor = static_cast<std::uint32_t>(m_settings.m_retrySlack * kIssuedRetrySlack / vms);
+  return m_retries.emplace(aService, policy::RetryBudget{ options }).first->second;
+}
+
+std::unordered_set<std::string> Steering::UpstreamIds() const
+{
+  std::unordered_set<std::string> ids;
+  for (const auto& [id, record] : m_registry.Records()) {
+    ids.insert(id);
+  }
+  return ids;
+}
+
+milliseconds Steering::Warmup(const std::string& aService) const
+{
+  if (!m_routes) {
+    return milliseconds{ 0 };
+  }
+  const auto service = m_routes->Config().m_services.find(aService);
+  return service == m_routes->Config().m_services.end() ? milliseconds{ 0 }
+                                                        : service->second.m_warmup;
+}
+
+base::MonotonicTime Steering::ColdUntil(const policy::UpstreamRegistry::Record& aRecord) const
+{
+  const policy::Upstream& upstream = aRecord.m_upstream;
+  base::MonotonicTime until = aRecord.m_readAt + upstream.m_coldRemaining;
+  if (const auto probed = m_probedCold.find(upstream.m_id); probed != m_probedCold.end()) {
+    until = std::max(until, probed->second);
+  }
+  // An evacuated zone may have been restarted; its entries report that some time later.
+  if (const auto ended = m_evacuationEnds.find(upstream.m_zone);
+      ended != m_evacuationEnds.end() && aRecord.m_readAt < ended->second) {
+    until = std::max(until, ended->second + Warmup(upstream.m_service));
+  }
+  return until;
+}
+
+milliseconds Steering::ColdSpacing(const policy::Upstream& aUpstream) const
+{
+  if (!m_routes || m_members.empty()) {
+    return milliseconds{ 0 };
+  }
+  const auto service = m_routes->Config().m_services.find(aUpstream.m_service);
+  if (service == m_routes->Config().m_services.end()) {
+    return milliseconds{ 0 };
+  }
+  const std::uint64_t upstream = HashOf(aUpstream.m_id);
+  const auto keyOf = [upstream](const std::string& aMember) {
+    return XXH64(aMember.data(), aMember.size(), upstream);
+  };
+  const std::uint64_t own = keyOf(m_settings.m_name);
+  const auto rank = std::ranges::count_if(
+    m_members, [&](const std::string& aMember) { return keyOf(aMember) < own; });
+  const double perSecond =
+    service->second.m_coldPerSecond * m_settings.m_coldFactor + m_settings.m_coldSlack;
+  return policy::ColdPacer::Spacing(
+    perSecond, static_cast<std::uint32_t>(m_members.size()), static_cast<std::uint32_t>(rank));
+}
+
+milliseconds Steering::RoundTrip(const policy::Upstream& aUpstream) const
+{
+  if (aUpstream.m_zone == m_settings.m_zone) {
+    return kZoneRoundTrip;
+  }
+  return aUpstream.m_region == m_settings.m_region ? kRegionRoundTrip : kOtherRegionRoundTrip;
+}
+
+void Steering::Rebuild()
+{
+  const auto now = m_clock.Monotonic();
+  std::unordered_map<std::string, std::vector<policy::ServiceBalancer::Candidate>> candidates;
+  for (const auto& [id, record] : m_registry.Records()) {
+    const policy::Upstream& upstream = record.m_upstream;
+    auto& list = candidates[upstream.m_service];
+    if (upstream.m_draining || m_evacuated.contains(upstream.m_zone) ||
+        m_unreachable.contains(id) || m_reused.contains(id)) {
+      continue;
+    }
+    list.push_back({ upstream, ColdUntil(record), ColdSpacing(upstream), RoundTrip(upstream) });
+  }
+  for (auto& [service, balancer] : m_balancers) {
+    candidates.try_emplace(service);
+  }
+  for (auto& [service, list] : candidates) {
+    Balancer(service).Update(std::move(list), now);
+  }
+  std::erase_if(m_unreachable, [this](const auto& aEntry) {
+    return !m_registry.Records().contains(aEntry.first);
+  });
+  std::erase_if(m_reused,
+                [this](const std::string& aId) { return !m_registry.Records().contains(aId); });
+  std::erase_if(m_probedCold, [now](const auto& aEntry) { return now >= aEntry.second; });
+}
+
+} // namespace jaylane::gateway
--- /dev/null
+++ b/packages/gateway/src/StoreSync.cpp
@@ -0,0 +1,246 @@
+#include "StoreSync.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace jaylane::gateway {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// A watch ends after this time without a change; a silent connection is noticed at the latest
+/// kWatchSlack after it, and mostly sooner by keep-alive probes.
+constexpr milliseconds kWatchWait{ 10'000 };
+constexpr milliseconds kWatchSlack{ 1500 };
+constexpr milliseconds kListTimeout{ 1500 };
+/// Changes that follow each other closely are fetched by one call.
+constexpr milliseconds kGather{ 250 };
+constexpr milliseconds kFirstBackoff{ 100 };
+constexpr milliseconds kLongestBackoff{ 800 };
+/// Members are listed again this long after the start, when all VMs that start together are
+/// registered, and then seldom: peers tell each other of newcomers.
+constexpr milliseconds kSecondMemberList{ 3000 };
+constexpr milliseconds kMemberList{ 30'000 };
+
+const char* NameOf(ObjectKind aKind)
+{
+  switch (aKind) {
+    case ObjectKind::Configuration:
+      return "configuration";
+    case ObjectKind::Upstreams:
+      return "upstreams";
+    case ObjectKind::Evacuations:
+      return "evacuations";
+    case ObjectKind::Members:
+      return "members";
+  }
+  return "unknown";
+}
+
+} // namespace
+
+KindWatcher::KindWatcher(boost::asio::io_context& aIo,
+                         const GatewaySettings& aSettings,
+                         const StoreDialect& aDialect,
+                         base::AsyncLog& aLog,
+                         ObjectKind aKind,
+                         Hooks aHooks)
+  : m_dialect(aDialect)
+  , m_log(aLog)
+  , m_kind(aKind)
+  , m_hooks(std::move(aHooks))
+  , m_fetch(std::make_shared<HttpFetch>(aIo, aSettings.m_storeAddress))
+  , m_timer(aIo)
+{
+}
+
+void KindWatcher::After(milliseconds aPause, std::function<void()> aNext)
+{
+  m_timer.expires_after(aPause);
+  m_timer.async_wait([next = std::move(aNext)](const boost::system::error_code& aError) {
+    if (!aError) {
+      next();
+    }
+  });
+}
+
+void KindWatcher::List(const std::string& aAfter)
+{
+  if (aAfter.empty()) {
+    m_listed.clear();
+  }
+  m_fetch->Start({ "GET", m_dialect.ListTarget(m_kind, aAfter), {}, kListTimeout },
+                 [this](const FetchResponse& aResponse) { OnListed(aResponse); });
+}
+
+void KindWatcher::OnListed(const FetchResponse& aResponse)
+{
+  base::Result<ObjectBatch> batch =
+    aResponse.m_status == 200
+      ? m_dialect.ParseList(aResponse.m_body)
+      : base::Result<ObjectBatch>(std::make_error_code(std::errc::io_error));
+  if (!batch) {
+    Retry();
+    return;
+  }
+  LogUnreadable(batch->m_unreadable);
+  std::ranges::move(batch->m_objects, std::back_inserter(m_listed));
+  if (batch->m_hasMore && !m_listed.empty()) {
+    List(m_listed.back().m_name);
+    return;
+  }
+  OnSuccess();
+  m_hasList = true;
+  m_revision = batch->m_revision;
+  m_hooks.m_onList(std::move(m_listed));
+  m_listed.clear();
+  Watch();
+}
+
+void KindWatcher::Watch()
+{
+  m_fetch->Start(
+    { "GET", m_dialect.WatchTarget(m_kind, m_revision, kWatchWait), {}, kWatchWait + kWatchSlack },
+    [this](const FetchResponse& aResponse) { OnWatched(aResponse); });
+}
+
+void KindWatcher::OnWatched(const FetchResponse& aResponse)
+{
+  if (aResponse.m_status == 410) {
+    m_log.Write(base::LogRecord("store_history_lost").Add("kind", NameOf(m_kind)));
+    m_hasList = false;
+    List({});
+    return;
+  }
+  base::Result<ObjectBatch> batch =
+    aResponse.m_status == 200
+      ? m_dialect.ParseWatch(aResponse.m_body)
+      : base::Result<ObjectBatch>(std::make_error_code(std::errc::io_error));
+  if (!batch) {
+    Retry();
+    return;
+  }
+  OnSuccess();
+  LogUnreadable(batch->m_unreadable);
+  m_revision = std::max(m_revision, batch->m_revision);
+  if (batch->m_objects.empty()) {
+    Watch();
+    return;
+  }
+  m_hooks.m_onChanges(std::move(batch->m_objects));
+  After(kGather, [this] { Watch(); });
+}
+
+void KindWatcher::OnSuccess()
+{
+  m_hooks.m_onCall(true);
+  m_backoff = milliseconds{ 0 };
+  if (m_hasFailed) {
+    m_hasFailed = false;
+    m_log.Write(base::LogRecord("dependency_regained")
+                  .Add("dependency", "store")
+                  .Add("kind", NameOf(m_kind)));
+    m_hooks.m_onRecovered();
+  }
+}
+
+void KindWatcher::Retry()
+{
+  m_hooks.m_onCall(false);
+  if (!m_hasFailed) {
+    m_hasFailed = true;
+    m_log.Write(
+      base::LogRecord("dependency_lost").Add("dependency", "store").Add("kind", NameOf(m_kind)));
+  }
+  m_backoff = std::clamp(m_backoff * 2, kFirstBackoff, kLongestBackoff);
+  // A list afterwards tells what happened meanwhile even if events were dropped.
+  After(m_backoff, [this] { List({}); });
+}
+
+void KindWatcher::LogUnreadable(std::uint32_t aCount)
+{
+  if (aCount > 0 && aCount != m_unreadable) {
+    m_log.Write(base::LogRecord("store_objects_unreadable")
+                  .Add("kind", NameOf(m_kind))
+                  .Add("objects", aCount));
+  }
+  m_unreadable = aCount;
+}
+
+StoreSync::StoreSync(const GatewaySettings& aSettings,
+                     const StoreDialect& aDialect,
+                     base::AsyncLog& aLog,
+                     Json::Value aMember,
+                     Hooks aHooks)
+  : m_settings(aSettings)
+  , m_dialect(aDialect)
+  , m_member(std::move(aMember))
+  , m_hooks(std::move(aHooks))
+  , m_configuration(m_io,
+                    aSettings,
+                    aDialect,
+                    aLog,
+                    ObjectKind::Configuration,
+                    m_hooks.m_configuration)
+  , m_upstreams(m_io, aSettings, aDialect, aLog, ObjectKind::Upstreams, m_hooks.m_upstreams)
+  , m_evacuations(m_io, aSettings, aDialect, aLog, ObjectKind::Evacuations, m_hooks.m_evacuations)
+  , m_fetch(std::make_shared<HttpFetch>(m_io, aSettings.m_storeAddress))
+  , m_timer(m_io)
+  , m_thread([this] {
+    m_configuration.Start();
+    m_upstreams.Start();
+    m_evacuations.Start();
+    Register();
+    m_io.run();
+  })
+{
+}
+
+StoreSync::~StoreSync()
+{
+  m_io.stop();
+  m_thread.join();
+}
+
+void StoreSync::Register()
+{
+  FetchRequest request{ "POST",
+                        m_dialect.CreateTarget(ObjectKind::Members),
+                        m_dialect.CreateBody(m_settings.m_name, m_member),
+                        kListTimeout };
+  m_fetch->Start(std::move(request), [this](const FetchResponse& aResponse) {
+    const bool isRegistered = aResponse.m_status == 409 || (aResponse.m_status / 100 == 2);
+    if (isRegistered) {
+      ListMembers(kSecondMemberList);
+      return;
+    }
+    m_timer.expires_after(kLongestBackoff);
+    m_timer.async_wait([this](const boost::system::error_code& aError) {
+      if (!aError) {
+        Register();
+      }
+    });
+  });
+}
+
+void StoreSync::ListMembers(milliseconds aDelay)
+{
+  m_fetch->Start({ "GET", m_dialect.ListTarget(ObjectKind::Members, {}), {}, kListTimeout },
+                 [this, aDelay](const FetchResponse& aResponse) {
+                   if (aResponse.m_status == 200) {
+                     if (auto batch = m_dialect.ParseList(aResponse.m_body)) {
+                       m_hooks.m_onMembers(std::move(batch->m_objects));
+                     }
+                   }
+                   const bool hasFailed = aResponse.m_status != 200;
+                   m_timer.expires_after(hasFailed ? kLongestBackoff : aDelay);
+                   m_timer.async_wait([this](const boost::system::error_code& aError) {
+                     if (!aError) {
+                       ListMembers(kMemberList);
+                     }
+                   });
+                 });
+}
+
+} // namespace jaylane::gateway
--- /dev/null
+++ b/packages/gateway/src/StoreSync.h
@@ -0,0 +1,105 @@
+#pragma once
+
+#include "HttpFetch.h"
+#include "jaylane/base/AsyncLog.h"
+#include "jaylane/gateway/GatewaySettings.h"
+#include "jaylane/gateway/StoreDialect.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace jaylane::gateway {
+
+/// Keeps up with one kind of object: lists it, then watches it from the list's revision on.
+class KindWatcher
+{
+public:
+  struct Hooks
+  {
+    /// A full list.
+    std::function<void(std::vector<StoredObject>)> m_onList;
+    /// Changes since the list.
+    std::function<void(std::vector<StoredObject>)> m_onChanges;
+    /// The first success after a failure, before its objects.
+    std::function<void()> m_onRecovered;
+    std::function<void(bool aSucceeded)> m_onCall;
+  };
+
+  KindWatcher(boost::asio::io_context& aIo,
+              const GatewaySettings& aSettings,
+              const StoreDialect& aDialect,
+              base::AsyncLog& aLog,
+              ObjectKind aKind,
+              Hooks aHooks);
+
+  void Start() { List({}); }
+
+private:
+  void List(const std::string& aAfter);
+  void OnListed(const FetchResponse& aResponse);
+  void Watch();
+  void OnWatched(const FetchResponse& aResponse);
+  void Retry();
+  void OnSuccess();
+  void After(std::chrono::milliseconds aPause, std::function<void()> aNext);
+  void LogUnreadable(std::uint32_t aCount);
+
+  const StoreDialect& m_dialect;
+  base::AsyncLog& m_log;
+  ObjectKind m_kind;
+  Hooks m_hooks;
+  std::shared_ptr<HttpFetch> m_fetch;
+  boost::asio::steady_timer m_timer;
+  std::vector<StoredObject> m_listed;
+  std::uint64_t m_revision = 0;
+  bool m_hasList = false;
+  bool m_hasFailed = false;
+  std::chrono::milliseconds m_backoff{ 0 };
+  std::uint32_t m_unreadable = 0;
+};
+
+/// The thread that talks to the platform's store. Results are handed to the hooks, which pass
+/// them on to the request thread.
+class StoreSync
+{
+public:
+  struct Hooks
+  {
+    KindWatcher::Hooks m_configuration;
+    KindWatcher::Hooks m_upstreams;
+    KindWatcher::Hooks m_evacuations;
+    /// Names and values of all entry VMs that ever registered.
+    std::function<void(std::vector<StoredObject>)> m_onMembers;
+  };
+
+  /// @param aMember value that announces this VM to the others.
+  StoreSync(const GatewaySettings& aSettings,
+            const StoreDialect& aDialect,
+            base::AsyncLog& aLog,
+            Json::Value aMember,
+            Hooks aHooks);
+  ~StoreSync();
+
+private:
+  void Register();
+  void ListMembers(std::chrono::milliseconds aDelay);
+
+  const GatewaySettings& m_settings;
+  const StoreDialect& m_dialect;
+  Json::Value m_member;
+  Hooks m_hooks;
+  boost::asio::io_context m_io;
+  KindWatcher m_configuration;
+  KindWatcher m_upstreams;
+  KindWatcher m_evacuations;
+  std::shared_ptr<HttpFetch> m_fetch;
+  boost::asio::steady_timer m_timer;
+  std::thread m_thread;
+};
+
+} // namespace jaylane::gateway
--- /dev/null
+++ b/packages/gateway/src/UpstreamAttempt.cpp
@@ -0,0 +1,296 @@
+#include "UpstreamAttempt.h"
+
+#include "HeaderLines.h"
+#include "SocketOptions.h"
+
+#include <array>
+#include <boost/asio/connect.hpp>
+#include <boost/asio/write.hpp>
+#include <charconv>
+
+namespace jaylane::gateway {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using policy::AttemptFailure;
+
+/// Longest time to establish a connection: round trips between regions take below 0.1 s, and an
+/// upstream that drops the first packet is full or gone.
+constexpr std::chrono::milliseconds kConnectTimeout{ 350 };
+/// Response bodies are held whole, so that a truncated one is never passed on as complete.
+constexpr std::uint64_t kMaxResponseBytes = 64ULL << 20;
+constexpr std::uint32_t kMaxResponseHeaderBytes = 64 * 1024;
+constexpr std::size_t kReadBytes = 16 * 1024;
+/// Idle limit assumed for an upstream that does not state one.
+constexpr std::chrono::seconds kAssumedIdleLimit{ 8 };
+
+std::optional<std::chrono::seconds> KeepAliveTimeout(std::string_view aValue)
+{
+  const std::size_t at = aValue.find("timeout=");
+  if (at == std::string_view::npos) {
+    return std::nullopt;
+  }
+  long seconds = 0;
+  const std::string_view digits = aValue.substr(at + std::string_view{ "timeout=" }.size());
+  const auto parsed = std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+  if (parsed.ec != std::errc{}) {
+    return std::nullopt;
+  }
+  return std::chrono::seconds{ seconds };
+}
+
+std::string_view View(boost::beast::string_view aText)
+{
+  return { aText.data(), aText.size() };
+}
+
+} // namespace
+
+UpstreamAttempt::UpstreamAttempt(const Parts& aParts,
+                                 const policy::Upstream& aUpstream,
+                                 std::shared_ptr<const CallerRequest> aRequest,
+                                 std::chrono::milliseconds aRemaining,
+                                 Done aDone)
+  : m_parts(aParts)
+  , m_upstreamId(aUpstream.m_id)
+  , m_address(aUpstream.m_address)
+  , m_request(std::move(aRequest))
+  , m_remaining(aRemaining)
+  , m_done(std::move(aDone))
+  , m_connectTimer(aParts.m_io)
+{
+}
+
+void UpstreamAttempt::Start()
+{
+  m_startedAt = m_parts.m_clock.Monotonic();
+  m_connection = m_parts.m_pool.Take(m_upstreamId);
+  if (m_connection) {
+    Send();
+  } else {
+    Connect();
+  }
+}
+
+void UpstreamAttempt::Cancel()
+{
+  m_ended = true;
+  m_done = nullptr;
+  m_connectTimer.cancel();
+  if (m_connection) {
+    boost::system::error_code ignored;
+    m_connection->m_socket.close(ignored);
+  }
+}
+
+void UpstreamAttempt::Connect()
+{
+  const auto endpoint = ParseEndpoint(m_address);
+  if (!endpoint) {
+    asio::post(m_parts.m_io,
+               [self = shared_from_this()] { self->Fail(AttemptFailure::Unreachable); });
+    return;
+  }
+  m_connection = std::make_unique<UpstreamConnection>(m_parts.m_io);
+  m_connection->m_upstream = m_upstreamId;
+  m_connectTimer.expires_after(kConnectTimeout);
+  m_connectTimer.async_wait([self = shared_from_this()](const boost::system::error_code& aError) {
+    if (!aError) {
+      self->Fail(AttemptFailure::Unreachable);
+    }
+  });
+  m_connection->m_socket.async_connect(
+    *endpoint, [self = shared_from_this()](const boost::system::error_code& aError) {
+      if (self->m_ended) {
+        return;
+      }
+      self->m_connectTimer.cancel();
+      if (aError) {
+        self->Fail(AttemptFailure::Unreachable);
+        return;
+      }
+      SetSilenceLimits(self->m_connection->m_socket, {});
+      self->Send();
+    });
+}
+
+std::string UpstreamAttempt::RequestHead() const
+{
+  const WireProfile& wire = m_parts.m_wire;
+  std::string head = m_request->m_method;
+  head.append(" ").append(m_request->m_target).append(" HTTP/1.1\r\n");
+  head.append(m_request->m_headerLines);
+  const auto spent = std::chrono::duration_cast<std::chrono::milliseconds>(
+    m_parts.m_clock.Monotonic() - m_startedAt);
+  const auto left = std::max(m_remaining - spent, std::chrono::milliseconds{ 1 });
+  head.append(wire.m_timeout).append(": ").append(std::to_string(left.count())).append("\r\n");
+  head.append(wire.m_targetUpstream).append(": ").append(m_upstreamId).append("\r\n");
+  if (m_request->m_hasBody) {
+    head.append("Content-Length: ").append(std::to_string(m_request->m_body.size()));
+    head.append("\r\n");
+  }
+  head.append("\r\n");
+  return head;
+}
+
+void UpstreamAttempt::Send()
+{
+  m_sent = true;
+  m_head = RequestHead();
+  const std::array<asio::const_buffer, 2> buffers{ asio::buffer(m_head),
+                                                   asio::buffer(m_request->m_body) };
+  asio::async_write(
+    m_connection->m_socket,
+    buffers,
+    [self = shared_from_this()](const boost::system::error_code& aError, std::size_t) {
+      // A failed write does not end the attempt: a response may already be on its way, and the
+      // pending read sees the end of the connection.
+      self->m_written = !aError;
+    });
+  StartParser();
+  Read();
+}
+
+void UpstreamAttempt::StartParser()
+{
+  m_parser.emplace();
+  m_parser->eager(true);
+  m_parser->header_limit(kMaxResponseHeaderBytes);
+  m_parser->body_limit(kMaxResponseBytes);
+  if (m_request->m_method == "HEAD") {
+    m_parser->skip(true);
+  }
+}
+
+void UpstreamAttempt::Read()
+{
+  m_connection->m_socket.async_read_some(
+    m_buffer.prepare(kReadBytes),
+    [self = shared_from_this()](const boost::system::error_code& aError, std::size_t aBytes) {
+      self->OnRead(aError, aBytes);
+    });
+}
+
+void UpstreamAttempt::OnRead(const boost::system::error_code& aError, std::size_t aBytes)
+{
+  if (m_ended) {
+    return;
+  }
+  if (aError) {
+    boost::system::error_code error;
+    if (aError == asio::error::eof && m_parser->got_some()) {
+      m_parser->put_eof(error);
+      if (!error && m_parser->is_done() && IsForThisRequest()) {
+        OnComplete();
+        return;
+      }
+    }
+    Fail(AttemptFailure::Lost);
+    return;
+  }
+  m_gotBytes = true;
+  m_buffer.commit(aBytes);
+  if (Consume()) {
+    Read();
+  }
+}
+
+/// Parses what has arrived. Returns whether more is needed.
+bool UpstreamAttempt::Consume()
+{
+  while (m_buffer.size() > 0) {
+    boost::system::error_code error;
+    const std::size_t used = m_parser->put(m_buffer.data(), error);
+    m_buffer.consume(used);
+    if (error == http::error::need_more) {
+      return true;
+    }
+    if (error) {
+      Fail(AttemptFailure::Lost);
+      return false;
+    }
+    if (!m_parser->is_done()) {
+      continue;
+    }
+    const bool isInterim = m_parser->get().result_int() < 200;
+    if (!isInterim && IsForThisRequest()) {
+      OnComplete();
+      return false;
+    }
+    StartParser();
+  }
+  return true;
+}
+
+bool UpstreamAttempt::IsForThisRequest() const
+{
+  const auto id = m_parser->get()[m_parts.m_wire.m_requestId];
+  return id.empty() || m_request->m_id.empty() || View(id) == m_request->m_id;
+}
+
+void UpstreamAttempt::OnComplete()
+{
+  const bool needsEnd = m_parser->need_eof();
+  AttemptResult result = TakeResponse();
+  KeepConnection(m_parser->get(), needsEnd);
+  Finish(std::move(result));
+}
+
+AttemptResult UpstreamAttempt::TakeResponse()
+{
+  const WireProfile& wire = m_parts.m_wire;
+  Parser::value_type& message = m_parser->get();
+  AttemptResult result;
+  result.m_latency = m_parts.m_clock.Monotonic() - m_startedAt;
+  result.m_isSigned = message.count(wire.m_signature) > 0;
+  if (const auto load = message[wire.m_load]; !load.empty()) {
+    result.m_load = wire.m_parseLoad(View(load));
+  }
+  // 421 states that the request was meant for another upstream and was not run.
+  if (message.count(wire.m_notExecuted) > 0 || message.result_int() == 421) {
+    result.m_failure = AttemptFailure::Rejected;
+  }
+  result.m_response.m_status = message.result_int();
+  result.m_response.m_reason = std::string(View(message.reason()));
+  result.m_response.m_headerLines = EndToEndHeaders(message, {});
+  if (m_request->m_method == "HEAD" && message.count(http::field::content_length) > 0) {
+    result.m_response.m_headLength = std::string(View(message[http::field::content_length]));
+  }
+  result.m_response.m_body = std::move(message.body());
+  return result;
+}
+
+void UpstreamAttempt::KeepConnection(const Parser::value_type& aMessage, bool aNeedsEnd)
+{
+  // Bytes behind the response belong to no request, and an upstream that responded before it had
+  // the whole body still waits for the rest.
+  if (aNeedsEnd || !m_written || !aMessage.keep_alive() || m_buffer.size() > 0) {
+    return;
+  }
+  const auto stated = KeepAliveTimeout(View(aMessage[http::field::keep_alive]));
+  m_connection->m_idleLimit = stated.value_or(kAssumedIdleLimit);
+  m_parts.m_pool.Put(std::move(m_connection));
+}
+
+void UpstreamAttempt::Fail(AttemptFailure aFailure)
+{
+  AttemptResult result;
+  result.m_failure = aFailure;
+  result.m_endedSilently = aFailure == AttemptFailure::Lost && !m_gotBytes;
+  result.m_latency = m_parts.m_clock.Monotonic() - m_startedAt;
+  Finish(std::move(result));
+}
+
+void UpstreamAttempt::Finish(AttemptResult aResult)
+{
+  if (m_ended) {
+    return;
+  }
+  const Done done = std::move(m_done);
+  Cancel();
+  done(std::move(aResult));
+}
+
+} // namespace jaylane::gateway
--- /dev/null
+++ b/packages/policy/include/jaylane/policy/ServiceBalancer.h
@@ -0,0 +1,204 @@
+#pragma once
+
+#include "jaylane/base/Clock.h"
+#include "jaylane/policy/Fleet.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace jaylane::policy {
+
+/// Load of an upstream as it reported it in a response.
+struct LoadReport
+{
+  std::uint32_t m_running = 0;
+  std::uint32_t m_waiting = 0;
+  std::uint32_t m_slots = 0;
+};
+
+/// Why an attempt at an upstream ended without a response that it made for the request.
+enum class AttemptFailure
+{
+  /// The connection was refused or not established in time; nothing was sent.
+  Unreachable,
+  /// The upstream proved that it did not run the request.
+  Rejected,
+  /// The connection ended before or within the response.
+  Lost,
+  /// The upstream ran the request and reported a failure of its own.
+  Error,
+  /// No response until the deadline.
+  TimedOut,
+};
+
+/// Tuning of ServiceBalancer. The defaults are from docs/decisions/affinity.md.
+struct BalancerOptions
+{
+  /// Assumed service time of an affinity key that the upstream knows, part of the target latency.
+  double m_warmPrior = 0.35;
+  /// The same for a key that it does not know.
+  double m_coldPrior = 1.1;
+  /// Weight of the newest sample in averages of service times.
+  double m_timeGain = 0.1;
+  /// Weight of the newest sample in the success rate of an upstream.
+  double m_successGain = 0.15;
+  /// Cost of a failed attempt, part of the target latency.
+  double m_failureCost = 1.5;
+  /// Upstreams of the preferred and of the other regions that are compared for a request.
+  std::size_t m_preferredCandidates = 4;
+  std::size_t m_otherCandidates = 2;
+  /// Part of requests that may leave the preferred region because it is short of room for them.
+  double m_overflowShare = 0.05;
+  /// Utilization of the own region above and below which keys move away and back.
+  double m_moveAwayAbove = 0.85;
+  double m_moveBackBelow = 0.55;
+  /// Part of keys moved a step; with kShareStep it stays below the bound on regional shifts.
+  double m_moveStep = 0.02;
+  /// Queueing time that a first attempt accepts, part of the target latency.
+  double m_waitLimit = 0.5;
+  /// First ejection after an unreachable upstream; doubles with each further failure.
+  std::chrono::milliseconds m_ejection{ 400 };
+  std::chrono::milliseconds m_longestEjection{ 3000 };
+  /// Affinity keys remembered an upstream.
+  std::size_t m_keysRemembered = 64;
+};
+
+/// Chooses upstreams of one service for the requests of one VM.
+/// Load pattern: a few dozen hot affinity keys, upstreams whose service time is several times
+/// longer for unknown keys, and regional demand waves beyond the region's slots.
+///
+/// All VMs of a region rank the upstreams of a key alike (rendezvous hashing weighted by slots),
+/// so that a key is served where it is known without any messages. A request leaves the first
+/// upstream of the ranking when its expected completion there is later than elsewhere. Each key
+/// belongs to the own region or to the others as a whole; that part changes slowly.
+/// Not thread safe.
+class ServiceBalancer
+{
+public:
+  /// An upstream that may receive requests.
+  struct Candidate
+  {
+    Upstream m_upstream;
+    /// Until when it counts as cold, and the spacing that this VM keeps then.
+    base::MonotonicTime m_coldUntil;
+    std::chrono::milliseconds m_coldSpacing{ 0 };
+    /// Time to reach it and back.
+    std::chrono::milliseconds m_roundTrip{ 0 };
+  };
+
+  struct Query
+  {
+    /// Hash of the affinity key, or random where the route has no affinity.
+    std::uint64_t m_key = 0;
+    bool m_hasAffinity = false;
+    /// Empty: all regions.
+    const std::set<std::string>* m_allowedRegions = nullptr;
+    /// Upstreams that had the request already.
+    const std::vector<std::string>* m_tried = nullptr;
+    std::chrono::milliseconds m_remaining{ 0 };
+    std::chrono::milliseconds m_targetLatency{ 0 };
+    /// The caller was rejected before and came back.
+    bool m_returned = false;
+  };
+
+  enum class Verdict
+  {
+    Send,
+    NoUpstream,
+    Overloaded,
+  };
+
+  struct Choice
+  {
+    Verdict m_verdict = Verdict::NoUpstream;
+    const Upstream* m_upstream = nullptr;
+    /// Expected time to the response, the shortest found if rejected.
+    std::chrono::milliseconds m_expected{ 0 };
+    /// Position in the ranking of the key.
+    std::size_t m_rank = 0;
+    bool m_isCold = false;
+  };
+
+  ServiceBalancer(BalancerOptions aOptions, std::string aOwnRegion);
+
+  /// Replaces the set of upstreams; what is known about those that stay is kept.
+  void Update(std::vector<Candidate> aCandidates, base::MonotonicTime aNow);
+
+  /// Decides on one attempt. The caller reports it by OnSent() and one of the other calls.
+  Choice Choose(const Query& aQuery, base::MonotonicTime aNow);
+
+  void OnSent(const std::string& aUpstream, const Query& aQuery, base::MonotonicTime aNow);
+  void OnResponse(const std::string& aUpstream,
+                  const Query& aQuery,
+                  std::chrono::nanoseconds aLatency,
+                  const std::optional<LoadReport>& aReport,
+                  base::MonotonicTime aNow);
+  void OnFailure(const std::string& aUpstream,
+                 AttemptFailure aFailure,
+                 const std::optional<LoadReport>& aReport,
+                 base::MonotonicTime aNow);
+  /// The attempt was cancelled by the caller's leaving.
+  void OnCancelled(const std::string& aUpstream);
+
+  /// @return part of the affinity keys that belong to the own region.
+  double LocalShare() const { return m_localShare; }
+  std::size_t size() const { return m_states.size(); }
+
+private:
+  struct State
+  {
+    Candidate m_candidate;
+    std::uint64_t m_hash = 0;
+    std::uint32_t m_inFlight = 0;
+    /// Requests of other VMs at the upstream.
+    double m_otherLoad = 0;
+    double m_successRate = 1;
+    /// Service time relative to the service's average.
+    double m_slowness = 1;
+    std::uint32_t m_failures = 0;
+    base::MonotonicTime m_ejectedUntil;
+    base::MonotonicTime m_lastCold;
+    bool m_hasSentCold = false;
+    std::unordered_map<std::uint64_t, base::MonotonicTime> m_keys;
+  };
+
+  struct Ranked
+  {
+    double m_score = 0;
+    std::size_t m_index = 0;
+    bool m_isOther = false;
+  };
+
+  State* FindState(const std::string& aUpstream);
+  bool IsUsable(const State& aState, const Query& aQuery, base::MonotonicTime aNow) const;
+  std::vector<Ranked> Rank(const Query& aQuery, base::MonotonicTime aNow) const;
+  bool IsOwnRegion(const State& aState) const;
+  bool PrefersOwnRegion(const Query& aQuery) const;
+  double WaitAt(const State& aState) const;
+  double CostAt(const State& aState, const Query& aQuery, std::size_t aRank) const;
+  double ServiceTime(const State& aState, const Query& aQuery, std::size_t aRank) const;
+  double WarmTime(const Query& aQuery) const;
+  void AdjustLocalShare(base::MonotonicTime aNow);
+  void InitializeLocalShare();
+  void CountOverflow(bool aIsOverflow);
+  void NoteReport(State& aState, const std::optional<LoadReport>& aReport);
+  void RememberKey(State& aState, std::uint64_t aKey, base::MonotonicTime aNow);
+
+  BalancerOptions m_options;
+  std::string m_ownRegion;
+  std::vector<State> m_states;
+  std::unordered_map<std::string, std::size_t> m_indexById;
+  /// Averages in milliseconds; zero until known.
+  double m_warmTime = 0;
+  double m_coldTime = 0;
+  double m_localShare = 1;
+  bool m_isShareSet = false;
+  base::MonotonicTime m_shareChanged;
+  double m_overflowRate = 0;
+};
+
+} // namespace jaylane::policy
--- /dev/null
+++ b/packages/policy/src/ServiceBalancer.cpp
@@ -0,0 +1,343 @@
+#include "jaylane/policy/ServiceBalancer.h"
+
+#include <algorithm>
+#include <cmath>
+#include <xxhash.h>
+
+namespace jaylane::policy {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Shortest time between two steps of the local share; five steps in two seconds.
+constexpr milliseconds kShareStep{ 400 };
+/// Requests over which the overflow share is averaged.
+constexpr double kOverflowGain = 1.0 / 100;
+/// Cost of leaving the region beyond the round trip: bytes on shared links.
+constexpr double kOtherRegionCost = 20;
+/// Separates the hash that places a key in a region from the one that ranks upstreams.
+constexpr std::uint64_t kRegionSalt = 0x9E3779B97F4A7C15;
+constexpr double kHashRange = 18446744073709551616.0;
+
+std::uint64_t Mix(std::uint64_t aValue)
+{
+  return XXH64(&aValue, sizeof aValue, kRegionSalt);
+}
+
+double UnitInterval(std::uint64_t aHash)
+{
+  return (static_cast<double>(aHash) + 1) / (kHashRange + 2);
+}
+
+double ToMillis(std::chrono::nanoseconds aTime)
+{
+  return std::chrono::duration<double, std::milli>(aTime).count();
+}
+
+void Average(double& aAverage, double aSample, double aGain)
+{
+  aAverage = aAverage == 0 ? aSample : aAverage + aGain * (aSample - aAverage);
+}
+
+} // namespace
+
+ServiceBalancer::ServiceBalancer(BalancerOptions aOptions, std::string aOwnRegion)
+  : m_options(aOptions)
+  , m_ownRegion(std::move(aOwnRegion))
+{
+}
+
+void ServiceBalancer::Update(std::vector<Candidate> aCandidates, base::MonotonicTime aNow)
+{
+  std::vector<State> states;
+  states.reserve(aCandidates.size());
+  std::unordered_map<std::string, std::size_t> indexById;
+  for (Candidate& candidate : aCandidates) {
+    const std::string id = candidate.m_upstream.m_id;
+    State state;
+    if (State* known = FindState(id);
+        known && known->m_candidate.m_upstream.m_born == candidate.m_upstream.m_born) {
+      state = std::move(*known);
+    }
+    state.m_candidate = std::move(candidate);
+    state.m_hash = XXH64(id.data(), id.size(), 0);
+    indexById[id] = states.size();
+    states.push_back(std::move(state));
+  }
+  m_states = std::move(states);
+  m_indexById = std::move(indexById);
+  if (!m_isShareSet && !m_states.empty()) {
+    InitializeLocalShare();
+    m_shareChanged = aNow;
+  }
+}
+
+void ServiceBalancer::InitializeLocalShare()
+{
+  // Assumes equal demand in each region that has upstreams until load reports say more.
+  double own = 0;
+  double all = 0;
+  std::set<std::string> regions;
+  for (const State& state : m_states) {
+    const double slots = state.m_candidate.m_upstream.m_slots;
+    all += slots;
+    own += IsOwnRegion(state) ? slots : 0;
+    regions.insert(state.m_candidate.m_upstream.m_region);
+  }
+  m_localShare = all == 0 ? 1 : std::min(1.0, own / all * static_cast<double>(regions.size()));
+  m_isShareSet = true;
+}
+
+ServiceBalancer::State* ServiceBalancer::FindState(const std::string& aUpstream)
+{
+  const auto index = m_indexById.find(aUpstream);
+  return index == m_indexById.end() ? nullptr : &m_states[index->second];
+}
+
+bool ServiceBalancer::IsOwnRegion(const State& aState) const
+{
+  return aState.m_candidate.m_upstream.m_region == m_ownRegion;
+}
+
+bool ServiceBalancer::PrefersOwnRegion(const Query& aQuery) const
+{
+  return UnitInterval(Mix(aQuery.m_key)) <= m_localShare;
+}
+
+bool ServiceBalancer::IsUsable(const State& aState,
+                               const Query& aQuery,
+                               base::MonotonicTime aNow) const
+{
+  const Upstream& upstream = aState.m_candidate.m_upstream;
+  if (aQuery.m_allowedRegions && !aQuery.m_allowedRegions->empty() &&
+      !aQuery.m_allowedRegions->contains(upstream.m_region)) {
+    return false;
+  }
+  if (aNow < aState.m_ejectedUntil || (aState.m_failures > 0 && aState.m_inFlight > 0)) {
+    return false;
+  }
+  if (aQuery.m_tried &&
+      std::ranges::find(*aQuery.m_tried, upstream.m_id) != aQuery.m_tried->end()) {
+    return false;
+  }
+  if (aNow >= aState.m_candidate.m_coldUntil) {
+    return true;
+  }
+  const milliseconds spacing = aState.m_candidate.m_coldSpacing;
+  return spacing.count() > 0 && (!aState.m_hasSentCold || aNow - aState.m_lastCold >= spacing);
+}
+
+std::vector<ServiceBalancer::Ranked> ServiceBalancer::Rank(const Query& aQuery,
+                                                           base::MonotonicTime aNow) const
+{
+  const bool prefersOwn = PrefersOwnRegion(aQuery);
+  std::vector<Ranked> preferred;
+  std::vector<Ranked> others;
+  for (std::size_t i = 0; i < m_states.size(); ++i) {
+    const State& state = m_states[i];
+    if (!IsUsable(state, aQuery, aNow)) {
+      continue;
+    }
+    const double unit = UnitInterval(Mix(aQuery.m_key ^ state.m_hash));
+    const double score = state.m_candidate.m_upstream.m_slots / -std::log(unit);
+    const bool isOther = IsOwnRegion(state) != prefersOwn;
+    (isOther ? others : preferred).push_back({ score, i, isOther });
+  }
+  const auto keepBest = [](std::vector<Ranked>& aRanked, std::size_t aCount) {
+    const auto middle = aRanked.begin() + std::min(aCount, aRanked.size());
+    std::ranges::partial_sort(aRanked, middle, std::ranges::greater{}, &Ranked::m_score);
+    aRanked.erase(middle, aRanked.end());
+  };
+  keepBest(preferred, m_options.m_preferredCandidates);
+  if (preferred.empty() || m_overflowRate < m_options.m_overflowShare) {
+    keepBest(others, m_options.m_otherCandidates);
+    preferred.insert(preferred.end(), others.begin(), others.end());
+  }
+  return preferred;
+}
+
+double ServiceBalancer::WarmTime(const Query& aQuery) const
+{
+  return m_warmTime > 0 ? m_warmTime : m_options.m_warmPrior * ToMillis(aQuery.m_targetLatency);
+}
+
+double ServiceBalancer::ServiceTime(const State& aState,
+                                    const Query& aQuery,
+                                    std::size_t aRank) const
+{
+  // The first of the ranking is taken to know the key: other VMs send it there too.
+  const bool isWarm = !aQuery.m_hasAffinity || aRank == 0 || aState.m_keys.contains(aQuery.m_key);
+  if (isWarm) {
+    return WarmTime(aQuery) * aState.m_slowness;
+  }
+  const double cold =
+    m_coldTime > 0 ? m_coldTime : m_options.m_coldPrior * ToMillis(aQuery.m_targetLatency);
+  return std::max(cold, WarmTime(aQuery)) * aState.m_slowness;
+}
+
+double ServiceBalancer::WaitAt(const State& aState) const
+{
+  const double slots = std::max(1U, aState.m_candidate.m_upstream.m_slots);
+  const double load = aState.m_inFlight + aState.m_otherLoad;
+  return std::max(0.0, load - slots + 1) / slots;
+}
+
+double ServiceBalancer::CostAt(const State& aState, const Query& aQuery, std::size_t aRank) const
+{
+  const double waiting = WaitAt(aState) * WarmTime(aQuery) * aState.m_slowness;
+  const double failing =
+    (1 - aState.m_successRate) * m_options.m_failureCost * ToMillis(aQuery.m_targetLatency);
+  const double leaving = IsOwnRegion(aState) ? 0 : kOtherRegionCost;
+  return ToMillis(aState.m_candidate.m_roundTrip) + waiting + failing + leaving +
+         ServiceTime(aState, aQuery, aRank);
+}
+
+ServiceBalancer::Choice ServiceBalancer::Choose(const Query& aQuery, base::MonotonicTime aNow)
+{
+  AdjustLocalShare(aNow);
+  Choice choice;
+  double bestCost = 0;
+  double bestWait = 0;
+  const std::vector<Ranked> ranked = Rank(aQuery, aNow);
+  for (std::size_t rank = 0; rank < ranked.size(); ++rank) {
+    const State& state = m_states[ranked[rank].m_index];
+    const double cost = CostAt(state, aQuery, rank);
+    if (!choice.m_upstream || cost < bestCost) {
+      bestCost = cost;
+      bestWait = WaitAt(state) * WarmTime(aQuery) * state.m_slowness;
+      choice.m_upstream = &state.m_candidate.m_upstream;
+      choice.m_rank = rank;
+      choice.m_isCold = aNow < state.m_candidate.m_coldUntil;
+    }
+  }
+  if (!choice.m_upstream) {
+    return choice;
+  }
+  choice.m_expected = milliseconds{ static_cast<std::int64_t>(bestCost) };
+  const double target = ToMillis(aQuery.m_targetLatency);
+  const double limit = aQuery.m_returned
+                         ? ToMillis(aQuery.m_remaining) / 2
+                         : std::max(m_options.m_waitLimit * target, target - bestCost + bestWait);
+  const bool isInTime = bestCost - bestWait <= ToMillis(aQuery.m_remaining);
+  choice.m_verdict = bestWait <= limit && isInTime ? Verdict::Send : Verdict::Overloaded;
+  return choice;
+}
+
+void ServiceBalancer::CountOverflow(bool aIsOverflow)
+{
+  m_overflowRate += kOverflowGain * ((aIsOverflow ? 1.0 : 0.0) - m_overflowRate);
+}
+
+void ServiceBalancer::OnSent(const std::string& aUpstream,
+                             const Query& aQuery,
+                             base::MonotonicTime aNow)
+{
+  State* state = FindState(aUpstream);
+  if (!state) {
+    return;
+  }
+  ++state->m_inFlight;
+  if (aNow < state->m_candidate.m_coldUntil) {
+    state->m_hasSentCold = true;
+    state->m_lastCold = aNow;
+  }
+  CountOverflow(IsOwnRegion(*state) != PrefersOwnRegion(aQuery));
+}
+
+void ServiceBalancer::NoteReport(State& aState, const std::optional<LoadReport>& aReport)
+{
+  if (aReport) {
+    const double load = aReport->m_running + aReport->m_waiting;
+    const double others = std::max(0.0, load - aState.m_inFlight);
+    aState.m_otherLoad += 0.5 * (others - aState.m_otherLoad);
+  }
+}
+
+void ServiceBalancer::RememberKey(State& aState, std::uint64_t aKey, base::MonotonicTime aNow)
+{
+  aState.m_keys[aKey] = aNow;
+  if (aState.m_keys.size() > m_options.m_keysRemembered) {
+    aState.m_keys.erase(std::ranges::min_element(
+      aState.m_keys, {}, [](const auto& aEntry) { return aEntry.second; }));
+  }
+}
+
+void ServiceBalancer::OnResponse(const std::string& aUpstream,
+                                 const Query& aQuery,
+                                 std::chrono::nanoseconds aLatency,
+                                 const std::optional<LoadReport>& aReport,
+                                 base::MonotonicTime aNow)
+{
+  State* state = FindState(aUpstream);
+  if (!state) {
+    return;
+  }
+  state->m_inFlight -= state->m_inFlight > 0 ? 1 : 0;
+  state->m_failures = 0;
+  Average(state->m_successRate, 1, m_options.m_successGain);
+  NoteReport(*state, aReport);
+  const bool hadQueue = aReport && aReport->m_waiting > 0;
+  const bool wasKnown = !aQuery.m_hasAffinity || state->m_keys.contains(aQuery.m_key);
+  const double time = std::max(1.0, ToMillis(aLatency) - ToMillis(state->m_candidate.m_roundTrip));
+  if (wasKnown && !hadQueue) {
+    Average(state->m_slowness, time / WarmTime(aQuery), m_options.m_timeGain);
+    state->m_slowness = std::clamp(state->m_slowness, 0.5, 20.0);
+    Average(m_warmTime, std::min(time, 2 * WarmTime(aQuery)), m_options.m_timeGain / 5);
+  } else if (!wasKnown && !hadQueue && time > WarmTime(aQuery) * 1.5) {
+    Average(m_coldTime, time, m_options.m_timeGain);
+  }
+  RememberKey(*state, aQuery.m_key, aNow);
+}
+
+void ServiceBalancer::OnFailure(const std::string& aUpstream,
+                                AttemptFailure aFailure,
+                                const std::optional<LoadReport>& aReport,
+                                base::MonotonicTime aNow)
+{
+  State* state = FindState(aUpstream);
+  if (!state) {
+    return;
+  }
+  state->m_inFlight -= state->m_inFlight > 0 ? 1 : 0;
+  NoteReport(*state, aReport);
+  Average(state->m_successRate, 0.001, m_options.m_successGain);
+  if (aFailure != AttemptFailure::Unreachable) {
+    return;
+  }
+  const std::uint32_t doublings = std::min(state->m_failures, 4U);
+  ++state->m_failures;
+  state->m_ejectedUntil =
+    aNow + std::min(m_options.m_ejection * (1 << doublings), m_options.m_longestEjection);
+}
+
+void ServiceBalancer::OnCancelled(const std::string& aUpstream)
+{
+  if (State* state = FindState(aUpstream)) {
+    state->m_inFlight -= state->m_inFlight > 0 ? 1 : 0;
+  }
+}
+
+void ServiceBalancer::AdjustLocalShare(base::MonotonicTime aNow)
+{
+  if (aNow - m_shareChanged < kShareStep) {
+    return;
+  }
+  m_shareChanged = aNow;
+  double load = 0;
+  double slots = 0;
+  for (const State& state : m_states) {
+    if (IsOwnRegion(state) && aNow >= state.m_ejectedUntil) {
+      load += state.m_inFlight + state.m_otherLoad;
+      slots += state.m_candidate.m_upstream.m_slots;
+    }
+  }
+  const double utilization = slots == 0 ? 1 : load / slots;
+  if (utilization > m_options.m_moveAwayAbove) {
+    m_localShare = std::max(0.0, m_localShare - m_options.m_moveStep);
+  } else if (utilization < m_options.m_moveBackBelow) {
+    m_localShare = std::min(1.0, m_localShare + m_options.m_moveStep);
+  }
+}
+
+} // namespace jaylane::policy
