Keep the connect limit from ending a request that was sent

On a slow machine the limit for connecting and the established connection were due in the same turn of the loop; the request was sent, then the attempt ended as unreachable and the order went to a second upstream. Change: the limit only ends attempts that sent nothing. The raw exchanges of UpstreamAttemptTest cover late, extra, truncated and unframed responses.

--- a/packages/gateway/src/UpstreamAttempt.cpp
+++ b/packages/gateway/src/UpstreamAttempt.cpp
@@ -97,7 +97,8 @@
   m_connection->m_upstream = m_upstreamId;
   m_connectTimer.expires_after(kConnectTimeout);
   m_connectTimer.async_wait([self = shared_from_this()](const boost::system::error_code& aError) {
-    if (!aError) {
+    // The limit and the connection may be due together; once sent, the request may have run.
+    if (!aError && !self->m_sent) {
       self->Fail(AttemptFailure::Unreachable);
     }
   });
--- /dev/null
+++ b/packages/gateway/tests/ScriptedUpstream.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <functional>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace jaylane::gateway {
+
+/// A request as an upstream reads it.
+struct SeenRequest
+{
+  std::string m_head;
+  std::string m_body;
+  /// Number of the connection that carried it, from 0.
+  std::size_t m_connection = 0;
+
+  /// @return value of a header, or an empty text.
+  std::string Header(const std::string& aName) const;
+};
+
+/// What an upstream sends for a request, byte by byte.
+struct Script
+{
+  std::string m_bytes;
+  /// Close, or reset, the connection afterwards.
+  bool m_close = false;
+  bool m_reset = false;
+  /// Pause before the bytes.
+  std::chrono::milliseconds m_pause{ 0 };
+};
+
+/// An HTTP server on loopback that sends exact bytes.
+class ScriptedUpstream
+{
+public:
+  using Handler = std::function<Script(const SeenRequest&)>;
+
+  explicit ScriptedUpstream(Handler aHandler);
+  ~ScriptedUpstream();
+
+  std::string Address() const;
+  std::vector<SeenRequest> Seen() const;
+  /// @return number of connections whose other side closed them while a request was open.
+  std::size_t AbandonedCount() const;
+
+private:
+  void Serve(boost::asio::ip::tcp::socket aSocket, std::size_t aConnection);
+
+  Handler m_handler;
+  boost::asio::io_context m_io;
+  boost::asio::ip::tcp::acceptor m_acceptor;
+  mutable std::mutex m_mutex;
+  std::vector<SeenRequest> m_seen;
+  std::vector<std::thread> m_sessions;
+  std::vector<int> m_sockets;
+  std::size_t m_abandoned = 0;
+  std::thread m_thread;
+};
+
+/// @return "HTTP/1.1 200 OK" with a request id, a signature and a length.
+std::string OkResponse(const SeenRequest& aRequest, const std::string& aBody);
+
+} // namespace jaylane::gateway
--- /dev/null
+++ b/packages/gateway/tests/TestWire.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "jaylane/gateway/WireProfile.h"
+
+namespace jaylane::gateway {
+
+/// @return header names for tests.
+inline WireProfile TestWire()
+{
+  WireProfile wire;
+  wire.m_requestId = "Request-Id";
+  wire.m_affinityKey = "Affinity-Key";
+  wire.m_timeout = "Timeout-Ms";
+  wire.m_targetUpstream = "Target-Instance";
+  wire.m_notExecuted = "Not-Executed";
+  wire.m_signature = "Response-Signature";
+  wire.m_load = "Server-Load";
+  wire.m_parseLoad = [](std::string_view) -> std::optional<policy::LoadReport> {
+    return std::nullopt;
+  };
+  return wire;
+}
+
+} // namespace jaylane::gateway
--- /dev/null
+++ b/packages/gateway/tests/UpstreamAttemptTest.cpp
@@ -0,0 +1,173 @@
+#include "UpstreamAttempt.h"
+
+#include "ScriptedUpstream.h"
+#include "TestWire.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <gtest/gtest.h>
+
+namespace jaylane::gateway {
+namespace {
+
+using policy::AttemptFailure;
+using namespace std::chrono_literals;
+
+/// Runs single attempts against one upstream.
+class UpstreamAttemptTest : public testing::Test
+{
+protected:
+  AttemptResult Run(ScriptedUpstream& aUpstream, const std::string& aId = "r1")
+  {
+    std::optional<AttemptResult> result;
+    const auto attempt = MakeAttempt(aUpstream.Address(), aId, result);
+    attempt->Start();
+    RunUntil([&] { return result.has_value(); });
+    return result ? std::move(*result) : AttemptResult{};
+  }
+
+  std::shared_ptr<UpstreamAttempt> MakeAttempt(const std::string& aAddress,
+                                               const std::string& aId,
+                                               std::optional<AttemptResult>& aResult)
+  {
+    auto request = std::make_shared<CallerRequest>();
+    request->m_id = aId;
+    request->m_method = "GET";
+    request->m_target = "/a";
+    request->m_headerLines = "Host: h\r\nRequest-Id: " + aId + "\r\n";
+    policy::Upstream upstream;
+    upstream.m_id = "i-1";
+    upstream.m_address = aAddress;
+    return std::make_shared<UpstreamAttempt>(
+      UpstreamAttempt::Parts{ m_io, m_pool, base::SystemClock::Get(), m_wire },
+      upstream,
+      request,
+      2000ms,
+      [&aResult](AttemptResult aEnd) { aResult = std::move(aEnd); });
+  }
+
+  void RunUntil(const std::function<bool()>& aDone)
+  {
+    m_io.restart();
+    const auto end = std::chrono::steady_clock::now() + 5s;
+    while (!aDone() && std::chrono::steady_clock::now() < end) {
+      m_io.run_one_for(20ms);
+      m_io.restart();
+    }
+  }
+
+  boost::asio::io_context m_io;
+  UpstreamPool m_pool{ base::SystemClock::Get() };
+  WireProfile m_wire = TestWire();
+};
+
+// Guards against reporting "nothing was sent" when the limit for connecting expires while the
+// established connection waits to be handled: the request would run a second time elsewhere.
+TEST_F(UpstreamAttemptTest, ConnectLimitDoesNotEndASentRequest)
+{
+  ScriptedUpstream upstream([](const SeenRequest& aRequest) {
+    return Script{ OkResponse(aRequest, "x"), false, false, 100ms };
+  });
+  std::optional<AttemptResult> result;
+  const auto attempt = MakeAttempt(upstream.Address(), "r1", result);
+  attempt->Start();
+  // The loop stands still past the limit, so that both events are due at once.
+  std::this_thread::sleep_for(450ms);
+  RunUntil([&] { return result.has_value(); });
+  ASSERT_TRUE(result);
+  const bool wasSent = !upstream.Seen().empty();
+  EXPECT_FALSE(wasSent && result->m_failure == AttemptFailure::Unreachable);
+}
+
+// Guards against giving a caller the late response of an earlier request.
+TEST_F(UpstreamAttemptTest, SkipsResponsesToOtherRequests)
+{
+  ScriptedUpstream upstream([](const SeenRequest& aRequest) {
+    const std::string late = "HTTP/1.1 200 OK\r\nRequest-Id: r0\r\nContent-Length: 3\r\n\r\nold";
+    return Script{ late + OkResponse(aRequest, "new") };
+  });
+  const AttemptResult result = Run(upstream);
+  EXPECT_FALSE(result.m_failure);
+  EXPECT_EQ(result.m_response.m_body, "new");
+}
+
+// Guards against reusing a connection with bytes behind the response.
+TEST_F(UpstreamAttemptTest, DropsConnectionsWithExtraBytes)
+{
+  ScriptedUpstream upstream([](const SeenRequest& aRequest) {
+    return Script{ OkResponse(aRequest, "a") + OkResponse(aRequest, "b") };
+  });
+  EXPECT_EQ(Run(upstream, "r1").m_response.m_body, "a");
+  EXPECT_EQ(Run(upstream, "r2").m_response.m_body, "a");
+  EXPECT_EQ(upstream.Seen().back().m_connection, 1U);
+}
+
+TEST_F(UpstreamAttemptTest, ReusesConnections)
+{
+  ScriptedUpstream upstream(
+    [](const SeenRequest& aRequest) { return Script{ OkResponse(aRequest, "a") }; });
+  Run(upstream, "r1");
+  Run(upstream, "r2");
+  EXPECT_EQ(upstream.Seen().back().m_connection, 0U);
+}
+
+// Guards against passing on a truncated body as complete.
+TEST_F(UpstreamAttemptTest, ReportsTruncatedResponsesAsLost)
+{
+  ScriptedUpstream upstream([](const SeenRequest&) {
+    return Script{ "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nContent-Length: 10\r\n\r\nabc", true };
+  });
+  const AttemptResult result = Run(upstream);
+  EXPECT_EQ(result.m_failure, AttemptFailure::Lost);
+  EXPECT_FALSE(result.m_endedSilently);
+}
+
+TEST_F(UpstreamAttemptTest, AcceptsBodiesThatEndWithTheConnection)
+{
+  ScriptedUpstream upstream([](const SeenRequest&) {
+    return Script{ "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n\r\nabc", true };
+  });
+  const AttemptResult result = Run(upstream);
+  EXPECT_FALSE(result.m_failure);
+  EXPECT_EQ(result.m_response.m_body, "abc");
+}
+
+// Guards against taking a reset for the end of a body without length.
+TEST_F(UpstreamAttemptTest, ReportsResetBodiesAsLost)
+{
+  ScriptedUpstream upstream([](const SeenRequest&) {
+    return Script{ "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n\r\nabc", false, true };
+  });
+  EXPECT_EQ(Run(upstream).m_failure, AttemptFailure::Lost);
+}
+
+TEST_F(UpstreamAttemptTest, RecognizesRejections)
+{
+  ScriptedUpstream rejecting([](const SeenRequest&) {
+    return Script{ "HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n" };
+  });
+  EXPECT_EQ(Run(rejecting).m_failure, AttemptFailure::Rejected);
+}
+
+// Guards against missing the sign of a crash that quarantines requests.
+TEST_F(UpstreamAttemptTest, RecognizesSilentEnds)
+{
+  ScriptedUpstream crashing([](const SeenRequest&) { return Script{ "", true }; });
+  const AttemptResult crash = Run(crashing);
+  EXPECT_EQ(crash.m_failure, AttemptFailure::Lost);
+  EXPECT_TRUE(crash.m_endedSilently);
+}
+
+TEST_F(UpstreamAttemptTest, NamesItsUpstreamAndTimeLimit)
+{
+  ScriptedUpstream upstream(
+    [](const SeenRequest& aRequest) { return Script{ OkResponse(aRequest, "a") }; });
+  Run(upstream);
+  const SeenRequest seen = upstream.Seen().front();
+  EXPECT_EQ(seen.Header("Target-Instance"), "i-1");
+  EXPECT_GT(std::stoi(seen.Header("Timeout-Ms")), 1500);
+  EXPECT_LE(std::stoi(seen.Header("Timeout-Ms")), 2000);
+}
+
+} // namespace
+} // namespace jaylane::gateway
