--- a/packages/gateway/src/Gateway.cpp
+++ b/packages/gateway/src/Gateway.cpp
@@ -29,7 +29,7 @@
 /// idle connections are closed, and at last the process ends.
 constexpr double kStopAccepting = 0.5;
 constexpr double kCloseIdle = 0.55;
-constexpr double kEnd = 0.95;
+constexpr double kEnd = 0.9;
 
 } // namespace
 
--- a/packages/gateway/src/StoreSync.cpp
+++ b/packages/gateway/src/StoreSync.cpp
@@ -14,8 +14,10 @@
 constexpr milliseconds kWatchWait{ 10'000 };
 constexpr milliseconds kWatchSlack{ 1500 };
 constexpr milliseconds kListTimeout{ 1500 };
-/// Changes that follow each other closely are fetched by one call.
+/// Changes that follow each other closely are fetched by one call. Upstreams change most, and
+/// their leaving is announced seconds ahead; every call to the store is priced.
 constexpr milliseconds kGather{ 250 };
+constexpr milliseconds kGatherUpstreams{ 900 };
 constexpr milliseconds kFirstBackoff{ 100 };
 constexpr milliseconds kLongestBackoff{ 800 };
 /// Members are listed again this long after the start, when all VMs that start together are
@@ -129,7 +131,7 @@
     return;
   }
   m_hooks.m_onChanges(std::move(batch->m_objects));
-  After(kGather, [this] { Watch(); });
+  After(m_kind == ObjectKind::Upstreams ? kGatherUpstreams : kGather, [this] { Watch(); });
 }
 
 void KindWatcher::OnSuccess()
