Estimate service times by a quantile and log the placement of attempts

Change: service time and slowness follow the 0.35 quantile. Attempts log the affinity key and whether it is known there.

--- a/packages/gateway/src/RequestExchange.cpp
+++ b/packages/gateway/src/RequestExchange.cpp
@@ -19,9 +19,8 @@
 constexpr milliseconds kDeadlineGrace{ 60 };
 /// Time limit of requests without any.
 constexpr milliseconds kLongestTimeout{ 60'000 };
-/// Callers return after at most this part of their remaining time.
-constexpr int kRetryAfterPart = 3;
-constexpr milliseconds kShortestRetryAfter{ 100 };
+/// Time in which a VM that has just started learns the configuration.
+constexpr milliseconds kStartWait{ 500 };
 
 std::uint64_t HashOf(std::string_view aText)
 {
@@ -52,7 +51,7 @@
   if (m_context.m_phase == LifecyclePhase::Closing) {
     Reject("stopping", milliseconds{ 0 });
   } else if (!m_routes || !m_context.m_steering.IsReady()) {
-    Reject("no_configuration", kShortestRetryAfter * 5);
+    Reject("no_configuration", kStartWait);
   } else if (FindDestination()) {
     StartTimer();
     TryUpstream();
@@ -68,7 +67,7 @@
   }
   m_service = m_routes->NextService(*m_route);
   if (!m_service) {
-    Reject("no_service", kShortestRetryAfter * 5);
+    Reject("no_service", kStartWait);
     return false;
   }
   const bool hasAffinity = m_route->m_sticky && !m_request->m_affinityKey.empty();
@@ -139,8 +138,11 @@
   } else if (m_mayHaveRun) {
     Respond(502, "upstream_lost");
   } else {
-    Reject(choice.m_verdict == ServiceBalancer::Verdict::Overloaded ? "overloaded" : "no_upstream",
-           RetryAfter(choice.m_expected));
+    const bool hasUpstream = choice.m_verdict == ServiceBalancer::Verdict::Overloaded;
+    Reject(hasUpstream ? "overloaded" : "no_upstream",
+           RetryAfter(hasUpstream ? policy::RejectionCause::NoRoom
+                                  : policy::RejectionCause::NoUpstream,
+                      choice.m_expected));
   }
 }
 
@@ -153,7 +155,9 @@
   m_context.m_log.Write(base::LogRecord("attempt")
                           .Add("id", m_request->m_id)
                           .Add("upstream", upstream)
+                          .Add("affinity", m_request->m_affinityKey)
                           .Add("rank", aChoice.m_rank)
+                          .Add("known", aChoice.m_isKnown ? 1 : 0)
                           .Add("cold", aChoice.m_isCold ? 1 : 0)
                           .Add("expected_ms", aChoice.m_expected)
                           .Add("remaining_ms", Remaining())
@@ -235,9 +239,15 @@
   } else if (m_mayHaveRun) {
     Respond(502, "upstream_lost");
   } else if (aResult.m_failure == AttemptFailure::Rejected) {
-    Reject("upstream_rejected", RetryAfter(m_route->m_targetLatency));
+    const bool hadRoom =
+      aResult.m_load && aResult.m_load->m_running + aResult.m_load->m_waiting < aResult.m_load->m_slots;
+    Reject("upstream_rejected",
+           RetryAfter(hadRoom ? policy::RejectionCause::SpuriousRejection
+                              : policy::RejectionCause::NoRoom,
+                      m_route->m_targetLatency));
   } else {
-    Reject("upstream_unreachable", kShortestRetryAfter);
+    Reject("upstream_unreachable",
+           RetryAfter(policy::RejectionCause::SpuriousRejection, m_route->m_targetLatency));
   }
 }
 
@@ -254,14 +264,11 @@
   Respond(504, "deadline");
 }
 
-milliseconds RequestExchange::RetryAfter(milliseconds aExpected) const
+milliseconds RequestExchange::RetryAfter(policy::RejectionCause aCause,
+                                         milliseconds aExpected) const
 {
-  // Spread by the id over half to all of the expected wait, so that callers rejected together do
-  // not return together.
-  const auto spread = static_cast<int>(HashOf(m_request->m_id) % 512);
-  const milliseconds wait = aExpected * (512 + spread) / 1024;
-  const milliseconds longest = m_request->m_timeout.value_or(Remaining()) / kRetryAfterPart;
-  return std::max(kShortestRetryAfter, std::min(wait, longest));
+  return policy::RetryDelay(
+    aCause, aExpected, m_request->m_timeout.value_or(Remaining()), HashOf(m_request->m_id));
 }
 
 void RequestExchange::Reject(std::string_view aReason, milliseconds aRetryAfter)
@@ -314,6 +321,9 @@
     .Add("status", m_response.m_status)
     .Add("latency_ms", latency)
     .Add("attempts", m_tried.size());
+  if (!m_tried.empty()) {
+    record.Add("upstream", m_tried.back());
+  }
   if (m_route) {
     record.Add("route", m_route->m_name).Add("config", m_routes->Config().m_version);
   }
--- a/packages/gateway/src/RequestExchange.h
+++ b/packages/gateway/src/RequestExchange.h
@@ -3,6 +3,7 @@
 #include "CallerRequest.h"
 #include "GatewayContext.h"
 #include "UpstreamAttempt.h"
+#include "jaylane/policy/RetryDelay.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
@@ -46,7 +47,8 @@
   void LogEnd(std::string_view aOutcome) const;
   policy::ServiceBalancer::Query MakeQuery() const;
   std::chrono::milliseconds Remaining() const;
-  std::chrono::milliseconds RetryAfter(std::chrono::milliseconds aExpected) const;
+  std::chrono::milliseconds RetryAfter(policy::RejectionCause aCause,
+                                       std::chrono::milliseconds aExpected) const;
   bool IsReturned() const;
   policy::RequestFingerprint Fingerprint() const;
 
--- a/packages/policy/include/jaylane/policy/ServiceBalancer.h
+++ b/packages/policy/include/jaylane/policy/ServiceBalancer.h
@@ -121,6 +121,8 @@
     /// Position in the ranking of the key.
     std::size_t m_rank = 0;
     bool m_isCold = false;
+    /// This VM has seen the upstream serve the key.
+    bool m_isKnown = false;
   };
 
   ServiceBalancer(BalancerOptions aOptions, std::string aOwnRegion);
--- a/packages/policy/src/ServiceBalancer.cpp
+++ b/packages/policy/src/ServiceBalancer.cpp
@@ -18,6 +18,8 @@
 constexpr double kOtherRegionCost = 20;
 /// Separates the hash that places a key in a region from the one that ranks upstreams.
 constexpr std::uint64_t kRegionSalt = 0x9E3779B97F4A7C15;
+/// Quantile of service times that estimates follow; waiting in queues is estimated apart.
+constexpr double kTimeQuantile = 0.35;
 constexpr double kHashRange = 18446744073709551616.0;
 
 std::uint64_t Mix(std::uint64_t aValue)
@@ -35,6 +37,17 @@
   return std::chrono::duration<double, std::milli>(aTime).count();
 }
 
+/// Moves an estimate towards a quantile of the samples; unlike an average it is not raised by
+/// the few samples that waited in a queue.
+void TrackQuantile(double& aEstimate, double aSample, double aQuantile, double aGain)
+{
+  if (aEstimate == 0) {
+    aEstimate = aSample;
+  } else {
+    aEstimate *= 1 + aGain * (aSample > aEstimate ? aQuantile : aQuantile - 1);
+  }
+}
+
 void Average(double& aAverage, double aSample, double aGain)
 {
   aAverage = aAverage == 0 ? aSample : aAverage + aGain * (aSample - aAverage);
@@ -209,6 +222,7 @@
       choice.m_upstream = &state.m_candidate.m_upstream;
       choice.m_rank = rank;
       choice.m_isCold = aNow < state.m_candidate.m_coldUntil;
+      choice.m_isKnown = state.m_keys.contains(aQuery.m_key);
     }
   }
   if (!choice.m_upstream) {
@@ -277,13 +291,17 @@
   state->m_failures = 0;
   Average(state->m_successRate, 1, m_options.m_successGain);
   NoteReport(*state, aReport);
+  if (m_warmTime == 0) {
+    m_warmTime = WarmTime(aQuery);
+  }
   const bool hadQueue = aReport && aReport->m_waiting > 0;
   const bool wasKnown = !aQuery.m_hasAffinity || state->m_keys.contains(aQuery.m_key);
   const double time = std::max(1.0, ToMillis(aLatency) - ToMillis(state->m_candidate.m_roundTrip));
   if (wasKnown && !hadQueue) {
-    Average(state->m_slowness, time / WarmTime(aQuery), m_options.m_timeGain);
-    state->m_slowness = std::clamp(state->m_slowness, 0.5, 20.0);
-    Average(m_warmTime, std::min(time, 2 * WarmTime(aQuery)), m_options.m_timeGain / 5);
+    TrackQuantile(
+      state->m_slowness, time / WarmTime(aQuery), kTimeQuantile, m_options.m_timeGain);
+    state->m_slowness = std::clamp(state->m_slowness, 0.7, 20.0);
+    TrackQuantile(m_warmTime, time, kTimeQuantile, m_options.m_timeGain / 2);
   } else if (!wasKnown && !hadQueue && time > WarmTime(aQuery) * 1.5) {
     Average(m_coldTime, time, m_options.m_timeGain);
   }
--- /dev/null
+++ b/packages/policy/tests/RetryDelayTest.cpp
@@ -0,0 +1,42 @@
+#include "jaylane/policy/RetryDelay.h"
+
+#include <gtest/gtest.h>
+#include <set>
+
+namespace jaylane::policy {
+namespace {
+
+using namespace std::chrono_literals;
+
+// Guards against callers that return too late to be served in time although nothing was full.
+TEST(RetryDelayTest, ReturnsSoonAfterASpuriousRejection)
+{
+  for (std::uint64_t id = 0; id < 2000; ++id) {
+    const auto delay = RetryDelay(RejectionCause::SpuriousRejection, 800ms, 2500ms, id);
+    EXPECT_GE(delay, 10ms);
+    EXPECT_LE(delay, 50ms);
+  }
+}
+
+// Replays a peak: a thousand callers rejected at once must not return at once.
+TEST(RetryDelayTest, SpreadsCallersOverHalfOfTheWait)
+{
+  std::set<std::chrono::milliseconds> delays;
+  for (std::uint64_t id = 0; id < 1000; ++id) {
+    delays.insert(RetryDelay(RejectionCause::NoRoom, 800ms, 6000ms, id));
+  }
+  EXPECT_GE(*delays.begin(), 400ms);
+  EXPECT_LE(*delays.rbegin(), 800ms);
+  EXPECT_GE(delays.size(), 300U);
+}
+
+// Guards against a delay that the caller cuts short anyway.
+TEST(RetryDelayTest, StaysWithinAThirdOfTheRemainingTime)
+{
+  EXPECT_LE(RetryDelay(RejectionCause::NoRoom, 5000ms, 900ms, 511), 300ms);
+  EXPECT_GE(RetryDelay(RejectionCause::NoRoom, 1ms, 900ms, 0), 100ms);
+  EXPECT_LE(RetryDelay(RejectionCause::NoUpstream, 0ms, 900ms, 511), 300ms);
+}
+
+} // namespace
+} // namespace jaylane::policy
