--- a/packages/policy/include/jaylane/policy/ServiceBalancer.h
+++ b/packages/policy/include/jaylane/policy/ServiceBalancer.h
@@ -49,8 +49,8 @@
   /// Cost of a failed attempt, part of the target latency.
   double m_failureCost = 1.5;
   /// Upstreams of the preferred and of the other regions that are compared for a request.
-  std::size_t m_preferredCandidates = 4;
-  std::size_t m_otherCandidates = 2;
+  std::size_t m_preferredCandidates = 3;
+  std::size_t m_otherCandidates = 1;
   /// Part of requests that may leave the preferred region because it is short of room for them.
   double m_overflowShare = 0.05;
   /// Utilization of the own region above and below which keys move away and back.
