--- a/packages/gateway/src/RequestExchange.cpp
+++ b/packages/gateway/src/RequestExchange.cpp
@@ -100,13 +100,6 @@
   return std::chrono::duration_cast<milliseconds>(m_deadline - m_context.m_clock.Monotonic());
 }
 
-bool RequestExchange::IsReturned() const
-{
-  // A caller that was rejected comes back with what is left of its time; others allow more than
-  // the route does.
-  return m_request->m_timeout && *m_request->m_timeout < m_route->m_timeout;
-}
-
 policy::RequestFingerprint RequestExchange::Fingerprint() const
 {
   return policy::RequestFingerprint::Of(
@@ -122,7 +115,6 @@
   query.m_tried = &m_tried;
   query.m_remaining = Remaining();
   query.m_targetLatency = m_route->m_targetLatency;
-  query.m_returned = IsReturned();
   return query;
 }
 
--- a/packages/gateway/src/RequestExchange.h
+++ b/packages/gateway/src/RequestExchange.h
@@ -49,7 +49,6 @@
   std::chrono::milliseconds Remaining() const;
   std::chrono::milliseconds RetryAfter(policy::RejectionCause aCause,
                                        std::chrono::milliseconds aExpected) const;
-  bool IsReturned() const;
   policy::RequestFingerprint Fingerprint() const;
 
   GatewayContext& m_context;
--- a/packages/policy/include/jaylane/policy/ServiceBalancer.h
+++ b/packages/policy/include/jaylane/policy/ServiceBalancer.h
@@ -58,8 +58,8 @@
   double m_moveBackBelow = 0.55;
   /// Part of keys moved a step; with kShareStep it stays below the bound on regional shifts.
   double m_moveStep = 0.02;
-  /// Queueing time that a first attempt accepts, part of the target latency.
-  double m_waitLimit = 0.5;
+  /// Queueing time that a request accepts, part of the target latency.
+  double m_waitLimit = 1.0;
   /// First ejection after an unreachable upstream; doubles with each further failure.
   std::chrono::milliseconds m_ejection{ 400 };
   std::chrono::milliseconds m_longestEjection{ 3000 };
@@ -101,8 +101,6 @@
     const std::vector<std::string>* m_tried = nullptr;
     std::chrono::milliseconds m_remaining{ 0 };
     std::chrono::milliseconds m_targetLatency{ 0 };
-    /// The caller was rejected before and came back.
-    bool m_returned = false;
   };
 
   enum class Verdict
--- a/packages/policy/src/ServiceBalancer.cpp
+++ b/packages/policy/src/ServiceBalancer.cpp
@@ -230,9 +230,8 @@
   }
   choice.m_expected = milliseconds{ static_cast<std::int64_t>(bestCost) };
   const double target = ToMillis(aQuery.m_targetLatency);
-  const double limit = aQuery.m_returned
-                         ? ToMillis(aQuery.m_remaining) / 2
-                         : std::max(m_options.m_waitLimit * target, target - bestCost + bestWait);
+  // A request that needs long by itself is still worth sending, since the upstream then knows it.
+  const double limit = std::max(m_options.m_waitLimit * target, target - bestCost + bestWait);
   const bool isInTime = bestCost - bestWait <= ToMillis(aQuery.m_remaining);
   choice.m_verdict = bestWait <= limit && isInTime ? Verdict::Send : Verdict::Overloaded;
   return choice;
