--- a/packages/gateway/src/CallerServer.cpp
+++ b/packages/gateway/src/CallerServer.cpp
@@ -71,6 +71,12 @@
   connection->Start();
 }
 
+std::uint16_t CallerServer::Port() const
+{
+  boost::system::error_code error;
+  return m_acceptor.local_endpoint(error).port();
+}
+
 void CallerServer::StopAccepting()
 {
   boost::system::error_code ignored;
--- a/packages/gateway/src/CallerServer.h
+++ b/packages/gateway/src/CallerServer.h
@@ -22,6 +22,8 @@
   /// Closes connections as soon as their requests are answered.
   void CloseIdle();
 
+  /// @return the port that is listened on.
+  std::uint16_t Port() const;
   std::size_t ConnectionCount() const { return m_connections.size(); }
 
 private:
--- a/packages/gateway/src/RequestExchange.cpp
+++ b/packages/gateway/src/RequestExchange.cpp
@@ -131,10 +131,10 @@
     Respond(502, "upstream_lost");
   } else {
     const bool hasUpstream = choice.m_verdict == ServiceBalancer::Verdict::Overloaded;
-    Reject(hasUpstream ? "overloaded" : "no_upstream",
-           RetryAfter(hasUpstream ? policy::RejectionCause::NoRoom
-                                  : policy::RejectionCause::NoUpstream,
-                      choice.m_expected));
+    Reject(
+      hasUpstream ? "overloaded" : "no_upstream",
+      RetryAfter(hasUpstream ? policy::RejectionCause::NoRoom : policy::RejectionCause::NoUpstream,
+                 choice.m_expected));
   }
 }
 
@@ -231,8 +231,8 @@
   } else if (m_mayHaveRun) {
     Respond(502, "upstream_lost");
   } else if (aResult.m_failure == AttemptFailure::Rejected) {
-    const bool hadRoom =
-      aResult.m_load && aResult.m_load->m_running + aResult.m_load->m_waiting < aResult.m_load->m_slots;
+    const bool hadRoom = aResult.m_load && aResult.m_load->m_running + aResult.m_load->m_waiting <
+                                             aResult.m_load->m_slots;
     Reject("upstream_rejected",
            RetryAfter(hadRoom ? policy::RejectionCause::SpuriousRejection
                               : policy::RejectionCause::NoRoom,
--- a/packages/gateway/src/Steering.cpp
+++ b/packages/gateway/src/Steering.cpp
@@ -1,6 +1,6 @@
 #include "Steering.h"
 
-#include "jaylane/policy/ColdPacer.h"
+#include "jaylane/policy/ColdSpacing.h"
 
 #include <algorithm>
 #include <random>
@@ -260,7 +260,7 @@
     m_members, [&](const std::string& aMember) { return keyOf(aMember) < own; });
   const double perSecond =
     service->second.m_coldPerSecond * m_settings.m_coldFactor + m_settings.m_coldSlack;
-  return policy::ColdPacer::Spacing(
+  return policy::ColdSpacing(
     perSecond, static_cast<std::uint32_t>(m_members.size()), static_cast<std::uint32_t>(rank));
 }
 
--- /dev/null
+++ b/packages/gateway/tests/GatewayFixture.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "CallerServer.h"
+#include "ScriptedUpstream.h"
+#include "TestWire.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+#include <gtest/gtest.h>
+#include <thread>
+
+namespace jaylane::gateway {
+
+/// The request path on loopback: callers are raw sockets, upstreams are scripted.
+class GatewayFixture : public testing::Test
+{
+protected:
+  GatewayFixture();
+  ~GatewayFixture() override;
+
+  /// Starts with a route /a/ of kind idempotent and a route /b/ of kind non-idempotent, both with
+  /// two attempts and a timeout of one second, to the given upstreams.
+  void Start(const std::vector<std::string>& aAddresses, std::uint32_t aMaxBodyBytes = 1000);
+
+  /// Runs a function on the request thread and waits for it.
+  void OnRequestThread(const std::function<void()>& aFunction);
+
+  /// Sends bytes on a new connection and reads until it closes or nothing comes for a while.
+  /// @param aQuiet silence after which the read ends.
+  std::string Exchange(const std::string& aBytes,
+                       std::chrono::milliseconds aQuiet = std::chrono::milliseconds{ 400 });
+
+  /// @return a connected caller's socket.
+  boost::asio::ip::tcp::socket Connect();
+
+  static std::string Request(const std::string& aTarget,
+                             const std::string& aId,
+                             const std::string& aExtra = {});
+
+  GatewaySettings m_settings;
+  WireProfile m_wire = TestWire();
+  base::AsyncLog m_log{ "vm", base::SystemClock::Get(), { 64, 1000, [](std::string_view) {} } };
+  boost::asio::io_context m_io;
+  std::unique_ptr<Steering> m_steering;
+  UpstreamPool m_pool{ base::SystemClock::Get() };
+  GatewayMetrics m_metrics;
+  std::unique_ptr<GatewayContext> m_context;
+  std::unique_ptr<CallerServer> m_server;
+
+private:
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_work;
+  boost::asio::io_context m_callerIo;
+  std::thread m_thread;
+};
+
+} // namespace jaylane::gateway
--- /dev/null
+++ b/packages/gateway/tests/PeerLinkTest.cpp
@@ -0,0 +1,113 @@
+#include "PeerLink.h"
+
+#include <algorithm>
+#include <gtest/gtest.h>
+#include <memory>
+
+namespace jaylane::gateway {
+namespace {
+
+using namespace std::chrono_literals;
+
+/// VMs that exchange datagrams on loopback addresses and share a clock.
+class PeerLinkTest : public testing::Test
+{
+protected:
+  struct Vm
+  {
+    GatewaySettings m_settings;
+    std::vector<policy::Strike> m_strikes;
+    std::vector<policy::Strike> m_received;
+    std::unique_ptr<PeerLink> m_link;
+  };
+
+  Vm& Add(int aNumber,
+          const std::string& aZone,
+          const std::string& aRegion,
+          const std::string& aSeed)
+  {
+    auto vm = std::make_unique<Vm>();
+    const std::string ip = "127.0.0." + std::to_string(10 + aNumber);
+    vm->m_settings.m_name = "vm-" + std::to_string(aNumber);
+    vm->m_settings.m_zone = aZone;
+    vm->m_settings.m_region = aRegion;
+    vm->m_settings.m_callerAddress = ip + ":80";
+    vm->m_settings.m_peerAddress = ip + ":28761";
+    vm->m_settings.m_seeds = { aSeed };
+    Vm* raw = vm.get();
+    vm->m_link = std::make_unique<PeerLink>(
+      m_io,
+      vm->m_settings,
+      base::SystemClock::Get(),
+      m_log,
+      PeerLink::Hooks{ [raw] { return raw->m_strikes; },
+                       [raw](const std::vector<policy::Strike>& aStrikes) {
+                         std::ranges::copy(aStrikes, std::back_inserter(raw->m_received));
+                       },
+                       [] {} });
+    EXPECT_TRUE(vm->m_link->Start());
+    m_vms.push_back(std::move(vm));
+    return *raw;
+  }
+
+  void RunFor(std::chrono::milliseconds aTime)
+  {
+    m_io.run_for(aTime);
+    m_io.restart();
+  }
+
+  base::AsyncLog m_log{ "t", base::SystemClock::Get(), { 64, 1000, [](std::string_view) {} } };
+  boost::asio::io_context m_io;
+  std::vector<std::unique_ptr<Vm>> m_vms;
+};
+
+// Guards against lookups that name VMs of other zones while the caller's own has some, and
+// against knowing nobody while the store is away: seeds alone must do.
+TEST_F(PeerLinkTest, LookupsNameTheCallersZoneThenItsRegion)
+{
+  Vm& first = Add(1, "a", "r", "127.0.0.11:99");
+  Add(2, "a", "r", "127.0.0.11:99");
+  Add(3, "b", "r", "127.0.0.11:99");
+  RunFor(1000ms);
+  EXPECT_EQ(first.m_link->AddressesFor("a", "r").size(), 2U);
+  EXPECT_EQ(first.m_link->AddressesFor("b", "r"), std::vector<std::string>{ "127.0.0.13:80" });
+  EXPECT_EQ(first.m_link->AddressesFor("c", "r").size(), 3U);
+  EXPECT_EQ(first.m_link->AddressesFor("x", "y").size(), 2U);
+  EXPECT_EQ(first.m_link->Names().size(), 3U);
+}
+
+TEST_F(PeerLinkTest, LeavingAndSilentVmsAreLeftOut)
+{
+  Vm& first = Add(1, "a", "r", "127.0.0.11:99");
+  Vm& second = Add(2, "a", "r", "127.0.0.11:99");
+  Add(3, "a", "r", "127.0.0.11:99");
+  RunFor(600ms);
+  ASSERT_EQ(first.m_link->AddressesFor("a", "r").size(), 3U);
+  second.m_link->AnnounceLeaving();
+  RunFor(100ms);
+  EXPECT_EQ(first.m_link->AddressesFor("a", "r").size(), 2U);
+  m_vms.pop_back();
+  m_io.restart();
+  RunFor(2200ms);
+  EXPECT_EQ(first.m_link->AddressesFor("a", "r"), std::vector<std::string>{ "127.0.0.11:80" });
+}
+
+// Guards against a crashing request that every VM has to learn about by itself.
+TEST_F(PeerLinkTest, StrikesReachOtherVms)
+{
+  Vm& first = Add(1, "a", "r", "127.0.0.12:99");
+  Vm& second = Add(2, "a", "r", "127.0.0.11:99");
+  policy::Strike strike;
+  strike.m_fingerprint = { 0xFFFFFFFFFFFFFFFF, 2 };
+  strike.m_id = 3;
+  strike.m_upstream = 4;
+  strike.m_remaining = 5000ms;
+  strike.m_correlated = true;
+  first.m_strikes = { strike };
+  RunFor(900ms);
+  ASSERT_FALSE(second.m_received.empty());
+  EXPECT_EQ(second.m_received.front(), strike);
+}
+
+} // namespace
+} // namespace jaylane::gateway
--- /dev/null
+++ b/packages/gateway/tests/RequestPathTest.cpp
@@ -0,0 +1,238 @@
+#include "GatewayFixture.h"
+
+#include <boost/asio/write.hpp>
+#include <chrono>
+
+namespace jaylane::gateway {
+namespace {
+
+using namespace std::chrono_literals;
+
+class RequestPathTest : public GatewayFixture
+{};
+
+std::string Status(const std::string& aResponse)
+{
+  return aResponse.substr(0, aResponse.find("\r\n"));
+}
+
+TEST_F(RequestPathTest, ReturnsStatusHeadersAndBodyUnchanged)
+{
+  ScriptedUpstream upstream([](const SeenRequest& aRequest) {
+    return Script{ "HTTP/1.1 418 Teapot\r\nRequest-Id: " + aRequest.Header("Request-Id") +
+                   "\r\nResponse-Signature: abc\r\nKeep-Alive: timeout=5\r\nX-Own: 1\r\n"
+                   "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n" };
+  });
+  Start({ upstream.Address() });
+  const std::string response =
+    Exchange(Request("/a/x?q=1", "r1", "Connection: close, X-Hop\r\nX-Hop: 1\r\nX-Kept: 2\r\n"));
+  EXPECT_EQ(Status(response), "HTTP/1.1 418 Teapot");
+  EXPECT_NE(response.find("Response-Signature: abc\r\n"), std::string::npos);
+  EXPECT_NE(response.find("X-Own: 1\r\n"), std::string::npos);
+  EXPECT_EQ(response.find("Keep-Alive"), std::string::npos);
+  EXPECT_NE(response.find("Content-Length: 5\r\n"), std::string::npos);
+  EXPECT_TRUE(response.ends_with("\r\n\r\nabcde"));
+  const SeenRequest seen = upstream.Seen().front();
+  EXPECT_TRUE(seen.m_head.starts_with("GET /a/x?q=1 HTTP/1.1\r\n"));
+  EXPECT_EQ(seen.Header("X-Kept"), "2");
+  EXPECT_EQ(seen.Header("X-Hop"), "");
+  EXPECT_EQ(seen.Header("Request-Id"), "r1");
+  EXPECT_LE(std::stoi(seen.Header("Timeout-Ms")), 1000);
+}
+
+TEST_F(RequestPathTest, ForwardsChunkedBodiesWhole)
+{
+  ScriptedUpstream upstream(
+    [](const SeenRequest& aRequest) { return Script{ OkResponse(aRequest, aRequest.m_body) }; });
+  Start({ upstream.Address() });
+  const std::string response =
+    Exchange("POST /b/x HTTP/1.1\r\nHost: h\r\nRequest-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n"
+             "4\r\nabcd\r\n3;x=y\r\nefg\r\n0\r\n\r\n");
+  EXPECT_TRUE(response.ends_with("abcdefg"));
+}
+
+// Guards against responses in the order of completion instead of that of the requests.
+TEST_F(RequestPathTest, AnswersPipelinedRequestsInOrderAndAtTheSameTime)
+{
+  ScriptedUpstream upstream([](const SeenRequest& aRequest) {
+    const std::string id = aRequest.Header("Request-Id");
+    return Script{ OkResponse(aRequest, "body-" + id), false, false, id == "r1" ? 300ms : 100ms };
+  });
+  Start({ upstream.Address() });
+  const auto start = std::chrono::steady_clock::now();
+  const std::string response = Exchange(Request("/a/1", "r1") + Request("/a/2", "r2") +
+                                        Request("/a/3", "r3", "Connection: close\r\n"));
+  EXPECT_LT(std::chrono::steady_clock::now() - start, 450ms);
+  const auto first = response.find("body-r1");
+  const auto second = response.find("body-r2");
+  const auto third = response.find("body-r3");
+  ASSERT_NE(third, std::string::npos);
+  EXPECT_LT(first, second);
+  EXPECT_LT(second, third);
+  EXPECT_NE(response.find("Connection: close"), std::string::npos);
+}
+
+struct RejectedInput
+{
+  const char* m_name;
+  std::string m_bytes;
+  const char* m_status;
+};
+
+class RejectedInputTest
+  : public GatewayFixture
+  , public testing::WithParamInterface<RejectedInput>
+{};
+
+// Guards against smuggled requests and unbounded input: nothing of these may reach an upstream.
+TEST_P(RejectedInputTest, IsRejectedAndNotForwarded)
+{
+  ScriptedUpstream upstream(
+    [](const SeenRequest& aRequest) { return Script{ OkResponse(aRequest, "x") }; });
+  Start({ upstream.Address() });
+  const std::string response = Exchange(GetParam().m_bytes, 1800ms);
+  EXPECT_TRUE(Status(response).starts_with(std::string{ "HTTP/1.1 " }.append(GetParam().m_status)))
+    << response;
+  EXPECT_NE(response.find("Connection: close"), std::string::npos);
+  EXPECT_TRUE(upstream.Seen().empty());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Inputs,
+  RejectedInputTest,
+  testing::Values(
+    RejectedInput{
+      "LengthAndChunks",
+      "POST /b/x HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\nTransfer-Encoding: chunked"
+      "\r\n\r\n0\r\n\r\nGET /a/y HTTP/1.1\r\nHost: h\r\n\r\n",
+      "400" },
+    RejectedInput{
+      "TwoLengths",
+      "POST /b/x HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\nabcde",
+      "400" },
+    RejectedInput{ "SignedLength",
+                   "POST /b/x HTTP/1.1\r\nHost: h\r\nContent-Length: +4\r\n\r\nabcd",
+                   "400" },
+    RejectedInput{ "BareLineEnds", "GET /a/x HTTP/1.1\nHost: h\n\n", "400" },
+    RejectedInput{ "SpaceBeforeColon", "GET /a/x HTTP/1.1\r\nHost : h\r\n\r\n", "400" },
+    RejectedInput{ "TwoHosts", "GET /a/x HTTP/1.1\r\nHost: h\r\nHost: i\r\n\r\n", "400" },
+    RejectedInput{ "NoHost", "GET /a/x HTTP/1.1\r\n\r\n", "400" },
+    RejectedInput{
+      "BadChunk",
+      "POST /b/x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n",
+      "400" },
+    RejectedInput{ "LongHeader",
+                   "GET /a/x HTTP/1.1\r\nHost: h\r\nX: " + std::string(3000, 'x') + "\r\n\r\n",
+                   "431" },
+    RejectedInput{ "LongBody",
+                   "POST /b/x HTTP/1.1\r\nHost: h\r\nContent-Length: 1001\r\n\r\n",
+                   "413" },
+    RejectedInput{ "SlowHeader", "GET /a/x HTTP/1.1\r\nHost: h\r\n", "408" }),
+  [](const auto& aInfo) { return aInfo.param.m_name; });
+
+// Guards against running a non-idempotent request twice after a connection that ended silently.
+TEST_F(RequestPathTest, NonIdempotentRequestsAreSentOnce)
+{
+  const auto crash = [](const SeenRequest&) { return Script{ "", true }; };
+  ScriptedUpstream first(crash);
+  ScriptedUpstream second(crash);
+  Start({ first.Address(), second.Address() });
+  const std::string response = Exchange(Request("/b/x", "r1"));
+  EXPECT_EQ(Status(response), "HTTP/1.1 502 Bad Gateway");
+  EXPECT_EQ(first.Seen().size() + second.Seen().size(), 1U);
+}
+
+TEST_F(RequestPathTest, IdempotentRequestsAreRetriedElsewhere)
+{
+  ScriptedUpstream first([](const SeenRequest&) { return Script{ "", true }; });
+  ScriptedUpstream second(
+    [](const SeenRequest& aRequest) { return Script{ OkResponse(aRequest, "x") }; });
+  Start({ first.Address(), second.Address() });
+  for (int i = 0; i < 8; ++i) {
+    EXPECT_EQ(Status(Exchange(Request(
+                "/a/" + std::to_string(i), "r" + std::to_string(i), "Connection: close\r\n"))),
+              "HTTP/1.1 200 OK");
+  }
+}
+
+TEST_F(RequestPathTest, RejectedNonIdempotentRequestsMayGoElsewhere)
+{
+  const auto reject = [](const SeenRequest&) {
+    return Script{ "HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n" };
+  };
+  ScriptedUpstream first(reject);
+  ScriptedUpstream second(reject);
+  Start({ first.Address(), second.Address() });
+  const std::string response = Exchange(Request("/b/x", "r1"));
+  EXPECT_EQ(Status(response), "HTTP/1.1 503 Service Unavailable");
+  EXPECT_NE(response.find("Retry-After: "), std::string::npos);
+  EXPECT_EQ(first.Seen().size() + second.Seen().size(), 2U);
+}
+
+// Guards against work that goes on for a caller that has left.
+TEST_F(RequestPathTest, CallerLeavingClosesTheUpstreamConnection)
+{
+  ScriptedUpstream upstream([](const SeenRequest& aRequest) {
+    return Script{ OkResponse(aRequest, "x"), false, false, 2000ms };
+  });
+  Start({ upstream.Address() });
+  {
+    auto socket = Connect();
+    boost::asio::write(socket, boost::asio::buffer(Request("/a/x", "r1")));
+    std::this_thread::sleep_for(100ms);
+  }
+  std::this_thread::sleep_for(300ms);
+  EXPECT_EQ(upstream.AbandonedCount(), 1U);
+}
+
+TEST_F(RequestPathTest, AnswersAtTheRoutesTimeout)
+{
+  ScriptedUpstream upstream([](const SeenRequest& aRequest) {
+    return Script{ OkResponse(aRequest, "x"), false, false, 3000ms };
+  });
+  Start({ upstream.Address() });
+  const auto start = std::chrono::steady_clock::now();
+  const std::string response = Exchange(Request("/b/x", "r1", "Connection: close\r\n"), 2000ms);
+  EXPECT_EQ(Status(response), "HTTP/1.1 504 Gateway Timeout");
+  EXPECT_GE(std::chrono::steady_clock::now() - start, 1000ms);
+  EXPECT_LT(std::chrono::steady_clock::now() - start, 1400ms);
+}
+
+TEST_F(RequestPathTest, UnknownRoutesAreNotFound)
+{
+  Start({});
+  EXPECT_EQ(Status(Exchange(Request("/c/x", "r1"))), "HTTP/1.1 404 Not Found");
+}
+
+// Guards against a VM that takes requests before it can route them.
+TEST_F(RequestPathTest, ReadyOnceConfigurationAndUpstreamsAreKnown)
+{
+  m_steering = std::make_unique<Steering>(m_settings, base::SystemClock::Get(), m_log);
+  EXPECT_FALSE(m_steering->IsReady());
+  policy::Configuration configuration;
+  configuration.m_version = 1;
+  m_steering->ApplyConfiguration(configuration);
+  EXPECT_FALSE(m_steering->IsReady()) << "upstreams are unknown";
+  m_steering->ReplaceUpstreams({});
+  EXPECT_TRUE(m_steering->IsReady());
+}
+
+// Guards against a configuration that reverts when an older one arrives late.
+TEST_F(RequestPathTest, OlderConfigurationsAreIgnored)
+{
+  m_steering = std::make_unique<Steering>(m_settings, base::SystemClock::Get(), m_log);
+  policy::Configuration configuration;
+  configuration.m_version = 5;
+  configuration.m_revision = 50;
+  EXPECT_TRUE(m_steering->ApplyConfiguration(configuration));
+  configuration.m_version = 3;
+  configuration.m_revision = 60;
+  EXPECT_FALSE(m_steering->ApplyConfiguration(configuration));
+  configuration.m_version = 5;
+  configuration.m_revision = 40;
+  EXPECT_FALSE(m_steering->ApplyConfiguration(configuration));
+  EXPECT_EQ(m_steering->Routes()->Config().m_revision, 50U);
+}
+
+} // namespace
+} // namespace jaylane::gateway
--- a/packages/gateway/tests/ScriptedUpstream.cpp
+++ b/packages/gateway/tests/ScriptedUpstream.cpp
@@ -81,7 +81,8 @@
   std::string buffer;
   boost::system::error_code error;
   while (true) {
-    const std::size_t head = asio::read_until(aSocket, asio::dynamic_buffer(buffer), "\r\n\r\n", error);
+    const std::size_t head =
+      asio::read_until(aSocket, asio::dynamic_buffer(buffer), "\r\n\r\n", error);
     if (error) {
       break;
     }
@@ -90,7 +91,8 @@
     const std::string length = request.Header("Content-Length");
     const std::size_t size = length.empty() ? 0 : std::stoul(length);
     if (buffer.size() < size) {
-      asio::read(aSocket, asio::dynamic_buffer(buffer), asio::transfer_exactly(size - buffer.size()), error);
+      asio::read(
+        aSocket, asio::dynamic_buffer(buffer), asio::transfer_exactly(size - buffer.size()), error);
     }
     request.m_body = buffer.substr(0, size);
     buffer.erase(0, std::min(size, buffer.size()));
@@ -121,10 +123,11 @@
 
 std::string OkResponse(const SeenRequest& aRequest, const std::string& aBody)
 {
-  return fmt::format("HTTP/1.1 200 OK\r\nRequest-Id: {}\r\nResponse-Signature: s\r\nContent-Length: {}\r\n\r\n{}",
-                     aRequest.Header("Request-Id"),
-                     aBody.size(),
-                     aBody);
+  return fmt::format(
+    "HTTP/1.1 200 OK\r\nRequest-Id: {}\r\nResponse-Signature: s\r\nContent-Length: {}\r\n\r\n{}",
+    aRequest.Header("Request-Id"),
+    aBody.size(),
+    aBody);
 }
 
 } // namespace jaylane::gateway
--- a/packages/policy/include/jaylane/policy/ServiceBalancer.h
+++ b/packages/policy/include/jaylane/policy/ServiceBalancer.h
@@ -59,7 +59,7 @@
   /// Part of keys moved a step; with kShareStep it stays below the bound on regional shifts.
   double m_moveStep = 0.02;
   /// Queueing time that a request accepts, part of the target latency.
-  double m_waitLimit = 1.0;
+  double m_waitLimit = 0.75;
   /// First ejection after an unreachable upstream; doubles with each further failure.
   std::chrono::milliseconds m_ejection{ 400 };
   std::chrono::milliseconds m_longestEjection{ 3000 };
--- a/packages/policy/src/RetryDelay.cpp
+++ b/packages/policy/src/RetryDelay.cpp
@@ -31,8 +31,7 @@
   if (aCause == RejectionCause::SpuriousRejection) {
     return kSoon + kSoonSpread * step / steps;
   }
-  const milliseconds wait =
-    aCause == RejectionCause::NoUpstream ? kUpstreamWait : aExpectedWait;
+  const milliseconds wait = aCause == RejectionCause::NoUpstream ? kUpstreamWait : aExpectedWait;
   const milliseconds spread = wait * (steps + step) / (2 * steps);
   return std::max(kShortestWait, std::min(spread, aRemaining / kLongestPart));
 }
--- a/packages/policy/src/ServiceBalancer.cpp
+++ b/packages/policy/src/ServiceBalancer.cpp
@@ -297,8 +297,7 @@
   const bool wasKnown = !aQuery.m_hasAffinity || state->m_keys.contains(aQuery.m_key);
   const double time = std::max(1.0, ToMillis(aLatency) - ToMillis(state->m_candidate.m_roundTrip));
   if (wasKnown && !hadQueue) {
-    TrackQuantile(
-      state->m_slowness, time / WarmTime(aQuery), kTimeQuantile, m_options.m_timeGain);
+    TrackQuantile(state->m_slowness, time / WarmTime(aQuery), kTimeQuantile, m_options.m_timeGain);
     state->m_slowness = std::clamp(state->m_slowness, 0.7, 20.0);
     TrackQuantile(m_warmTime, time, kTimeQuantile, m_options.m_timeGain / 2);
   } else if (!wasKnown && !hadQueue && time > WarmTime(aQuery) * 1.5) {
--- /dev/null
+++ b/packages/policy/tests/UpstreamRegistryTest.cpp
@@ -0,0 +1,88 @@
+#include "jaylane/policy/UpstreamRegistry.h"
+
+#include <gtest/gtest.h>
+
+namespace jaylane::policy {
+namespace {
+
+using namespace std::chrono_literals;
+
+Upstream Entry(const std::string& aId, std::uint64_t aRevision, bool aIsDraining = false)
+{
+  Upstream upstream;
+  upstream.m_id = aId;
+  upstream.m_service = "s";
+  upstream.m_revision = aRevision;
+  upstream.m_draining = aIsDraining;
+  return upstream;
+}
+
+class UpstreamRegistryTest : public testing::Test
+{
+protected:
+  void FillWith(int aCount)
+  {
+    std::vector<Upstream> entries;
+    for (int i = 0; i < aCount; ++i) {
+      entries.push_back(Entry("u" + std::to_string(i), 10));
+    }
+    m_registry.Replace(std::move(entries), m_clock.Monotonic());
+  }
+
+  base::ManualClock m_clock;
+  UpstreamRegistry m_registry{ {} };
+};
+
+TEST_F(UpstreamRegistryTest, RemovedEntryIsGoneAtOnce)
+{
+  FillWith(3);
+  m_registry.Remove("u0", 11, m_clock.Monotonic());
+  EXPECT_EQ(m_registry.Records().size(), 2U);
+}
+
+// Replays an outage in which every registration expired: traffic must go on until they are back.
+TEST_F(UpstreamRegistryTest, KeepsLapsedEntriesShortlyAfterAnOutage)
+{
+  FillWith(3);
+  m_registry.OnStoreRecovered(m_clock.Monotonic());
+  m_registry.Replace({}, m_clock.Monotonic());
+  EXPECT_EQ(m_registry.Records().size(), 3U);
+  m_clock.Advance(1s);
+  m_registry.Put(Entry("u1", 20), m_clock.Monotonic());
+  m_clock.Advance(2s);
+  EXPECT_TRUE(m_registry.Expire(m_clock.Monotonic()));
+  ASSERT_EQ(m_registry.Records().size(), 1U);
+  EXPECT_EQ(m_registry.Records().begin()->first, "u1");
+}
+
+// Guards against traffic to an upstream that said that it leaves before the outage.
+TEST_F(UpstreamRegistryTest, DrainingEntriesDoNotLapse)
+{
+  FillWith(3);
+  m_registry.Put(Entry("u0", 12, true), m_clock.Monotonic());
+  m_registry.OnStoreRecovered(m_clock.Monotonic());
+  m_registry.Remove("u0", 13, m_clock.Monotonic());
+  EXPECT_FALSE(m_registry.Records().contains("u0"));
+}
+
+// A mass loss in one list is doubted even where the outage itself was not noticed.
+TEST_F(UpstreamRegistryTest, DoubtsTheLossOfMostEntriesAtOnce)
+{
+  FillWith(10);
+  m_registry.Replace({ Entry("u0", 20) }, m_clock.Monotonic());
+  EXPECT_EQ(m_registry.Records().size(), 10U);
+  m_clock.Advance(3s);
+  m_registry.Expire(m_clock.Monotonic());
+  EXPECT_EQ(m_registry.Records().size(), 1U);
+}
+
+TEST_F(UpstreamRegistryTest, OlderEntriesDoNotReplaceNewerOnes)
+{
+  FillWith(1);
+  m_registry.Put(Entry("u0", 12, true), m_clock.Monotonic());
+  m_registry.Put(Entry("u0", 11), m_clock.Monotonic());
+  EXPECT_TRUE(m_registry.Records().at("u0").m_upstream.m_draining);
+}
+
+} // namespace
+} // namespace jaylane::policy
