--- a/packages/gateway/src/Steering.cpp
+++ b/packages/gateway/src/Steering.cpp
@@ -28,6 +28,10 @@
 {
   policy::QuarantineOptions options;
   options.m_lifetime = std::chrono::seconds{ 60 };
+  // A path that many callers use loses responses at several flaky upstreams and still completes
+  // elsewhere; only a request that never completes is convicted, by its third upstream.
+  options.m_deaths = 3;
+  options.m_deathsInAll = 64;
   return options;
 }
 
--- a/packages/gateway/tests/RequestPathTest.cpp
+++ b/packages/gateway/tests/RequestPathTest.cpp
@@ -217,6 +217,27 @@
   EXPECT_TRUE(m_steering->IsReady());
 }
 
+// Guards against rejecting a popular request for a minute because flaky upstreams lost some of its
+// responses (soak seed 2).
+TEST_F(RequestPathTest, PopularRequestsThatCompleteAreNotQuarantined)
+{
+  m_steering = std::make_unique<Steering>(m_settings, base::SystemClock::Get(), m_log);
+  const auto popular = policy::RequestFingerprint::Of("s", "GET", "/a/x", 0);
+  const auto crashing = policy::RequestFingerprint::Of("s", "GET", "/a/y", 0);
+  base::ManualClock clock;
+  for (std::uint64_t round = 0; round < 20; ++round) {
+    m_steering->Quarantine().RecordLoss(popular, round % 2, clock.Monotonic());
+    EXPECT_FALSE(m_steering->Quarantine().IsQuarantined(popular, clock.Monotonic())) << round;
+    m_steering->Quarantine().RecordCompleted(popular, clock.Monotonic());
+    clock.Advance(1100ms);
+  }
+  for (std::uint64_t upstream = 0; upstream < 3; ++upstream) {
+    m_steering->Quarantine().RecordLoss(crashing, upstream, clock.Monotonic());
+    clock.Advance(1100ms);
+  }
+  EXPECT_TRUE(m_steering->Quarantine().IsQuarantined(crashing, clock.Monotonic()));
+}
+
 // Guards against a configuration that reverts when an older one arrives late.
 TEST_F(RequestPathTest, OlderConfigurationsAreIgnored)
 {
