--- a/packages/gateway/include/jaylane/gateway/GatewaySettings.h
+++ b/packages/gateway/include/jaylane/gateway/GatewaySettings.h
@@ -33,6 +33,8 @@
   /// Time between the stop signal and the end of the process.
   std::chrono::milliseconds m_stopGrace{ 6000 };
   std::chrono::milliseconds m_lookupLifetime{ 1000 };
+  /// Time that an upstream goes on serving after it announced that it leaves.
+  std::chrono::milliseconds m_drainTime{ 1800 };
   /// Bound on retries of a service by all VMs: a share of its requests and a constant, in a window.
   double m_retryShare = 0.2;
   std::uint32_t m_retrySlack = 60;
--- a/packages/gateway/src/GatewaySettings.cpp
+++ b/packages/gateway/src/GatewaySettings.cpp
@@ -103,6 +103,7 @@
   reader.Read("max_descriptors", settings.m_maxDescriptors);
   reader.ReadSeconds("stop_grace_seconds", settings.m_stopGrace);
   reader.ReadSeconds("lookup_lifetime_seconds", settings.m_lookupLifetime);
+  reader.ReadMillis("drain_ms", settings.m_drainTime);
   reader.Read("retry_share", settings.m_retryShare);
   reader.Read("retry_slack", settings.m_retrySlack);
   reader.ReadSeconds("retry_window_seconds", settings.m_retryWindow);
--- a/packages/gateway/src/StoreSync.cpp
+++ b/packages/gateway/src/StoreSync.cpp
@@ -14,10 +14,10 @@
 constexpr milliseconds kWatchWait{ 10'000 };
 constexpr milliseconds kWatchSlack{ 1500 };
 constexpr milliseconds kListTimeout{ 1500 };
-/// Changes that follow each other closely are fetched by one call. Upstreams change most, and
-/// their leaving is announced seconds ahead; every call to the store is priced.
+/// Changes that follow each other closely are fetched by one call; every call is priced. Upstreams
+/// change most, and their leaving is announced ahead: half of that time is left for the call.
 constexpr milliseconds kGather{ 250 };
-constexpr milliseconds kGatherUpstreams{ 900 };
+constexpr int kGatherPartOfDrain = 2;
 constexpr milliseconds kFirstBackoff{ 100 };
 constexpr milliseconds kLongestBackoff{ 800 };
 /// Members are listed again this long after the start, when all VMs that start together are
@@ -51,6 +51,7 @@
   : m_dialect(aDialect)
   , m_log(aLog)
   , m_kind(aKind)
+  , m_gather(aKind == ObjectKind::Upstreams ? aSettings.m_drainTime / kGatherPartOfDrain : kGather)
   , m_hooks(std::move(aHooks))
   , m_fetch(std::make_shared<HttpFetch>(aIo, aSettings.m_storeAddress))
   , m_timer(aIo)
@@ -131,7 +132,7 @@
     return;
   }
   m_hooks.m_onChanges(std::move(batch->m_objects));
-  After(m_kind == ObjectKind::Upstreams ? kGatherUpstreams : kGather, [this] { Watch(); });
+  After(m_gather, [this] { Watch(); });
 }
 
 void KindWatcher::OnSuccess()
--- a/packages/gateway/src/StoreSync.h
+++ b/packages/gateway/src/StoreSync.h
@@ -52,6 +52,7 @@
   const StoreDialect& m_dialect;
   base::AsyncLog& m_log;
   ObjectKind m_kind;
+  std::chrono::milliseconds m_gather;
   Hooks m_hooks;
   std::shared_ptr<HttpFetch> m_fetch;
   boost::asio::steady_timer m_timer;
