Split the connections of an upstream among the VMs in advance

Change: requests in flight to an upstream stay within 0.7 of its connections divided by all known VMs, at least 2; a full one counts as unusable and the next of the ranking is taken. Test KeepsWithinItsPartOfTheConnections. Unused paths leave WireProfile.

--- a/packages/gateway/include/jaylane/gateway/WireProfile.h
+++ b/packages/gateway/include/jaylane/gateway/WireProfile.h
@@ -25,10 +25,6 @@
   std::string m_signature;
   std::string m_load;
 
-  /// Paths that callers and the platform ask a VM for.
-  std::string m_readyPath;
-  std::string m_lookupPath;
-
   /// Parses the value of the load header.
   std::optional<policy::LoadReport> (*m_parseLoad)(std::string_view aValue) = nullptr;
   /// Formats the response to a lookup.
--- a/packages/gateway/src/Steering.cpp
+++ b/packages/gateway/src/Steering.cpp
@@ -23,6 +23,10 @@
 /// with a full allowance.
 constexpr double kIssuedRetryShare = 0.75;
 constexpr double kIssuedRetrySlack = 0.6;
+/// Part of an upstream's connections that is divided among the VMs; the rest covers VMs that
+/// started unseen and connections that the upstream has not seen close yet.
+constexpr double kIssuedConnections = 0.7;
+constexpr std::uint32_t kFewestConnections = 2;
 
 policy::QuarantineOptions QuarantineLimits()
 {
@@ -268,6 +272,20 @@
     perSecond, static_cast<std::uint32_t>(m_members.size()), static_cast<std::uint32_t>(rank));
 }
 
+std::uint32_t Steering::MaxInFlight(const policy::Upstream& aUpstream) const
+{
+  if (!m_routes) {
+    return kFewestConnections;
+  }
+  const auto service = m_routes->Config().m_services.find(aUpstream.m_service);
+  if (service == m_routes->Config().m_services.end()) {
+    return kFewestConnections;
+  }
+  const double part = service->second.m_maxConnections * kIssuedConnections /
+                      static_cast<double>(std::max<std::size_t>(m_members.size(), 1));
+  return std::max(kFewestConnections, static_cast<std::uint32_t>(part));
+}
+
 milliseconds Steering::RoundTrip(const policy::Upstream& aUpstream) const
 {
   if (aUpstream.m_zone == m_settings.m_zone) {
@@ -287,7 +305,11 @@
         m_unreachable.contains(id) || m_reused.contains(id)) {
       continue;
     }
-    list.push_back({ upstream, ColdUntil(record), ColdSpacing(upstream), RoundTrip(upstream) });
+    list.push_back({ upstream,
+                     ColdUntil(record),
+                     ColdSpacing(upstream),
+                     MaxInFlight(upstream),
+                     RoundTrip(upstream) });
   }
   for (auto& [service, balancer] : m_balancers) {
     candidates.try_emplace(service);
--- a/packages/policy/include/jaylane/policy/ServiceBalancer.h
+++ b/packages/policy/include/jaylane/policy/ServiceBalancer.h
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -86,6 +87,9 @@
     /// Until when it counts as cold, and the spacing that this VM keeps then.
     base::MonotonicTime m_coldUntil;
     std::chrono::milliseconds m_coldSpacing{ 0 };
+    /// This VM's part of the connections that the upstream accepts from all; each carries one
+    /// request at a time.
+    std::uint32_t m_maxInFlight = std::numeric_limits<std::uint32_t>::max();
     /// Time to reach it and back.
     std::chrono::milliseconds m_roundTrip{ 0 };
   };
--- a/packages/policy/src/ServiceBalancer.cpp
+++ b/packages/policy/src/ServiceBalancer.cpp
@@ -127,6 +127,9 @@
       !aQuery.m_allowedRegions->contains(upstream.m_region)) {
     return false;
   }
+  if (aState.m_inFlight >= aState.m_candidate.m_maxInFlight) {
+    return false;
+  }
   if (aNow < aState.m_ejectedUntil || (aState.m_failures > 0 && aState.m_inFlight > 0)) {
     return false;
   }
--- a/packages/policy/tests/ServiceBalancerTest.cpp
+++ b/packages/policy/tests/ServiceBalancerTest.cpp
@@ -314,6 +314,21 @@
   EXPECT_EQ(sent, 3);
 }
 
+// Guards against connections beyond those that the upstream accepts from all VMs.
+TEST_F(ServiceBalancerChoiceTest, KeepsWithinItsPartOfTheConnections)
+{
+  m_candidates = { MakeCandidate("u0", "r0") };
+  m_candidates[0].m_maxInFlight = 2;
+  m_balancer.Update(m_candidates, m_clock.Monotonic());
+  for (int i = 0; i < 2; ++i) {
+    ASSERT_EQ(Choose(MakeQuery(1)).m_verdict, ServiceBalancer::Verdict::Send);
+    m_balancer.OnSent("u0", MakeQuery(1), m_clock.Monotonic());
+  }
+  EXPECT_NE(Choose(MakeQuery(1)).m_verdict, ServiceBalancer::Verdict::Send);
+  m_balancer.OnCancelled("u0");
+  EXPECT_EQ(Choose(MakeQuery(1)).m_verdict, ServiceBalancer::Verdict::Send);
+}
+
 // Guards against sending on to an upstream that cannot be reached.
 TEST_F(ServiceBalancerChoiceTest, LeavesUnreachableUpstreamsAtOnce)
 {
