--- /dev/null
+++ b/packages/gateway/tests/HttpFetchTest.cpp
@@ -0,0 +1,69 @@
+#include "HttpFetch.h"
+
+#include "ScriptedUpstream.h"
+
+#include <gtest/gtest.h>
+
+namespace jaylane::gateway {
+namespace {
+
+using namespace std::chrono_literals;
+
+/// Fetches one after the other from one server.
+class HttpFetchTest : public testing::Test
+{
+protected:
+  FetchResponse Fetch(HttpFetch& aFetch, std::chrono::milliseconds aTimeout = 1000ms)
+  {
+    std::optional<FetchResponse> response;
+    aFetch.Start({ "GET", "/x", {}, aTimeout },
+                 [&](FetchResponse aEnd) { response = std::move(aEnd); });
+    const auto end = std::chrono::steady_clock::now() + 5s;
+    while (!response && std::chrono::steady_clock::now() < end) {
+      m_io.run_one_for(20ms);
+      m_io.restart();
+    }
+    return response.value_or(FetchResponse{});
+  }
+
+  boost::asio::io_context m_io;
+};
+
+// Guards against a connection that was reset while it was idle.
+TEST_F(HttpFetchTest, ConnectsAnewAfterAnIdleReset)
+{
+  ScriptedUpstream server([](const SeenRequest& aRequest) {
+    return Script{ OkResponse(aRequest, "a"), false, true };
+  });
+  const auto fetch = std::make_shared<HttpFetch>(m_io, server.Address());
+  for (int i = 0; i < 3; ++i) {
+    EXPECT_EQ(Fetch(*fetch).m_status, 200U);
+    std::this_thread::sleep_for(50ms);
+  }
+}
+
+TEST_F(HttpFetchTest, KeepsItsConnection)
+{
+  ScriptedUpstream server(
+    [](const SeenRequest& aRequest) { return Script{ OkResponse(aRequest, "a") }; });
+  const auto fetch = std::make_shared<HttpFetch>(m_io, server.Address());
+  EXPECT_EQ(Fetch(*fetch).m_body, "a");
+  EXPECT_EQ(Fetch(*fetch).m_body, "a");
+  EXPECT_EQ(server.Seen().back().m_connection, 0U);
+}
+
+// Guards against waiting for a server that went silent, and against its late response.
+TEST_F(HttpFetchTest, EndsAtItsTimeoutAndUsesANewConnection)
+{
+  int count = 0;
+  ScriptedUpstream server([&](const SeenRequest& aRequest) {
+    return Script{ OkResponse(aRequest, "a"), false, false, count++ == 0 ? 400ms : 0ms };
+  });
+  const auto fetch = std::make_shared<HttpFetch>(m_io, server.Address());
+  EXPECT_EQ(Fetch(*fetch, 100ms).m_status, 0U);
+  EXPECT_EQ(Fetch(*fetch).m_status, 200U);
+  EXPECT_EQ(server.Seen().back().m_connection, 1U);
+}
+
+} // namespace
+} // namespace jaylane::gateway
--- a/packages/testing/src/Process.cpp
+++ b/packages/testing/src/Process.cpp
@@ -38,6 +38,9 @@
   posix_spawn_file_actions_addopen(&actions, STDIN_FILENO, "/dev/null", O_RDONLY, 0);
   posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, aOutputFile.c_str(), kFlags, 0600);
   posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, aLogFile.c_str(), kFlags, 0600);
+  // A socket that a child holds too stays open when this process closes it: the other side would
+  // wait on a silent connection instead of seeing it end.
+  posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
   // The child must not inherit signals that the harness blocks.
   sigset_t none;
   sigemptyset(&none);
