--- a/packages/gateway/src/HeaderLines.h
+++ b/packages/gateway/src/HeaderLines.h
@@ -11,7 +11,7 @@
 bool IsHopHeader(std::string_view aName, std::string_view aConnection);
 
 /// @param aFields headers of a message.
-/// @param aOmit further names to leave out, null-terminated array of string views.
+/// @param aOmit further names to leave out.
 /// @return end-to-end headers as "Name: value\r\n" lines. Content-Length is left out: whoever
 ///         sends the message frames it anew.
 std::string EndToEndHeaders(const boost::beast::http::fields& aFields,
--- a/packages/gateway/tests/GatewayFixture.cpp
+++ b/packages/gateway/tests/GatewayFixture.cpp
@@ -41,7 +41,7 @@
     policy::Route route;
     route.m_name = prefix;
     route.m_host = "h";
-    route.m_pathPrefix = prefix;
+    route.m_prefix = prefix;
     route.m_kind = std::string{ prefix } == "/a/" ? policy::RequestKind::Idempotent
                                                   : policy::RequestKind::NonIdempotent;
     route.m_services = { { "s", 1 } };
--- a/packages/policy/include/jaylane/policy/Fleet.h
+++ b/packages/policy/include/jaylane/policy/Fleet.h
@@ -34,7 +34,7 @@
   std::string m_name;
   std::string m_host;
   /// Begins and ends with a slash.
-  std::string m_pathPrefix;
+  std::string m_prefix;
   RequestKind m_kind = RequestKind::NonIdempotent;
   std::vector<WeightedService> m_services;
   /// Longest time that a request may stay unanswered.
--- a/packages/policy/src/RouteTable.cpp
+++ b/packages/policy/src/RouteTable.cpp
@@ -37,8 +37,8 @@
   const Route* best = nullptr;
   for (const std::size_t index : routes->second) {
     const Route& route = m_configuration.m_routes[index];
-    if (path.starts_with(route.m_pathPrefix) &&
-        (!best || route.m_pathPrefix.size() > best->m_pathPrefix.size())) {
+    if (path.starts_with(route.m_prefix) &&
+        (!best || route.m_prefix.size() > best->m_prefix.size())) {
       best = &route;
     }
   }
--- a/packages/policy/tests/RouteTableTest.cpp
+++ b/packages/policy/tests/RouteTableTest.cpp
@@ -13,7 +13,7 @@
   Route route;
   route.m_name = aHost + aPrefix;
   route.m_host = aHost;
-  route.m_pathPrefix = aPrefix;
+  route.m_prefix = aPrefix;
   route.m_services = std::move(aServices);
   return route;
 }
