Give the test's service its connections; move the gateway's settings to a page of their own

ExamplesTest.ReferencePageIsCurrent: docs/settings.md is checked against the generated table, and the gateway's keys had been appended. AnswersPipelinedRequestsInOrderAndAtTheSameTime: the test's service allowed 0 connections, so that since the split of connections a VM kept to two requests in flight and rejected the third of the pipeline. Neither is load: both fail on an idle machine too (25 of 25 runs of the second). Change: the fixture's service has 100 connections, no expectation changes; docs/gateway-settings.md. After: gateway tests pass, 41 of 41; settings examples pass.

--- a/packages/gateway/include/jaylane/gateway/GatewaySettings.h
+++ b/packages/gateway/include/jaylane/gateway/GatewaySettings.h
@@ -11,7 +11,7 @@
 
 namespace jaylane::gateway {
 
-/// Settings of one gateway process. docs/settings.md has the key table.
+/// Settings of one gateway process. docs/gateway-settings.md has the key table.
 struct GatewaySettings
 {
   std::string m_name;
--- a/packages/gateway/tests/GatewayFixture.cpp
+++ b/packages/gateway/tests/GatewayFixture.cpp
@@ -36,6 +36,7 @@
   policy::Configuration configuration;
   configuration.m_version = 1;
   configuration.m_services["s"].m_name = "s";
+  configuration.m_services["s"].m_maxConnections = 100;
   configuration.m_limits = { 2000, aMaxBodyBytes, 1000ms, 3000ms };
   for (const char* prefix : { "/a/", "/b/" }) {
     policy::Route route;
--- a/packages/gateway/tests/RequestPathTest.cpp
+++ b/packages/gateway/tests/RequestPathTest.cpp
@@ -66,7 +66,7 @@
   const auto first = response.find("body-r1");
   const auto second = response.find("body-r2");
   const auto third = response.find("body-r3");
-  ASSERT_NE(third, std::string::npos);
+  ASSERT_NE(third, std::string::npos) << response;
   EXPECT_LT(first, second);
   EXPECT_LT(second, third);
   EXPECT_NE(response.find("Connection: close"), std::string::npos);
