--- a/packages/gateway/src/PeerLink.cpp
+++ b/packages/gateway/src/PeerLink.cpp
@@ -185,7 +185,8 @@
     peer.m_hasBeenHeard = true;
     peer.m_leaving = aDescription["leaving"].isBool() && aDescription["leaving"].asBool();
   }
-  if (wasRunning != IsRunning(peer)) {
+  // VMs of other regions are heard of seldom; only those of the region are told as lost and back.
+  if (wasRunning != IsRunning(peer) && peer.m_region == m_settings.m_region) {
     m_log.Write(base::LogRecord("peer")
                   .Add("peer", name)
                   .Add("state", IsRunning(peer) ? "running" : "leaving"));
--- a/packages/gateway/src/RequestExchange.cpp
+++ b/packages/gateway/src/RequestExchange.cpp
@@ -123,6 +123,7 @@
   ServiceBalancer& balancer = m_context.m_steering.Balancer(m_service->m_name);
   const ServiceBalancer::Choice choice =
     balancer.Choose(MakeQuery(), m_context.m_clock.Monotonic());
+  m_expected = choice.m_expected;
   if (choice.m_verdict == ServiceBalancer::Verdict::Send) {
     SendTo(choice);
   } else if (m_failureResponse) {
@@ -315,6 +316,8 @@
     .Add("attempts", m_tried.size());
   if (!m_tried.empty()) {
     record.Add("upstream", m_tried.back());
+  } else if (m_expected.count() > 0) {
+    record.Add("expected_ms", m_expected);
   }
   if (m_route) {
     record.Add("route", m_route->m_name).Add("config", m_routes->Config().m_version);
--- a/packages/gateway/src/RequestExchange.h
+++ b/packages/gateway/src/RequestExchange.h
@@ -66,6 +66,8 @@
   std::uint32_t m_sends = 0;
   std::uint32_t m_unreachable = 0;
   bool m_mayHaveRun = false;
+  /// Time to a response that the last choice expected.
+  std::chrono::milliseconds m_expected{ 0 };
   /// Last response of an upstream that reported a failure; kept in case no retry succeeds.
   std::optional<CallerResponse> m_failureResponse;
   bool m_isDone = false;
