Let load reports of upstreams lose their meaning with age

Cause: the load of other VMs at an upstream was kept as its last response reported it.

Change: the report decays to the average over the service's upstreams (life 2 s).

Test OldLoadReportsLoseTheirMeaning failed before.

--- a/packages/policy/include/jaylane/policy/ServiceBalancer.h
+++ b/packages/policy/include/jaylane/policy/ServiceBalancer.h
@@ -64,6 +64,8 @@
   /// First ejection after an unreachable upstream; doubles with each further failure.
   std::chrono::milliseconds m_ejection{ 400 };
   std::chrono::milliseconds m_longestEjection{ 3000 };
+  /// Time in which a load report loses most of its meaning; then the average load is assumed.
+  std::chrono::milliseconds m_reportLife{ 2000 };
   /// Affinity keys remembered an upstream.
   std::size_t m_keysRemembered = 64;
 };
@@ -160,6 +162,7 @@
     std::uint32_t m_inFlight = 0;
     /// Requests of other VMs at the upstream.
     double m_otherLoad = 0;
+    base::MonotonicTime m_reportedAt;
     double m_successRate = 1;
     /// Service time relative to the service's average.
     double m_slowness = 1;
@@ -177,19 +180,36 @@
     bool m_isOther = false;
   };
 
+  /// Expected times of a request at an upstream, in milliseconds.
+  struct Estimate
+  {
+    double m_wait = 0;
+    double m_service = 0;
+    /// Travel, and the expected cost of a failure.
+    double m_other = 0;
+
+    double Total() const { return m_wait + m_service + m_other; }
+  };
+
   State* FindState(const std::string& aUpstream);
   bool IsUsable(const State& aState, const Query& aQuery, base::MonotonicTime aNow) const;
   std::vector<Ranked> Rank(const Query& aQuery, base::MonotonicTime aNow) const;
   bool IsOwnRegion(const State& aState) const;
   bool PrefersOwnRegion(const Query& aQuery) const;
-  double WaitAt(const State& aState) const;
-  double CostAt(const State& aState, const Query& aQuery, std::size_t aRank) const;
+  double OtherLoad(const State& aState, base::MonotonicTime aNow) const;
+  double WaitAt(const State& aState, base::MonotonicTime aNow) const;
+  Estimate EstimateAt(const State& aState,
+                      const Query& aQuery,
+                      std::size_t aRank,
+                      base::MonotonicTime aNow) const;
   double ServiceTime(const State& aState, const Query& aQuery, std::size_t aRank) const;
   double WarmTime(const Query& aQuery) const;
   void AdjustLocalShare(base::MonotonicTime aNow);
   void InitializeLocalShare();
   void CountOverflow(bool aIsOverflow);
-  void NoteReport(State& aState, const std::optional<LoadReport>& aReport);
+  void NoteReport(State& aState,
+                  const std::optional<LoadReport>& aReport,
+                  base::MonotonicTime aNow);
   void RememberKey(State& aState, std::uint64_t aKey, base::MonotonicTime aNow);
 
   BalancerOptions m_options;
@@ -203,6 +223,8 @@
   bool m_isShareSet = false;
   base::MonotonicTime m_shareChanged;
   double m_overflowRate = 0;
+  /// Average load by other VMs, part of the slots.
+  double m_meanOtherLoad = 0;
 };
 
 } // namespace jaylane::policy
--- a/packages/policy/src/ServiceBalancer.cpp
+++ b/packages/policy/src/ServiceBalancer.cpp
@@ -20,6 +20,9 @@
 constexpr std::uint64_t kRegionSalt = 0x9E3779B97F4A7C15;
 /// Quantile of service times that estimates follow; waiting in queues is estimated apart.
 constexpr double kTimeQuantile = 0.35;
+/// Weight of the newest load report of an upstream, and in the average over all.
+constexpr double kReportGain = 0.5;
+constexpr double kMeanLoadGain = 0.05;
 constexpr double kHashRange = 18446744073709551616.0;
 
 std::uint64_t Mix(std::uint64_t aValue)
@@ -192,36 +195,47 @@
   return std::max(cold, WarmTime(aQuery)) * aState.m_slowness;
 }
 
-double ServiceBalancer::WaitAt(const State& aState) const
+double ServiceBalancer::OtherLoad(const State& aState, base::MonotonicTime aNow) const
+{
+  const double age = ToMillis(aNow - aState.m_reportedAt);
+  const double weight = std::exp(-age / ToMillis(m_options.m_reportLife));
+  const double average = m_meanOtherLoad * aState.m_candidate.m_upstream.m_slots;
+  return average + weight * (aState.m_otherLoad - average);
+}
+
+double ServiceBalancer::WaitAt(const State& aState, base::MonotonicTime aNow) const
 {
   const double slots = std::max(1U, aState.m_candidate.m_upstream.m_slots);
-  const double load = aState.m_inFlight + aState.m_otherLoad;
+  const double load = aState.m_inFlight + OtherLoad(aState, aNow);
   return std::max(0.0, load - slots + 1) / slots;
 }
 
-double ServiceBalancer::CostAt(const State& aState, const Query& aQuery, std::size_t aRank) const
+ServiceBalancer::Estimate ServiceBalancer::EstimateAt(const State& aState,
+                                                      const Query& aQuery,
+                                                      std::size_t aRank,
+                                                      base::MonotonicTime aNow) const
 {
-  const double waiting = WaitAt(aState) * WarmTime(aQuery) * aState.m_slowness;
+  Estimate estimate;
+  estimate.m_wait = WaitAt(aState, aNow) * WarmTime(aQuery) * aState.m_slowness;
+  estimate.m_service = ServiceTime(aState, aQuery, aRank);
   const double failing =
     (1 - aState.m_successRate) * m_options.m_failureCost * ToMillis(aQuery.m_targetLatency);
   const double leaving = IsOwnRegion(aState) ? 0 : kOtherRegionCost;
-  return ToMillis(aState.m_candidate.m_roundTrip) + waiting + failing + leaving +
-         ServiceTime(aState, aQuery, aRank);
+  estimate.m_other = ToMillis(aState.m_candidate.m_roundTrip) + failing + leaving;
+  return estimate;
 }
 
 ServiceBalancer::Choice ServiceBalancer::Choose(const Query& aQuery, base::MonotonicTime aNow)
 {
   AdjustLocalShare(aNow);
   Choice choice;
-  double bestCost = 0;
-  double bestWait = 0;
+  Estimate best;
   const std::vector<Ranked> ranked = Rank(aQuery, aNow);
   for (std::size_t rank = 0; rank < ranked.size(); ++rank) {
     const State& state = m_states[ranked[rank].m_index];
-    const double cost = CostAt(state, aQuery, rank);
-    if (!choice.m_upstream || cost < bestCost) {
-      bestCost = cost;
-      bestWait = WaitAt(state) * WarmTime(aQuery) * state.m_slowness;
+    const Estimate estimate = EstimateAt(state, aQuery, rank, aNow);
+    if (!choice.m_upstream || estimate.Total() < best.Total()) {
+      best = estimate;
       choice.m_upstream = &state.m_candidate.m_upstream;
       choice.m_rank = rank;
       choice.m_isCold = aNow < state.m_candidate.m_coldUntil;
@@ -231,12 +245,13 @@
   if (!choice.m_upstream) {
     return choice;
   }
-  choice.m_expected = milliseconds{ static_cast<std::int64_t>(bestCost) };
+  choice.m_expected = milliseconds{ static_cast<std::int64_t>(best.Total()) };
   const double target = ToMillis(aQuery.m_targetLatency);
+  const double withoutWait = best.Total() - best.m_wait;
   // A request that needs long by itself is still worth sending, since the upstream then knows it.
-  const double limit = std::max(m_options.m_waitLimit * target, target - bestCost + bestWait);
-  const bool isInTime = bestCost - bestWait <= ToMillis(aQuery.m_remaining);
-  choice.m_verdict = bestWait <= limit && isInTime ? Verdict::Send : Verdict::Overloaded;
+  const double limit = std::max(m_options.m_waitLimit * target, target - withoutWait);
+  const bool isInTime = withoutWait <= ToMillis(aQuery.m_remaining);
+  choice.m_verdict = best.m_wait <= limit && isInTime ? Verdict::Send : Verdict::Overloaded;
   return choice;
 }
 
@@ -261,13 +276,20 @@
   CountOverflow(IsOwnRegion(*state) != PrefersOwnRegion(aQuery));
 }
 
-void ServiceBalancer::NoteReport(State& aState, const std::optional<LoadReport>& aReport)
+void ServiceBalancer::NoteReport(State& aState,
+                                 const std::optional<LoadReport>& aReport,
+                                 base::MonotonicTime aNow)
 {
-  if (aReport) {
-    const double load = aReport->m_running + aReport->m_waiting;
-    const double others = std::max(0.0, load - aState.m_inFlight);
-    aState.m_otherLoad += 0.5 * (others - aState.m_otherLoad);
+  if (!aReport) {
+    return;
   }
+  const double load = aReport->m_running + aReport->m_waiting;
+  const double others = std::max(0.0, load - aState.m_inFlight);
+  aState.m_otherLoad = OtherLoad(aState, aNow);
+  aState.m_otherLoad += kReportGain * (others - aState.m_otherLoad);
+  aState.m_reportedAt = aNow;
+  const double slots = std::max(1U, aState.m_candidate.m_upstream.m_slots);
+  m_meanOtherLoad += kMeanLoadGain * (others / slots - m_meanOtherLoad);
 }
 
 void ServiceBalancer::RememberKey(State& aState, std::uint64_t aKey, base::MonotonicTime aNow)
@@ -292,7 +314,7 @@
   state->m_inFlight -= state->m_inFlight > 0 ? 1 : 0;
   state->m_failures = 0;
   Average(state->m_successRate, 1, m_options.m_successGain);
-  NoteReport(*state, aReport);
+  NoteReport(*state, aReport, aNow);
   if (m_warmTime == 0) {
     m_warmTime = WarmTime(aQuery);
   }
@@ -319,7 +341,7 @@
     return;
   }
   state->m_inFlight -= state->m_inFlight > 0 ? 1 : 0;
-  NoteReport(*state, aReport);
+  NoteReport(*state, aReport, aNow);
   Average(state->m_successRate, 0.001, m_options.m_successGain);
   if (aFailure != AttemptFailure::Unreachable) {
     return;
@@ -347,7 +369,7 @@
   double slots = 0;
   for (const State& state : m_states) {
     if (IsOwnRegion(state) && aNow >= state.m_ejectedUntil) {
-      load += state.m_inFlight + state.m_otherLoad;
+      load += state.m_inFlight + OtherLoad(state, aNow);
       slots += state.m_candidate.m_upstream.m_slots;
     }
   }
--- a/packages/policy/tests/ServiceBalancerTest.cpp
+++ b/packages/policy/tests/ServiceBalancerTest.cpp
@@ -339,6 +339,21 @@
   EXPECT_NE(Choose(query).m_upstream->m_id, first);
 }
 
+// Replays a queue that an upstream reported once and that drained while its keys were served
+// elsewhere. Guards against leaving an upstream for good on its last report.
+TEST_F(ServiceBalancerChoiceTest, OldLoadReportsLoseTheirMeaning)
+{
+  const auto query = MakeQuery(3);
+  const std::string first = Choose(query).m_upstream->m_id;
+  for (int i = 0; i < 3; ++i) {
+    m_balancer.OnSent(first, query, m_clock.Monotonic());
+    m_balancer.OnResponse(first, query, 140ms, LoadReport{ 4, 12, 4 }, m_clock.Monotonic());
+  }
+  EXPECT_NE(Choose(query).m_upstream->m_id, first);
+  m_clock.Advance(6s);
+  EXPECT_EQ(Choose(query).m_upstream->m_id, first);
+}
+
 // Guards against a shift between regions that is larger than the bound of 0.15 in two seconds.
 TEST_F(ServiceBalancerChoiceTest, KeysLeaveABusyRegionSlowly)
 {
