Keep uploads in the caller's region while it has room

Change: uploads have a share of their own that starts at the whole region and moves away above 1.1 of its slots.

Test LargeBodiesStayInTheRegion failed before.

--- a/packages/gateway/src/RequestExchange.cpp
+++ b/packages/gateway/src/RequestExchange.cpp
@@ -113,6 +113,7 @@
   query.m_hasAffinity = m_route->m_sticky && !m_request->m_affinityKey.empty();
   query.m_allowedRegions = &m_route->m_allowedRegions;
   query.m_tried = &m_tried;
+  query.m_isBulk = m_route->m_kind == RequestKind::Upload;
   query.m_remaining = Remaining();
   query.m_targetLatency = m_route->m_targetLatency;
   return query;
--- a/packages/policy/include/jaylane/policy/ServiceBalancer.h
+++ b/packages/policy/include/jaylane/policy/ServiceBalancer.h
@@ -57,6 +57,9 @@
   /// Utilization of the own region above and below which keys move away and back.
   double m_moveAwayAbove = 0.85;
   double m_moveBackBelow = 0.55;
+  /// The same for keys of requests with large bodies.
+  double m_moveBulkAbove = 1.1;
+  double m_moveBulkBackBelow = 0.9;
   /// Part of keys moved a step; with kShareStep it stays below the bound on regional shifts.
   double m_moveStep = 0.02;
   /// Queueing time that a request accepts, part of the target latency.
@@ -107,6 +110,8 @@
     const std::vector<std::string>* m_tried = nullptr;
     std::chrono::milliseconds m_remaining{ 0 };
     std::chrono::milliseconds m_targetLatency{ 0 };
+    /// A large body, which costs bandwidth between regions.
+    bool m_isBulk = false;
   };
 
   enum class Verdict
@@ -220,6 +225,7 @@
   double m_warmTime = 0;
   double m_coldTime = 0;
   double m_localShare = 1;
+  double m_bulkShare = 1;
   bool m_isShareSet = false;
   base::MonotonicTime m_shareChanged;
   double m_overflowRate = 0;
--- a/packages/policy/src/ServiceBalancer.cpp
+++ b/packages/policy/src/ServiceBalancer.cpp
@@ -118,7 +118,7 @@
 
 bool ServiceBalancer::PrefersOwnRegion(const Query& aQuery) const
 {
-  return UnitInterval(Mix(aQuery.m_key)) <= m_localShare;
+  return UnitInterval(Mix(aQuery.m_key)) <= (aQuery.m_isBulk ? m_bulkShare : m_localShare);
 }
 
 bool ServiceBalancer::IsUsable(const State& aState,
@@ -374,6 +374,11 @@
     }
   }
   const double utilization = slots == 0 ? 1 : load / slots;
+  if (utilization > m_options.m_moveBulkAbove) {
+    m_bulkShare = std::max(0.0, m_bulkShare - m_options.m_moveStep);
+  } else if (utilization < m_options.m_moveBulkBackBelow) {
+    m_bulkShare = std::min(1.0, m_bulkShare + m_options.m_moveStep);
+  }
   if (utilization > m_options.m_moveAwayAbove) {
     m_localShare = std::max(0.0, m_localShare - m_options.m_moveStep);
   } else if (utilization < m_options.m_moveBackBelow) {
--- a/packages/policy/tests/ServiceBalancerTest.cpp
+++ b/packages/policy/tests/ServiceBalancerTest.cpp
@@ -354,6 +354,24 @@
   EXPECT_EQ(Choose(query).m_upstream->m_id, first);
 }
 
+// Guards against large bodies on links between regions while the own region has room.
+TEST_F(ServiceBalancerChoiceTest, LargeBodiesStayInTheRegion)
+{
+  // Two thirds of the upstreams are elsewhere, so that part of the keys belongs there.
+  m_candidates[1].m_upstream.m_region = "r1";
+  m_candidates[2].m_upstream.m_region = "r2";
+  ServiceBalancer balancer{ {}, "r0" };
+  balancer.Update(m_candidates, m_clock.Monotonic());
+  int elsewhere = 0;
+  for (std::uint64_t key = 0; key < 100; ++key) {
+    auto query = MakeQuery(key);
+    elsewhere += balancer.Choose(query, m_clock.Monotonic()).m_upstream->m_region == "r0" ? 0 : 1;
+    query.m_isBulk = true;
+    EXPECT_EQ(balancer.Choose(query, m_clock.Monotonic()).m_upstream->m_region, "r0");
+  }
+  EXPECT_GT(elsewhere, 20);
+}
+
 // Guards against a shift between regions that is larger than the bound of 0.15 in two seconds.
 TEST_F(ServiceBalancerChoiceTest, KeysLeaveABusyRegionSlowly)
 {
