Add steering_sim: a model of a service with the product's balancer and an upper bound

Change: SteeringModel plays waves, bursts, crashes and unknown keys with a balancer a VM, one a region, or a greedy scheduler that knows every queue and key; steering_sim reads experiments from YAML and prints a table and an SVG.

--- /dev/null
+++ b/packages/policy/bench/SteeringSim.cpp
@@ -0,0 +1,210 @@
+// Plays the experiments of a YAML file with ServiceBalancer in each VM, one balancer a region, and
+// a greedy scheduler with full knowledge. Prints a table; --svg=FILE draws it.
+
+#include "SteeringModel.h"
+
+#include <cstdio>
+#include <fmt/format.h>
+#include <fstream>
+#include <yaml-cpp/yaml.h>
+
+namespace {
+
+using namespace jaylane::policy;
+using namespace jaylane::policy::sim;
+using std::chrono::milliseconds;
+
+struct Experiment
+{
+  std::string m_name;
+  ModelOptions m_options;
+  int m_seeds = 3;
+};
+
+struct Row
+{
+  std::string m_name;
+  std::vector<std::pair<const char*, ModelResult>> m_results;
+};
+
+void Read(const YAML::Node& aNode, const char* aKey, auto& aValue)
+{
+  if (aNode[aKey]) {
+    aValue = aNode[aKey].as<std::decay_t<decltype(aValue)>>();
+  }
+}
+
+template<typename Duration>
+void ReadMillis(const YAML::Node& aNode, const char* aKey, Duration& aValue)
+{
+  if (aNode[aKey]) {
+    aValue = milliseconds{ aNode[aKey].as<std::int64_t>() };
+  }
+}
+
+void ReadRegions(const YAML::Node& aNode, ModelOptions& aOptions)
+{
+  if (!aNode["regions"]) {
+    return;
+  }
+  aOptions.m_regions.clear();
+  for (const YAML::Node& node : aNode["regions"]) {
+    ModelOptions::Region region;
+    Read(node, "upstreams", region.m_upstreams);
+    Read(node, "vms", region.m_vms);
+    Read(node, "per_second", region.m_perSecond);
+    Read(node, "phase", region.m_phase);
+    aOptions.m_regions.push_back(region);
+  }
+}
+
+void ReadBalancer(const YAML::Node& aNode, BalancerOptions& aOptions)
+{
+  Read(aNode, "wait_limit", aOptions.m_waitLimit);
+  Read(aNode, "preferred_candidates", aOptions.m_preferredCandidates);
+  Read(aNode, "other_candidates", aOptions.m_otherCandidates);
+  Read(aNode, "overflow_share", aOptions.m_overflowShare);
+  Read(aNode, "move_away_above", aOptions.m_moveAwayAbove);
+  Read(aNode, "move_back_below", aOptions.m_moveBackBelow);
+  ReadMillis(aNode, "report_life_ms", aOptions.m_reportLife);
+}
+
+/// Reads the keys that the node has; the others stay as they are.
+void ReadExperiment(const YAML::Node& aNode, Experiment& aExperiment)
+{
+  ModelOptions& options = aExperiment.m_options;
+  Read(aNode, "name", aExperiment.m_name);
+  Read(aNode, "seeds", aExperiment.m_seeds);
+  ReadRegions(aNode, options);
+  Read(aNode, "slots", options.m_slots);
+  Read(aNode, "queue", options.m_queue);
+  Read(aNode, "keys", options.m_keys);
+  Read(aNode, "keys_kept", options.m_keysKept);
+  ReadMillis(aNode, "known_ms", options.m_knownTime);
+  ReadMillis(aNode, "unknown_ms", options.m_unknownTime);
+  Read(aNode, "swing", options.m_swing);
+  Read(aNode, "burst", options.m_burst);
+  ReadMillis(aNode, "burst_at_ms", options.m_burstAt);
+  ReadMillis(aNode, "burst_ms", options.m_burstLength);
+  Read(aNode, "crash_share", options.m_crashShare);
+  ReadMillis(aNode, "target_ms", options.m_target);
+  ReadMillis(aNode, "timeout_ms", options.m_timeout);
+  ReadMillis(aNode, "deadline_ms", options.m_deadline);
+  ReadMillis(aNode, "length_ms", options.m_length);
+  if (aNode["balancer"]) {
+    ReadBalancer(aNode["balancer"], options.m_balancer);
+  }
+}
+
+/// Sums over seeds; quantiles and the worst window are averages.
+ModelResult PlaySeeds(const Experiment& aExperiment, Scheduler aScheduler)
+{
+  ModelResult sum;
+  sum.m_worst = 0;
+  for (int seed = 1; seed <= aExperiment.m_seeds; ++seed) {
+    ModelOptions options = aExperiment.m_options;
+    options.m_seed = static_cast<std::uint64_t>(seed);
+    const ModelResult result = SteeringModel(options, aScheduler).Play();
+    sum.m_requests += result.m_requests;
+    sum.m_inTarget += result.m_inTarget;
+    sum.m_late += result.m_late;
+    sum.m_rejected += result.m_rejected;
+    sum.m_timedOut += result.m_timedOut;
+    sum.m_runs += result.m_runs;
+    sum.m_unknownRuns += result.m_unknownRuns;
+    sum.m_p50 += result.m_p50 / aExperiment.m_seeds;
+    sum.m_p99 += result.m_p99 / aExperiment.m_seeds;
+    sum.m_worst += result.m_worst / aExperiment.m_seeds;
+  }
+  return sum;
+}
+
+void Print(const Row& aRow)
+{
+  const double best = aRow.m_results.back().second.InTarget();
+  for (const auto& [scheduler, result] : aRow.m_results) {
+    fmt::print("{:<28}{:<16}{:>9}{:>10.3f}{:>10.3f}{:>10.3f}{:>10.3f}{:>9.0f}{:>9.0f}{:>9.3f}{:>9.3f}\n",
+               aRow.m_name,
+               scheduler,
+               result.m_requests,
+               result.InTarget(),
+               result.Late(),
+               result.Unserved(),
+               result.UnknownRuns(),
+               result.m_p50,
+               result.m_p99,
+               result.m_worst,
+               best > 0 ? result.InTarget() / best : 0);
+  }
+}
+
+/// Bars of the share in target, one group an experiment.
+void Draw(const std::string& aFile, const std::vector<Row>& aRows)
+{
+  constexpr int kBar = 16;
+  constexpr int kGap = 14;
+  constexpr int kLeft = 260;
+  constexpr int kWidth = 400;
+  constexpr const char* kColors[] = { "#4878a8", "#78a878", "#c0c0c0" };
+  std::ofstream file(aFile);
+  int y = kGap;
+  std::string body;
+  for (const Row& row : aRows) {
+    body += fmt::format("<text x='8' y='{}'>{}</text>\n", y + kBar, row.m_name);
+    std::size_t color = 0;
+    for (const auto& [scheduler, result] : row.m_results) {
+      const auto width = static_cast<int>(kWidth * result.InTarget());
+      body += fmt::format("<rect x='{}' y='{}' width='{}' height='{}' fill='{}'/>\n"
+                          "<text x='{}' y='{}'>{} {:.3f}</text>\n",
+                          kLeft, y, width, kBar - 2, kColors[color++ % 3],
+                          kLeft + width + 6, y + kBar - 4, scheduler, result.InTarget());
+      y += kBar;
+    }
+    y += kGap;
+  }
+  file << fmt::format("<svg xmlns='http://www.w3.org/2000/svg' width='{}' height='{}' "
+                      "font-family='sans-serif' font-size='12'>\n{}</svg>\n",
+                      kLeft + kWidth + 180, y, body);
+}
+
+int Play(const std::string& aFile, const std::string& aSvg)
+{
+  std::vector<Row> rows;
+  fmt::print("{:<28}{:<16}{:>9}{:>10}{:>10}{:>10}{:>10}{:>9}{:>9}{:>9}{:>9}\n",
+             "experiment", "scheduler", "requests", "in target", "late", "unserved", "unknown",
+             "p50 ms", "p99 ms", "worst 2s", "of best");
+  const YAML::Node document = YAML::LoadFile(aFile);
+  Experiment defaults;
+  ReadExperiment(document["defaults"], defaults);
+  for (const YAML::Node& node : document["experiments"]) {
+    Experiment experiment = defaults;
+    ReadExperiment(node, experiment);
+    Row row{ experiment.m_name, {} };
+    row.m_results.emplace_back("each VM", PlaySeeds(experiment, Scheduler::PerVm));
+    row.m_results.emplace_back("one a region", PlaySeeds(experiment, Scheduler::PerRegion));
+    row.m_results.emplace_back("full knowledge", PlaySeeds(experiment, Scheduler::FullKnowledge));
+    Print(row);
+    rows.push_back(std::move(row));
+  }
+  if (!aSvg.empty()) {
+    Draw(aSvg, rows);
+  }
+  return 0;
+}
+
+} // namespace
+
+int main(int aCount, char** aArguments)
+{
+  const std::string svg = aCount > 2 ? aArguments[2] : "";
+  if (aCount < 2 || (!svg.empty() && !svg.starts_with("--svg="))) {
+    fmt::print(stderr, "usage: steering_sim EXPERIMENTS.yaml [--svg=FILE]\n");
+    return 2;
+  }
+  try {
+    return Play(aArguments[1], svg.empty() ? svg : svg.substr(6));
+  } catch (const YAML::Exception& error) {
+    fmt::print(stderr, "steering_sim: {}: {}\n", aArguments[1], error.what());
+    return 2;
+  }
+}
