--- a/packages/gateway/src/Gateway.cpp
+++ b/packages/gateway/src/Gateway.cpp
@@ -76,6 +76,7 @@
   std::uint32_t m_ticks = 0;
   std::set<std::string> m_evacuated;
   base::MonotonicTime m_stopStarted;
+  std::unique_ptr<StoreSync> m_sync;
 };
 
 Gateway::Impl::Impl(Parts aParts)
@@ -143,12 +144,16 @@
                         .Add("store", m_parts.m_settings.m_storeAddress));
   AwaitSignal();
   Tick();
-  const StoreSync sync(m_parts.m_settings,
-                       m_parts.m_dialect,
-                       m_parts.m_log,
-                       PeerLink::Describe(m_parts.m_settings),
-                       StoreHooks());
+  m_sync = std::make_unique<StoreSync>(m_parts.m_settings,
+                                       m_parts.m_dialect,
+                                       m_parts.m_log,
+                                       PeerLink::Describe(m_parts.m_settings),
+                                       StoreHooks());
+  if (auto status = m_sync->PeerPort(); !status) {
+    return status;
+  }
   m_io.run();
+  m_sync.reset();
   m_parts.m_log.Write(base::LogRecord("stop").Add("in_flight", m_metrics.m_inFlight));
   return base::Success{};
 }
@@ -291,6 +296,9 @@
   }
   if (++m_ticks % kSweepTicks == 0) {
     m_pool.Sweep(m_steering.UpstreamIds());
+    if (m_sync) {
+      m_sync->SetPeers(m_peers.RunningPeers());
+    }
     if (m_parts.m_hasNewSettings()) {
       Reload();
     }
--- a/packages/gateway/src/PeerLink.cpp
+++ b/packages/gateway/src/PeerLink.cpp
@@ -24,6 +24,8 @@
 constexpr std::size_t kOthers = 2;
 /// VMs of the own region that get each message at most.
 constexpr std::size_t kMostInRegion = 12;
+/// VMs of the own region, and of others, that are named for questions.
+constexpr std::size_t kMostAsked = 4;
 /// Rounds in which seeds are told of this VM, in case the store is away.
 constexpr std::uint32_t kSeedRounds = 20;
 /// Strikes a message; more would not fit into a datagram.
@@ -321,6 +323,21 @@
   return addresses;
 }
 
+std::vector<std::string> PeerLink::RunningPeers() const
+{
+  std::vector<std::string> own;
+  std::vector<std::string> others;
+  for (const auto& [name, peer] : m_peers) {
+    auto& group = peer.m_region == m_settings.m_region ? own : others;
+    if (IsRunning(peer) && group.size() < kMostAsked) {
+      group.push_back(
+        fmt::format("{}:{}", peer.m_endpoint.address().to_string(), peer.m_endpoint.port()));
+    }
+  }
+  own.insert(own.end(), others.begin(), others.end());
+  return own;
+}
+
 std::set<std::string> PeerLink::Names() const
 {
   std::set<std::string> names{ m_settings.m_name };
--- a/packages/gateway/src/PeerLink.h
+++ b/packages/gateway/src/PeerLink.h
@@ -66,6 +66,9 @@
   ///         region, else of this VM's zone. Includes this VM where it fits, unless it is leaving.
   std::vector<std::string> AddressesFor(const std::string& aZone, const std::string& aRegion) const;
 
+  /// @return peer addresses of running VMs, a few of the own region first, then a few others.
+  std::vector<std::string> RunningPeers() const;
+
   /// @return names of all VMs ever heard of.
   std::set<std::string> Names() const;
 
--- a/packages/gateway/src/StoreSync.cpp
+++ b/packages/gateway/src/StoreSync.cpp
@@ -1,6 +1,9 @@
 #include "StoreSync.h"
 
 #include <algorithm>
+#include <boost/asio/post.hpp>
+#include <charconv>
+#include <fmt/format.h>
 #include <utility>
 
 namespace jaylane::gateway {
@@ -24,6 +27,11 @@
 /// registered, and then seldom: peers tell each other of newcomers.
 constexpr milliseconds kSecondMemberList{ 3000 };
 constexpr milliseconds kMemberList{ 30'000 };
+/// Failed calls in a row after which peers are asked too; a single one is common.
+constexpr std::uint32_t kFailuresBeforePeers = 2;
+constexpr milliseconds kPeerTimeout{ 500 };
+constexpr std::string_view kSnapshotPath = "/snapshots/";
+constexpr std::string_view kAfter = "?after=";
 
 const char* NameOf(ObjectKind aKind)
 {
@@ -48,7 +56,8 @@
                          base::AsyncLog& aLog,
                          ObjectKind aKind,
                          Hooks aHooks)
-  : m_dialect(aDialect)
+  : m_io(aIo)
+  , m_dialect(aDialect)
   , m_log(aLog)
   , m_kind(aKind)
   , m_gather(aKind == ObjectKind::Upstreams ? aSettings.m_drainTime / kGatherPartOfDrain : kGather)
@@ -94,8 +103,7 @@
     return;
   }
   OnSuccess();
-  m_hasList = true;
-  m_revision = batch->m_revision;
+  m_snapshot.Replace(m_listed, batch->m_revision);
   m_hooks.m_onList(std::move(m_listed));
   m_listed.clear();
   Watch();
@@ -104,7 +112,10 @@
 void KindWatcher::Watch()
 {
   m_fetch->Start(
-    { "GET", m_dialect.WatchTarget(m_kind, m_revision, kWatchWait), {}, kWatchWait + kWatchSlack },
+    { "GET",
+      m_dialect.WatchTarget(m_kind, m_snapshot.Revision(), kWatchWait),
+      {},
+      kWatchWait + kWatchSlack },
     [this](const FetchResponse& aResponse) { OnWatched(aResponse); });
 }
 
@@ -112,7 +123,6 @@
 {
   if (aResponse.m_status == 410) {
     m_log.Write(base::LogRecord("store_history_lost").Add("kind", NameOf(m_kind)));
-    m_hasList = false;
     List({});
     return;
   }
@@ -126,7 +136,7 @@
   }
   OnSuccess();
   LogUnreadable(batch->m_unreadable);
-  m_revision = std::max(m_revision, batch->m_revision);
+  m_snapshot.Apply(batch->m_objects, batch->m_revision);
   if (batch->m_objects.empty()) {
     Watch();
     return;
@@ -139,6 +149,7 @@
 {
   m_hooks.m_onCall(true);
   m_backoff = milliseconds{ 0 };
+  m_failures = 0;
   if (m_hasFailed) {
     m_hasFailed = false;
     m_log.Write(base::LogRecord("dependency_regained")
@@ -157,10 +168,61 @@
       base::LogRecord("dependency_lost").Add("dependency", "store").Add("kind", NameOf(m_kind)));
   }
   m_backoff = std::clamp(m_backoff * 2, kFirstBackoff, kLongestBackoff);
+  if (++m_failures >= kFailuresBeforePeers && !m_peers.empty()) {
+    AskPeer();
+  }
   // A list afterwards tells what happened meanwhile even if events were dropped.
   After(m_backoff, [this] { List({}); });
 }
 
+void KindWatcher::AskPeer()
+{
+  const std::string peer = m_peers[m_nextPeer++ % m_peers.size()];
+  if (m_peerFetch) {
+    m_peerFetch->Close();
+  }
+  m_peerFetch = std::make_shared<HttpFetch>(m_io, peer);
+  m_peerFetch->Start(
+    { "GET",
+      fmt::format("{}{}{}{}", kSnapshotPath, NameOf(m_kind), kAfter, m_snapshot.Revision()),
+      {},
+      kPeerTimeout },
+    [this, peer](const FetchResponse& aResponse) { OnPeerSnapshot(peer, aResponse); });
+}
+
+void KindWatcher::OnPeerSnapshot(const std::string& aPeer, const FetchResponse& aResponse)
+{
+  if (aResponse.m_status != 200 || !m_hasFailed) {
+    return; // The peer has nothing newer, or the store serves this VM again.
+  }
+  auto snapshot = StoreSnapshot::FromJson(aResponse.m_body);
+  if (!snapshot) {
+    m_log.Write(base::LogRecord("peer_snapshot_rejected")
+                  .Add("peer", aPeer)
+                  .Add("kind", NameOf(m_kind))
+                  .Add("reason", snapshot.GetError().Message()));
+    return;
+  }
+  if (snapshot->Revision() <= m_snapshot.Revision()) {
+    return;
+  }
+  m_log.Write(base::LogRecord("peer_snapshot")
+                .Add("peer", aPeer)
+                .Add("kind", NameOf(m_kind))
+                .Add("present_revision", m_snapshot.Revision())
+                .Add("revision", snapshot->Revision()));
+  m_snapshot = std::move(*snapshot);
+  m_hooks.m_onList(m_snapshot.Objects());
+}
+
+std::optional<std::string> KindWatcher::SnapshotAfter(std::uint64_t aAfter) const
+{
+  if (m_hasFailed || m_snapshot.Revision() <= aAfter) {
+    return std::nullopt;
+  }
+  return m_snapshot.ToJson();
+}
+
 void KindWatcher::LogUnreadable(std::uint32_t aCount)
 {
   if (aCount > 0 && aCount != m_unreadable) {
@@ -188,6 +250,8 @@
                     m_hooks.m_configuration)
   , m_upstreams(m_io, aSettings, aDialect, aLog, ObjectKind::Upstreams, m_hooks.m_upstreams)
   , m_evacuations(m_io, aSettings, aDialect, aLog, ObjectKind::Evacuations, m_hooks.m_evacuations)
+  , m_snapshots(m_io, [this](std::string_view aTarget) { return OnSnapshotRequest(aTarget); })
+  , m_peerPort(m_snapshots.Listen(aSettings.m_peerAddress))
   , m_fetch(std::make_shared<HttpFetch>(m_io, aSettings.m_storeAddress))
   , m_timer(m_io)
   , m_thread([this] {
@@ -206,6 +270,41 @@
   m_thread.join();
 }
 
+void StoreSync::SetPeers(std::vector<std::string> aAddresses)
+{
+  boost::asio::post(m_io, [this, addresses = std::move(aAddresses)] {
+    for (KindWatcher* watcher : { &m_configuration, &m_upstreams, &m_evacuations }) {
+      watcher->SetPeers(addresses);
+    }
+  });
+}
+
+InfoResponse StoreSync::OnSnapshotRequest(std::string_view aTarget) const
+{
+  const std::size_t end = aTarget.find(kAfter);
+  if (!aTarget.starts_with(kSnapshotPath) || end == aTarget.npos) {
+    return { 404, "text/plain", "no such snapshot\n" };
+  }
+  const std::string_view kind = aTarget.substr(kSnapshotPath.size(), end - kSnapshotPath.size());
+  const std::string_view digits = aTarget.substr(end + kAfter.size());
+  std::uint64_t after = 0;
+  std::from_chars(digits.data(), digits.data() + digits.size(), after);
+  const std::pair<ObjectKind, const KindWatcher*> watchers[] = {
+    { ObjectKind::Configuration, &m_configuration },
+    { ObjectKind::Upstreams, &m_upstreams },
+    { ObjectKind::Evacuations, &m_evacuations },
+  };
+  for (const auto& [watched, watcher] : watchers) {
+    if (kind != NameOf(watched)) {
+      continue;
+    }
+    if (auto snapshot = watcher->SnapshotAfter(after)) {
+      return { 200, "application/json", std::move(*snapshot) };
+    }
+  }
+  return { 404, "text/plain", "nothing newer\n" };
+}
+
 void StoreSync::Register()
 {
   FetchRequest request{ "POST",
--- a/packages/gateway/src/StoreSync.h
+++ b/packages/gateway/src/StoreSync.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "HttpFetch.h"
+#include "InfoServer.h"
+#include "StoreSnapshot.h"
 #include "jaylane/base/AsyncLog.h"
 #include "jaylane/gateway/GatewaySettings.h"
 #include "jaylane/gateway/StoreDialect.h"
@@ -15,7 +17,8 @@
 
 namespace jaylane::gateway {
 
-/// Keeps up with one kind of object: lists it, then watches it from the list's revision on.
+/// Keeps up with one kind of object: lists it, then watches it from the list's revision on. While
+/// the store does not serve this VM, it adopts newer snapshots of peers that the store serves.
 class KindWatcher
 {
 public:
@@ -39,16 +42,26 @@
 
   void Start() { List({}); }
 
+  /// @param aAddresses "ip:port" of peers that may be asked for snapshots, the best first.
+  void SetPeers(std::vector<std::string> aAddresses) { m_peers = std::move(aAddresses); }
+
+  /// @param aAfter revision that the asking peer has.
+  /// @return the snapshot as JSON, or nothing unless it is newer and the store serves this VM.
+  std::optional<std::string> SnapshotAfter(std::uint64_t aAfter) const;
+
 private:
   void List(const std::string& aAfter);
   void OnListed(const FetchResponse& aResponse);
   void Watch();
   void OnWatched(const FetchResponse& aResponse);
   void Retry();
+  void AskPeer();
+  void OnPeerSnapshot(const std::string& aPeer, const FetchResponse& aResponse);
   void OnSuccess();
   void After(std::chrono::milliseconds aPause, std::function<void()> aNext);
   void LogUnreadable(std::uint32_t aCount);
 
+  boost::asio::io_context& m_io;
   const StoreDialect& m_dialect;
   base::AsyncLog& m_log;
   ObjectKind m_kind;
@@ -57,9 +70,12 @@
   std::shared_ptr<HttpFetch> m_fetch;
   boost::asio::steady_timer m_timer;
   std::vector<StoredObject> m_listed;
-  std::uint64_t m_revision = 0;
-  bool m_hasList = false;
+  StoreSnapshot m_snapshot;
   bool m_hasFailed = false;
+  std::uint32_t m_failures = 0;
+  std::vector<std::string> m_peers;
+  std::size_t m_nextPeer = 0;
+  std::shared_ptr<HttpFetch> m_peerFetch;
   std::chrono::milliseconds m_backoff{ 0 };
   std::uint32_t m_unreadable = 0;
 };
@@ -86,7 +102,14 @@
             Hooks aHooks);
   ~StoreSync();
 
+  /// @return whether peers can ask this VM for snapshots.
+  const base::Status& PeerPort() const { return m_peerPort; }
+
+  /// Names peers that may be asked for snapshots. May be called on any thread.
+  void SetPeers(std::vector<std::string> aAddresses);
+
 private:
+  InfoResponse OnSnapshotRequest(std::string_view aTarget) const;
   void Register();
   void ListMembers(std::chrono::milliseconds aDelay);
 
@@ -98,6 +121,8 @@
   KindWatcher m_configuration;
   KindWatcher m_upstreams;
   KindWatcher m_evacuations;
+  InfoServer m_snapshots;
+  base::Status m_peerPort;
   std::shared_ptr<HttpFetch> m_fetch;
   boost::asio::steady_timer m_timer;
   std::thread m_thread;
--- /dev/null
+++ b/packages/gateway/tests/StoreSyncTest.cpp
@@ -0,0 +1,194 @@
+#include "StoreSync.h"
+
+#include "ScriptedUpstream.h"
+
+#include <condition_variable>
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+#include <mutex>
+
+namespace jaylane::gateway {
+namespace {
+
+using namespace std::chrono_literals;
+
+/// Lists and watches in the format of snapshots.
+class TestDialect : public StoreDialect
+{
+public:
+  std::string ListTarget(ObjectKind aKind, std::string_view) const override
+  {
+    return fmt::format("/list/{}", static_cast<int>(aKind));
+  }
+  std::string WatchTarget(ObjectKind aKind, std::uint64_t, std::chrono::milliseconds) const override
+  {
+    return fmt::format("/watch/{}", static_cast<int>(aKind));
+  }
+  std::string CreateTarget(ObjectKind) const override { return "/create"; }
+  std::string CreateBody(const std::string&, const Json::Value&) const override { return "{}"; }
+  base::Result<ObjectBatch> ParseList(std::string_view aBody) const override
+  {
+    auto snapshot = StoreSnapshot::FromJson(aBody);
+    if (!snapshot) {
+      return snapshot.GetError();
+    }
+    return ObjectBatch{ snapshot->Objects(), 0, false, snapshot->Revision() };
+  }
+  base::Result<ObjectBatch> ParseWatch(std::string_view aBody) const override
+  {
+    return ParseList(aBody);
+  }
+  base::Result<policy::Upstream> DecodeUpstream(const StoredObject&) const override
+  {
+    return policy::Upstream{};
+  }
+  base::Result<policy::Configuration> DecodeConfiguration(const StoredObject&) const override
+  {
+    return policy::Configuration{};
+  }
+};
+
+Script Text(const char* aStatus, const std::string& aBody, std::chrono::milliseconds aPause = 0ms)
+{
+  return { fmt::format(
+             "HTTP/1.1 {}\r\nContent-Length: {}\r\n\r\n{}", aStatus, aBody.size(), aBody),
+           false,
+           false,
+           aPause };
+}
+
+Script RefuseAll(const SeenRequest&)
+{
+  return Text("503 Service Unavailable", "");
+}
+
+/// Serves one configuration object; watches stay silent for a while.
+Script ServeOne(const SeenRequest& aRequest)
+{
+  const bool isConfiguration = aRequest.m_head.find("/list/0") != std::string::npos;
+  const bool isWatch = aRequest.m_head.find("/watch/") != std::string::npos;
+  const std::string objects =
+    isConfiguration ? R"([{"name":"main","revision":7,"value":{"a":1}}])" : "[]";
+  return Text(
+    "200 OK", fmt::format(R"({{"revision":9,"objects":{}}})", objects), isWatch ? 2000ms : 0ms);
+}
+
+/// A VM's view of the store, with what its hooks were told.
+class View
+{
+public:
+  View(const std::string& aStore, const std::string& aPeerAddress)
+  {
+    m_settings.m_name = aPeerAddress;
+    m_settings.m_storeAddress = aStore;
+    m_settings.m_peerAddress = aPeerAddress;
+    StoreSync::Hooks hooks;
+    for (auto* kind : { &hooks.m_configuration, &hooks.m_upstreams, &hooks.m_evacuations }) {
+      kind->m_onList = [](const std::vector<StoredObject>&) {};
+      kind->m_onChanges = [](const std::vector<StoredObject>&) {};
+      kind->m_onRecovered = [] {};
+      kind->m_onCall = [](bool) {};
+    }
+    hooks.m_onMembers = [](const std::vector<StoredObject>&) {};
+    hooks.m_configuration.m_onList = [this](const std::vector<StoredObject>& aObjects) {
+      const std::lock_guard lock(m_mutex);
+      m_configurations = aObjects;
+      m_changed.notify_all();
+    };
+    m_sync = std::make_unique<StoreSync>(
+      m_settings, m_dialect, m_log, Json::Value(Json::objectValue), std::move(hooks));
+  }
+
+  StoreSync& Sync() { return *m_sync; }
+
+  bool WaitForConfiguration(std::chrono::milliseconds aLimit)
+  {
+    std::unique_lock lock(m_mutex);
+    return m_changed.wait_for(lock, aLimit, [this] { return !m_configurations.empty(); });
+  }
+
+  std::vector<StoredObject> Configurations()
+  {
+    const std::lock_guard lock(m_mutex);
+    return m_configurations;
+  }
+
+private:
+  GatewaySettings m_settings;
+  TestDialect m_dialect;
+  base::AsyncLog m_log{ "vm", base::SystemClock::Get(), { 64, 1000, [](std::string_view) {} } };
+  std::mutex m_mutex;
+  std::condition_variable m_changed;
+  std::vector<StoredObject> m_configurations;
+  std::unique_ptr<StoreSync> m_sync;
+};
+
+/// @return an address on which nothing listens.
+std::string FreeAddress()
+{
+  boost::asio::io_context io;
+  boost::asio::ip::tcp::acceptor acceptor(
+    io, { boost::asio::ip::make_address("127.0.0.1"), 0 });
+  return fmt::format("127.0.0.1:{}", acceptor.local_endpoint().port());
+}
+
+// Guards against a VM that stays without a configuration, or keeps an old one, while the store
+// refuses it and serves its peers.
+TEST(StoreSyncTest, AdoptsTheSnapshotOfAPeerWhileTheStoreRefuses)
+{
+  ScriptedUpstream working(ServeOne);
+  ScriptedUpstream refusing(RefuseAll);
+  const std::string servedAddress = FreeAddress();
+  View served(working.Address(), servedAddress);
+  ASSERT_TRUE(served.Sync().PeerPort());
+  ASSERT_TRUE(served.WaitForConfiguration(5s));
+  View refused(refusing.Address(), FreeAddress());
+  EXPECT_FALSE(refused.WaitForConfiguration(600ms));
+  refused.Sync().SetPeers({ servedAddress });
+  ASSERT_TRUE(refused.WaitForConfiguration(5s));
+  const auto objects = refused.Configurations();
+  ASSERT_EQ(objects.size(), 1U);
+  EXPECT_EQ(objects[0].m_name, "main");
+  EXPECT_EQ(objects[0].m_revision, 7U);
+  EXPECT_EQ(objects[0].m_value["a"].asInt(), 1);
+}
+
+// Guards against two VMs without the store that take each other's old state for news.
+TEST(StoreSyncTest, APeerWithoutTheStoreTellsNothing)
+{
+  ScriptedUpstream refusing(RefuseAll);
+  const std::string firstAddress = FreeAddress();
+  const std::string secondAddress = FreeAddress();
+  View first(refusing.Address(), firstAddress);
+  View second(refusing.Address(), secondAddress);
+  first.Sync().SetPeers({ secondAddress });
+  second.Sync().SetPeers({ firstAddress });
+  EXPECT_FALSE(first.WaitForConfiguration(1500ms));
+}
+
+TEST(StoreSnapshotTest, KeepsObjectsAndRevisionInJson)
+{
+  StoreSnapshot snapshot;
+  snapshot.Replace({ { "a", 1, false, 1 }, { "b", 2, false, 2 } }, 5);
+  snapshot.Apply({ { "a", 6, true, {} }, { "c", 7, false, 3 } }, 8);
+  const auto copy = StoreSnapshot::FromJson(snapshot.ToJson());
+  ASSERT_TRUE(copy);
+  EXPECT_EQ(copy->Revision(), 8U);
+  const auto objects = copy->Objects();
+  ASSERT_EQ(objects.size(), 2U);
+  EXPECT_EQ(objects[0].m_name, "b");
+  EXPECT_EQ(objects[1].m_revision, 7U);
+  EXPECT_EQ(objects[1].m_value.asInt(), 3);
+}
+
+// Guards against malformed input from the peer port.
+TEST(StoreSnapshotTest, RejectsMalformedSnapshots)
+{
+  for (const char* text : { "", "[]", "{}", R"({"revision":1})", R"({"revision":-1,"objects":[]})",
+                            R"({"revision":1,"objects":[{"name":1}]})" }) {
+    EXPECT_FALSE(StoreSnapshot::FromJson(text)) << text;
+  }
+}
+
+} // namespace
+} // namespace jaylane::gateway
