Bound the memory of request and response bodies

Cause: bodies are held whole, up to 64 MiB each by the operators' limits; four large uploads at the same time exceed the 260 MB of a VM, which ends the process and every request on it.

Change: BodyMemory counts the bytes held by a process against half of its memory (setting memory_mb). A request whose stated length does not fit is rejected with 503 before it is read, one that grows beyond is rejected then, and a response beyond it ends as lost.

Tests RejectsABodyThatFindsNoMemory and EndsAResponseThatFindsNoMemory (the second failed with the check behind the end of the response).

--- a/packages/gateway/include/jaylane/gateway/GatewaySettings.h
+++ b/packages/gateway/include/jaylane/gateway/GatewaySettings.h
@@ -30,6 +30,8 @@
   std::string m_storeAddress;
 
   std::uint32_t m_maxDescriptors = 1024;
+  /// Bytes of request and response bodies that are held at the same time; half of the memory.
+  std::uint64_t m_bodyMemoryBytes = 128ULL << 20;
   /// Time between the stop signal and the end of the process.
   std::chrono::milliseconds m_stopGrace{ 6000 };
   std::chrono::milliseconds m_lookupLifetime{ 1000 };
--- a/packages/gateway/src/CallerConnection.cpp
+++ b/packages/gateway/src/CallerConnection.cpp
@@ -18,6 +18,8 @@
 constexpr std::size_t kReadBytes = 16 * 1024;
 /// Time in which a caller may still read the last response before the connection is reset.
 constexpr std::chrono::seconds kLinger{ 1 };
+/// Bodies are held for as long as their requests run; seconds at the most.
+constexpr const char* kRetryAfter = "Retry-After: 0.5\r\n";
 /// Shortest time between two checks of the connection's time limits.
 constexpr std::chrono::milliseconds kTimerStep{ 1000 };
 
@@ -53,6 +55,8 @@
       return "Content Too Large";
     case 431:
       return "Request Header Fields Too Large";
+    case 503:
+      return "Service Unavailable";
     default:
       return "Bad Request";
   }
@@ -90,6 +94,7 @@
   m_parser->eager(true);
   m_parser->header_limit(m_limits.m_maxHeaderBytes);
   m_parser->body_limit(m_limits.m_maxBodyBytes);
+  m_bodyMemory = m_context.m_bodies.Make();
   m_sentInterim = false;
 }
 
@@ -149,6 +154,10 @@
       RejectInput(status, ReasonOf(status));
       return;
     }
+    if (!HoldBody()) {
+      RejectInput(503, "body memory is in use");
+      return;
+    }
     if (m_parser->is_done()) {
       Dispatch();
       continue;
@@ -160,6 +169,19 @@
   }
 }
 
+/// Accounts for the body that is being read. Returns whether it may be held.
+bool CallerConnection::HoldBody()
+{
+  if (!m_parser->is_header_done()) {
+    return true;
+  }
+  // Only bytes that arrived are counted, so that a stated length alone takes nothing from others;
+  // a body that cannot fit is rejected before it is read.
+  const auto stated = m_parser->content_length();
+  return m_bodyMemory->GrowTo(m_parser->get().body().size()) &&
+         m_bodyMemory->Fits(stated ? *stated : 0);
+}
+
 void CallerConnection::SendInterimResponse()
 {
   if (m_sentInterim || !m_parser->is_header_done() || !m_slots.empty() || m_isWriting) {
@@ -207,6 +229,7 @@
     EndToEndHeaders(message, { wire.m_timeout, wire.m_targetUpstream, "Expect" });
   request.m_hasBody = message.count(http::field::content_length) > 0 || message.chunked();
   request.m_body = std::move(message.body());
+  request.m_bodyMemory = m_bodyMemory;
   request.m_receivedAt = m_context.m_clock.Monotonic();
   return request;
 }
@@ -237,6 +260,9 @@
   CallerResponse response;
   response.m_status = aStatus;
   response.m_reason = ReasonOf(aStatus);
+  if (aStatus == 503) {
+    response.m_headerLines = kRetryAfter;
+  }
   m_isClosing = true;
   m_slots.push_back({ nullptr, std::move(response) });
   Flush();
--- a/packages/gateway/src/CallerConnection.h
+++ b/packages/gateway/src/CallerConnection.h
@@ -50,6 +50,7 @@
   void Dispatch();
   std::optional<std::string> CheckRequest(const Parser::value_type& aMessage) const;
   CallerRequest TakeRequest();
+  bool HoldBody();
   void SendInterimResponse();
   void RejectInput(unsigned aStatus, const char* aReason);
   void StartTimer();
@@ -67,6 +68,8 @@
   boost::asio::steady_timer m_timer;
   boost::beast::flat_buffer m_buffer;
   std::optional<Parser> m_parser;
+  /// For the body that is being read.
+  std::shared_ptr<BodyMemory::Reservation> m_bodyMemory;
   std::deque<Slot> m_slots;
   policy::CallerLimits m_limits;
   /// Start of the request that is being read, and when the last byte arrived.
--- a/packages/gateway/src/Gateway.cpp
+++ b/packages/gateway/src/Gateway.cpp
@@ -64,6 +64,7 @@
   Steering m_steering;
   UpstreamPool m_pool;
   GatewayMetrics m_metrics;
+  BodyMemory m_bodies;
   GatewayContext m_context;
   CallerServer m_callers;
   PeerLink m_peers;
@@ -83,8 +84,10 @@
   : m_parts(std::move(aParts))
   , m_steering(m_parts.m_settings, m_parts.m_clock, m_parts.m_log)
   , m_pool(m_parts.m_clock)
+  , m_bodies(m_parts.m_settings.m_bodyMemoryBytes)
   , m_context{ m_io,          m_parts.m_settings, m_parts.m_wire, m_parts.m_clock,
-               m_parts.m_log, m_steering,         m_pool,         m_metrics }
+               m_parts.m_log, m_steering,         m_pool,         m_metrics,
+               m_bodies }
   , m_callers(m_context)
   , m_peers(m_io,
             m_parts.m_settings,
--- a/packages/gateway/src/GatewayContext.h
+++ b/packages/gateway/src/GatewayContext.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "BodyMemory.h"
 #include "GatewayMetrics.h"
 #include "Steering.h"
 #include "UpstreamPool.h"
@@ -31,6 +32,7 @@
   Steering& m_steering;
   UpstreamPool& m_pool;
   GatewayMetrics& m_metrics;
+  BodyMemory& m_bodies;
   LifecyclePhase m_phase = LifecyclePhase::Serving;
 };
 
--- a/packages/gateway/src/GatewaySettings.cpp
+++ b/packages/gateway/src/GatewaySettings.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 /// Settings files are a few hundred bytes; a larger one is an error or an attack.
+constexpr double kMegabyte = 1024 * 1024;
 constexpr std::size_t kMaxBytes = 64 * 1024;
 
 base::Error Invalid(std::string aDetail)
@@ -60,6 +61,18 @@
     aValue = std::chrono::milliseconds{ static_cast<std::int64_t>(seconds * 1000) };
   }
 
+  /// Reads the memory of the process; half of it is for bodies.
+  void ReadHalfOfMegabytes(const char* aKey, std::uint64_t& aBytes)
+  {
+    double megabytes = static_cast<double>(aBytes) * 2 / kMegabyte;
+    Read(aKey, megabytes);
+    if (!(megabytes >= 16 && megabytes < 1048576)) {
+      Fail(aKey, "must be between 16 and 1048576 megabytes");
+      return;
+    }
+    aBytes = static_cast<std::uint64_t>(megabytes / 2 * kMegabyte);
+  }
+
   void ReadMillis(const char* aKey, std::chrono::milliseconds& aValue)
   {
     double millis = static_cast<double>(aValue.count());
@@ -101,6 +114,7 @@
   reader.Read("seeds", settings.m_seeds);
   reader.Require("store_address", settings.m_storeAddress);
   reader.Read("max_descriptors", settings.m_maxDescriptors);
+  reader.ReadHalfOfMegabytes("memory_mb", settings.m_bodyMemoryBytes);
   reader.ReadSeconds("stop_grace_seconds", settings.m_stopGrace);
   reader.ReadSeconds("lookup_lifetime_seconds", settings.m_lookupLifetime);
   reader.ReadMillis("drain_ms", settings.m_drainTime);
--- a/packages/gateway/src/RequestExchange.cpp
+++ b/packages/gateway/src/RequestExchange.cpp
@@ -160,7 +160,8 @@
   m_context.m_steering.Balancer(m_service->m_name)
     .OnSent(upstream, query, m_context.m_clock.Monotonic());
   m_attempt = std::make_shared<UpstreamAttempt>(
-    UpstreamAttempt::Parts{ m_context.m_io, m_context.m_pool, m_context.m_clock, m_context.m_wire },
+    UpstreamAttempt::Parts{
+      m_context.m_io, m_context.m_pool, m_context.m_clock, m_context.m_wire, m_context.m_bodies },
     *aChoice.m_upstream,
     m_request,
     Remaining(),
--- a/packages/gateway/src/StoreSync.cpp
+++ b/packages/gateway/src/StoreSync.cpp
@@ -111,12 +111,11 @@
 
 void KindWatcher::Watch()
 {
-  m_fetch->Start(
-    { "GET",
-      m_dialect.WatchTarget(m_kind, m_snapshot.Revision(), kWatchWait),
-      {},
-      kWatchWait + kWatchSlack },
-    [this](const FetchResponse& aResponse) { OnWatched(aResponse); });
+  m_fetch->Start({ "GET",
+                   m_dialect.WatchTarget(m_kind, m_snapshot.Revision(), kWatchWait),
+                   {},
+                   kWatchWait + kWatchSlack },
+                 [this](const FetchResponse& aResponse) { OnWatched(aResponse); });
 }
 
 void KindWatcher::OnWatched(const FetchResponse& aResponse)
--- a/packages/gateway/src/UpstreamAttempt.cpp
+++ b/packages/gateway/src/UpstreamAttempt.cpp
@@ -160,6 +160,7 @@
   m_parser->eager(true);
   m_parser->header_limit(kMaxResponseHeaderBytes);
   m_parser->body_limit(kMaxResponseBytes);
+  m_bodyMemory = m_parts.m_bodies.Make();
   if (m_request->m_method == "HEAD") {
     m_parser->skip(true);
   }
@@ -206,12 +207,15 @@
     const std::size_t used = m_parser->put(m_buffer.data(), error);
     m_buffer.consume(used);
     if (error == http::error::need_more) {
-      return true;
+      break;
     }
     if (error) {
       Fail(AttemptFailure::Lost);
       return false;
     }
+    if (!HoldBody()) {
+      return false;
+    }
     if (!m_parser->is_done()) {
       continue;
     }
@@ -222,7 +226,17 @@
     }
     StartParser();
   }
-  return true;
+  return HoldBody();
+}
+
+/// Accounts for the body so far. Returns whether it may be held; the attempt has failed if not.
+bool UpstreamAttempt::HoldBody()
+{
+  if (m_bodyMemory->GrowTo(m_parser->get().body().size())) {
+    return true;
+  }
+  Fail(AttemptFailure::Lost);
+  return false;
 }
 
 bool UpstreamAttempt::IsForThisRequest() const
@@ -260,6 +274,7 @@
     result.m_response.m_headLength = std::string(View(message[http::field::content_length]));
   }
   result.m_response.m_body = std::move(message.body());
+  result.m_response.m_bodyMemory = m_bodyMemory;
   return result;
 }
 
--- a/packages/gateway/src/UpstreamAttempt.h
+++ b/packages/gateway/src/UpstreamAttempt.h
@@ -44,6 +44,7 @@
     UpstreamPool& m_pool;
     const base::Clock& m_clock;
     const WireProfile& m_wire;
+    BodyMemory& m_bodies;
   };
 
   /// @param aRequest outlives the attempt.
@@ -71,6 +72,7 @@
   void Read();
   void OnRead(const boost::system::error_code& aError, std::size_t aBytes);
   bool Consume();
+  bool HoldBody();
   void OnHeader();
   void OnComplete();
   void StartParser();
@@ -91,6 +93,7 @@
   boost::asio::steady_timer m_connectTimer;
   boost::beast::flat_buffer m_buffer;
   std::optional<Parser> m_parser;
+  std::shared_ptr<BodyMemory::Reservation> m_bodyMemory;
   std::string m_head;
   base::MonotonicTime m_startedAt;
   bool m_sent = false;
--- a/packages/gateway/tests/GatewayFixture.cpp
+++ b/packages/gateway/tests/GatewayFixture.cpp
@@ -31,8 +31,15 @@
 void GatewayFixture::Start(const std::vector<std::string>& aAddresses, std::uint32_t aMaxBodyBytes)
 {
   m_steering = std::make_unique<Steering>(m_settings, base::SystemClock::Get(), m_log);
-  m_context = std::make_unique<GatewayContext>(GatewayContext{
-    m_io, m_settings, m_wire, base::SystemClock::Get(), m_log, *m_steering, m_pool, m_metrics });
+  m_context = std::make_unique<GatewayContext>(GatewayContext{ m_io,
+                                                               m_settings,
+                                                               m_wire,
+                                                               base::SystemClock::Get(),
+                                                               m_log,
+                                                               *m_steering,
+                                                               m_pool,
+                                                               m_metrics,
+                                                               m_bodies });
   policy::Configuration configuration;
   configuration.m_version = 1;
   configuration.m_services["s"].m_name = "s";
--- a/packages/gateway/tests/GatewayFixture.h
+++ b/packages/gateway/tests/GatewayFixture.h
@@ -44,6 +44,9 @@
   std::unique_ptr<Steering> m_steering;
   UpstreamPool m_pool{ base::SystemClock::Get() };
   GatewayMetrics m_metrics;
+  /// Bytes of bodies held at the same time.
+  static constexpr std::uint64_t kBodyMemory = 1500;
+  BodyMemory m_bodies{ kBodyMemory };
   std::unique_ptr<GatewayContext> m_context;
   std::unique_ptr<CallerServer> m_server;
 
--- a/packages/gateway/tests/RequestPathTest.cpp
+++ b/packages/gateway/tests/RequestPathTest.cpp
@@ -6,6 +6,7 @@
 namespace jaylane::gateway {
 namespace {
 
+namespace asio = boost::asio;
 using namespace std::chrono_literals;
 
 class RequestPathTest : public GatewayFixture
@@ -72,6 +73,49 @@
   EXPECT_NE(response.find("Connection: close"), std::string::npos);
 }
 
+std::string Post(const std::string& aId, std::size_t aBytes)
+{
+  return "POST /b/x HTTP/1.1\r\nHost: h\r\nRequest-Id: " + aId +
+         "\r\nContent-Length: " + std::to_string(aBytes) + "\r\n\r\n" + std::string(aBytes, 'x');
+}
+
+// Guards against bodies that together exceed the memory of the process.
+TEST_F(RequestPathTest, RejectsABodyThatFindsNoMemory)
+{
+  ScriptedUpstream upstream([](const SeenRequest& aRequest) {
+    return Script{ OkResponse(aRequest, "done"), false, false, 300ms };
+  });
+  Start({ upstream.Address() });
+  auto first = Connect();
+  asio::write(first, asio::buffer(Post("r1", 900)));
+  std::this_thread::sleep_for(50ms);
+  const auto start = std::chrono::steady_clock::now();
+  auto second = Connect();
+  asio::write(second, asio::buffer(Post("r2", 900)));
+  std::string rejected(512, '\0');
+  rejected.resize(second.read_some(asio::buffer(rejected)));
+  EXPECT_LT(std::chrono::steady_clock::now() - start, 200ms);
+  EXPECT_EQ(Status(rejected), "HTTP/1.1 503 Service Unavailable");
+  EXPECT_NE(rejected.find("Retry-After: "), std::string::npos);
+  std::string response(512, '\0');
+  response.resize(first.read_some(asio::buffer(response)));
+  EXPECT_EQ(Status(response), "HTTP/1.1 200 OK");
+  EXPECT_EQ(Status(Exchange(Post("r3", 900))), "HTTP/1.1 200 OK");
+  EXPECT_EQ(upstream.Seen().size(), 2U);
+  OnRequestThread([this] { EXPECT_LE(m_bodies.Used(), kBodyMemory); });
+}
+
+// Guards against a response that exceeds the memory, and against passing a part of it on.
+TEST_F(RequestPathTest, EndsAResponseThatFindsNoMemory)
+{
+  ScriptedUpstream upstream([](const SeenRequest& aRequest) {
+    return Script{ OkResponse(aRequest, std::string(4000, 'y')) };
+  });
+  Start({ upstream.Address() });
+  EXPECT_EQ(Status(Exchange(Post("r1", 10))), "HTTP/1.1 502 Bad Gateway");
+  OnRequestThread([this] { EXPECT_EQ(m_bodies.Used(), 0U); });
+}
+
 struct RejectedInput
 {
   const char* m_name;
--- a/packages/gateway/tests/UpstreamAttemptTest.cpp
+++ b/packages/gateway/tests/UpstreamAttemptTest.cpp
@@ -39,7 +39,7 @@
     upstream.m_id = "i-1";
     upstream.m_address = aAddress;
     return std::make_shared<UpstreamAttempt>(
-      UpstreamAttempt::Parts{ m_io, m_pool, base::SystemClock::Get(), m_wire },
+      UpstreamAttempt::Parts{ m_io, m_pool, base::SystemClock::Get(), m_wire, m_bodies },
       upstream,
       request,
       2000ms,
@@ -57,6 +57,7 @@
   }
 
   boost::asio::io_context m_io;
+  BodyMemory m_bodies{ 1 << 20 };
   UpstreamPool m_pool{ base::SystemClock::Get() };
   WireProfile m_wire = TestWire();
 };
