Let the wait limit fall under lasting overload

Cause: with a limit of 0.75 of the target latency the upstreams' queues stand at that length while demand lasts above the capacity, so that nearly every accepted request completes late.

Change: the limit falls from 0.75 to 0.3 while a quarter to a half of the last 100 or so decisions are rejections.

--- a/packages/gateway/tests/StoreSyncTest.cpp
+++ b/packages/gateway/tests/StoreSyncTest.cpp
@@ -50,8 +50,7 @@
 
 Script Text(const char* aStatus, const std::string& aBody, std::chrono::milliseconds aPause = 0ms)
 {
-  return { fmt::format(
-             "HTTP/1.1 {}\r\nContent-Length: {}\r\n\r\n{}", aStatus, aBody.size(), aBody),
+  return { fmt::format("HTTP/1.1 {}\r\nContent-Length: {}\r\n\r\n{}", aStatus, aBody.size(), aBody),
            false,
            false,
            aPause };
@@ -127,8 +126,7 @@
 std::string FreeAddress()
 {
   boost::asio::io_context io;
-  boost::asio::ip::tcp::acceptor acceptor(
-    io, { boost::asio::ip::make_address("127.0.0.1"), 0 });
+  boost::asio::ip::tcp::acceptor acceptor(io, { boost::asio::ip::make_address("127.0.0.1"), 0 });
   return fmt::format("127.0.0.1:{}", acceptor.local_endpoint().port());
 }
 
@@ -184,7 +182,11 @@
 // Guards against malformed input from the peer port.
 TEST(StoreSnapshotTest, RejectsMalformedSnapshots)
 {
-  for (const char* text : { "", "[]", "{}", R"({"revision":1})", R"({"revision":-1,"objects":[]})",
+  for (const char* text : { "",
+                            "[]",
+                            "{}",
+                            R"({"revision":1})",
+                            R"({"revision":-1,"objects":[]})",
                             R"({"revision":1,"objects":[{"name":1}]})" }) {
     EXPECT_FALSE(StoreSnapshot::FromJson(text)) << text;
   }
--- a/packages/policy/bench/SteeringModel.cpp
+++ b/packages/policy/bench/SteeringModel.cpp
@@ -65,8 +65,7 @@
       candidate.m_upstream.m_region = RegionName(upstream->m_region);
       candidate.m_upstream.m_slots = m_options.m_slots;
       const bool isNear = upstream->m_region == region;
-      candidate.m_roundTrip =
-        Millis(2 * (isNear ? m_options.m_nearDelay : m_options.m_farDelay));
+      candidate.m_roundTrip = Millis(2 * (isNear ? m_options.m_nearDelay : m_options.m_farDelay));
       candidates.push_back(std::move(candidate));
     }
     auto& balancers = m_balancers.emplace_back();
@@ -149,8 +148,7 @@
     return;
   }
   if (m_scheduler != Scheduler::FullKnowledge) {
-    BalancerOf(*aRequest).OnSent(
-      destination.m_upstream->m_id, QueryOf(*aRequest), m_events.Now());
+    BalancerOf(*aRequest).OnSent(destination.m_upstream->m_id, QueryOf(*aRequest), m_events.Now());
   }
   Upstream& upstream = *destination.m_upstream;
   m_events.After(Delay(upstream, *aRequest),
@@ -275,8 +273,7 @@
   if (m_scheduler != Scheduler::FullKnowledge) {
     const auto failure =
       aUpstream.m_isRunning ? AttemptFailure::Rejected : AttemptFailure::Unreachable;
-    BalancerOf(*aRequest).OnFailure(
-      aUpstream.m_id, failure, Report(aUpstream), m_events.Now());
+    BalancerOf(*aRequest).OnFailure(aUpstream.m_id, failure, Report(aUpstream), m_events.Now());
   }
   Reject(aRequest, { nullptr, RejectionCause::NoRoom, m_options.m_target });
 }
--- a/packages/policy/bench/SteeringSim.cpp
+++ b/packages/policy/bench/SteeringSim.cpp
@@ -61,6 +61,9 @@
 void ReadBalancer(const YAML::Node& aNode, BalancerOptions& aOptions)
 {
   Read(aNode, "wait_limit", aOptions.m_waitLimit);
+  Read(aNode, "overload_wait_limit", aOptions.m_overloadWaitLimit);
+  Read(aNode, "overload_from", aOptions.m_overloadFrom);
+  Read(aNode, "overload_full", aOptions.m_overloadFull);
   Read(aNode, "preferred_candidates", aOptions.m_preferredCandidates);
   Read(aNode, "other_candidates", aOptions.m_otherCandidates);
   Read(aNode, "overflow_share", aOptions.m_overflowShare);
@@ -123,18 +126,19 @@
 {
   const double best = aRow.m_results.back().second.InTarget();
   for (const auto& [scheduler, result] : aRow.m_results) {
-    fmt::print("{:<28}{:<16}{:>9}{:>10.3f}{:>10.3f}{:>10.3f}{:>10.3f}{:>9.0f}{:>9.0f}{:>9.3f}{:>9.3f}\n",
-               aRow.m_name,
-               scheduler,
-               result.m_requests,
-               result.InTarget(),
-               result.Late(),
-               result.Unserved(),
-               result.UnknownRuns(),
-               result.m_p50,
-               result.m_p99,
-               result.m_worst,
-               best > 0 ? result.InTarget() / best : 0);
+    fmt::print(
+      "{:<28}{:<16}{:>9}{:>10.3f}{:>10.3f}{:>10.3f}{:>10.3f}{:>9.0f}{:>9.0f}{:>9.3f}{:>9.3f}\n",
+      aRow.m_name,
+      scheduler,
+      result.m_requests,
+      result.InTarget(),
+      result.Late(),
+      result.Unserved(),
+      result.UnknownRuns(),
+      result.m_p50,
+      result.m_p99,
+      result.m_worst,
+      best > 0 ? result.InTarget() / best : 0);
   }
 }
 
@@ -156,23 +160,41 @@
       const auto width = static_cast<int>(kWidth * result.InTarget());
       body += fmt::format("<rect x='{}' y='{}' width='{}' height='{}' fill='{}'/>\n"
                           "<text x='{}' y='{}'>{} {:.3f}</text>\n",
-                          kLeft, y, width, kBar - 2, kColors[color++ % 3],
-                          kLeft + width + 6, y + kBar - 4, scheduler, result.InTarget());
+                          kLeft,
+                          y,
+                          width,
+                          kBar - 2,
+                          kColors[color++ % 3],
+                          kLeft + width + 6,
+                          y + kBar - 4,
+                          scheduler,
+                          result.InTarget());
       y += kBar;
     }
     y += kGap;
   }
   file << fmt::format("<svg xmlns='http://www.w3.org/2000/svg' width='{}' height='{}' "
                       "font-family='sans-serif' font-size='12'>\n{}</svg>\n",
-                      kLeft + kWidth + 180, y, body);
+                      kLeft + kWidth + 180,
+                      y,
+                      body);
 }
 
 int Play(const std::string& aFile, const std::string& aSvg)
 {
   std::vector<Row> rows;
   fmt::print("{:<28}{:<16}{:>9}{:>10}{:>10}{:>10}{:>10}{:>9}{:>9}{:>9}{:>9}\n",
-             "experiment", "scheduler", "requests", "in target", "late", "unserved", "unknown",
-             "p50 ms", "p99 ms", "worst 2s", "of best");
+             "experiment",
+             "scheduler",
+             "requests",
+             "in target",
+             "late",
+             "unserved",
+             "unknown",
+             "p50 ms",
+             "p99 ms",
+             "worst 2s",
+             "of best");
   const YAML::Node document = YAML::LoadFile(aFile);
   Experiment defaults;
   ReadExperiment(document["defaults"], defaults);
--- a/packages/policy/include/jaylane/policy/ServiceBalancer.h
+++ b/packages/policy/include/jaylane/policy/ServiceBalancer.h
@@ -62,8 +62,13 @@
   double m_moveBulkBackBelow = 0.9;
   /// Part of keys moved a step; with kShareStep it stays below the bound on regional shifts.
   double m_moveStep = 0.02;
-  /// Queueing time that a request accepts, part of the target latency.
+  /// Queueing time that a request accepts, part of the target latency: while few requests are
+  /// rejected, and under lasting overload, when only short queues let responses be in time.
   double m_waitLimit = 0.75;
+  double m_overloadWaitLimit = 0.3;
+  /// Parts of the requests rejected at which the limit begins to fall and is at its lowest.
+  double m_overloadFrom = 0.25;
+  double m_overloadFull = 0.5;
   /// First ejection after an unreachable upstream; doubles with each further failure.
   std::chrono::milliseconds m_ejection{ 400 };
   std::chrono::milliseconds m_longestEjection{ 3000 };
@@ -209,6 +214,7 @@
                       base::MonotonicTime aNow) const;
   double ServiceTime(const State& aState, const Query& aQuery, std::size_t aRank) const;
   double WarmTime(const Query& aQuery) const;
+  double WaitLimit() const;
   void AdjustLocalShare(base::MonotonicTime aNow);
   void InitializeLocalShare();
   void CountOverflow(bool aIsOverflow);
@@ -229,6 +235,8 @@
   bool m_isShareSet = false;
   base::MonotonicTime m_shareChanged;
   double m_overflowRate = 0;
+  /// Part of the recent requests that found no room.
+  double m_rejectionRate = 0;
   /// Average load by other VMs, part of the slots.
   double m_meanOtherLoad = 0;
 };
--- a/packages/policy/src/ServiceBalancer.cpp
+++ b/packages/policy/src/ServiceBalancer.cpp
@@ -23,6 +23,8 @@
 /// Weight of the newest load report of an upstream, and in the average over all.
 constexpr double kReportGain = 0.5;
 constexpr double kMeanLoadGain = 0.05;
+/// Weight of the newest decision in the part of requests rejected: about the last 100.
+constexpr double kRejectionGain = 0.01;
 constexpr double kHashRange = 18446744073709551616.0;
 
 std::uint64_t Mix(std::uint64_t aValue)
@@ -249,12 +251,22 @@
   const double target = ToMillis(aQuery.m_targetLatency);
   const double withoutWait = best.Total() - best.m_wait;
   // A request that needs long by itself is still worth sending, since the upstream then knows it.
-  const double limit = std::max(m_options.m_waitLimit * target, target - withoutWait);
+  const double limit = std::max(WaitLimit() * target, target - withoutWait);
   const bool isInTime = withoutWait <= ToMillis(aQuery.m_remaining);
   choice.m_verdict = best.m_wait <= limit && isInTime ? Verdict::Send : Verdict::Overloaded;
+  const double rejected = choice.m_verdict == Verdict::Overloaded ? 1 : 0;
+  m_rejectionRate += kRejectionGain * (rejected - m_rejectionRate);
   return choice;
 }
 
+double ServiceBalancer::WaitLimit() const
+{
+  const double overload = (m_rejectionRate - m_options.m_overloadFrom) /
+                          (m_options.m_overloadFull - m_options.m_overloadFrom);
+  const double fall = m_options.m_waitLimit - m_options.m_overloadWaitLimit;
+  return m_options.m_waitLimit - fall * std::clamp(overload, 0.0, 1.0);
+}
+
 void ServiceBalancer::CountOverflow(bool aIsOverflow)
 {
   m_overflowRate += kOverflowGain * ((aIsOverflow ? 1.0 : 0.0) - m_overflowRate);
