Move keys out of a region only when its slots are over-full

Cause: keys left a region above 0.85 of its slots, a load at which nobody waits long, and each move makes the key unknown where it arrives and costs bytes between regions.

Change: keys leave above 1.4 and return below 1.1 of the slots (0.85 and 0.55 before).

--- a/packages/policy/include/jaylane/policy/ServiceBalancer.h
+++ b/packages/policy/include/jaylane/policy/ServiceBalancer.h
@@ -55,8 +55,8 @@
   /// Part of requests that may leave the preferred region because it is short of room for them.
   double m_overflowShare = 0.05;
   /// Utilization of the own region above and below which keys move away and back.
-  double m_moveAwayAbove = 0.85;
-  double m_moveBackBelow = 0.55;
+  double m_moveAwayAbove = 1.4;
+  double m_moveBackBelow = 1.1;
   /// The same for keys of requests with large bodies.
   double m_moveBulkAbove = 1.1;
   double m_moveBulkBackBelow = 0.9;
