--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 export CCACHE_NOHASHDIR := 1
 SOURCES = $(shell git ls-files 'packages/*.h' 'packages/*.cpp' 'platform/*.h' 'platform/*.cpp')
 
-.PHONY: all packages build test demo sanitize package bench bench-days capacity format-check lint
+.PHONY: all packages build test demo sanitize package bench bench-days capacity steering format-check lint
 
 all: build
 
@@ -81,6 +81,13 @@
 	@cmake --build $(BUILD) -j $(JOBS) --target capacity_bench
 	@mkdir -p out; timeout 180 $(BUILD)/packages/testing/capacity_bench --json=out/capacity.json
 
+# Plays the balancer against an upper bound: EXPERIMENTS is a YAML file. Table on standard output, plot in out/steering.svg.
+EXPERIMENTS ?= packages/policy/bench/experiments/steering.yaml
+steering: packages
+	@cmake -S . -B $(BUILD) -G Ninja >/dev/null
+	@cmake --build $(BUILD) -j $(JOBS) --target steering_sim
+	@mkdir -p out; $(BUILD)/packages/policy/steering_sim $(EXPERIMENTS) --svg=out/steering.svg
+
 # Plays the standard days of the users' kit: K is its folder system.
 K ?=
 DAY_JOBS ?= 3
