Let idle caller connections make room for new ones under lasting overload

Change: from three quarters of the limit on, responses close their connection; at the limit the longest idle ones are closed.

--- a/packages/gateway/src/CallerConnection.cpp
+++ b/packages/gateway/src/CallerConnection.cpp
@@ -248,7 +248,8 @@
       }
     });
   StartParser();
-  m_isClosing = m_isClosing || isLast || m_context.m_phase != LifecyclePhase::Serving;
+  m_isClosing =
+    m_isClosing || isLast || m_context.m_isCrowded || m_context.m_phase != LifecyclePhase::Serving;
   m_slots.push_back({ exchange, std::nullopt });
   exchange->Start();
 }
@@ -397,6 +398,14 @@
   }
 }
 
+std::optional<base::MonotonicTime> CallerConnection::IdleSince() const
+{
+  if (!m_slots.empty() || m_isWriting || (IsMidRequest() && !m_isClosing)) {
+    return std::nullopt;
+  }
+  return m_lastRead;
+}
+
 void CallerConnection::Abort()
 {
   if (m_isAborted) {
--- a/packages/gateway/src/CallerConnection.h
+++ b/packages/gateway/src/CallerConnection.h
@@ -31,6 +31,9 @@
   /// Cancels everything.
   void Abort();
 
+  /// @return when the last byte passed, or nothing while a request is read or served.
+  std::optional<base::MonotonicTime> IdleSince() const;
+
 private:
   using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
 
--- a/packages/gateway/src/CallerServer.cpp
+++ b/packages/gateway/src/CallerServer.cpp
@@ -2,6 +2,7 @@
 
 #include "Listen.h"
 
+#include <algorithm>
 #include <vector>
 
 namespace jaylane::gateway {
@@ -10,6 +11,11 @@
 
 /// Descriptors kept for upstreams, the store and files, as a part of all.
 constexpr std::uint32_t kReservedPart = 3;
+/// Part of the callers' connections from which on responses close theirs. Rejected callers come
+/// back on new connections and leave the old ones idle.
+constexpr double kCrowded = 0.75;
+/// One in so many connections is closed at once if the limit is reached; the idle ones are sorted.
+constexpr std::size_t kClosedPart = 20;
 /// Pause after a failed accept, usually for lack of descriptors.
 constexpr std::chrono::milliseconds kAcceptPause{ 50 };
 
@@ -52,11 +58,43 @@
     });
 }
 
+std::size_t CallerServer::Limit() const
+{
+  const std::size_t descriptors = m_context.m_settings.m_maxDescriptors;
+  return descriptors - descriptors / kReservedPart;
+}
+
+void CallerServer::OnCountChanged()
+{
+  m_context.m_metrics.m_callerConnections = m_connections.size();
+  m_context.m_isCrowded =
+    static_cast<double>(m_connections.size()) >= kCrowded * static_cast<double>(Limit());
+}
+
+void CallerServer::CloseLongestIdle()
+{
+  std::vector<std::pair<base::MonotonicTime, std::shared_ptr<CallerConnection>>> idle;
+  for (const auto& [key, connection] : m_connections) {
+    if (const auto since = connection->IdleSince()) {
+      idle.emplace_back(*since, connection);
+    }
+  }
+  const std::size_t count = std::min(idle.size(), 1 + m_connections.size() / kClosedPart);
+  std::ranges::partial_sort(idle,
+                            idle.begin() + static_cast<std::ptrdiff_t>(count),
+                            {},
+                            [](const auto& aEntry) { return aEntry.first; });
+  for (std::size_t i = 0; i < count; ++i) {
+    idle[i].second->Abort();
+  }
+}
+
 void CallerServer::Add(boost::asio::ip::tcp::socket aSocket)
 {
-  const std::size_t limit =
-    m_context.m_settings.m_maxDescriptors - m_context.m_settings.m_maxDescriptors / kReservedPart;
-  if (m_connections.size() >= limit) {
+  if (m_connections.size() >= Limit()) {
+    CloseLongestIdle();
+  }
+  if (m_connections.size() >= Limit()) {
     m_context.m_log.Write(
       base::LogRecord("connection_refused").Add("connections", m_connections.size()));
     return;
@@ -64,10 +102,10 @@
   auto connection = std::make_shared<CallerConnection>(
     m_context, std::move(aSocket), [this](CallerConnection* aConnection) {
       m_connections.erase(aConnection);
-      m_context.m_metrics.m_callerConnections = m_connections.size();
+      OnCountChanged();
     });
   m_connections[connection.get()] = connection;
-  m_context.m_metrics.m_callerConnections = m_connections.size();
+  OnCountChanged();
   connection->Start();
 }
 
--- a/packages/gateway/src/CallerServer.h
+++ b/packages/gateway/src/CallerServer.h
@@ -28,6 +28,9 @@
 
 private:
   void Accept();
+  std::size_t Limit() const;
+  void OnCountChanged();
+  void CloseLongestIdle();
   void Add(boost::asio::ip::tcp::socket aSocket);
 
   GatewayContext& m_context;
--- a/packages/gateway/src/GatewayContext.h
+++ b/packages/gateway/src/GatewayContext.h
@@ -34,6 +34,8 @@
   GatewayMetrics& m_metrics;
   BodyMemory& m_bodies;
   LifecyclePhase m_phase = LifecyclePhase::Serving;
+  /// Callers hold most of the connections that are meant for them; responses close theirs.
+  bool m_isCrowded = false;
 };
 
 } // namespace jaylane::gateway
--- a/packages/gateway/tests/RequestPathTest.cpp
+++ b/packages/gateway/tests/RequestPathTest.cpp
@@ -116,6 +116,32 @@
   OnRequestThread([this] { EXPECT_EQ(m_bodies.Used(), 0U); });
 }
 
+// Replays callers that come back on new connections and leave the old ones idle, as they do under
+// lasting overload. Guards against refusing connections while idle ones hold the descriptors.
+TEST_F(RequestPathTest, IdleConnectionsMakeRoomForNewOnes)
+{
+  ScriptedUpstream upstream(
+    [](const SeenRequest& aRequest) { return Script{ OkResponse(aRequest, "a") }; });
+  m_settings.m_maxDescriptors = 12; // Eight for callers; crowded from six on.
+  Start({ upstream.Address() });
+  std::vector<asio::ip::tcp::socket> kept;
+  int closing = 0;
+  for (int i = 0; i < 20; ++i) {
+    kept.push_back(Connect());
+    if (i % 2 == 0) {
+      continue; // Connects and stays idle.
+    }
+    asio::write(kept.back(), asio::buffer(Request("/a/x", "r" + std::to_string(i))));
+    std::string response(512, '\0');
+    boost::system::error_code error;
+    response.resize(kept.back().read_some(asio::buffer(response), error));
+    ASSERT_EQ(Status(response), "HTTP/1.1 200 OK") << "connection " << i;
+    closing += response.find("Connection: close") != std::string::npos ? 1 : 0;
+  }
+  EXPECT_GT(closing, 0);
+  OnRequestThread([this] { EXPECT_LE(m_metrics.m_callerConnections, 8U); });
+}
+
 struct RejectedInput
 {
   const char* m_name;
