--- a/packages/settings/include/jaylane/settings/Diagnostic.h
+++ b/packages/settings/include/jaylane/settings/Diagnostic.h
@@ -20,7 +20,7 @@
   std::string m_file;
   /// Line in the file, from 1; 0 if the input has no lines (JSON, edits).
   int m_line = 0;
-  /// Node path or section and key, such as "/kigali shift_window_seconds".
+  /// Node path or section and key, such as "/region-a shift_window_seconds".
   std::string m_key;
   /// What was expected and what was found; never holds a secret.
   std::string m_message;
