End slow headers at their limit instead of up to a second later

Cause: the time limits of a connection are looked at each second from its start on. A header whose first bytes came after the timer was set was just short of its limit at the look at 1 s and got its 408 at 2 s. Seen as one failure of SlowHeader under ThreadSanitizer, which waits 1.8 s.

Change: the next look is when the limit ends.

EndsAHeaderThatBeganLateAtItsLimit failed before.

--- a/packages/gateway/src/CallerConnection.cpp
+++ b/packages/gateway/src/CallerConnection.cpp
@@ -3,6 +3,7 @@
 #include "HeaderLines.h"
 #include "SocketOptions.h"
 
+#include <algorithm>
 #include <boost/asio/write.hpp>
 #include <charconv>
 
@@ -20,8 +21,10 @@
 constexpr std::chrono::seconds kLinger{ 1 };
 /// Bodies are held for as long as their requests run; seconds at the most.
 constexpr const char* kRetryAfter = "Retry-After: 0.5\r\n";
-/// Shortest time between two checks of the connection's time limits.
+/// Usual time between two checks of the connection's time limits.
 constexpr std::chrono::milliseconds kTimerStep{ 1000 };
+/// The same when a limit is about to end.
+constexpr std::chrono::milliseconds kShortestStep{ 10 };
 
 std::string_view View(boost::beast::string_view aText)
 {
@@ -81,7 +84,7 @@
     { std::chrono::seconds{ 10 }, std::chrono::seconds{ 10 }, std::chrono::seconds{ 5 }, 3 });
   m_lastRead = m_context.m_clock.Monotonic();
   StartParser();
-  StartTimer();
+  StartTimer(kTimerStep);
   Read();
 }
 
@@ -269,9 +272,9 @@
   Flush();
 }
 
-void CallerConnection::StartTimer()
+void CallerConnection::StartTimer(std::chrono::milliseconds aPause)
 {
-  m_timer.expires_after(kTimerStep);
+  m_timer.expires_after(aPause);
   m_timer.async_wait([weak = weak_from_this()](const boost::system::error_code& aError) {
     const auto self = weak.lock();
     if (!aError && self) {
@@ -286,6 +289,7 @@
     return;
   }
   const auto now = m_context.m_clock.Monotonic();
+  std::chrono::milliseconds pause = kTimerStep;
   if (m_isFinished) {
     if (now - m_lastRead > kLinger) {
       Abort();
@@ -296,12 +300,17 @@
     if ((!hasHeader && now - m_requestStarted > m_limits.m_headerTimeout) ||
         (hasHeader && now - m_lastRead > m_limits.m_idleTimeout)) {
       RejectInput(408, "timeout");
+    } else if (!hasHeader) {
+      // The limit ends between two steps where the first bytes came after the timer was set.
+      const auto left = std::chrono::ceil<std::chrono::milliseconds>(m_limits.m_headerTimeout -
+                                                                     (now - m_requestStarted));
+      pause = std::clamp(left, kShortestStep, kTimerStep);
     }
   } else if (m_slots.empty() && !m_isWriting && now - m_lastRead > m_limits.m_idleTimeout) {
     Abort();
     return;
   }
-  StartTimer();
+  StartTimer(pause);
 }
 
 void CallerConnection::Flush()
--- a/packages/gateway/src/CallerConnection.h
+++ b/packages/gateway/src/CallerConnection.h
@@ -56,7 +56,7 @@
   bool HoldBody();
   void SendInterimResponse();
   void RejectInput(unsigned aStatus, const char* aReason);
-  void StartTimer();
+  void StartTimer(std::chrono::milliseconds aPause);
   void OnTimer();
   void Flush();
   void Write(std::string aText);
--- a/packages/gateway/tests/RequestPathTest.cpp
+++ b/packages/gateway/tests/RequestPathTest.cpp
@@ -200,6 +200,23 @@
     RejectedInput{ "SlowHeader", "GET /a/x HTTP/1.1\r\nHost: h\r\n", "408" }),
   [](const auto& aInfo) { return aInfo.param.m_name; });
 
+// Guards against a header limit that is looked at a whole step late, because the first bytes came
+// after the timer was set.
+TEST_F(RequestPathTest, EndsAHeaderThatBeganLateAtItsLimit)
+{
+  ScriptedUpstream upstream([](const SeenRequest&) { return Script{}; });
+  Start({ upstream.Address() });
+  auto socket = Connect();
+  std::this_thread::sleep_for(100ms);
+  asio::write(socket, asio::buffer(std::string{ "GET /a/x HTTP/1.1\r\n" }));
+  const auto start = std::chrono::steady_clock::now();
+  std::string response(512, '\0');
+  response.resize(socket.read_some(asio::buffer(response)));
+  EXPECT_EQ(Status(response), "HTTP/1.1 408 Request Timeout");
+  // The limit is one second; the next step would be 900 ms later.
+  EXPECT_LT(std::chrono::steady_clock::now() - start, 1500ms);
+}
+
 // Guards against running a non-idempotent request twice after a connection that ended silently.
 TEST_F(RequestPathTest, NonIdempotentRequestsAreSentOnce)
 {
