Give each run of the peer tests addresses of its own

Cause: PeerLinkTest bound fixed loopback addresses. A run beside the same tests under ThreadSanitizer failed once in each (bind refused there, datagrams of the other run here). Change: addresses from the process id. Conclusion: no bound was changed.

--- a/packages/gateway/tests/PeerLinkTest.cpp
+++ b/packages/gateway/tests/PeerLinkTest.cpp
@@ -3,12 +3,21 @@
 #include <algorithm>
 #include <gtest/gtest.h>
 #include <memory>
+#include <unistd.h>
 
 namespace jaylane::gateway {
 namespace {
 
 using namespace std::chrono_literals;
 
+/// @return a loopback address of this process, so that two runs of the tests do not meet.
+std::string Ip(int aNumber)
+{
+  const auto process = static_cast<unsigned>(::getpid());
+  return "127." + std::to_string(2 + process / 250 % 250) + "." + std::to_string(process % 250) +
+         "." + std::to_string(10 + aNumber);
+}
+
 /// VMs that exchange datagrams on loopback addresses and share a clock.
 class PeerLinkTest : public testing::Test
 {
@@ -27,7 +36,7 @@
           const std::string& aSeed)
   {
     auto vm = std::make_unique<Vm>();
-    const std::string ip = "127.0.0." + std::to_string(10 + aNumber);
+    const std::string ip = Ip(aNumber);
     vm->m_settings.m_name = "vm-" + std::to_string(aNumber);
     vm->m_settings.m_zone = aZone;
     vm->m_settings.m_region = aRegion;
@@ -65,12 +74,12 @@
 // against knowing nobody while the store is away: seeds alone must do.
 TEST_F(PeerLinkTest, LookupsNameTheCallersZoneThenItsRegion)
 {
-  Vm& first = Add(1, "a", "r", "127.0.0.11:99");
-  Add(2, "a", "r", "127.0.0.11:99");
-  Add(3, "b", "r", "127.0.0.11:99");
+  Vm& first = Add(1, "a", "r", Ip(1) + ":99");
+  Add(2, "a", "r", Ip(1) + ":99");
+  Add(3, "b", "r", Ip(1) + ":99");
   RunFor(1000ms);
   EXPECT_EQ(first.m_link->AddressesFor("a", "r").size(), 2U);
-  EXPECT_EQ(first.m_link->AddressesFor("b", "r"), std::vector<std::string>{ "127.0.0.13:80" });
+  EXPECT_EQ(first.m_link->AddressesFor("b", "r"), std::vector<std::string>{ Ip(3) + ":80" });
   EXPECT_EQ(first.m_link->AddressesFor("c", "r").size(), 3U);
   EXPECT_EQ(first.m_link->AddressesFor("x", "y").size(), 2U);
   EXPECT_EQ(first.m_link->Names().size(), 3U);
@@ -78,9 +87,9 @@
 
 TEST_F(PeerLinkTest, LeavingAndSilentVmsAreLeftOut)
 {
-  Vm& first = Add(1, "a", "r", "127.0.0.11:99");
-  Vm& second = Add(2, "a", "r", "127.0.0.11:99");
-  Add(3, "a", "r", "127.0.0.11:99");
+  Vm& first = Add(1, "a", "r", Ip(1) + ":99");
+  Vm& second = Add(2, "a", "r", Ip(1) + ":99");
+  Add(3, "a", "r", Ip(1) + ":99");
   RunFor(600ms);
   ASSERT_EQ(first.m_link->AddressesFor("a", "r").size(), 3U);
   second.m_link->AnnounceLeaving();
@@ -89,14 +98,14 @@
   m_vms.pop_back();
   m_io.restart();
   RunFor(2200ms);
-  EXPECT_EQ(first.m_link->AddressesFor("a", "r"), std::vector<std::string>{ "127.0.0.11:80" });
+  EXPECT_EQ(first.m_link->AddressesFor("a", "r"), std::vector<std::string>{ Ip(1) + ":80" });
 }
 
 // Guards against a crashing request that every VM has to learn about by itself.
 TEST_F(PeerLinkTest, StrikesReachOtherVms)
 {
-  Vm& first = Add(1, "a", "r", "127.0.0.12:99");
-  Vm& second = Add(2, "a", "r", "127.0.0.11:99");
+  Vm& first = Add(1, "a", "r", Ip(2) + ":99");
+  Vm& second = Add(2, "a", "r", Ip(1) + ":99");
   policy::Strike strike;
   strike.m_fingerprint = { 0xFFFFFFFFFFFFFFFF, 2 };
   strike.m_id = 3;
