Leave silent upstreams, and try overdue idempotent requests elsewhere

Change: a response is overdue after three times its expected time. An upstream that sent nothing since the request counts as silent: out until a probe or a late response is answered. Idempotent requests get a second attempt at a free slot, within the route's attempts and half of the retry budget. New log events overdue, upstream_silent, upstream_heard, response_undelivered; metric jaylane_hedges_total.

--- a/packages/gateway/src/CallerConnection.cpp
+++ b/packages/gateway/src/CallerConnection.cpp
@@ -415,6 +415,20 @@
   return m_lastRead;
 }
 
+void CallerConnection::LogUndelivered() const
+{
+  const auto blocking =
+    std::ranges::find_if(m_slots, [](const Slot& aSlot) { return !aSlot.IsReady(); });
+  for (const Slot& slot : m_slots) {
+    if (blocking != m_slots.end() && slot.m_exchange && slot.IsReady()) {
+      m_context.m_log.Write(base::LogRecord("response_undelivered")
+                              .Add("id", slot.m_exchange->Id())
+                              .Add("behind", blocking->m_exchange->Id())
+                              .Add("reason", "caller closed the connection"));
+    }
+  }
+}
+
 void CallerConnection::Abort()
 {
   if (m_isAborted) {
@@ -422,6 +436,7 @@
   }
   m_isAborted = true;
   m_timer.cancel();
+  LogUndelivered();
   for (const Slot& slot : m_slots) {
     if (slot.m_exchange) {
       slot.m_exchange->Cancel();
--- a/packages/gateway/src/CallerConnection.h
+++ b/packages/gateway/src/CallerConnection.h
@@ -62,6 +62,8 @@
   void Write(std::string aText);
   void OnWritten(const boost::system::error_code& aError);
   void FinishSending();
+  /// Names the responses that waited for an earlier one when the caller left.
+  void LogUndelivered() const;
   std::string Serialize(CallerResponse& aResponse, bool aIsHead, bool aIsLast) const;
   bool IsMidRequest() const;
 
--- a/packages/gateway/src/Gateway.cpp
+++ b/packages/gateway/src/Gateway.cpp
@@ -324,6 +324,9 @@
                [this, id = aTarget.m_id](const FetchResponse& aResponse) {
                  const auto health =
                    m_parts.m_wire.m_parseHealth(aResponse.m_status, aResponse.m_fields);
+                 if (aResponse.m_status != 0) {
+                   m_steering.OnHeard(id); // Also a rejection shows that it is alive.
+                 }
                  if (health && health->m_upstream == id) {
                    m_steering.OnProbed(id, health->m_coldRemaining);
                  } else if (health) {
--- a/packages/gateway/src/GatewayMetrics.cpp
+++ b/packages/gateway/src/GatewayMetrics.cpp
@@ -28,6 +28,7 @@
   }
   fmt::format_to(out, "jaylane_attempts_total {}\n", m_attempts);
   fmt::format_to(out, "jaylane_retries_total {}\n", m_retries);
+  fmt::format_to(out, "jaylane_hedges_total {}\n", m_hedges);
   fmt::format_to(out, "jaylane_caller_connections {}\n", m_callerConnections);
   fmt::format_to(out, "jaylane_requests_in_flight {}\n", m_inFlight);
   fmt::format_to(out, "jaylane_store_batches_total {}\n", m_storeBatches);
--- a/packages/gateway/src/GatewayMetrics.h
+++ b/packages/gateway/src/GatewayMetrics.h
@@ -15,6 +15,8 @@
   std::map<std::string, std::uint64_t> m_outcomes;
   std::uint64_t m_attempts = 0;
   std::uint64_t m_retries = 0;
+  /// Second attempts while the first was still running.
+  std::uint64_t m_hedges = 0;
   std::uint64_t m_callerConnections = 0;
   std::uint64_t m_inFlight = 0;
   std::uint64_t m_storeBatches = 0;
--- a/packages/gateway/src/RequestExchange.cpp
+++ b/packages/gateway/src/RequestExchange.cpp
@@ -42,6 +42,7 @@
   , m_onResponse(std::move(aOnResponse))
   , m_routes(aContext.m_steering.Routes())
   , m_timer(aContext.m_io)
+  , m_overdueTimer(aContext.m_io)
 {
 }
 
@@ -159,26 +160,111 @@
                           .Add("entry_revision", aChoice.m_upstream->m_revision));
   m_context.m_steering.Balancer(m_service->m_name)
     .OnSent(upstream, query, m_context.m_clock.Monotonic());
-  m_attempt = std::make_shared<UpstreamAttempt>(
+  auto attempt = std::make_shared<UpstreamAttempt>(
     UpstreamAttempt::Parts{
       m_context.m_io, m_context.m_pool, m_context.m_clock, m_context.m_wire, m_context.m_bodies },
     *aChoice.m_upstream,
     m_request,
     Remaining(),
-    [self = shared_from_this(), query](AttemptResult aResult) {
-      self->OnAttemptEnd(query, std::move(aResult));
+    [self = shared_from_this(), query, upstream](AttemptResult aResult) {
+      self->OnAttemptEnd(upstream, query, std::move(aResult));
     });
-  m_attempt->Start();
+  m_attempts.push_back(attempt);
+  attempt->Start();
+  StartOverdueTimer(aChoice.m_overdue);
 }
 
-void RequestExchange::OnAttemptEnd(const ServiceBalancer::Query& aQuery, AttemptResult aResult)
+void RequestExchange::StartOverdueTimer(milliseconds aOverdue)
 {
+  m_overdueTimer.cancel(); // It may still be set for an attempt that has ended.
+  if (m_attempts.size() != 1 || aOverdue >= Remaining()) {
+    return;
+  }
+  m_overdueTimer.expires_after(aOverdue);
+  m_overdueTimer.async_wait([self = shared_from_this()](const boost::system::error_code& aError) {
+    if (!aError && !self->m_isDone && self->m_attempts.size() == 1) {
+      self->OnOverdue();
+    }
+  });
+}
+
+void RequestExchange::OnOverdue()
+{
+  CheckSilence(*m_attempts.front());
+  const std::string upstream = m_attempts.front()->UpstreamId();
+  const bool isHedged = TryHedge();
+  m_context.m_log.Write(base::LogRecord("overdue")
+                          .Add("id", m_request->m_id)
+                          .Add("upstream", upstream)
+                          .Add("remaining_ms", Remaining())
+                          .Add("outcome", isHedged ? "second attempt" : "waits"));
+}
+
+void RequestExchange::CheckSilence(const UpstreamAttempt& aAttempt)
+{
+  const std::string& upstream = aAttempt.UpstreamId();
+  if (aAttempt.WasSent() &&
+      m_context.m_steering.Balancer(m_service->m_name).OnOverdue(upstream, aAttempt.StartedAt())) {
+    m_context.m_steering.OnSilent(m_service->m_name, upstream);
+    m_context.m_pool.Drop(upstream);
+  }
+}
+
+bool RequestExchange::TryHedge()
+{
+  const bool mayRunTwice = m_route->m_kind == RequestKind::Idempotent;
+  if (!mayRunTwice || m_tried.size() >= m_route->m_attempts) {
+    return false;
+  }
   const auto now = m_context.m_clock.Monotonic();
-  const std::string upstream = m_attempt->UpstreamId();
+  ServiceBalancer::Query query = MakeQuery();
+  query.m_isHedge = true;
+  const ServiceBalancer::Choice choice =
+    m_context.m_steering.Balancer(m_service->m_name).Choose(query, now);
+  if (choice.m_verdict != ServiceBalancer::Verdict::Send ||
+      !m_context.m_steering.Retries(m_service->m_name).TryHedge(now)) {
+    return false;
+  }
+  ++m_context.m_metrics.m_hedges;
+  SendTo(choice);
+  return true;
+}
+
+void RequestExchange::CancelAttempts()
+{
+  m_overdueTimer.cancel();
+  for (const auto& attempt : m_attempts) {
+    m_context.m_steering.Balancer(m_service->m_name).OnCancelled(attempt->UpstreamId());
+    attempt->Cancel();
+  }
+  m_attempts.clear();
+}
+
+std::shared_ptr<UpstreamAttempt> RequestExchange::TakeAttempt(const std::string& aUpstream)
+{
+  const auto found = std::ranges::find(
+    m_attempts, aUpstream, [](const auto& aAttempt) { return aAttempt->UpstreamId(); });
+  if (found == m_attempts.end()) {
+    return nullptr;
+  }
+  std::shared_ptr<UpstreamAttempt> attempt = std::move(*found);
+  m_attempts.erase(found);
+  return attempt;
+}
+
+void RequestExchange::OnAttemptEnd(const std::string& aUpstream,
+                                   const ServiceBalancer::Query& aQuery,
+                                   AttemptResult aResult)
+{
+  const auto now = m_context.m_clock.Monotonic();
+  const std::string upstream = aUpstream;
   ServiceBalancer& balancer = m_context.m_steering.Balancer(m_service->m_name);
-  m_sends += m_attempt->WasSent() ? 1 : 0;
-  m_attempt.reset();
+  const auto attempt = TakeAttempt(upstream);
+  m_sends += attempt->WasSent() ? 1 : 0;
   m_context.m_metrics.m_upstreamLatency.Record(aResult.m_latency);
+  if (aResult.m_response.m_status != 0) {
+    m_context.m_steering.OnHeard(upstream);
+  }
   if (aResult.m_failure) {
     balancer.OnFailure(upstream, *aResult.m_failure, aResult.m_load, now);
     if (aResult.m_response.m_status == 421) {
@@ -205,6 +291,7 @@
   }
   balancer.OnResponse(upstream, aQuery, aResult.m_latency, aResult.m_load, now);
   m_context.m_steering.Quarantine().RecordCompleted(Fingerprint(), now);
+  CancelAttempts();
   Finish(std::move(aResult.m_response), "completed");
 }
 
@@ -226,6 +313,9 @@
   if (aResult.m_failure == AttemptFailure::Lost) {
     m_mayHaveRun = true;
   }
+  if (!m_attempts.empty()) {
+    return; // The other attempt may still succeed.
+  }
   if (MayRetry(aResult)) {
     ++m_context.m_metrics.m_retries;
     TryUpstream();
@@ -248,14 +338,17 @@
 
 void RequestExchange::OnDeadline()
 {
-  if (m_attempt) {
-    const std::string upstream = m_attempt->UpstreamId();
-    m_mayHaveRun = m_mayHaveRun || m_attempt->WasSent();
-    m_attempt->Cancel();
-    m_attempt.reset();
+  for (const auto& attempt : m_attempts) {
+    m_mayHaveRun = m_mayHaveRun || attempt->WasSent();
+    CheckSilence(*attempt);
+    attempt->Cancel();
     m_context.m_steering.Balancer(m_service->m_name)
-      .OnFailure(upstream, AttemptFailure::TimedOut, std::nullopt, m_context.m_clock.Monotonic());
+      .OnFailure(attempt->UpstreamId(),
+                 AttemptFailure::TimedOut,
+                 std::nullopt,
+                 m_context.m_clock.Monotonic());
   }
+  m_attempts.clear();
   Respond(504, "deadline");
 }
 
@@ -293,6 +386,7 @@
   }
   m_isDone = true;
   m_timer.cancel();
+  m_overdueTimer.cancel();
   m_response = std::move(aResponse);
   if (m_response.m_headerLines.find(m_context.m_wire.m_requestId) == std::string::npos &&
       !m_request->m_id.empty()) {
@@ -338,11 +432,7 @@
   m_isDone = true;
   m_onResponse = nullptr;
   m_timer.cancel();
-  if (m_attempt) {
-    m_context.m_steering.Balancer(m_service->m_name).OnCancelled(m_attempt->UpstreamId());
-    m_attempt->Cancel();
-    m_attempt.reset();
-  }
+  CancelAttempts();
   --m_context.m_metrics.m_inFlight;
   LogEnd("caller_left");
 }
--- a/packages/gateway/src/RequestExchange.h
+++ b/packages/gateway/src/RequestExchange.h
@@ -28,6 +28,7 @@
   /// The caller left.
   void Cancel();
 
+  const std::string& Id() const { return m_request->m_id; }
   bool IsDone() const { return m_isDone; }
   CallerResponse& Response() { return m_response; }
   bool IsHead() const { return m_request->m_method == "HEAD"; }
@@ -37,7 +38,19 @@
   void StartTimer();
   void TryUpstream();
   void SendTo(const policy::ServiceBalancer::Choice& aChoice);
-  void OnAttemptEnd(const policy::ServiceBalancer::Query& aQuery, AttemptResult aResult);
+  void StartOverdueTimer(std::chrono::milliseconds aOverdue);
+  /// The response of the only attempt is overdue: looks for signs of life, and starts a second
+  /// attempt where both may run.
+  void OnOverdue();
+  void CheckSilence(const UpstreamAttempt& aAttempt);
+  bool TryHedge();
+  void OnAttemptEnd(const std::string& aUpstream,
+                    const policy::ServiceBalancer::Query& aQuery,
+                    AttemptResult aResult);
+  /// Closes the connections of the attempts that are still running.
+  void CancelAttempts();
+  /// @return the running attempt at the upstream; nullptr if there is none.
+  std::shared_ptr<UpstreamAttempt> TakeAttempt(const std::string& aUpstream);
   void OnAttemptFailure(AttemptResult aResult);
   bool MayRetry(const AttemptResult& aResult) const;
   void OnDeadline();
@@ -61,7 +74,9 @@
   std::uint64_t m_key = 0;
   base::MonotonicTime m_deadline;
   boost::asio::steady_timer m_timer;
-  std::shared_ptr<UpstreamAttempt> m_attempt;
+  boost::asio::steady_timer m_overdueTimer;
+  /// Running attempts: one, or two after the first was overdue.
+  std::vector<std::shared_ptr<UpstreamAttempt>> m_attempts;
   std::vector<std::string> m_tried;
   std::uint32_t m_sends = 0;
   std::uint32_t m_unreachable = 0;
--- a/packages/gateway/src/Steering.cpp
+++ b/packages/gateway/src/Steering.cpp
@@ -145,11 +145,26 @@
   const auto [entry, isNew] = m_unreachable.try_emplace(aId);
   if (isNew) {
     m_log.Write(base::LogRecord("upstream_unreachable").Add("upstream", aId));
-    entry->second = { m_clock.Monotonic() + kFirstProbe, kFirstProbe };
+    entry->second = { m_clock.Monotonic() + kFirstProbe, kFirstProbe, {} };
     Rebuild();
   }
 }
 
+void Steering::OnSilent(const std::string& aService, const std::string& aId)
+{
+  m_log.Write(base::LogRecord("upstream_silent").Add("upstream", aId).Add("service", aService));
+  m_silent.insert_or_assign(aId, Unreachable{ m_clock.Monotonic(), kFirstProbe, aService });
+}
+
+void Steering::OnHeard(const std::string& aId)
+{
+  if (const auto silent = m_silent.find(aId); silent != m_silent.end()) {
+    m_log.Write(base::LogRecord("upstream_heard").Add("upstream", aId));
+    Balancer(silent->second.m_service).OnHeard(aId, m_clock.Monotonic());
+    m_silent.erase(silent);
+  }
+}
+
 void Steering::OnProbed(const std::string& aId, milliseconds aColdRemaining)
 {
   m_log.Write(
@@ -171,18 +186,24 @@
 std::vector<Steering::ProbeTarget> Steering::TakeDueProbes()
 {
   std::vector<ProbeTarget> due;
+  AddDueProbes(m_unreachable, due);
+  AddDueProbes(m_silent, due);
+  return due;
+}
+
+void Steering::AddDueProbes(ProbedUpstreams& aUpstreams, std::vector<ProbeTarget>& aDue)
+{
   const auto now = m_clock.Monotonic();
-  for (auto& [id, state] : m_unreachable) {
+  for (auto& [id, state] : aUpstreams) {
     const auto record = m_registry.Records().find(id);
     if (now < state.m_nextProbe || record == m_registry.Records().end()) {
       continue;
     }
     state.m_interval = std::min(state.m_interval * 2, kLongestProbe);
     state.m_nextProbe = now + state.m_interval;
-    due.push_back(
+    aDue.push_back(
       { id, record->second.m_upstream.m_address, HealthPath(record->second.m_upstream) });
   }
-  return due;
 }
 
 std::string Steering::HealthPath(const policy::Upstream& aUpstream) const
@@ -317,9 +338,11 @@
   for (auto& [service, list] : candidates) {
     Balancer(service).Update(std::move(list), now);
   }
-  std::erase_if(m_unreachable, [this](const auto& aEntry) {
+  const auto isGone = [this](const auto& aEntry) {
     return !m_registry.Records().contains(aEntry.first);
-  });
+  };
+  std::erase_if(m_unreachable, isGone);
+  std::erase_if(m_silent, isGone);
   std::erase_if(m_reused,
                 [this](const std::string& aId) { return !m_registry.Records().contains(aId); });
   std::erase_if(m_probedCold, [now](const auto& aEntry) { return now >= aEntry.second; });
--- a/packages/gateway/src/Steering.h
+++ b/packages/gateway/src/Steering.h
@@ -42,6 +42,10 @@
 
   /// An upstream could not be reached; it gets no requests until OnProbed().
   void OnUnreachable(const std::string& aId);
+  /// An upstream sent nothing for longer than its response was due; it is probed at once.
+  void OnSilent(const std::string& aService, const std::string& aId);
+  /// An upstream that counted as silent answered a probe.
+  void OnHeard(const std::string& aId);
   /// A health probe of an unreachable upstream succeeded.
   void OnProbed(const std::string& aId, std::chrono::milliseconds aColdRemaining);
   /// An upstream's address belongs to another one now.
@@ -53,7 +57,7 @@
     std::string m_address;
     std::string m_healthPath;
   };
-  /// @return unreachable upstreams whose next probe is due; they count as probed now.
+  /// @return unreachable and silent upstreams whose next probe is due; they count as probed now.
   std::vector<ProbeTarget> TakeDueProbes();
 
   /// @return the routes in force, or null before the first configuration.
@@ -72,9 +76,13 @@
   {
     base::MonotonicTime m_nextProbe;
     std::chrono::milliseconds m_interval{ 0 };
+    /// Service whose balancer leaves the upstream out; set for silent ones only.
+    std::string m_service;
   };
+  using ProbedUpstreams = std::unordered_map<std::string, Unreachable>;
 
   void Rebuild();
+  void AddDueProbes(ProbedUpstreams& aUpstreams, std::vector<ProbeTarget>& aDue);
   std::string HealthPath(const policy::Upstream& aUpstream) const;
   base::MonotonicTime ColdUntil(const policy::UpstreamRegistry::Record& aRecord) const;
   std::chrono::milliseconds ColdSpacing(const policy::Upstream& aUpstream) const;
@@ -92,7 +100,9 @@
   /// End of the last evacuation of a zone; its upstreams may have become cold meanwhile.
   std::unordered_map<std::string, base::MonotonicTime> m_evacuationEnds;
   std::set<std::string> m_members;
-  std::unordered_map<std::string, Unreachable> m_unreachable;
+  ProbedUpstreams m_unreachable;
+  /// Silent upstreams stay in the ranking of their balancer, which keeps what it knows of them.
+  ProbedUpstreams m_silent;
   /// Cold time that a probe reported, by upstream.
   std::unordered_map<std::string, base::MonotonicTime> m_probedCold;
   std::set<std::string> m_reused;
--- a/packages/gateway/src/UpstreamAttempt.h
+++ b/packages/gateway/src/UpstreamAttempt.h
@@ -63,6 +63,7 @@
   /// @return whether any byte of the request may have reached the upstream.
   bool WasSent() const { return m_sent; }
   const std::string& UpstreamId() const { return m_upstreamId; }
+  base::MonotonicTime StartedAt() const { return m_startedAt; }
 
 private:
   using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
--- a/packages/gateway/src/UpstreamPool.h
+++ b/packages/gateway/src/UpstreamPool.h
@@ -42,6 +42,9 @@
   /// Keeps a connection on which a response has ended.
   void Put(std::unique_ptr<UpstreamConnection> aConnection);
 
+  /// Closes the idle connections to an upstream.
+  void Drop(const std::string& aUpstream) { m_idle.erase(aUpstream); }
+
   /// Closes connections that are idle for too long or whose upstream is gone.
   void Sweep(const std::unordered_set<std::string>& aUpstreams);
 
--- a/packages/gateway/tests/RequestPathTest.cpp
+++ b/packages/gateway/tests/RequestPathTest.cpp
@@ -1,5 +1,6 @@
 #include "GatewayFixture.h"
 
+#include <atomic>
 #include <boost/asio/write.hpp>
 #include <chrono>
 
@@ -242,6 +243,43 @@
   }
 }
 
+// Replays an upstream that takes requests and never responds. Guards against waiting for it until
+// the caller's time is over.
+TEST_F(RequestPathTest, OverdueIdempotentRequestsGetASecondAttempt)
+{
+  const auto never = [](const SeenRequest&) { return Script{ "", false, false, 3000ms }; };
+  ScriptedUpstream silent(never);
+  ScriptedUpstream other(
+    [](const SeenRequest& aRequest) { return Script{ OkResponse(aRequest, "x") }; });
+  Start({ silent.Address(), other.Address() });
+  const auto start = std::chrono::steady_clock::now();
+  for (int i = 0; i < 4; ++i) {
+    const std::string id = "r" + std::to_string(i);
+    EXPECT_EQ(Status(Exchange(Request("/a/x", id, "Connection: close\r\n"), 1500ms)),
+              "HTTP/1.1 200 OK");
+  }
+  EXPECT_LT(std::chrono::steady_clock::now() - start, 900ms);
+  EXPECT_LE(silent.Seen().size(), 1U) << "it counts as silent after the first";
+}
+
+// Guards against a second attempt beyond the route's limit of two upstreams: here the first was
+// lost and retried before its response was overdue.
+TEST_F(RequestPathTest, SecondAttemptsCountAgainstTheRoutesLimit)
+{
+  std::atomic<int> attempts{ 0 };
+  const auto first = [&attempts](const SeenRequest& aRequest) {
+    return attempts++ == 0 ? Script{ "", true, false, 100ms }
+                           : Script{ OkResponse(aRequest, "x"), false, false, 800ms };
+  };
+  ScriptedUpstream one(first);
+  ScriptedUpstream two(first);
+  ScriptedUpstream three(first);
+  Start({ one.Address(), two.Address(), three.Address() });
+  EXPECT_EQ(Status(Exchange(Request("/a/x", "r1", "Connection: close\r\n"), 2000ms)),
+            "HTTP/1.1 200 OK");
+  EXPECT_EQ(attempts, 2);
+}
+
 TEST_F(RequestPathTest, RejectedNonIdempotentRequestsMayGoElsewhere)
 {
   const auto reject = [](const SeenRequest&) {
--- a/packages/policy/include/jaylane/policy/RetryBudget.h
+++ b/packages/policy/include/jaylane/policy/RetryBudget.h
@@ -29,6 +29,10 @@
   /// @return whether a retry is allowed; it is then counted.
   bool TryRetry(base::MonotonicTime aNow);
 
+  /// The same for a second attempt while the first still runs; leaves a part of the budget to
+  /// requests whose first attempt failed.
+  bool TryHedge(base::MonotonicTime aNow);
+
 private:
   /// Parts of the window; the counts cover between kParts - 1 and kParts of them.
   static constexpr std::size_t kParts = 10;
@@ -42,6 +46,7 @@
 
   std::int64_t PartOf(base::MonotonicTime aNow) const;
   Counts& Current(base::MonotonicTime aNow);
+  bool TryTake(base::MonotonicTime aNow, double aPart);
 
   Options m_options;
   std::array<Counts, kParts + 1> m_counts{};
--- a/packages/policy/include/jaylane/policy/ServiceBalancer.h
+++ b/packages/policy/include/jaylane/policy/ServiceBalancer.h
@@ -74,6 +74,10 @@
   std::chrono::milliseconds m_longestEjection{ 3000 };
   /// Time in which a load report loses most of its meaning; then the average load is assumed.
   std::chrono::milliseconds m_reportLife{ 2000 };
+  /// A response is overdue after this multiple of the expected wait and service time, and a
+  /// shortest time that covers the spread of short ones.
+  double m_overdueFactor = 3;
+  std::chrono::milliseconds m_shortestOverdue{ 150 };
   /// Affinity keys remembered an upstream.
   std::size_t m_keysRemembered = 64;
 };
@@ -117,6 +121,8 @@
     std::chrono::milliseconds m_targetLatency{ 0 };
     /// A large body, which costs bandwidth between regions.
     bool m_isBulk = false;
+    /// A second attempt while the first still runs: only at an upstream with a free slot.
+    bool m_isHedge = false;
   };
 
   enum class Verdict
@@ -137,6 +143,8 @@
     bool m_isCold = false;
     /// This VM has seen the upstream serve the key.
     bool m_isKnown = false;
+    /// Time from sending after which the response is overdue.
+    std::chrono::milliseconds m_overdue{ 0 };
   };
 
   ServiceBalancer(BalancerOptions aOptions, std::string aOwnRegion);
@@ -160,6 +168,14 @@
   /// The attempt was cancelled by the caller's leaving.
   void OnCancelled(const std::string& aUpstream);
 
+  /// The response to an attempt is overdue. An upstream that has sent nothing at all since the
+  /// attempt may be gone without closing its connections; it gets no requests until it is heard.
+  /// @param aSentAt start of the attempt.
+  /// @return whether the upstream counts as silent from now on.
+  bool OnOverdue(const std::string& aUpstream, base::MonotonicTime aSentAt);
+  /// A probe was answered by the upstream.
+  void OnHeard(const std::string& aUpstream, base::MonotonicTime aNow);
+
   /// @return part of the affinity keys that belong to the own region.
   double LocalShare() const { return m_localShare; }
   std::size_t size() const { return m_states.size(); }
@@ -178,6 +194,9 @@
     double m_slowness = 1;
     std::uint32_t m_failures = 0;
     base::MonotonicTime m_ejectedUntil;
+    /// When the last response or rejection came.
+    base::MonotonicTime m_heardAt;
+    bool m_isSilent = false;
     base::MonotonicTime m_lastCold;
     bool m_hasSentCold = false;
     std::unordered_map<std::uint64_t, base::MonotonicTime> m_keys;
@@ -214,6 +233,10 @@
                       base::MonotonicTime aNow) const;
   double ServiceTime(const State& aState, const Query& aQuery, std::size_t aRank) const;
   double WarmTime(const Query& aQuery) const;
+  double ColdTime(const Query& aQuery) const;
+  std::chrono::milliseconds OverdueAfter(const State& aState,
+                                         const Query& aQuery,
+                                         const Estimate& aEstimate) const;
   double WaitLimit() const;
   void AdjustLocalShare(base::MonotonicTime aNow);
   void InitializeLocalShare();
@@ -221,6 +244,7 @@
   void NoteReport(State& aState,
                   const std::optional<LoadReport>& aReport,
                   base::MonotonicTime aNow);
+  static void Hear(State& aState, base::MonotonicTime aNow);
   void RememberKey(State& aState, std::uint64_t aKey, base::MonotonicTime aNow);
 
   BalancerOptions m_options;
--- a/packages/policy/src/RetryBudget.cpp
+++ b/packages/policy/src/RetryBudget.cpp
@@ -2,6 +2,13 @@
 
 namespace jaylane::policy {
 
+namespace {
+
+/// Part of the budget that hedges may use up.
+constexpr double kHedgePart = 0.5;
+
+} // namespace
+
 RetryBudget::RetryBudget(Options aOptions)
   : m_options(aOptions)
 {
@@ -29,6 +36,16 @@
 }
 
 bool RetryBudget::TryRetry(base::MonotonicTime aNow)
+{
+  return TryTake(aNow, 1);
+}
+
+bool RetryBudget::TryHedge(base::MonotonicTime aNow)
+{
+  return TryTake(aNow, kHedgePart);
+}
+
+bool RetryBudget::TryTake(base::MonotonicTime aNow, double aPart)
 {
   Counts& current = Current(aNow);
   const std::int64_t oldest = current.m_part - static_cast<std::int64_t>(kParts);
@@ -40,7 +57,8 @@
       retries += counts.m_retries;
     }
   }
-  if (retries + 1 > requests * m_options.m_perMille / 1000 + m_options.m_floor) {
+  const auto limit = requests * m_options.m_perMille / 1000 + m_options.m_floor;
+  if (static_cast<double>(retries + 1) > static_cast<double>(limit) * aPart) {
     return false;
   }
   ++current.m_retries;
--- a/packages/policy/src/ServiceBalancer.cpp
+++ b/packages/policy/src/ServiceBalancer.cpp
@@ -135,7 +135,8 @@
   if (aState.m_inFlight >= aState.m_candidate.m_maxInFlight) {
     return false;
   }
-  if (aNow < aState.m_ejectedUntil || (aState.m_failures > 0 && aState.m_inFlight > 0)) {
+  if (aState.m_isSilent || aNow < aState.m_ejectedUntil ||
+      (aState.m_failures > 0 && aState.m_inFlight > 0)) {
     return false;
   }
   if (aQuery.m_tried &&
@@ -183,18 +184,33 @@
   return m_warmTime > 0 ? m_warmTime : m_options.m_warmPrior * ToMillis(aQuery.m_targetLatency);
 }
 
+double ServiceBalancer::ColdTime(const Query& aQuery) const
+{
+  const double cold =
+    m_coldTime > 0 ? m_coldTime : m_options.m_coldPrior * ToMillis(aQuery.m_targetLatency);
+  return std::max(cold, WarmTime(aQuery));
+}
+
 double ServiceBalancer::ServiceTime(const State& aState,
                                     const Query& aQuery,
                                     std::size_t aRank) const
 {
   // The first of the ranking is taken to know the key: other VMs send it there too.
-  const bool isWarm = !aQuery.m_hasAffinity || aRank == 0 || aState.m_keys.contains(aQuery.m_key);
-  if (isWarm) {
-    return WarmTime(aQuery) * aState.m_slowness;
-  }
-  const double cold =
-    m_coldTime > 0 ? m_coldTime : m_options.m_coldPrior * ToMillis(aQuery.m_targetLatency);
-  return std::max(cold, WarmTime(aQuery)) * aState.m_slowness;
+  const bool isFirst = aRank == 0 && !aQuery.m_isHedge;
+  const bool isWarm = !aQuery.m_hasAffinity || isFirst || aState.m_keys.contains(aQuery.m_key);
+  return (isWarm ? WarmTime(aQuery) : ColdTime(aQuery)) * aState.m_slowness;
+}
+
+milliseconds ServiceBalancer::OverdueAfter(const State& aState,
+                                           const Query& aQuery,
+                                           const Estimate& aEstimate) const
+{
+  const bool isKnown = !aQuery.m_hasAffinity || aState.m_keys.contains(aQuery.m_key);
+  const double service = isKnown ? WarmTime(aQuery) : ColdTime(aQuery);
+  const double expected =
+    ToMillis(aState.m_candidate.m_roundTrip) + aEstimate.m_wait + service * aState.m_slowness;
+  const milliseconds overdue{ static_cast<std::int64_t>(expected * m_options.m_overdueFactor) };
+  return std::max(overdue, m_options.m_shortestOverdue);
 }
 
 double ServiceBalancer::OtherLoad(const State& aState, base::MonotonicTime aNow) const
@@ -242,6 +258,7 @@
       choice.m_rank = rank;
       choice.m_isCold = aNow < state.m_candidate.m_coldUntil;
       choice.m_isKnown = state.m_keys.contains(aQuery.m_key);
+      choice.m_overdue = OverdueAfter(state, aQuery, estimate);
     }
   }
   if (!choice.m_upstream) {
@@ -253,6 +270,11 @@
   // A request that needs long by itself is still worth sending, since the upstream then knows it.
   const double limit = std::max(WaitLimit() * target, target - withoutWait);
   const bool isInTime = withoutWait <= ToMillis(aQuery.m_remaining);
+  if (aQuery.m_isHedge) {
+    const bool isFree = best.m_wait == 0 && !choice.m_isCold;
+    choice.m_verdict = isFree && isInTime ? Verdict::Send : Verdict::Overloaded;
+    return choice;
+  }
   choice.m_verdict = best.m_wait <= limit && isInTime ? Verdict::Send : Verdict::Overloaded;
   const double rejected = choice.m_verdict == Verdict::Overloaded ? 1 : 0;
   m_rejectionRate += kRejectionGain * (rejected - m_rejectionRate);
@@ -325,6 +347,7 @@
   }
   state->m_inFlight -= state->m_inFlight > 0 ? 1 : 0;
   state->m_failures = 0;
+  Hear(*state, aNow);
   Average(state->m_successRate, 1, m_options.m_successGain);
   NoteReport(*state, aReport, aNow);
   if (m_warmTime == 0) {
@@ -354,6 +377,9 @@
   }
   state->m_inFlight -= state->m_inFlight > 0 ? 1 : 0;
   NoteReport(*state, aReport, aNow);
+  if (aFailure == AttemptFailure::Rejected || aFailure == AttemptFailure::Error) {
+    Hear(*state, aNow);
+  }
   Average(state->m_successRate, 0.001, m_options.m_successGain);
   if (aFailure != AttemptFailure::Unreachable) {
     return;
@@ -371,6 +397,29 @@
   }
 }
 
+bool ServiceBalancer::OnOverdue(const std::string& aUpstream, base::MonotonicTime aSentAt)
+{
+  State* state = FindState(aUpstream);
+  if (!state || state->m_isSilent || state->m_heardAt > aSentAt) {
+    return false;
+  }
+  state->m_isSilent = true;
+  return true;
+}
+
+void ServiceBalancer::OnHeard(const std::string& aUpstream, base::MonotonicTime aNow)
+{
+  if (State* state = FindState(aUpstream)) {
+    Hear(*state, aNow);
+  }
+}
+
+void ServiceBalancer::Hear(State& aState, base::MonotonicTime aNow)
+{
+  aState.m_heardAt = aNow;
+  aState.m_isSilent = false;
+}
+
 void ServiceBalancer::AdjustLocalShare(base::MonotonicTime aNow)
 {
   if (aNow - m_shareChanged < kShareStep) {
--- a/packages/policy/tests/RetryBudgetTest.cpp
+++ b/packages/policy/tests/RetryBudgetTest.cpp
@@ -61,5 +61,25 @@
   EXPECT_TRUE(budget.TryRetry(now + std::chrono::seconds{ 12 }));
 }
 
+// Guards against second attempts that leave nothing for requests whose first attempt failed.
+TEST(RetryBudget, HedgesUseHalfOfIt)
+{
+  RetryBudget budget({ milliseconds{ 1000 }, 100, 2 });
+  const base::MonotonicTime now{ std::chrono::hours{ 1 } };
+  for (int i = 0; i < 80; ++i) {
+    budget.OnRequest(now);
+  }
+  int hedges = 0;
+  int retries = 0;
+  for (int i = 0; i < 20; ++i) {
+    hedges += budget.TryHedge(now) ? 1 : 0;
+  }
+  for (int i = 0; i < 20; ++i) {
+    retries += budget.TryRetry(now) ? 1 : 0;
+  }
+  EXPECT_EQ(hedges, 5);
+  EXPECT_EQ(hedges + retries, 10);
+}
+
 } // namespace
 } // namespace jaylane::policy
--- a/packages/policy/tests/ServiceBalancerTest.cpp
+++ b/packages/policy/tests/ServiceBalancerTest.cpp
@@ -184,6 +184,62 @@
   EXPECT_GT(elsewhere, 20);
 }
 
+// Replays an upstream that ends without closing its connections: each request to it stays without
+// a response. Guards against sending on to it until the store removes its entry seconds later.
+TEST_F(ServiceBalancerChoiceTest, LeavesAnUpstreamThatFellSilent)
+{
+  const auto query = MakeQuery(3);
+  const std::string silent = Choose(query).m_upstream->m_id;
+  m_balancer.OnSent(silent, query, m_clock.Monotonic());
+  m_clock.Advance(50ms);
+  m_balancer.OnResponse(silent, query, 50ms, std::nullopt, m_clock.Monotonic());
+  const auto sentAt = m_clock.Monotonic() + 1ms;
+  m_clock.Advance(1ms);
+  const auto choice = Choose(query);
+  m_balancer.OnSent(silent, query, m_clock.Monotonic());
+  EXPECT_LE(choice.m_overdue, 1s) << "silent upstreams are left within a second";
+  m_clock.Advance(choice.m_overdue);
+  EXPECT_TRUE(m_balancer.OnOverdue(silent, sentAt));
+  EXPECT_FALSE(m_balancer.OnOverdue(silent, sentAt)) << "it is probed once";
+  for (int i = 0; i < 40; ++i) {
+    EXPECT_NE(Choose(query).m_upstream->m_id, silent);
+    m_clock.Advance(100ms);
+  }
+  m_balancer.OnHeard(silent, m_clock.Monotonic());
+  EXPECT_EQ(Choose(query).m_upstream->m_id, silent);
+}
+
+// Guards against leaving an upstream because one of its requests takes long.
+TEST_F(ServiceBalancerChoiceTest, KeepsAnUpstreamThatAnswersOthers)
+{
+  const auto query = MakeQuery(3);
+  const std::string upstream = Choose(query).m_upstream->m_id;
+  const auto sentAt = m_clock.Monotonic();
+  m_balancer.OnSent(upstream, query, sentAt);
+  m_balancer.OnSent(upstream, MakeQuery(4), sentAt);
+  m_clock.Advance(100ms);
+  m_balancer.OnResponse(upstream, MakeQuery(4), 100ms, std::nullopt, m_clock.Monotonic());
+  m_clock.Advance(1s);
+  EXPECT_FALSE(m_balancer.OnOverdue(upstream, sentAt));
+  EXPECT_EQ(Choose(query).m_upstream->m_id, upstream);
+}
+
+// Guards against second attempts that add to a queue.
+TEST_F(ServiceBalancerChoiceTest, SecondAttemptsNeedAFreeSlot)
+{
+  auto query = MakeQuery(3);
+  query.m_isHedge = true;
+  EXPECT_EQ(Choose(query).m_verdict, ServiceBalancer::Verdict::Send);
+  for (int i = 0; i < 6; ++i) {
+    for (int j = 0; j < 4; ++j) {
+      m_balancer.OnSent("u" + std::to_string(i), MakeQuery(1), m_clock.Monotonic());
+    }
+  }
+  EXPECT_EQ(Choose(query).m_verdict, ServiceBalancer::Verdict::Overloaded);
+  query.m_isHedge = false;
+  EXPECT_EQ(Choose(query).m_verdict, ServiceBalancer::Verdict::Send);
+}
+
 // Guards against a shift between regions that is larger than the bound of 0.15 in two seconds.
 TEST_F(ServiceBalancerChoiceTest, KeysLeaveABusyRegionSlowly)
 {
