Notice silent store connections by what peers have seen

Cause: a connection to the store that goes silent above a live kernel was noticed at the watch's own limit, after 11.5 s (open in design.md, 10.8), although a machine counts as in touch 3 s after.

Change: datagrams tell the newest revision that a VM has seen of each kind.

Member lists may be stale, but for the one that all VMs make 3 s after their start.

Weighed, not built: one VM a zone that watches for the others.

Tests: HearsOfAChangeFromAPeerWhileItsWatchIsSilent and GivesUpAWatchThatStaysBehind fail without the check; RevisionsReachOtherVms.

--- a/packages/gateway/include/jaylane/gateway/StoreDialect.h
+++ b/packages/gateway/include/jaylane/gateway/StoreDialect.h
@@ -43,6 +43,15 @@
   std::uint64_t m_revision = 0;
 };
 
+/// What a read must reflect.
+enum class Freshness
+{
+  /// Everything that the store has acknowledged.
+  Current,
+  /// May be seconds old; such reads cost the store less.
+  MayBeStale,
+};
+
 /// Translates between the gateway and the platform's store. No I/O.
 class StoreDialect
 {
@@ -50,7 +59,9 @@
   virtual ~StoreDialect() = default;
 
   /// @return request target that lists a kind from after the named object.
-  virtual std::string ListTarget(ObjectKind aKind, std::string_view aAfter) const = 0;
+  virtual std::string ListTarget(ObjectKind aKind,
+                                 std::string_view aAfter,
+                                 Freshness aFreshness) const = 0;
   /// @return request target of a long poll for changes since a revision.
   virtual std::string WatchTarget(ObjectKind aKind,
                                   std::uint64_t aSince,
--- a/packages/gateway/src/Gateway.cpp
+++ b/packages/gateway/src/Gateway.cpp
@@ -50,6 +50,8 @@
   void OnEvacuations(const std::vector<StoredObject>& aObjects, bool aIsList);
   std::optional<policy::Upstream> Decode(const StoredObject& aObject);
   void UpdateMembers();
+  void OnPeerRevisions(const StoreRevisions& aRevisions);
+  void SetRevision(std::uint64_t StoreRevisions::*aKind, std::uint64_t aRevision);
   void Tick();
   void Probe(const Steering::ProbeTarget& aTarget);
   void AwaitSignal();
@@ -77,6 +79,9 @@
   std::uint32_t m_ticks = 0;
   std::set<std::string> m_evacuated;
   base::MonotonicTime m_stopStarted;
+  /// What this VM and its peers have seen of the store.
+  StoreRevisions m_revisions;
+  StoreRevisions m_peerRevisions;
   std::unique_ptr<StoreSync> m_sync;
 };
 
@@ -97,7 +102,8 @@
               [this](const std::vector<policy::Strike>& aStrikes) {
                 m_steering.Quarantine().Merge(aStrikes, m_parts.m_clock.Monotonic());
               },
-              [this] { UpdateMembers(); } })
+              [this] { UpdateMembers(); },
+              [this](const StoreRevisions& aRevisions) { OnPeerRevisions(aRevisions); } })
   , m_ready(m_io, [this](std::string_view) { return OnReady(); })
   , m_lookup(m_io, [this](std::string_view aTarget) { return OnLookup(aTarget); })
   , m_metricsServer(m_io,
@@ -201,6 +207,14 @@
   hooks.m_evacuations =
     Hooks([this](const std::vector<StoredObject>& aObjects) { OnEvacuations(aObjects, true); },
           [this](const std::vector<StoredObject>& aObjects) { OnEvacuations(aObjects, false); });
+  const auto tellRevision = [this](std::uint64_t StoreRevisions::*aKind) {
+    return [this, aKind](std::uint64_t aRevision) {
+      asio::post(m_io, [this, aKind, aRevision] { SetRevision(aKind, aRevision); });
+    };
+  };
+  hooks.m_configuration.m_onRevision = tellRevision(&StoreRevisions::m_configuration);
+  hooks.m_upstreams.m_onRevision = tellRevision(&StoreRevisions::m_upstreams);
+  hooks.m_evacuations.m_onRevision = tellRevision(&StoreRevisions::m_evacuations);
   hooks.m_onMembers = [this](std::vector<StoredObject> aObjects) {
     asio::post(m_io, [this, objects = std::move(aObjects)] {
       std::vector<Json::Value> members;
@@ -214,6 +228,26 @@
   return hooks;
 }
 
+void Gateway::Impl::SetRevision(std::uint64_t StoreRevisions::*aKind, std::uint64_t aRevision)
+{
+  m_revisions.*aKind = aRevision;
+  m_peers.SetRevisions(m_revisions);
+}
+
+void Gateway::Impl::OnPeerRevisions(const StoreRevisions& aRevisions)
+{
+  bool isNews = false;
+  for (const auto kind : { &StoreRevisions::m_configuration,
+                           &StoreRevisions::m_upstreams,
+                           &StoreRevisions::m_evacuations }) {
+    m_peerRevisions.*kind = std::max(m_peerRevisions.*kind, aRevisions.*kind);
+    isNews = isNews || aRevisions.*kind > m_revisions.*kind;
+  }
+  if (isNews && m_sync) {
+    m_sync->OnPeerRevisions(m_peerRevisions);
+  }
+}
+
 void Gateway::Impl::UpdateMembers()
 {
   m_steering.SetMembers(m_peers.Names());
--- a/packages/gateway/src/PeerLink.cpp
+++ b/packages/gateway/src/PeerLink.cpp
@@ -80,6 +80,24 @@
   return strikes;
 }
 
+Json::Value ToJson(const StoreRevisions& aRevisions)
+{
+  Json::Value json(Json::arrayValue);
+  json.append(Json::UInt64{ aRevisions.m_configuration });
+  json.append(Json::UInt64{ aRevisions.m_upstreams });
+  json.append(Json::UInt64{ aRevisions.m_evacuations });
+  return json;
+}
+
+std::optional<StoreRevisions> RevisionsFrom(const Json::Value& aJson)
+{
+  if (!aJson.isArray() || aJson.size() != 3 || !aJson[0].isUInt64() || !aJson[1].isUInt64() ||
+      !aJson[2].isUInt64()) {
+    return std::nullopt; // A VM of an older version, or one that has seen nothing.
+  }
+  return StoreRevisions{ aJson[0].asUInt64(), aJson[1].asUInt64(), aJson[2].asUInt64() };
+}
+
 std::optional<udp::endpoint> UdpEndpoint(std::string_view aText)
 {
   const auto endpoint = ParseEndpoint(aText);
@@ -223,6 +241,9 @@
   const Json::Value& params = (*message)["params"];
   Learn(params, m_sender, true);
   m_hooks.m_onStrikes(StrikesFrom(params["strikes"]));
+  if (const auto revisions = RevisionsFrom(params["revisions"])) {
+    m_hooks.m_onRevisions(*revisions);
+  }
 }
 
 std::string PeerLink::Message() const
@@ -232,6 +253,7 @@
   message["method"] = "announce";
   Json::Value params = Describe(m_settings);
   params["leaving"] = m_leaving;
+  params["revisions"] = ToJson(m_revisions);
   Json::Value strikes(Json::arrayValue);
   for (const policy::Strike& strike : m_hooks.m_strikes()) {
     if (strikes.size() < kStrikesPerMessage) {
--- a/packages/gateway/src/PeerLink.h
+++ b/packages/gateway/src/PeerLink.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "StoreSync.h"
 #include "jaylane/base/AsyncLog.h"
 #include "jaylane/base/Clock.h"
 #include "jaylane/gateway/GatewaySettings.h"
@@ -34,6 +35,8 @@
     std::function<void(const std::vector<policy::Strike>&)> m_onStrikes;
     /// Names of VMs heard of for the first time.
     std::function<void()> m_onNewPeer;
+    /// What a peer has seen of the store.
+    std::function<void(const StoreRevisions&)> m_onRevisions;
   };
 
   struct Peer
@@ -59,6 +62,9 @@
   /// Adds VMs from the store's list.
   void AddMembers(const std::vector<Json::Value>& aMembers);
 
+  /// @param aRevisions what this VM has seen of the store; told with the next messages.
+  void SetRevisions(const StoreRevisions& aRevisions) { m_revisions = aRevisions; }
+
   /// Tells the region that this VM is stopping.
   void AnnounceLeaving();
 
@@ -100,6 +106,7 @@
   std::minstd_rand m_random;
   std::uint32_t m_rounds = 0;
   bool m_leaving = false;
+  StoreRevisions m_revisions;
 };
 
 } // namespace jaylane::gateway
--- a/packages/gateway/src/StoreSnapshot.cpp
+++ b/packages/gateway/src/StoreSnapshot.cpp
@@ -25,13 +25,14 @@
 void StoreSnapshot::Apply(const std::vector<StoredObject>& aChanges, std::uint64_t aRevision)
 {
   for (const StoredObject& change : aChanges) {
+    m_changed = std::max(m_changed, change.m_revision);
     if (change.m_deleted) {
       m_objects.erase(change.m_name);
     } else {
       m_objects[change.m_name] = change;
     }
   }
-  m_revision = std::max(m_revision, aRevision);
+  m_revision = std::max({ m_revision, aRevision, m_changed });
 }
 
 std::vector<StoredObject> StoreSnapshot::Objects() const
--- a/packages/gateway/src/StoreSnapshot.h
+++ b/packages/gateway/src/StoreSnapshot.h
@@ -23,6 +23,8 @@
 
   /// @return revision of the store that this reflects, 0 before the first list.
   std::uint64_t Revision() const { return m_revision; }
+  /// @return revision of the newest change among the objects; at most Revision().
+  std::uint64_t Changed() const { return m_changed; }
   std::vector<StoredObject> Objects() const;
 
   std::string ToJson() const;
@@ -30,6 +32,7 @@
 
 private:
   std::uint64_t m_revision = 0;
+  std::uint64_t m_changed = 0;
   std::map<std::string, StoredObject> m_objects;
 };
 
--- a/packages/gateway/src/StoreSync.cpp
+++ b/packages/gateway/src/StoreSync.cpp
@@ -12,9 +12,12 @@
 
 using std::chrono::milliseconds;
 
-/// A watch ends after this time without a change; a silent connection is noticed at the latest
-/// kWatchSlack after it, and mostly sooner by keep-alive probes.
-constexpr milliseconds kWatchWait{ 10'000 };
+/// A watch ends after a random time in these limits without a change; a silent connection is
+/// noticed at the latest kWatchSlack after it. The times differ, so that some VM notices soon even
+/// if all connections went silent together; the others hear of changes from it. The longest stays
+/// below the usual history of the store.
+constexpr milliseconds kShortestWatch{ 4'000 };
+constexpr milliseconds kLongestWatch{ 18'000 };
 constexpr milliseconds kWatchSlack{ 1500 };
 constexpr milliseconds kListTimeout{ 1500 };
 /// Changes that follow each other closely are fetched by one call; every call is priced. Upstreams
@@ -30,6 +33,10 @@
 /// Failed calls in a row after which peers are asked too; a single one is common.
 constexpr std::uint32_t kFailuresBeforePeers = 2;
 constexpr milliseconds kPeerTimeout{ 500 };
+/// Time in which an open watch should have told a change that a peer knows of; peers are asked for
+/// it then. After kChecksBeforeRestart such times the connection is given up.
+constexpr milliseconds kBehindLimit{ 700 };
+constexpr std::uint32_t kChecksBeforeRestart = 3;
 constexpr std::string_view kSnapshotPath = "/snapshots/";
 constexpr std::string_view kAfter = "?after=";
 
@@ -62,8 +69,11 @@
   , m_kind(aKind)
   , m_gather(aKind == ObjectKind::Upstreams ? aSettings.m_drainTime / kGatherPartOfDrain : kGather)
   , m_hooks(std::move(aHooks))
+  , m_storeAddress(aSettings.m_storeAddress)
   , m_fetch(std::make_shared<HttpFetch>(aIo, aSettings.m_storeAddress))
   , m_timer(aIo)
+  , m_behindTimer(aIo)
+  , m_random(std::random_device{}())
 {
 }
 
@@ -82,8 +92,9 @@
   if (aAfter.empty()) {
     m_listed.clear();
   }
-  m_fetch->Start({ "GET", m_dialect.ListTarget(m_kind, aAfter), {}, kListTimeout },
-                 [this](const FetchResponse& aResponse) { OnListed(aResponse); });
+  m_fetch->Start(
+    { "GET", m_dialect.ListTarget(m_kind, aAfter, Freshness::Current), {}, kListTimeout },
+    [this](const FetchResponse& aResponse) { OnListed(aResponse); });
 }
 
 void KindWatcher::OnListed(const FetchResponse& aResponse)
@@ -103,23 +114,29 @@
     return;
   }
   OnSuccess();
-  m_snapshot.Replace(m_listed, batch->m_revision);
-  m_hooks.m_onList(std::move(m_listed));
+  if (batch->m_revision >= m_snapshot.Revision()) { // A peer's snapshot may be newer.
+    m_snapshot.Replace(m_listed, batch->m_revision);
+    m_hooks.m_onList(std::move(m_listed));
+    TellRevision();
+  }
   m_listed.clear();
   Watch();
 }
 
 void KindWatcher::Watch()
 {
-  m_fetch->Start({ "GET",
-                   m_dialect.WatchTarget(m_kind, m_snapshot.Revision(), kWatchWait),
-                   {},
-                   kWatchWait + kWatchSlack },
-                 [this](const FetchResponse& aResponse) { OnWatched(aResponse); });
+  const milliseconds wait{ std::uniform_int_distribution<milliseconds::rep>(
+    kShortestWatch.count(), kLongestWatch.count())(m_random) };
+  ++m_watches;
+  m_isWatching = true;
+  m_fetch->Start(
+    { "GET", m_dialect.WatchTarget(m_kind, m_snapshot.Revision(), wait), {}, wait + kWatchSlack },
+    [this](const FetchResponse& aResponse) { OnWatched(aResponse); });
 }
 
 void KindWatcher::OnWatched(const FetchResponse& aResponse)
 {
+  m_isWatching = false;
   if (aResponse.m_status == 410) {
     m_log.Write(base::LogRecord("store_history_lost").Add("kind", NameOf(m_kind)));
     List({});
@@ -135,15 +152,67 @@
   }
   OnSuccess();
   LogUnreadable(batch->m_unreadable);
-  m_snapshot.Apply(batch->m_objects, batch->m_revision);
-  if (batch->m_objects.empty()) {
+  // A snapshot of a peer that is newer than this response holds its changes already.
+  if (batch->m_objects.empty() || batch->m_revision < m_snapshot.Revision()) {
+    m_snapshot.Apply({}, batch->m_revision);
     Watch();
     return;
   }
+  m_snapshot.Apply(batch->m_objects, batch->m_revision);
   m_hooks.m_onChanges(std::move(batch->m_objects));
+  TellRevision();
   After(m_gather, [this] { Watch(); });
 }
 
+void KindWatcher::TellRevision()
+{
+  if (m_snapshot.Changed() > m_toldRevision) {
+    m_toldRevision = m_snapshot.Changed();
+    m_hooks.m_onRevision(m_toldRevision);
+  }
+}
+
+void KindWatcher::OnPeerRevision(std::uint64_t aRevision)
+{
+  m_peerRevision = std::max(m_peerRevision, aRevision);
+  if (m_isWatching && IsBehind() && !m_isCheckingBehind) {
+    m_isCheckingBehind = true;
+    CheckBehind(m_watches, 0);
+  }
+}
+
+void KindWatcher::CheckBehind(std::uint32_t aWatch, std::uint32_t aChecks)
+{
+  m_behindTimer.expires_after(kBehindLimit);
+  m_behindTimer.async_wait([this, aWatch, aChecks](const boost::system::error_code& aError) {
+    if (aError) {
+      return;
+    }
+    const bool isSameWatch = m_isWatching && m_watches == aWatch;
+    m_isCheckingBehind = isSameWatch && IsBehind();
+    if (!m_isCheckingBehind) {
+      return;
+    }
+    m_log.Write(base::LogRecord("store_watch_behind")
+                  .Add("kind", NameOf(m_kind))
+                  .Add("revision", m_snapshot.Revision())
+                  .Add("peer_revision", m_peerRevision)
+                  .Add("checks", aChecks + 1));
+    if (aChecks + 1 < kChecksBeforeRestart) {
+      if (!m_peers.empty()) {
+        AskPeer();
+      }
+      CheckBehind(aWatch, aChecks + 1);
+      return;
+    }
+    m_isCheckingBehind = false;
+    m_isWatching = false;
+    m_fetch->Close();
+    m_fetch = std::make_shared<HttpFetch>(m_io, m_storeAddress);
+    Retry();
+  });
+}
+
 void KindWatcher::OnSuccess()
 {
   m_hooks.m_onCall(true);
@@ -191,7 +260,7 @@
 
 void KindWatcher::OnPeerSnapshot(const std::string& aPeer, const FetchResponse& aResponse)
 {
-  if (aResponse.m_status != 200 || !m_hasFailed) {
+  if (aResponse.m_status != 200 || (!m_hasFailed && !IsBehind())) {
     return; // The peer has nothing newer, or the store serves this VM again.
   }
   auto snapshot = StoreSnapshot::FromJson(aResponse.m_body);
@@ -212,6 +281,7 @@
                 .Add("revision", snapshot->Revision()));
   m_snapshot = std::move(*snapshot);
   m_hooks.m_onList(m_snapshot.Objects());
+  TellRevision();
 }
 
 std::optional<std::string> KindWatcher::SnapshotAfter(std::uint64_t aAfter) const
@@ -278,6 +348,15 @@
   });
 }
 
+void StoreSync::OnPeerRevisions(const StoreRevisions& aRevisions)
+{
+  boost::asio::post(m_io, [this, aRevisions] {
+    m_configuration.OnPeerRevision(aRevisions.m_configuration);
+    m_upstreams.OnPeerRevision(aRevisions.m_upstreams);
+    m_evacuations.OnPeerRevision(aRevisions.m_evacuations);
+  });
+}
+
 InfoResponse StoreSync::OnSnapshotRequest(std::string_view aTarget) const
 {
   const std::size_t end = aTarget.find(kAfter);
@@ -313,7 +392,7 @@
   m_fetch->Start(std::move(request), [this](const FetchResponse& aResponse) {
     const bool isRegistered = aResponse.m_status == 409 || (aResponse.m_status / 100 == 2);
     if (isRegistered) {
-      ListMembers(kSecondMemberList);
+      ListMembers(kSecondMemberList, Freshness::MayBeStale);
       return;
     }
     m_timer.expires_after(kLongestBackoff);
@@ -325,23 +404,28 @@
   });
 }
 
-void StoreSync::ListMembers(milliseconds aDelay)
+void StoreSync::ListMembers(milliseconds aDelay, Freshness aFreshness)
 {
-  m_fetch->Start({ "GET", m_dialect.ListTarget(ObjectKind::Members, {}), {}, kListTimeout },
-                 [this, aDelay](const FetchResponse& aResponse) {
-                   if (aResponse.m_status == 200) {
-                     if (auto batch = m_dialect.ParseList(aResponse.m_body)) {
-                       m_hooks.m_onMembers(std::move(batch->m_objects));
-                     }
-                   }
-                   const bool hasFailed = aResponse.m_status != 200;
-                   m_timer.expires_after(hasFailed ? kLongestBackoff : aDelay);
-                   m_timer.async_wait([this](const boost::system::error_code& aError) {
-                     if (!aError) {
-                       ListMembers(kMemberList);
-                     }
-                   });
-                 });
+  m_fetch->Start(
+    { "GET", m_dialect.ListTarget(ObjectKind::Members, {}, aFreshness), {}, kListTimeout },
+    [this, aDelay](const FetchResponse& aResponse) {
+      if (aResponse.m_status == 200) {
+        if (auto batch = m_dialect.ParseList(aResponse.m_body)) {
+          m_hooks.m_onMembers(std::move(batch->m_objects));
+        }
+      }
+      const bool hasFailed = aResponse.m_status != 200;
+      m_timer.expires_after(hasFailed ? kLongestBackoff : aDelay);
+      // Only the list after all have registered has to be complete; later ones are
+      // for VMs that no peer has told of.
+      const bool isFirst = aDelay == kSecondMemberList;
+      const auto next = isFirst ? Freshness::Current : Freshness::MayBeStale;
+      m_timer.async_wait([this, next](const boost::system::error_code& aError) {
+        if (!aError) {
+          ListMembers(kMemberList, next);
+        }
+      });
+    });
 }
 
 } // namespace jaylane::gateway
--- a/packages/gateway/src/StoreSync.h
+++ b/packages/gateway/src/StoreSync.h
@@ -11,14 +11,27 @@
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <memory>
+#include <random>
 #include <string>
 #include <thread>
 #include <vector>
 
 namespace jaylane::gateway {
 
+/// Revisions of the newest change that a VM has seen, by kind. VMs tell each other, so that one
+/// whose connection to the store went silent notices.
+struct StoreRevisions
+{
+  std::uint64_t m_configuration = 0;
+  std::uint64_t m_upstreams = 0;
+  std::uint64_t m_evacuations = 0;
+
+  bool operator==(const StoreRevisions&) const = default;
+};
+
 /// Keeps up with one kind of object: lists it, then watches it from the list's revision on. While
-/// the store does not serve this VM, it adopts newer snapshots of peers that the store serves.
+/// the store does not serve this VM, or peers know of a change that its watch does not tell, it
+/// adopts newer snapshots of peers that the store serves.
 class KindWatcher
 {
 public:
@@ -31,6 +44,8 @@
     /// The first success after a failure, before its objects.
     std::function<void()> m_onRecovered;
     std::function<void(bool aSucceeded)> m_onCall;
+    /// Revision of the newest change, when it rises.
+    std::function<void(std::uint64_t aRevision)> m_onRevision;
   };
 
   KindWatcher(boost::asio::io_context& aIo,
@@ -45,6 +60,9 @@
   /// @param aAddresses "ip:port" of peers that may be asked for snapshots, the best first.
   void SetPeers(std::vector<std::string> aAddresses) { m_peers = std::move(aAddresses); }
 
+  /// A peer has seen a change of the revision.
+  void OnPeerRevision(std::uint64_t aRevision);
+
   /// @param aAfter revision that the asking peer has.
   /// @return the snapshot as JSON, or nothing unless it is newer and the store serves this VM.
   std::optional<std::string> SnapshotAfter(std::uint64_t aAfter) const;
@@ -54,6 +72,9 @@
   void OnListed(const FetchResponse& aResponse);
   void Watch();
   void OnWatched(const FetchResponse& aResponse);
+  void TellRevision();
+  bool IsBehind() const { return m_peerRevision > m_snapshot.Revision(); }
+  void CheckBehind(std::uint32_t aWatch, std::uint32_t aChecks);
   void Retry();
   void AskPeer();
   void OnPeerSnapshot(const std::string& aPeer, const FetchResponse& aResponse);
@@ -67,10 +88,19 @@
   ObjectKind m_kind;
   std::chrono::milliseconds m_gather;
   Hooks m_hooks;
+  std::string m_storeAddress;
   std::shared_ptr<HttpFetch> m_fetch;
   boost::asio::steady_timer m_timer;
   std::vector<StoredObject> m_listed;
   StoreSnapshot m_snapshot;
+  std::uint64_t m_toldRevision = 0;
+  std::uint64_t m_peerRevision = 0;
+  /// Number of the last watch, and whether it is still open.
+  std::uint32_t m_watches = 0;
+  bool m_isWatching = false;
+  bool m_isCheckingBehind = false;
+  boost::asio::steady_timer m_behindTimer;
+  std::minstd_rand m_random;
   bool m_hasFailed = false;
   std::uint32_t m_failures = 0;
   std::vector<std::string> m_peers;
@@ -108,10 +138,13 @@
   /// Names peers that may be asked for snapshots. May be called on any thread.
   void SetPeers(std::vector<std::string> aAddresses);
 
+  /// Tells what a peer has seen of the store. May be called on any thread.
+  void OnPeerRevisions(const StoreRevisions& aRevisions);
+
 private:
   InfoResponse OnSnapshotRequest(std::string_view aTarget) const;
   void Register();
-  void ListMembers(std::chrono::milliseconds aDelay);
+  void ListMembers(std::chrono::milliseconds aDelay, Freshness aFreshness);
 
   const GatewaySettings& m_settings;
   const StoreDialect& m_dialect;
--- a/packages/gateway/tests/PeerLinkTest.cpp
+++ b/packages/gateway/tests/PeerLinkTest.cpp
@@ -27,6 +27,7 @@
     GatewaySettings m_settings;
     std::vector<policy::Strike> m_strikes;
     std::vector<policy::Strike> m_received;
+    StoreRevisions m_seen;
     std::unique_ptr<PeerLink> m_link;
   };
 
@@ -53,7 +54,8 @@
                        [raw](const std::vector<policy::Strike>& aStrikes) {
                          std::ranges::copy(aStrikes, std::back_inserter(raw->m_received));
                        },
-                       [] {} });
+                       [] {},
+                       [raw](const StoreRevisions& aRevisions) { raw->m_seen = aRevisions; } });
     EXPECT_TRUE(vm->m_link->Start());
     m_vms.push_back(std::move(vm));
     return *raw;
@@ -101,6 +103,17 @@
   EXPECT_EQ(first.m_link->AddressesFor("a", "r"), std::vector<std::string>{ Ip(1) + ":80" });
 }
 
+// Guards against a VM that does not notice that it is behind the others.
+TEST_F(PeerLinkTest, RevisionsReachOtherVms)
+{
+  Vm& first = Add(1, "a", "r", Ip(2) + ":99");
+  Vm& second = Add(2, "a", "r", Ip(1) + ":99");
+  const StoreRevisions revisions{ 5, 1ULL << 40, 7 };
+  first.m_link->SetRevisions(revisions);
+  RunFor(900ms);
+  EXPECT_EQ(second.m_seen, revisions);
+}
+
 // Guards against a crashing request that every VM has to learn about by itself.
 TEST_F(PeerLinkTest, StrikesReachOtherVms)
 {
--- a/packages/gateway/tests/StoreSyncTest.cpp
+++ b/packages/gateway/tests/StoreSyncTest.cpp
@@ -2,10 +2,12 @@
 
 #include "ScriptedUpstream.h"
 
+#include <algorithm>
 #include <condition_variable>
 #include <fmt/format.h>
 #include <gtest/gtest.h>
 #include <mutex>
+#include <thread>
 
 namespace jaylane::gateway {
 namespace {
@@ -16,7 +18,7 @@
 class TestDialect : public StoreDialect
 {
 public:
-  std::string ListTarget(ObjectKind aKind, std::string_view) const override
+  std::string ListTarget(ObjectKind aKind, std::string_view, Freshness) const override
   {
     return fmt::format("/list/{}", static_cast<int>(aKind));
   }
@@ -87,6 +89,7 @@
       kind->m_onChanges = [](const std::vector<StoredObject>&) {};
       kind->m_onRecovered = [] {};
       kind->m_onCall = [](bool) {};
+      kind->m_onRevision = [](std::uint64_t) {};
     }
     hooks.m_onMembers = [](const std::vector<StoredObject>&) {};
     hooks.m_configuration.m_onList = [this](const std::vector<StoredObject>& aObjects) {
@@ -94,6 +97,10 @@
       m_configurations = aObjects;
       m_changed.notify_all();
     };
+    hooks.m_configuration.m_onChanges = [this](const std::vector<StoredObject>& aObjects) {
+      const std::lock_guard lock(m_mutex);
+      m_changes += aObjects.size();
+    };
     m_sync = std::make_unique<StoreSync>(
       m_settings, m_dialect, m_log, Json::Value(Json::objectValue), std::move(hooks));
   }
@@ -106,6 +113,21 @@
     return m_changed.wait_for(lock, aLimit, [this] { return !m_configurations.empty(); });
   }
 
+  /// Waits until the only configuration object has the revision.
+  bool WaitForRevision(std::uint64_t aRevision, std::chrono::milliseconds aLimit)
+  {
+    std::unique_lock lock(m_mutex);
+    return m_changed.wait_for(lock, aLimit, [this, aRevision] {
+      return m_configurations.size() == 1 && m_configurations[0].m_revision == aRevision;
+    });
+  }
+
+  std::size_t Changes()
+  {
+    const std::lock_guard lock(m_mutex);
+    return m_changes;
+  }
+
   std::vector<StoredObject> Configurations()
   {
     const std::lock_guard lock(m_mutex);
@@ -119,6 +141,7 @@
   std::mutex m_mutex;
   std::condition_variable m_changed;
   std::vector<StoredObject> m_configurations;
+  std::size_t m_changes = 0;
   std::unique_ptr<StoreSync> m_sync;
 };
 
@@ -151,6 +174,66 @@
   EXPECT_EQ(objects[0].m_value["a"].asInt(), 1);
 }
 
+/// A store with one configuration object.
+/// @param aObject revision of the object; the store's own is three higher.
+/// @param aWatch pause before a watch tells a change of revision 8.
+ScriptedUpstream::Handler ServeRevision(std::uint64_t aObject, std::chrono::milliseconds aWatch)
+{
+  return [aObject, aWatch](const SeenRequest& aRequest) {
+    const bool isConfiguration = aRequest.m_head.find("/0 ") != std::string::npos;
+    const bool isWatch = aRequest.m_head.find("/watch/") != std::string::npos;
+    const std::uint64_t object = isWatch ? 8 : aObject;
+    const std::string objects =
+      isConfiguration ? fmt::format(R"([{{"name":"main","revision":{},"value":1}}])", object)
+                      : "[]";
+    return Text("200 OK",
+                fmt::format(R"({{"revision":{},"objects":{}}})", object + 3, objects),
+                isWatch ? aWatch : 0ms);
+  };
+}
+
+std::size_t ConfigurationLists(const ScriptedUpstream& aStore)
+{
+  const auto seen = aStore.Seen();
+  return static_cast<std::size_t>(std::ranges::count_if(seen, [](const SeenRequest& aRequest) {
+    return aRequest.m_head.find("/list/0 ") != std::string::npos;
+  }));
+}
+
+// Replays a connection to the store that went silent while the store serves others. Guards against
+// an old configuration until the watch's own limit, and against going back to the old one when
+// the silent connection tells it late.
+TEST(StoreSyncTest, HearsOfAChangeFromAPeerWhileItsWatchIsSilent)
+{
+  ScriptedUpstream working(ServeRevision(12, 5000ms));
+  ScriptedUpstream silent(ServeRevision(7, 1800ms));
+  const std::string servedAddress = FreeAddress();
+  View served(working.Address(), servedAddress);
+  ASSERT_TRUE(served.WaitForRevision(12, 5s));
+  View behind(silent.Address(), FreeAddress());
+  ASSERT_TRUE(behind.WaitForRevision(7, 5s));
+  behind.Sync().SetPeers({ servedAddress });
+  behind.Sync().OnPeerRevisions({ 12, 0, 0 });
+  EXPECT_TRUE(behind.WaitForRevision(12, 1500ms));
+  std::this_thread::sleep_for(1500ms);
+  EXPECT_EQ(behind.Configurations().front().m_revision, 12U);
+  EXPECT_EQ(behind.Changes(), 0U) << "the late response is older than the peer's snapshot";
+}
+
+// Guards against waiting on a silent connection when no peer can tell the change either.
+TEST(StoreSyncTest, GivesUpAWatchThatStaysBehind)
+{
+  ScriptedUpstream silent(ServeRevision(7, 6000ms));
+  View behind(silent.Address(), FreeAddress());
+  ASSERT_TRUE(behind.WaitForRevision(7, 5s));
+  behind.Sync().OnPeerRevisions({ 7, 0, 0 });
+  std::this_thread::sleep_for(2500ms);
+  EXPECT_EQ(ConfigurationLists(silent), 1U) << "the peer knows nothing newer";
+  behind.Sync().OnPeerRevisions({ 12, 0, 0 });
+  std::this_thread::sleep_for(2500ms);
+  EXPECT_EQ(ConfigurationLists(silent), 2U);
+}
+
 // Guards against two VMs without the store that take each other's old state for news.
 TEST(StoreSyncTest, APeerWithoutTheStoreTellsNothing)
 {
