Test that requests do not wait for an unread log

Change: RequestsDoNotWaitForTheLog blocks the log's reader and sends 400 requests (800 lines) through a ring of 64.

--- a/packages/gateway/tests/GatewayFixture.cpp
+++ b/packages/gateway/tests/GatewayFixture.cpp
@@ -22,6 +22,7 @@
 
 GatewayFixture::~GatewayFixture()
 {
+  m_isLogUnread = false;
   m_io.stop();
   if (m_thread.joinable()) {
     m_thread.join();
--- a/packages/gateway/tests/GatewayFixture.h
+++ b/packages/gateway/tests/GatewayFixture.h
@@ -4,6 +4,7 @@
 #include "ScriptedUpstream.h"
 #include "TestWire.h"
 
+#include <atomic>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
 #include <gtest/gtest.h>
@@ -39,7 +40,14 @@
 
   GatewaySettings m_settings;
   WireProfile m_wire = TestWire();
-  base::AsyncLog m_log{ "vm", base::SystemClock::Get(), { 64, 1000, [](std::string_view) {} } };
+  /// While set, nobody reads the log.
+  std::atomic<bool> m_isLogUnread{ false };
+  base::AsyncLog m_log{ "vm", base::SystemClock::Get(), { 64, 1000, [this](std::string_view) {
+                                                           while (m_isLogUnread) {
+                                                             std::this_thread::sleep_for(
+                                                               std::chrono::milliseconds{ 1 });
+                                                           }
+                                                         } } };
   boost::asio::io_context m_io;
   std::unique_ptr<Steering> m_steering;
   UpstreamPool m_pool{ base::SystemClock::Get() };
--- a/packages/gateway/tests/RequestPathTest.cpp
+++ b/packages/gateway/tests/RequestPathTest.cpp
@@ -3,6 +3,7 @@
 #include <atomic>
 #include <boost/asio/write.hpp>
 #include <chrono>
+#include <fmt/format.h>
 
 namespace jaylane::gateway {
 namespace {
@@ -143,6 +144,43 @@
   OnRequestThread([this] { EXPECT_LE(m_metrics.m_callerConnections, 8U); });
 }
 
+/// @return latencies of requests sent one after the other on one connection, in order of size.
+std::vector<std::chrono::microseconds> Latencies(asio::ip::tcp::socket& aCaller, int aCount)
+{
+  std::vector<std::chrono::microseconds> latencies;
+  std::string response(512, '\0');
+  for (int i = 0; i < aCount; ++i) {
+    const auto start = std::chrono::steady_clock::now();
+    asio::write(aCaller,
+                asio::buffer("GET /a/x HTTP/1.1\r\nHost: h\r\nRequest-Id: r" + std::to_string(i) +
+                             "\r\n\r\n"));
+    const std::size_t bytes = aCaller.read_some(asio::buffer(response));
+    EXPECT_EQ(Status(response.substr(0, bytes)), "HTTP/1.1 200 OK");
+    latencies.push_back(std::chrono::duration_cast<std::chrono::microseconds>(
+      std::chrono::steady_clock::now() - start));
+  }
+  std::ranges::sort(latencies);
+  return latencies;
+}
+
+// Guards against requests that wait for the log when nobody reads standard output.
+TEST_F(RequestPathTest, RequestsDoNotWaitForTheLog)
+{
+  ScriptedUpstream upstream(
+    [](const SeenRequest& aRequest) { return Script{ OkResponse(aRequest, "a") }; });
+  Start({ upstream.Address() });
+  auto caller = Connect();
+  constexpr int kRequests = 400; // Two lines each, far beyond the ring.
+  const auto read = Latencies(caller, kRequests);
+  m_isLogUnread = true;
+  const auto unread = Latencies(caller, kRequests);
+  // A request that waited would wait for the whole test and end at its timeout of a second.
+  EXPECT_LT(unread.back(), 1s);
+  const std::size_t p99 = kRequests * 99 / 100;
+  fmt::print(
+    "p99 while the log is read {} us, unread {} us\n", read[p99].count(), unread[p99].count());
+}
+
 struct RejectedInput
 {
   const char* m_name;
