Avoid a copy in RequestExchange::OnAttemptEnd

Change: the parameter is used, which belongs to the callback that is running. Conclusion: no behaviour changes.

--- a/packages/gateway/src/RequestExchange.cpp
+++ b/packages/gateway/src/RequestExchange.cpp
@@ -257,38 +257,37 @@
                                    AttemptResult aResult)
 {
   const auto now = m_context.m_clock.Monotonic();
-  const std::string upstream = aUpstream;
   ServiceBalancer& balancer = m_context.m_steering.Balancer(m_service->m_name);
-  const auto attempt = TakeAttempt(upstream);
+  const auto attempt = TakeAttempt(aUpstream);
   m_sends += attempt->WasSent() ? 1 : 0;
   m_context.m_metrics.m_upstreamLatency.Record(aResult.m_latency);
   if (aResult.m_response.m_status != 0) {
-    m_context.m_steering.OnHeard(upstream);
+    m_context.m_steering.OnHeard(aUpstream);
   }
   if (aResult.m_failure) {
-    balancer.OnFailure(upstream, *aResult.m_failure, aResult.m_load, now);
+    balancer.OnFailure(aUpstream, *aResult.m_failure, aResult.m_load, now);
     if (aResult.m_response.m_status == 421) {
-      m_context.m_steering.OnAddressReused(upstream);
+      m_context.m_steering.OnAddressReused(aUpstream);
     }
     if (*aResult.m_failure == AttemptFailure::Unreachable) {
       ++m_unreachable;
-      m_context.m_steering.OnUnreachable(upstream);
+      m_context.m_steering.OnUnreachable(aUpstream);
     }
     if (aResult.m_endedSilently) {
-      m_context.m_steering.OnSuspectedCrash(upstream, Fingerprint());
+      m_context.m_steering.OnSuspectedCrash(aUpstream, Fingerprint());
     }
     OnAttemptFailure(std::move(aResult));
     return;
   }
   if (IsServerFailure(aResult.m_response.m_status)) {
-    balancer.OnFailure(upstream, AttemptFailure::Error, aResult.m_load, now);
+    balancer.OnFailure(aUpstream, AttemptFailure::Error, aResult.m_load, now);
     m_mayHaveRun = true;
     m_failureResponse = aResult.m_response;
     aResult.m_failure = AttemptFailure::Error;
     OnAttemptFailure(std::move(aResult));
     return;
   }
-  balancer.OnResponse(upstream, aQuery, aResult.m_latency, aResult.m_load, now);
+  balancer.OnResponse(aUpstream, aQuery, aResult.m_latency, aResult.m_load, now);
   m_context.m_steering.Quarantine().RecordCompleted(Fingerprint(), now);
   CancelAttempts();
   Finish(std::move(aResult.m_response), "completed");
