--- a/packages/policy/tests/ServiceBalancerTest.cpp
+++ b/packages/policy/tests/ServiceBalancerTest.cpp
@@ -269,7 +269,8 @@
   }
 
   /// @return part of the region's requests that ran elsewhere, by windows of two seconds.
-  std::vector<double> Play()
+  /// @param aOnlyRuns count requests that ran, without those that were rejected.
+  std::vector<double> Play(bool aOnlyRuns)
   {
     for (int i = 0; i < 6; ++i) {
       m_candidates.push_back(MakeCandidate("u" + std::to_string(i), i < 3 ? "r0" : "r1"));
@@ -280,7 +281,7 @@
     std::vector<double> parts;
     for (int second = 0; second < 24; second += 2) {
       const bool isStep = second >= 6 && second < 14;
-      m_requests = m_left = 0;
+      m_requests = m_runs = m_left = 0;
       for (int tick = 0; tick < 200; ++tick) {
         Respond();
         for (int i = 0; i < (isStep ? 3 : 1); ++i) {
@@ -288,7 +289,7 @@
         }
         m_clock.Advance(10ms);
       }
-      parts.push_back(static_cast<double>(m_left) / m_requests);
+      parts.push_back(static_cast<double>(m_left) / (aOnlyRuns ? m_runs : m_requests));
     }
     return parts;
   }
@@ -320,6 +321,7 @@
     auto& slot = *std::ranges::min_element(slots);
     slot = std::max(slot, now) + 110ms;
     m_running.push_back({ now, slot, vm, id, query });
+    ++m_runs;
     m_left += choice.m_upstream->m_region == "r0" ? 0 : 1;
   }
 
@@ -352,6 +354,7 @@
   std::map<std::string, std::vector<base::MonotonicTime>> m_freeAt;
   std::vector<Running> m_running;
   int m_requests = 0;
+  int m_runs = 0;
   int m_left = 0;
 };
 
@@ -360,7 +363,7 @@
 TEST(ServiceBalancerRegionTest, VmsTogetherMoveARegionSlowly)
 {
   for (std::uint32_t seed = 1; seed <= 10; ++seed) {
-    const std::vector<double> parts = RegionStep(seed).Play();
+    const std::vector<double> parts = RegionStep(seed).Play(false);
     for (std::size_t i = 1; i < parts.size(); ++i) {
       EXPECT_LE(std::abs(parts[i] - parts[i - 1]), 0.15)
         << "seed " << seed << ", window " << i << ": " << parts[i];
@@ -369,5 +372,15 @@
   }
 }
 
+// The same bound as a part of the requests that ran, as the users' bench counts it. A ctest entry
+// of its own, known to fail: rejections make the part that leaves grow (KNOWN-RED.txt).
+TEST(ServiceBalancerRegionTest, VmsTogetherMoveARegionSlowlyCountedByRuns)
+{
+  const std::vector<double> parts = RegionStep(7).Play(true);
+  for (std::size_t i = 1; i < parts.size(); ++i) {
+    EXPECT_LE(std::abs(parts[i] - parts[i - 1]), 0.15) << "window " << i << ": " << parts[i];
+  }
+}
+
 } // namespace
 } // namespace jaylane::policy
