Accept fractions for limits that the platform scales

Limits without a unit are now numbers that may have a fraction and must not be negative; the number of descriptors is cut to a whole one. Durations and the memory were read as fractions before.

--- a/packages/gateway/include/jaylane/gateway/GatewaySettings.h
+++ b/packages/gateway/include/jaylane/gateway/GatewaySettings.h
@@ -42,7 +42,7 @@
   /// Limit on the retries of a service by all VMs within a window: a share of its requests in the
   /// window, plus a constant.
   double m_retryShare = 0.2;
-  std::uint32_t m_retrySlack = 60;
+  double m_retrySlack = 60;
   std::chrono::milliseconds m_retryWindow{ 10000 };
   /// Limit on requests per second to a cold upstream: a factor on the rate that its service is
   /// configured with, plus a constant.
--- a/packages/gateway/src/GatewaySettings.cpp
+++ b/packages/gateway/src/GatewaySettings.cpp
@@ -12,6 +12,8 @@
 /// Largest settings file. Usual ones have a few hundred bytes; a larger one is an error or an
 /// attack.
 constexpr std::size_t kMaxFileBytes = 64 * 1024;
+/// Largest value of a setting without a unit.
+constexpr double kMaxNumber = 1e9;
 
 base::Error Invalid(std::string aDetail)
 {
@@ -51,6 +53,26 @@
     }
   }
 
+  /// Reads a number that may have a fraction.
+  void ReadNumber(const char* aKey, double& aValue)
+  {
+    double value = aValue;
+    Read(aKey, value);
+    if (!(value >= 0 && value <= kMaxNumber)) {
+      Fail(aKey, "must be between 0 and 1000000000");
+      return;
+    }
+    aValue = value;
+  }
+
+  /// Reads a count. The platform divides some counts, so that a fraction may remain; it is cut off.
+  void ReadCount(const char* aKey, std::uint32_t& aValue)
+  {
+    double count = aValue;
+    ReadNumber(aKey, count);
+    aValue = static_cast<std::uint32_t>(count);
+  }
+
   void ReadSeconds(const char* aKey, std::chrono::milliseconds& aValue)
   {
     double seconds = std::chrono::duration<double>(aValue).count();
@@ -114,16 +136,16 @@
   reader.Require("peer_address", settings.m_peerAddress);
   reader.Read("seeds", settings.m_seeds);
   reader.Require("store_address", settings.m_storeAddress);
-  reader.Read("max_descriptors", settings.m_maxDescriptors);
+  reader.ReadCount("max_descriptors", settings.m_maxDescriptors);
   reader.ReadHalfOfMegabytes("memory_mb", settings.m_bodyMemoryBytes);
   reader.ReadSeconds("stop_grace_seconds", settings.m_stopGrace);
   reader.ReadSeconds("lookup_lifetime_seconds", settings.m_lookupLifetime);
   reader.ReadMillis("drain_ms", settings.m_drainTime);
-  reader.Read("retry_share", settings.m_retryShare);
-  reader.Read("retry_slack", settings.m_retrySlack);
+  reader.ReadNumber("retry_share", settings.m_retryShare);
+  reader.ReadNumber("retry_slack", settings.m_retrySlack);
   reader.ReadSeconds("retry_window_seconds", settings.m_retryWindow);
-  reader.Read("cold_factor", settings.m_coldFactor);
-  reader.Read("cold_slack", settings.m_coldSlack);
+  reader.ReadNumber("cold_factor", settings.m_coldFactor);
+  reader.ReadNumber("cold_slack", settings.m_coldSlack);
   if (!reader.Problem().empty()) {
     return Invalid(reader.Problem());
   }
