--- a/packages/gateway/src/Gateway.cpp
+++ b/packages/gateway/src/Gateway.cpp
@@ -6,6 +6,7 @@
 #include "InfoServer.h"
 #include "PeerLink.h"
 #include "StoreSync.h"
+#include "jaylane/policy/StoreFollowing.h"
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -31,6 +32,21 @@
 constexpr double kStopAcceptingShare = 0.5;
 constexpr double kCloseIdleShare = 0.55;
 constexpr double kExitShare = 0.9;
+/// Announcements of the same recovery of the store differ by less than this.
+constexpr milliseconds kRecoveryResolution{ 1000 };
+
+const char* RoleName(policy::StoreRole aRole)
+{
+  switch (aRole) {
+    case policy::StoreRole::Elected:
+      return "elected";
+    case policy::StoreRole::Fallback:
+      return "fallback";
+    case policy::StoreRole::Relying:
+      return "relying";
+  }
+  return "unknown";
+}
 
 } // namespace
 
@@ -51,7 +67,9 @@
   void OnEvacuations(const std::vector<StoredObject>& aObjects, bool aIsList);
   std::optional<policy::Upstream> DecodeUpstream(const StoredObject& aObject);
   void UpdateMembers();
-  void OnPeerRevisions(const StoreRevisions& aRevisions);
+  void OnPeerRevisions(const StoreRevisions& aRevisions, const std::string& aPeer);
+  void OnStoreRecovered(std::chrono::milliseconds aAgo);
+  void UpdateStoreRole();
   void SetRevision(std::uint64_t StoreRevisions::*aKind, std::uint64_t aRevision);
   void Tick();
   void Probe(const Steering::ProbeTarget& aTarget);
@@ -70,6 +88,9 @@
   BodyMemoryBudget m_bodyBudget;
   GatewayContext m_context;
   CallerServer m_callerServer;
+  policy::StoreFollowing m_storeFollowing;
+  policy::StoreRole m_storeRole = policy::StoreRole::Elected;
+  base::MonotonicTime m_storeRecoveredAt;
   PeerLink m_peerLink;
   InfoServer m_readyServer;
   InfoServer m_lookupServer;
@@ -101,6 +122,7 @@
                m_metrics,
                m_bodyBudget }
   , m_callerServer(m_context)
+  , m_storeFollowing({}, m_dependencies.m_settings.m_name)
   , m_peerLink(
       m_io,
       m_dependencies.m_settings,
@@ -111,7 +133,11 @@
           m_steering.Quarantine().Merge(aStrikes, m_dependencies.m_clock.Monotonic());
         },
         [this] { UpdateMembers(); },
-        [this](const StoreRevisions& aRevisions) { OnPeerRevisions(aRevisions); } })
+        [this](const StoreRevisions& aRevisions, const std::string& aPeer) {
+          OnPeerRevisions(aRevisions, aPeer);
+        },
+        [this] { m_storeFollowing.OnFollowerHeard(m_dependencies.m_clock.Monotonic()); },
+        [this](milliseconds aAgo) { OnStoreRecovered(aAgo); } })
   , m_readyServer(m_io, [this](std::string_view) { return OnReady(); })
   , m_lookupServer(m_io, [this](std::string_view aTarget) { return OnLookup(aTarget); })
   , m_metricsServer(m_io,
@@ -211,7 +237,13 @@
     [this](const std::vector<StoredObject>& aObjects) { OnUpstreamList(aObjects); },
     [this](const std::vector<StoredObject>& aObjects) { OnUpstreamChanges(aObjects); });
   hooks.m_upstreams.m_onRecovered = [this] {
-    asio::post(m_io, [this] { m_steering.OnStoreRecovered(); });
+    asio::post(m_io, [this] {
+      m_peerLink.OnStoreRecovered();
+      OnStoreRecovered(milliseconds{ 0 });
+    });
+  };
+  hooks.m_onFollowing = [this](bool aIsFollowing) {
+    asio::post(m_io, [this, aIsFollowing] { m_peerLink.SetFollowing(aIsFollowing); });
   };
   hooks.m_evacuations = MakeWatcherHooks(
     [this](const std::vector<StoredObject>& aObjects) { OnEvacuations(aObjects, true); },
@@ -241,22 +273,46 @@
 {
   m_revisions.*aKind = aRevision;
   m_peerLink.SetRevisions(m_revisions);
+  if (m_storeRole == policy::StoreRole::Elected) {
+    m_peerLink.AnnounceToZone();
+  }
 }
 
-void Gateway::Impl::OnPeerRevisions(const StoreRevisions& aRevisions)
+void Gateway::Impl::OnPeerRevisions(const StoreRevisions& aRevisions, const std::string& aPeer)
 {
-  bool isNewer = false;
   for (const auto kind : { &StoreRevisions::m_configuration,
                            &StoreRevisions::m_upstreams,
                            &StoreRevisions::m_evacuations }) {
-    m_peerRevisions.*kind = std::max(m_peerRevisions.*kind, aRevisions.*kind);
-    isNewer = isNewer || aRevisions.*kind > m_revisions.*kind;
+    if (aRevisions.*kind > m_revisions.*kind && m_storeSync) {
+      m_storeSync->OnPeerRevisions(aRevisions, aPeer);
+      return;
+    }
   }
-  if (isNewer && m_storeSync) {
-    m_storeSync->OnPeerRevisions(m_peerRevisions);
+}
+
+void Gateway::Impl::OnStoreRecovered(milliseconds aAgo)
+{
+  const auto recoveredAt = m_dependencies.m_clock.Monotonic() - aAgo;
+  if (recoveredAt - m_storeRecoveredAt > kRecoveryResolution) {
+    m_storeRecoveredAt = recoveredAt;
+    m_steering.OnStoreRecovered();
   }
 }
 
+void Gateway::Impl::UpdateStoreRole()
+{
+  const std::vector<std::string> zoneVms = m_peerLink.RunningZoneVms();
+  const policy::StoreRole role =
+    m_storeFollowing.Decide(zoneVms, m_dependencies.m_clock.Monotonic());
+  if (role != m_storeRole) {
+    m_dependencies.m_log.Write(base::LogRecord("store_role")
+                                 .Add("role", RoleName(role))
+                                 .Add("zone_vms", zoneVms.size() + 1));
+  }
+  m_storeRole = role;
+  m_storeSync->SetRole(role, m_storeFollowing.HasDependents(zoneVms));
+}
+
 void Gateway::Impl::UpdateMembers()
 {
   m_steering.SetMembers(m_peerLink.KnownVmNames());
@@ -340,6 +396,9 @@
   for (const Steering::ProbeTarget& target : m_steering.TakeDueProbes()) {
     Probe(target);
   }
+  if (m_storeSync) {
+    UpdateStoreRole();
+  }
   if (++m_tickCount % kMaintenanceTicks == 0) {
     m_pool.CloseUnusable(m_steering.UpstreamIds());
     if (m_storeSync) {
--- a/packages/gateway/src/PeerLink.cpp
+++ b/packages/gateway/src/PeerLink.cpp
@@ -16,15 +16,22 @@
 using asio::ip::udp;
 using std::chrono::milliseconds;
 
-/// Time between announcements, and time without any after which a VM is left out of lookups. Three
-/// announcements in a row may be lost.
+/// Time between announcements, and shortest time without any after which a VM is left out of
+/// lookups. Three announcements in a row may be lost.
 constexpr milliseconds kAnnounceInterval{ 400 };
 constexpr milliseconds kPeerTimeout{ 1800 };
-/// VMs of other regions that an announcement is sent to.
+/// VMs that an announcement is sent to: in the own zone, in the rest of the region and in other
+/// regions. With 240 bytes an announcement this is below 7 kB/s.
+constexpr std::size_t kMaxZonePeers = 8;
+constexpr std::size_t kMaxRegionPeers = 2;
 constexpr std::size_t kMaxOtherRegionPeers = 2;
-/// VMs of the own region that an announcement is sent to.
-constexpr std::size_t kMaxRegionPeers = 12;
-/// VMs of the own region, and VMs of other regions, that RunningPeers() returns.
+/// In a zone of more VMs, each hears every other once per several intervals. It counts as running
+/// until this many of its turns are missed.
+constexpr double kMaxMissedTurns = 3.2;
+/// Time for which a VM announces that it reached the store again. Longer than the time in which all
+/// VMs hear it, and shorter than the grace period for expired registrations would allow to matter.
+constexpr milliseconds kRecoveryAnnounceTime{ 3000 };
+/// VMs of the own zone, and VMs of other zones, that RunningPeers() returns.
 constexpr std::size_t kMaxSnapshotPeersPerGroup = 4;
 /// Number of announcements after the start that are also sent to the seeds, so that VMs find each
 /// other while the store is unreachable.
@@ -108,6 +115,11 @@
   return udp::endpoint{ endpoint->address(), endpoint->port() };
 }
 
+std::string ToText(const udp::endpoint& aEndpoint)
+{
+  return fmt::format("{}:{}", aEndpoint.address().to_string(), aEndpoint.port());
+}
+
 std::string TextOf(const Json::Value& aObject, const char* aKey)
 {
   const Json::Value& value = aObject[aKey];
@@ -243,8 +255,16 @@
   const Json::Value& params = (*message)["params"];
   UpdatePeer(params, m_sender, true);
   m_hooks.m_onStrikes(StrikesFrom(params["strikes"]));
+  // The recovery goes first: it tells how to apply the removals that the revisions lead to.
+  if (params["recovered_ms"].isUInt()) {
+    m_hooks.m_onStoreRecovered(milliseconds{ params["recovered_ms"].asUInt() });
+  }
   if (const auto revisions = RevisionsFrom(params["revisions"])) {
-    m_hooks.m_onRevisions(*revisions);
+    m_hooks.m_onRevisions(*revisions, ToText(m_sender));
+  }
+  if (params["following"].isBool() && params["following"].asBool() &&
+      TextOf(params, "region") == m_settings.m_region) {
+    m_hooks.m_onFollower();
   }
 }
 
@@ -256,6 +276,14 @@
   Json::Value params = Describe(m_settings);
   params["leaving"] = m_leaving;
   params["revisions"] = ToJson(m_revisions);
+  params["following"] = m_isFollowing;
+  if (m_storeRecoveredAt) {
+    const auto ago =
+      std::chrono::duration_cast<milliseconds>(m_clock.Monotonic() - *m_storeRecoveredAt);
+    if (ago < kRecoveryAnnounceTime) {
+      params["recovered_ms"] = Json::UInt(ago.count());
+    }
+  }
   Json::Value strikes(Json::arrayValue);
   for (const policy::Strike& strike : m_hooks.m_strikes()) {
     if (strikes.size() < kMaxStrikesPerMessage) {
@@ -276,16 +304,19 @@
 void PeerLink::SendAnnouncements()
 {
   const std::string message = BuildAnnouncement();
+  const std::vector<const Peer*> zone = NextZonePeers();
   std::vector<const Peer*> region;
   std::vector<const Peer*> others;
   for (const auto& [name, peer] : m_peers) {
-    (peer.m_region == m_settings.m_region ? region : others).push_back(&peer);
+    if (peer.m_zone != m_settings.m_zone) {
+      (peer.m_region == m_settings.m_region ? region : others).push_back(&peer);
+    }
   }
   std::ranges::shuffle(region, m_random);
   std::ranges::shuffle(others, m_random);
   region.resize(std::min(region.size(), kMaxRegionPeers));
   others.resize(std::min(others.size(), kMaxOtherRegionPeers));
-  for (const auto* group : { &region, &others }) {
+  for (const auto* group : { &zone, &std::as_const(region), &std::as_const(others) }) {
     for (const Peer* peer : *group) {
       SendTo(message, peer->m_endpoint);
     }
@@ -308,16 +339,72 @@
   });
 }
 
+void PeerLink::AnnounceToZone()
+{
+  const std::string message = BuildAnnouncement();
+  for (const Peer* peer : ZonePeers()) {
+    SendTo(message, peer->m_endpoint);
+  }
+}
+
 void PeerLink::AnnounceLeaving()
 {
   m_leaving = true;
+  AnnounceToZone();
   SendAnnouncements();
 }
 
+std::vector<const PeerLink::Peer*> PeerLink::ZonePeers() const
+{
+  std::vector<const Peer*> peers;
+  for (const auto& [name, peer] : m_peers) {
+    if (peer.m_zone == m_settings.m_zone) {
+      peers.push_back(&peer);
+    }
+  }
+  return peers;
+}
+
+std::vector<const PeerLink::Peer*> PeerLink::NextZonePeers()
+{
+  const std::vector<const Peer*> peers = ZonePeers();
+  m_zonePeerCount = peers.size();
+  std::vector<const Peer*> next;
+  for (std::size_t i = 0; i < std::min(peers.size(), kMaxZonePeers); ++i) {
+    next.push_back(peers[(m_nextZonePeer + i) % peers.size()]);
+  }
+  m_nextZonePeer += next.size();
+  return next;
+}
+
+milliseconds PeerLink::TimeoutOf(const Peer& aPeer) const
+{
+  if (aPeer.m_zone != m_settings.m_zone) {
+    return kPeerTimeout;
+  }
+  // All VMs of the zone have the same number of peers and send to them in turn.
+  const std::size_t rounds = (m_zonePeerCount + kMaxZonePeers - 1) / kMaxZonePeers;
+  const milliseconds turn = kAnnounceInterval * static_cast<int>(rounds);
+  return std::max(
+    kPeerTimeout,
+    milliseconds{ static_cast<std::int64_t>(static_cast<double>(turn.count()) * kMaxMissedTurns) });
+}
+
 bool PeerLink::IsRunning(const Peer& aPeer) const
 {
   return aPeer.m_hasBeenHeard && !aPeer.m_leaving &&
-         m_clock.Monotonic() - aPeer.m_lastHeard < kPeerTimeout;
+         m_clock.Monotonic() - aPeer.m_lastHeard < TimeoutOf(aPeer);
+}
+
+std::vector<std::string> PeerLink::RunningZoneVms() const
+{
+  std::vector<std::string> names;
+  for (const auto& [name, peer] : m_peers) {
+    if (peer.m_zone == m_settings.m_zone && IsRunning(peer)) {
+      names.push_back(name);
+    }
+  }
+  return names;
 }
 
 std::vector<std::string> PeerLink::AddressesFor(const std::string& aZone,
@@ -349,17 +436,19 @@
   return addresses;
 }
 
-std::vector<std::string> PeerLink::RunningPeers() const
+std::vector<std::string> PeerLink::RunningPeers()
 {
   std::vector<std::string> own;
   std::vector<std::string> others;
   for (const auto& [name, peer] : m_peers) {
-    auto& group = peer.m_region == m_settings.m_region ? own : others;
-    if (IsRunning(peer) && group.size() < kMaxSnapshotPeersPerGroup) {
-      group.push_back(
-        fmt::format("{}:{}", peer.m_endpoint.address().to_string(), peer.m_endpoint.port()));
+    if (IsRunning(peer)) {
+      (peer.m_zone == m_settings.m_zone ? own : others).push_back(ToText(peer.m_endpoint));
     }
   }
+  for (auto* group : { &own, &others }) {
+    std::ranges::shuffle(*group, m_random);
+    group->resize(std::min(group->size(), kMaxSnapshotPeersPerGroup));
+  }
   own.insert(own.end(), others.begin(), others.end());
   return own;
 }
--- a/packages/gateway/src/PeerLink.h
+++ b/packages/gateway/src/PeerLink.h
@@ -13,6 +13,7 @@
 #include <functional>
 #include <json/value.h>
 #include <map>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -24,8 +25,9 @@
 /// callers reach it, whether it is stopping, which store revisions it has seen, and which requests
 /// crash upstreams.
 ///
-/// An announcement goes to VMs of the own region and to a few random VMs of other regions, so that
-/// the traffic of one VM does not grow with the number of VMs. It is a JSON-RPC notification.
+/// An announcement goes to some VMs of the own zone in turn, and to a few random VMs of the rest of
+/// the region and of other regions, so that the traffic of one VM does not grow with the number of
+/// VMs. It is a JSON-RPC notification.
 class PeerLink
 {
 public:
@@ -38,7 +40,13 @@
     /// Called after a new VM was added to KnownVmNames().
     std::function<void()> m_onNewPeer;
     /// Receives the store revisions that a peer has seen.
-    std::function<void(const StoreRevisions&)> m_onRevisions;
+    /// @param aPeer "ip:port" at which the peer serves snapshots.
+    std::function<void(const StoreRevisions&, const std::string& aPeer)> m_onRevisions;
+    /// A VM of the own region announced that it watches the store successfully.
+    std::function<void()> m_onFollower;
+    /// A VM announced that it reached the store again after a failure.
+    /// @param aAgo time since then.
+    std::function<void(std::chrono::milliseconds aAgo)> m_onStoreRecovered;
   };
 
   struct Peer
@@ -68,6 +76,19 @@
   /// @param aRevisions store revisions that this VM has seen; sent with the next announcements.
   void SetRevisions(const StoreRevisions& aRevisions) { m_revisions = aRevisions; }
 
+  /// @param aIsFollowing whether this VM watches the store successfully.
+  void SetFollowing(bool aIsFollowing) { m_isFollowing = aIsFollowing; }
+
+  /// This VM reached the store again after a failure.
+  void OnStoreRecovered() { m_storeRecoveredAt = m_clock.Monotonic(); }
+
+  /// Announces to the whole zone at once, for example that a change was seen on which other VMs
+  /// wait.
+  void AnnounceToZone();
+
+  /// @return names of the running VMs in this VM's zone, without this VM.
+  std::vector<std::string> RunningZoneVms() const;
+
   /// Announces at once that this VM is stopping.
   void AnnounceLeaving();
 
@@ -78,8 +99,9 @@
   ///         stops.
   std::vector<std::string> AddressesFor(const std::string& aZone, const std::string& aRegion) const;
 
-  /// @return peer addresses of a few running VMs of the own region, followed by a few of others.
-  std::vector<std::string> RunningPeers() const;
+  /// @return peer addresses of a few random running VMs of the own zone, followed by a few of
+  /// others.
+  std::vector<std::string> RunningPeers();
 
   /// @return names of this VM and of all VMs known since the start, running or not.
   std::set<std::string> KnownVmNames() const;
@@ -99,6 +121,12 @@
   std::string BuildAnnouncement() const;
   void SendTo(const std::string& aMessage, const boost::asio::ip::udp::endpoint& aEndpoint);
   bool IsRunning(const Peer& aPeer) const;
+  /// @return all known VMs of the own zone, in the order of their names.
+  std::vector<const Peer*> ZonePeers() const;
+  /// @return the VMs of the own zone whose turn it is.
+  std::vector<const Peer*> NextZonePeers();
+  /// @return time without an announcement after which a VM counts as not running.
+  std::chrono::milliseconds TimeoutOf(const Peer& aPeer) const;
 
   const GatewaySettings& m_settings;
   const base::Clock& m_clock;
@@ -112,6 +140,11 @@
   boost::asio::ip::udp::endpoint m_sender;
   std::minstd_rand m_random;
   std::uint32_t m_announcements = 0;
+  /// Position of the next recipient among ZonePeers().
+  std::size_t m_nextZonePeer = 0;
+  std::size_t m_zonePeerCount = 0;
+  bool m_isFollowing = false;
+  std::optional<base::MonotonicTime> m_storeRecoveredAt;
   bool m_leaving = false;
   StoreRevisions m_revisions;
 };
--- a/packages/gateway/src/StoreSnapshot.cpp
+++ b/packages/gateway/src/StoreSnapshot.cpp
@@ -9,6 +9,10 @@
 
 namespace {
 
+/// Removals that are kept for peers. Upstreams leave far less often than this in the time that a
+/// peer may be behind.
+constexpr std::size_t kMaxRemovals = 4096;
+
 base::Error InvalidSnapshot(const char* aReason)
 {
   return { make_error_code(GatewayErrc::InvalidStoreResponse), aReason };
@@ -19,20 +23,49 @@
 void StoreSnapshot::Replace(const std::vector<StoredObject>& aObjects, std::uint64_t aRevision)
 {
   m_objects.clear();
+  m_removals.clear();
+  m_changesKnownFrom = aRevision;
   Apply(aObjects, aRevision);
 }
 
 void StoreSnapshot::Apply(const std::vector<StoredObject>& aChanges, std::uint64_t aRevision)
 {
   for (const StoredObject& change : aChanges) {
-    m_newestChange = std::max(m_newestChange, change.m_revision);
-    if (change.m_deleted) {
-      m_objects.erase(change.m_name);
-    } else {
-      m_objects[change.m_name] = change;
-    }
+    ApplyChange(change);
   }
   m_revision = std::max({ m_revision, aRevision, m_newestChange });
+  if (m_removals.size() > kMaxRemovals) {
+    m_removals.clear();
+    m_changesKnownFrom = m_revision;
+  }
+}
+
+void StoreSnapshot::ApplyChange(const StoredObject& aChange)
+{
+  m_newestChange = std::max(m_newestChange, aChange.m_revision);
+  if (aChange.m_deleted) {
+    m_objects.erase(aChange.m_name);
+    m_removals[aChange.m_name] = aChange.m_revision;
+  } else {
+    m_removals.erase(aChange.m_name);
+    m_objects[aChange.m_name] = aChange;
+  }
+}
+
+std::vector<StoredObject> StoreSnapshot::ChangesSince(std::uint64_t aRevision) const
+{
+  std::vector<StoredObject> changes;
+  for (const auto& [name, object] : m_objects) {
+    if (object.m_revision > aRevision) {
+      changes.push_back(object);
+    }
+  }
+  for (const auto& [name, revision] : m_removals) {
+    if (revision > aRevision) {
+      changes.push_back({ name, revision, true, {} });
+    }
+  }
+  return changes;
 }
 
 std::vector<StoredObject> StoreSnapshot::Objects() const
@@ -45,44 +78,101 @@
   return objects;
 }
 
-std::string StoreSnapshot::ToJson() const
+namespace {
+
+Json::Value ToJsonArray(const std::vector<StoredObject>& aObjects)
 {
-  Json::Value json(Json::objectValue);
-  json["revision"] = Json::UInt64{ m_revision };
-  json["objects"] = Json::Value(Json::arrayValue);
-  for (const auto& [name, object] : m_objects) {
+  Json::Value array(Json::arrayValue);
+  for (const StoredObject& object : aObjects) {
     Json::Value entry(Json::objectValue);
-    entry["name"] = name;
+    entry["name"] = object.m_name;
     entry["revision"] = Json::UInt64{ object.m_revision };
-    entry["value"] = object.m_value;
-    json["objects"].append(std::move(entry));
+    if (object.m_deleted) {
+      entry["removed"] = true;
+    } else {
+      entry["value"] = object.m_value;
+    }
+    array.append(std::move(entry));
   }
-  return base::WriteJson(json);
+  return array;
 }
 
-base::Result<StoreSnapshot> StoreSnapshot::FromJson(std::string_view aText)
+base::Result<std::vector<StoredObject>> ObjectsFrom(const Json::Value& aArray)
 {
-  auto json = base::ParseJson(aText);
-  if (!json) {
-    return json.GetError();
-  }
-  if (!json->isObject() || !(*json)["revision"].isUInt64() || !(*json)["objects"].isArray()) {
-    return InvalidSnapshot("peer snapshot: revision or objects are missing");
-  }
   std::vector<StoredObject> objects;
-  for (const Json::Value& entry : (*json)["objects"]) {
+  for (const Json::Value& entry : aArray) {
     if (!entry.isObject() || !entry["name"].isString() || !entry["revision"].isUInt64()) {
       return InvalidSnapshot("peer snapshot: object without name or revision");
     }
     StoredObject object;
     object.m_name = entry["name"].asString();
     object.m_revision = entry["revision"].asUInt64();
+    object.m_deleted = entry["removed"].isBool() && entry["removed"].asBool();
     object.m_value = entry["value"];
     objects.push_back(std::move(object));
   }
+  return objects;
+}
+
+/// @return whether the JSON has a revision and an array of objects.
+bool HasRevisionAndObjects(const Json::Value& aJson)
+{
+  return aJson.isObject() && aJson["revision"].isUInt64() && aJson["objects"].isArray();
+}
+
+} // namespace
+
+std::string StoreSnapshot::ToJson() const
+{
+  Json::Value json(Json::objectValue);
+  json["revision"] = Json::UInt64{ m_revision };
+  json["objects"] = ToJsonArray(Objects());
+  return base::WriteJson(json);
+}
+
+base::Result<StoreSnapshot> StoreSnapshot::FromJson(std::string_view aText)
+{
+  const auto json = base::ParseJson(aText);
+  if (!json) {
+    return json.GetError();
+  }
+  if (!HasRevisionAndObjects(*json)) {
+    return InvalidSnapshot("peer snapshot: revision or objects are missing");
+  }
+  const auto objects = ObjectsFrom((*json)["objects"]);
+  if (!objects) {
+    return objects.GetError();
+  }
   StoreSnapshot snapshot;
-  snapshot.Replace(objects, (*json)["revision"].asUInt64());
+  snapshot.Replace(*objects, (*json)["revision"].asUInt64());
   return snapshot;
 }
 
+std::string StoreChanges::ToJson() const
+{
+  Json::Value json(Json::objectValue);
+  json["since"] = Json::UInt64{ m_since };
+  json["revision"] = Json::UInt64{ m_revision };
+  json["objects"] = ToJsonArray(m_objects);
+  return base::WriteJson(json);
+}
+
+base::Result<StoreChanges> StoreChanges::FromJson(std::string_view aText)
+{
+  const auto json = base::ParseJson(aText);
+  if (!json) {
+    return json.GetError();
+  }
+  if (!HasRevisionAndObjects(*json) || !(*json)["since"].isUInt64()) {
+    return InvalidSnapshot("peer changes: since, revision or objects are missing");
+  }
+  auto objects = ObjectsFrom((*json)["objects"]);
+  if (!objects) {
+    return objects.GetError();
+  }
+  return StoreChanges{ (*json)["since"].asUInt64(),
+                       (*json)["revision"].asUInt64(),
+                       std::move(*objects) };
+}
+
 } // namespace jaylane::gateway
--- a/packages/gateway/src/StoreSnapshot.h
+++ b/packages/gateway/src/StoreSnapshot.h
@@ -10,15 +10,15 @@
 
 namespace jaylane::gateway {
 
-/// All objects of one kind as of a revision of the store. VMs send it as JSON to peers that cannot
-/// reach the store.
+/// All objects of one kind as of a revision of the store, and their recent removals. VMs send it,
+/// or the changes since a revision, as JSON to peers that do not get them from the store.
 class StoreSnapshot
 {
 public:
   /// Replaces all objects by a full list.
   void Replace(const std::vector<StoredObject>& aObjects, std::uint64_t aRevision);
 
-  /// Applies changes up to a revision.
+  /// Applies changes up to a revision, in their order.
   void Apply(const std::vector<StoredObject>& aChanges, std::uint64_t aRevision);
 
   /// @return revision of the store that the snapshot reflects, 0 before the first list.
@@ -27,15 +27,39 @@
   std::uint64_t NewestChange() const { return m_newestChange; }
   std::vector<StoredObject> Objects() const;
 
+  /// @return whether ChangesSince() knows all changes after the revision.
+  bool HasChangesSince(std::uint64_t aRevision) const { return aRevision >= m_changesKnownFrom; }
+  /// @return changed and removed objects after the revision.
+  std::vector<StoredObject> ChangesSince(std::uint64_t aRevision) const;
+
   std::string ToJson() const;
   /// @param aText output of ToJson().
   /// @return the snapshot, or InvalidStoreResponse if the text is not a valid one.
   static base::Result<StoreSnapshot> FromJson(std::string_view aText);
 
 private:
+  void ApplyChange(const StoredObject& aChange);
+
   std::uint64_t m_revision = 0;
   std::uint64_t m_newestChange = 0;
+  /// Removals after this revision are in m_removals.
+  std::uint64_t m_changesKnownFrom = 0;
   std::map<std::string, StoredObject> m_objects;
+  /// Revision of each removal, by name of the object.
+  std::map<std::string, std::uint64_t> m_removals;
+};
+
+/// Changes between two revisions of the store, as a peer sends them.
+struct StoreChanges
+{
+  std::uint64_t m_since = 0;
+  std::uint64_t m_revision = 0;
+  std::vector<StoredObject> m_objects;
+
+  std::string ToJson() const;
+  /// @param aText output of ToJson().
+  /// @return the changes, or InvalidStoreResponse if the text holds none.
+  static base::Result<StoreChanges> FromJson(std::string_view aText);
 };
 
 } // namespace jaylane::gateway
--- a/packages/gateway/src/StoreSync.cpp
+++ b/packages/gateway/src/StoreSync.cpp
@@ -25,15 +25,25 @@
 /// the drain time, which leaves the other half for the call.
 constexpr milliseconds kCoalesceDelay{ 250 };
 constexpr int kCoalesceDrainDivisor = 2;
+/// The same if other VMs rely on this one: they learn of a change later than this VM.
+constexpr int kDependentsDrainDivisor = 8;
+/// Delays of the first watch after the first list, for an elected VM and for others. By then the
+/// VMs of the zone have heard of each other, and of the watches of the elected ones.
+constexpr milliseconds kElectedWatchDelay{ 800 };
+constexpr milliseconds kFallbackWatchDelay{ 2500 };
 constexpr milliseconds kInitialBackoff{ 100 };
 constexpr milliseconds kMaxBackoff{ 800 };
+/// The same for VMs that were not elected to watch. All of them try the store during an outage.
+constexpr milliseconds kFallbackBackoff{ 2500 };
 /// Members are listed again this long after the start, when all VMs that started together have
 /// registered, and then only now and then, because new VMs announce themselves to their peers.
-constexpr milliseconds kInitialMemberListDelay{ 3000 };
+constexpr milliseconds kInitialMemberListDelay{ 6000 };
 constexpr milliseconds kMemberListInterval{ 30'000 };
 /// Consecutive failed calls after which peers are asked as well. Single failures are common.
 constexpr std::uint32_t kFailuresBeforeAskingPeers = 2;
 constexpr milliseconds kPeerTimeout{ 500 };
+/// Peers that a VM without a watch asks for a change before it asks the store.
+constexpr std::uint32_t kMaxPeerFetchFailures = 3;
 /// Time within which a watch should have delivered a change that a peer has seen. A peer is asked
 /// for it then, and after kChecksBeforeRestart such checks the connection to the store is replaced.
 constexpr milliseconds kBehindCheckInterval{ 700 };
@@ -56,6 +66,14 @@
   return "unknown";
 }
 
+StoreSync::Hooks WithFollowingHooks(StoreSync::Hooks aHooks, std::function<void()> aReport)
+{
+  for (auto* kind : { &aHooks.m_configuration, &aHooks.m_upstreams, &aHooks.m_evacuations }) {
+    kind->m_onFollowingChanged = aReport;
+  }
+  return aHooks;
+}
+
 } // namespace
 
 KindWatcher::KindWatcher(boost::asio::io_context& aIo,
@@ -68,8 +86,7 @@
   , m_dialect(aDialect)
   , m_log(aLog)
   , m_kind(aKind)
-  , m_coalesceDelay(aKind == ObjectKind::Upstreams ? aSettings.m_drainTime / kCoalesceDrainDivisor
-                                                   : kCoalesceDelay)
+  , m_drainTime(aSettings.m_drainTime)
   , m_hooks(std::move(aHooks))
   , m_storeAddress(aSettings.m_storeAddress)
   , m_fetch(std::make_shared<HttpFetch>(aIo, aSettings.m_storeAddress))
@@ -122,11 +139,57 @@
     ReportRevision();
   }
   m_listedObjects.clear();
-  Watch();
+  if (m_hasList) {
+    Watch();
+  } else {
+    m_hasList = true;
+    ScheduleFirstWatch();
+  }
+}
+
+void KindWatcher::ScheduleFirstWatch()
+{
+  m_isPaused = true;
+  m_isFirstWatchPending = true;
+  ScheduleAfter(kElectedWatchDelay, [this] {
+    if (m_role == policy::StoreRole::Elected) {
+      Watch();
+    } else {
+      ScheduleAfter(kFallbackWatchDelay - kElectedWatchDelay, [this] { Watch(); });
+    }
+  });
+}
+
+milliseconds KindWatcher::CoalesceDelay() const
+{
+  if (m_kind != ObjectKind::Upstreams) {
+    return kCoalesceDelay;
+  }
+  return m_drainTime / (m_hasDependents ? kDependentsDrainDivisor : kCoalesceDrainDivisor);
+}
+
+void KindWatcher::SetRole(policy::StoreRole aRole, bool aHasDependents)
+{
+  m_role = aRole;
+  m_hasDependents = aHasDependents;
+  if (m_isPaused && !m_isFirstWatchPending && m_role != policy::StoreRole::Relying) {
+    Watch();
+  }
 }
 
 void KindWatcher::Watch()
 {
+  m_isFirstWatchPending = false;
+  m_isPaused = m_role == policy::StoreRole::Relying;
+  if (m_isPaused) {
+    // Peers that reach the store provide the changes from here on.
+    m_hasFailed = false;
+    m_failures = 0;
+  }
+  m_hooks.m_onFollowingChanged();
+  if (m_isPaused) {
+    return;
+  }
   const milliseconds wait{ std::uniform_int_distribution<milliseconds::rep>(
     kMinWatchTime.count(), kMaxWatchTime.count())(m_random) };
   ++m_watchNumber;
@@ -165,7 +228,7 @@
   m_snapshot.Apply(batch->m_objects, batch->m_revision);
   m_hooks.m_onChanges(std::move(batch->m_objects));
   ReportRevision();
-  ScheduleAfter(m_coalesceDelay, [this] { Watch(); });
+  ScheduleAfter(CoalesceDelay(), [this] { Watch(); });
 }
 
 void KindWatcher::ReportRevision()
@@ -176,10 +239,17 @@
   }
 }
 
-void KindWatcher::OnPeerRevision(std::uint64_t aRevision)
+void KindWatcher::OnPeerRevision(std::uint64_t aRevision, const std::string& aPeer)
 {
   m_peerRevision = std::max(m_peerRevision, aRevision);
-  if (m_isWatching && IsBehind() && !m_isBehindCheckPending) {
+  if (!IsBehind()) {
+    return;
+  }
+  if (m_isPaused) {
+    if (!m_isPeerFetchPending && aRevision > m_snapshot.Revision()) {
+      FetchFromPeer(aPeer);
+    }
+  } else if (m_isWatching && !m_isBehindCheckPending) {
     m_isBehindCheckPending = true;
     ScheduleBehindCheck(m_watchNumber, 0);
   }
@@ -203,9 +273,7 @@
                   .Add("peer_revision", m_peerRevision)
                   .Add("checks", aChecks + 1));
     if (aChecks + 1 < kChecksBeforeRestart) {
-      if (!m_peers.empty()) {
-        FetchPeerSnapshot();
-      }
+      FetchFromNextPeer();
       ScheduleBehindCheck(aWatch, aChecks + 1);
       return;
     }
@@ -228,6 +296,7 @@
                   .Add("dependency", "store")
                   .Add("kind", KindName(m_kind)));
     m_hooks.m_onRecovered();
+    m_hooks.m_onFollowingChanged();
   }
 }
 
@@ -239,54 +308,105 @@
     m_log.Write(
       base::LogRecord("dependency_lost").Add("dependency", "store").Add("kind", KindName(m_kind)));
   }
-  m_backoff = std::clamp(m_backoff * 2, kInitialBackoff, kMaxBackoff);
-  if (++m_failures >= kFailuresBeforeAskingPeers && !m_peers.empty()) {
-    FetchPeerSnapshot();
+  m_hooks.m_onFollowingChanged();
+  m_backoff = m_role == policy::StoreRole::Elected
+                ? std::clamp(m_backoff * 2, kInitialBackoff, kMaxBackoff)
+                : kFallbackBackoff;
+  if (++m_failures >= kFailuresBeforeAskingPeers) {
+    FetchFromNextPeer();
+  }
+  ScheduleAfter(m_backoff, [this] {
+    if (m_hasList && m_role == policy::StoreRole::Relying) {
+      Watch();
+    } else {
+      List({}); // Complete even if the store has dropped events since the last watch.
+    }
+  });
+}
+
+void KindWatcher::FetchFromNextPeer()
+{
+  if (!m_peers.empty()) {
+    FetchFromPeer(m_peers[m_nextPeer++ % m_peers.size()]);
   }
-  // A new list is complete even if the store has dropped events since the last watch.
-  ScheduleAfter(m_backoff, [this] { List({}); });
 }
 
-void KindWatcher::FetchPeerSnapshot()
+void KindWatcher::FetchFromPeer(const std::string& aPeer)
 {
-  const std::string peer = m_peers[m_nextPeer++ % m_peers.size()];
-  if (m_peerFetch) {
-    m_peerFetch->Close();
+  if (!m_peerFetch || m_isPeerFetchPending || aPeer != m_peerFetchAddress) {
+    if (m_peerFetch) {
+      m_peerFetch->Close();
+    }
+    m_peerFetch = std::make_shared<HttpFetch>(m_io, aPeer);
+    m_peerFetchAddress = aPeer;
   }
-  m_peerFetch = std::make_shared<HttpFetch>(m_io, peer);
+  m_isPeerFetchPending = true;
   m_peerFetch->Start(
     { "GET",
       fmt::format(
         "{}{}{}{}", kSnapshotPathPrefix, KindName(m_kind), kAfterQuery, m_snapshot.Revision()),
       {},
       kPeerTimeout },
-    [this, peer](const FetchResponse& aResponse) { OnPeerSnapshot(peer, aResponse); });
+    [this, peer = aPeer](const FetchResponse& aResponse) { OnPeerResponse(peer, aResponse); });
 }
 
-void KindWatcher::OnPeerSnapshot(const std::string& aPeer, const FetchResponse& aResponse)
+void KindWatcher::OnPeerResponse(const std::string& aPeer, const FetchResponse& aResponse)
 {
-  if (aResponse.m_status != 200 || (!m_hasFailed && !IsBehind())) {
-    return; // The peer has nothing newer, or this VM has caught up with the store meanwhile.
+  m_isPeerFetchPending = false;
+  const bool isAdopted = aResponse.m_status == 200 && AdoptPeerResponse(aPeer, aResponse.m_body);
+  m_peerFetchFailures = isAdopted ? 0 : m_peerFetchFailures + 1;
+  if (m_isPaused && IsBehind()) {
+    ContinueCatchUp();
   }
-  auto snapshot = StoreSnapshot::FromJson(aResponse.m_body);
-  if (!snapshot) {
-    m_log.Write(base::LogRecord("peer_snapshot_rejected")
-                  .Add("peer", aPeer)
-                  .Add("kind", KindName(m_kind))
-                  .Add("reason", snapshot.GetError().Message()));
+}
+
+void KindWatcher::ContinueCatchUp()
+{
+  if (m_peerFetchFailures < kMaxPeerFetchFailures && !m_peers.empty()) {
+    FetchFromNextPeer();
     return;
   }
-  if (snapshot->Revision() <= m_snapshot.Revision()) {
-    return;
+  m_log.Write(base::LogRecord("peers_without_change")
+                .Add("kind", KindName(m_kind))
+                .Add("revision", m_snapshot.Revision())
+                .Add("peer_revision", m_peerRevision));
+  m_peerFetchFailures = 0;
+  m_isPaused = false;
+  List({});
+}
+
+bool KindWatcher::AdoptPeerResponse(const std::string& aPeer, const std::string& aBody)
+{
+  const std::uint64_t present = m_snapshot.Revision();
+  if (auto changes = StoreChanges::FromJson(aBody)) {
+    if (changes->m_revision <= present || changes->m_since > present) {
+      return false;
+    }
+    m_snapshot.Apply(changes->m_objects, changes->m_revision);
+    m_hooks.m_onChanges(std::move(changes->m_objects));
+  } else {
+    auto snapshot = StoreSnapshot::FromJson(aBody);
+    if (!snapshot) {
+      m_log.Write(base::LogRecord("peer_snapshot_rejected")
+                    .Add("peer", aPeer)
+                    .Add("kind", KindName(m_kind))
+                    .Add("reason", snapshot.GetError().Message()));
+      return false;
+    }
+    if (snapshot->Revision() <= present) {
+      return false;
+    }
+    m_snapshot = std::move(*snapshot);
+    m_hasList = true;
+    m_hooks.m_onList(m_snapshot.Objects());
   }
   m_log.Write(base::LogRecord("peer_snapshot")
                 .Add("peer", aPeer)
                 .Add("kind", KindName(m_kind))
-                .Add("present_revision", m_snapshot.Revision())
-                .Add("revision", snapshot->Revision()));
-  m_snapshot = std::move(*snapshot);
-  m_hooks.m_onList(m_snapshot.Objects());
+                .Add("present_revision", present)
+                .Add("revision", m_snapshot.Revision()));
   ReportRevision();
+  return true;
 }
 
 std::optional<std::string> KindWatcher::SnapshotAfter(std::uint64_t aAfter) const
@@ -294,6 +414,9 @@
   if (m_hasFailed || m_snapshot.Revision() <= aAfter) {
     return std::nullopt;
   }
+  if (m_snapshot.HasChangesSince(aAfter)) {
+    return StoreChanges{ aAfter, m_snapshot.Revision(), m_snapshot.ChangesSince(aAfter) }.ToJson();
+  }
   return m_snapshot.ToJson();
 }
 
@@ -315,7 +438,7 @@
   : m_settings(aSettings)
   , m_dialect(aDialect)
   , m_member(std::move(aMember))
-  , m_hooks(std::move(aHooks))
+  , m_hooks(WithFollowingHooks(std::move(aHooks), [this] { ReportFollowing(); }))
   , m_configuration(m_io,
                     aSettings,
                     aDialect,
@@ -353,15 +476,34 @@
   });
 }
 
-void StoreSync::OnPeerRevisions(const StoreRevisions& aRevisions)
+void StoreSync::OnPeerRevisions(const StoreRevisions& aRevisions, std::string aPeer)
+{
+  boost::asio::post(m_io, [this, aRevisions, peer = std::move(aPeer)] {
+    m_configuration.OnPeerRevision(aRevisions.m_configuration, peer);
+    m_upstreams.OnPeerRevision(aRevisions.m_upstreams, peer);
+    m_evacuations.OnPeerRevision(aRevisions.m_evacuations, peer);
+  });
+}
+
+void StoreSync::SetRole(policy::StoreRole aRole, bool aHasDependents)
 {
-  boost::asio::post(m_io, [this, aRevisions] {
-    m_configuration.OnPeerRevision(aRevisions.m_configuration);
-    m_upstreams.OnPeerRevision(aRevisions.m_upstreams);
-    m_evacuations.OnPeerRevision(aRevisions.m_evacuations);
+  boost::asio::post(m_io, [this, aRole, aHasDependents] {
+    for (KindWatcher* watcher : { &m_configuration, &m_upstreams, &m_evacuations }) {
+      watcher->SetRole(aRole, aHasDependents);
+    }
   });
 }
 
+void StoreSync::ReportFollowing()
+{
+  const bool isFollowing =
+    m_configuration.IsFollowing() && m_upstreams.IsFollowing() && m_evacuations.IsFollowing();
+  if (isFollowing != m_isFollowing) {
+    m_isFollowing = isFollowing;
+    m_hooks.m_onFollowing(isFollowing);
+  }
+}
+
 InfoResponse StoreSync::OnSnapshotRequest(std::string_view aTarget) const
 {
   const std::size_t end = aTarget.find(kAfterQuery);
@@ -398,7 +540,7 @@
   m_fetch->Start(std::move(request), [this](const FetchResponse& aResponse) {
     const bool isRegistered = aResponse.m_status == 409 || (aResponse.m_status / 100 == 2);
     if (isRegistered) {
-      ListMembers(kInitialMemberListDelay, Freshness::MayBeStale);
+      ListMembers(kInitialMemberListDelay);
       return;
     }
     m_timer.expires_after(kMaxBackoff);
@@ -410,28 +552,26 @@
   });
 }
 
-void StoreSync::ListMembers(milliseconds aDelay, Freshness aFreshness)
+void StoreSync::ListMembers(milliseconds aDelay)
 {
-  m_fetch->Start(
-    { "GET", m_dialect.ListTarget(ObjectKind::Members, {}, aFreshness), {}, kListTimeout },
-    [this, aDelay](const FetchResponse& aResponse) {
-      if (aResponse.m_status == 200) {
-        if (auto batch = m_dialect.ParseList(aResponse.m_body)) {
-          m_hooks.m_onMembers(std::move(batch->m_objects));
-        }
-      }
-      const bool hasFailed = aResponse.m_status != 200;
-      m_timer.expires_after(hasFailed ? kMaxBackoff : aDelay);
-      // Only the second list has to be complete; later ones find VMs whose announcements did not
-      // arrive.
-      const bool isFirst = aDelay == kInitialMemberListDelay;
-      const auto next = isFirst ? Freshness::Current : Freshness::MayBeStale;
-      m_timer.async_wait([this, next](const boost::system::error_code& aError) {
-        if (!aError) {
-          ListMembers(kMemberListInterval, next);
-        }
-      });
-    });
+  m_fetch->Start({ "GET",
+                   m_dialect.ListTarget(ObjectKind::Members, {}, Freshness::MayBeStale),
+                   {},
+                   kListTimeout },
+                 [this, aDelay](const FetchResponse& aResponse) {
+                   if (aResponse.m_status == 200) {
+                     if (auto batch = m_dialect.ParseList(aResponse.m_body)) {
+                       m_hooks.m_onMembers(std::move(batch->m_objects));
+                     }
+                   }
+                   const bool hasFailed = aResponse.m_status != 200;
+                   m_timer.expires_after(hasFailed ? kMaxBackoff : aDelay);
+                   m_timer.async_wait([this](const boost::system::error_code& aError) {
+                     if (!aError) {
+                       ListMembers(kMemberListInterval);
+                     }
+                   });
+                 });
 }
 
 } // namespace jaylane::gateway
--- a/packages/gateway/src/StoreSync.h
+++ b/packages/gateway/src/StoreSync.h
@@ -6,6 +6,7 @@
 #include "jaylane/base/AsyncLog.h"
 #include "jaylane/gateway/GatewaySettings.h"
 #include "jaylane/gateway/StoreDialect.h"
+#include "jaylane/policy/StoreFollowing.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -31,7 +32,8 @@
 
 /// Keeps a current copy of the objects of one kind: lists them, then watches for changes since the
 /// list's revision. While calls to the store fail, or peers announce a change that the watch has
-/// not delivered, it fetches newer snapshots from peers that can reach the store.
+/// not delivered, it fetches the changes from peers that have them. A VM that relies on others for
+/// the watch fetches all changes that way.
 class KindWatcher
 {
 public:
@@ -47,6 +49,8 @@
     std::function<void(bool aSucceeded)> m_onCallCompleted;
     /// The revision of the newest change has risen.
     std::function<void(std::uint64_t aRevision)> m_onRevision;
+    /// IsFollowing() may have changed.
+    std::function<void()> m_onFollowingChanged;
   };
 
   KindWatcher(boost::asio::io_context& aIo,
@@ -62,16 +66,28 @@
   void SetPeers(std::vector<std::string> aAddresses) { m_peers = std::move(aAddresses); }
 
   /// A peer has seen a change with the revision.
-  void OnPeerRevision(std::uint64_t aRevision);
+  /// @param aPeer "ip:port" at which the peer serves snapshots.
+  void OnPeerRevision(std::uint64_t aRevision, const std::string& aPeer);
+
+  /// @param aHasDependents whether other VMs rely on this one for changes.
+  void SetRole(policy::StoreRole aRole, bool aHasDependents);
+
+  /// @return whether this VM watches the store and its last call did not fail.
+  bool IsFollowing() const { return m_hasList && !m_hasFailed && !m_isPaused; }
 
   /// @param aAfter revision that the requesting peer has.
-  /// @return the snapshot as JSON; nothing if it is not newer or calls to the store fail.
+  /// @return the changes after the revision, or all objects if not all changes are known any more,
+  ///         as JSON; nothing if there is nothing newer or calls to the store fail.
   std::optional<std::string> SnapshotAfter(std::uint64_t aAfter) const;
 
 private:
   void List(const std::string& aAfter);
   void OnListed(const FetchResponse& aResponse);
+  /// Delays the first watch until it is known whether other VMs watch.
+  void ScheduleFirstWatch();
+  /// Watches the store, or pauses if this VM relies on others.
   void Watch();
+  std::chrono::milliseconds CoalesceDelay() const;
   void OnWatched(const FetchResponse& aResponse);
   void ReportRevision();
   bool IsBehind() const { return m_peerRevision > m_snapshot.Revision(); }
@@ -81,8 +97,13 @@
   /// @param aChecks number of checks of this watch so far.
   void ScheduleBehindCheck(std::uint32_t aWatch, std::uint32_t aChecks);
   void OnFailure();
-  void FetchPeerSnapshot();
-  void OnPeerSnapshot(const std::string& aPeer, const FetchResponse& aResponse);
+  void FetchFromNextPeer();
+  void FetchFromPeer(const std::string& aPeer);
+  void OnPeerResponse(const std::string& aPeer, const FetchResponse& aResponse);
+  /// @return whether the response had newer changes.
+  bool AdoptPeerResponse(const std::string& aPeer, const std::string& aBody);
+  /// While this VM relies on others: fetches from the next peer until it is no longer behind.
+  void ContinueCatchUp();
   void OnSuccess();
   void ScheduleAfter(std::chrono::milliseconds aPause, std::function<void()> aNext);
   void LogUnreadable(std::uint32_t aCount);
@@ -91,7 +112,7 @@
   const StoreDialect& m_dialect;
   base::AsyncLog& m_log;
   ObjectKind m_kind;
-  std::chrono::milliseconds m_coalesceDelay;
+  std::chrono::milliseconds m_drainTime;
   Hooks m_hooks;
   std::string m_storeAddress;
   std::shared_ptr<HttpFetch> m_fetch;
@@ -106,11 +127,20 @@
   bool m_isBehindCheckPending = false;
   boost::asio::steady_timer m_behindTimer;
   std::minstd_rand m_random;
+  policy::StoreRole m_role = policy::StoreRole::Elected;
+  bool m_hasDependents = false;
+  /// No watch is pending or planned, because this VM relies on others.
+  bool m_isPaused = false;
+  bool m_isFirstWatchPending = false;
+  bool m_hasList = false;
   bool m_hasFailed = false;
   std::uint32_t m_failures = 0;
   std::vector<std::string> m_peers;
   std::size_t m_nextPeer = 0;
   std::shared_ptr<HttpFetch> m_peerFetch;
+  std::string m_peerFetchAddress;
+  bool m_isPeerFetchPending = false;
+  std::uint32_t m_peerFetchFailures = 0;
   std::chrono::milliseconds m_backoff{ 0 };
   std::uint32_t m_unreadableCount = 0;
 };
@@ -127,6 +157,8 @@
     KindWatcher::Hooks m_evacuations;
     /// All entry VMs that ever registered.
     std::function<void(std::vector<StoredObject>)> m_onMembers;
+    /// This VM has started or stopped to watch all kinds successfully.
+    std::function<void(bool aIsFollowing)> m_onFollowing;
   };
 
   /// @param aMember value under which this VM registers in the store.
@@ -143,13 +175,19 @@
   /// Sets the peers to fetch snapshots from. May be called on any thread.
   void SetPeers(std::vector<std::string> aAddresses);
 
-  /// Reports the newest revisions that peers have announced. May be called on any thread.
-  void OnPeerRevisions(const StoreRevisions& aRevisions);
+  /// Reports the revisions that a peer has announced. May be called on any thread.
+  /// @param aPeer "ip:port" at which the peer serves snapshots.
+  void OnPeerRevisions(const StoreRevisions& aRevisions, std::string aPeer);
+
+  /// Sets how this VM learns of changes. May be called on any thread.
+  /// @param aHasDependents whether other VMs rely on this one for changes.
+  void SetRole(policy::StoreRole aRole, bool aHasDependents);
 
 private:
   InfoResponse OnSnapshotRequest(std::string_view aTarget) const;
+  void ReportFollowing();
   void Register();
-  void ListMembers(std::chrono::milliseconds aDelay, Freshness aFreshness);
+  void ListMembers(std::chrono::milliseconds aDelay);
 
   const GatewaySettings& m_settings;
   const StoreDialect& m_dialect;
@@ -161,6 +199,7 @@
   KindWatcher m_evacuations;
   InfoServer m_snapshotServer;
   base::Status m_peerListenStatus;
+  bool m_isFollowing = false;
   std::shared_ptr<HttpFetch> m_fetch;
   boost::asio::steady_timer m_timer;
   std::thread m_thread;
--- a/packages/gateway/tests/PeerLinkTest.cpp
+++ b/packages/gateway/tests/PeerLinkTest.cpp
@@ -29,6 +29,9 @@
     std::vector<policy::Strike> m_strikes;
     std::vector<policy::Strike> m_received;
     StoreRevisions m_seen;
+    std::string m_revisionPeer;
+    int m_followersHeard = 0;
+    std::optional<std::chrono::milliseconds> m_recoveredAgo;
     std::unique_ptr<PeerLink> m_link;
   };
 
@@ -56,7 +59,12 @@
                          std::ranges::copy(aStrikes, std::back_inserter(raw->m_received));
                        },
                        [] {},
-                       [raw](const StoreRevisions& aRevisions) { raw->m_seen = aRevisions; } });
+                       [raw](const StoreRevisions& aRevisions, const std::string& aPeer) {
+                         raw->m_seen = aRevisions;
+                         raw->m_revisionPeer = aPeer;
+                       },
+                       [raw] { ++raw->m_followersHeard; },
+                       [raw](std::chrono::milliseconds aAgo) { raw->m_recoveredAgo = aAgo; } });
     EXPECT_TRUE(vm->m_link->Start());
     m_vms.push_back(std::move(vm));
     return *raw;
@@ -135,6 +143,49 @@
   first.m_link->SetRevisions(revisions);
   RunFor(900ms);
   EXPECT_EQ(second.m_seen, revisions);
+  EXPECT_EQ(second.m_revisionPeer, Ip(1) + ":28761");
+}
+
+// Guards against VMs that wait for each other's changes although none of them watches the store,
+// and against VMs that take expired registrations for gone upstreams after an outage of the store.
+TEST_F(PeerLinkTest, AnnouncesWatchesAndRecoveriesOfTheStore)
+{
+  Vm& first = Add(1, "a", "r", Ip(2) + ":99");
+  Vm& second = Add(2, "a", "r", Ip(1) + ":99");
+  RunFor(900ms);
+  EXPECT_EQ(second.m_followersHeard, 0);
+  EXPECT_FALSE(second.m_recoveredAgo);
+  first.m_link->SetFollowing(true);
+  first.m_link->OnStoreRecovered();
+  first.m_link->AnnounceToZone();
+  RunFor(100ms);
+  EXPECT_EQ(second.m_followersHeard, 1);
+  ASSERT_TRUE(second.m_recoveredAgo);
+  EXPECT_LT(*second.m_recoveredAgo, 200ms);
+}
+
+// A zone of 21 VMs. Guards against lookups from which running VMs disappear now and then, because
+// each VM hears from a part of the others only: callers close their connections to such VMs.
+TEST_F(PeerLinkTest, LookupsOfALargeZoneReturnAllRunningVms)
+{
+  constexpr int kVms = 21;
+  std::vector<Json::Value> members;
+  for (int i = 1; i <= kVms; ++i) {
+    members.push_back(PeerLink::Describe(Add(i, "a", "r", Ip(1) + ":99").m_settings));
+  }
+  for (const auto& vm : m_vms) {
+    vm->m_link->AddMembers(members);
+  }
+  RunFor(3000ms);
+  for (int i = 0; i < 20; ++i) {
+    RunFor(200ms);
+    EXPECT_EQ(m_vms.front()->m_link->AddressesFor("a", "r").size(), kVms);
+    EXPECT_EQ(m_vms.back()->m_link->AddressesFor("a", "r").size(), kVms);
+  }
+  m_vms.erase(m_vms.begin() + 5);
+  m_io.restart();
+  RunFor(4500ms);
+  EXPECT_EQ(m_vms.front()->m_link->AddressesFor("a", "r").size(), kVms - 1);
 }
 
 // Guards against a request that crashes upstreams once per VM because VMs do not share strikes.
--- a/packages/gateway/tests/StoreSyncTest.cpp
+++ b/packages/gateway/tests/StoreSyncTest.cpp
@@ -92,6 +92,11 @@
       kind->m_onRevision = [](std::uint64_t) {};
     }
     hooks.m_onMembers = [](const std::vector<StoredObject>&) {};
+    hooks.m_onFollowing = [this](bool aIsFollowing) {
+      const std::lock_guard lock(m_mutex);
+      m_isFollowing = aIsFollowing;
+      m_changed.notify_all();
+    };
     hooks.m_configuration.m_onList = [this](const std::vector<StoredObject>& aObjects) {
       const std::lock_guard lock(m_mutex);
       m_configurations = aObjects;
@@ -100,6 +105,10 @@
     hooks.m_configuration.m_onChanges = [this](const std::vector<StoredObject>& aObjects) {
       const std::lock_guard lock(m_mutex);
       m_changes += aObjects.size();
+      if (!aObjects.empty()) {
+        m_configurations = aObjects;
+      }
+      m_changed.notify_all();
     };
     m_sync = std::make_unique<StoreSync>(
       m_settings, m_dialect, m_log, Json::Value(Json::objectValue), std::move(hooks));
@@ -122,6 +131,12 @@
     });
   }
 
+  bool WaitUntilFollowing(std::chrono::milliseconds aLimit)
+  {
+    std::unique_lock lock(m_mutex);
+    return m_changed.wait_for(lock, aLimit, [this] { return m_isFollowing; });
+  }
+
   std::size_t Changes()
   {
     const std::lock_guard lock(m_mutex);
@@ -142,6 +157,7 @@
   std::condition_variable m_changed;
   std::vector<StoredObject> m_configurations;
   std::size_t m_changes = 0;
+  bool m_isFollowing = false;
   std::unique_ptr<StoreSync> m_sync;
 };
 
@@ -213,7 +229,8 @@
   RecordingSync behind(silent.Address(), FreeAddress());
   ASSERT_TRUE(behind.WaitForRevision(7, 5s));
   behind.Sync().SetPeers({ servedAddress });
-  behind.Sync().OnPeerRevisions({ 12, 0, 0 });
+  ASSERT_TRUE(behind.WaitUntilFollowing(5s));
+  behind.Sync().OnPeerRevisions({ 12, 0, 0 }, servedAddress);
   EXPECT_TRUE(behind.WaitForRevision(12, 1500ms));
   std::this_thread::sleep_for(1500ms);
   EXPECT_EQ(behind.Configurations().front().m_revision, 12U);
@@ -226,14 +243,72 @@
   ScriptedUpstream silent(ServeRevision(7, 6000ms));
   RecordingSync behind(silent.Address(), FreeAddress());
   ASSERT_TRUE(behind.WaitForRevision(7, 5s));
-  behind.Sync().OnPeerRevisions({ 7, 0, 0 });
+  ASSERT_TRUE(behind.WaitUntilFollowing(5s));
+  behind.Sync().OnPeerRevisions({ 7, 0, 0 }, "127.0.0.1:1");
   std::this_thread::sleep_for(2500ms);
   EXPECT_EQ(ConfigurationLists(silent), 1U) << "the peer knows nothing newer";
-  behind.Sync().OnPeerRevisions({ 12, 0, 0 });
+  behind.Sync().OnPeerRevisions({ 12, 0, 0 }, "127.0.0.1:1");
   std::this_thread::sleep_for(2500ms);
   EXPECT_EQ(ConfigurationLists(silent), 2U);
 }
 
+std::size_t Calls(const ScriptedUpstream& aStore, const std::string& aTarget)
+{
+  const auto seen = aStore.Seen();
+  return static_cast<std::size_t>(std::ranges::count_if(seen, [&](const SeenRequest& aRequest) {
+    return aRequest.m_head.find(aTarget) != std::string::npos;
+  }));
+}
+
+// A VM relies on others for changes. Guards against calls to the store whose number grows with the
+// number of VMs, and against changes that arrive late.
+TEST(StoreSyncTest, ARelyingVmFetchesChangesFromThePeerThatAnnouncesThem)
+{
+  ScriptedUpstream working(ServeRevision(12, 8000ms));
+  ScriptedUpstream unused(ServeRevision(7, 8000ms));
+  const std::string servedAddress = FreeAddress();
+  RecordingSync served(working.Address(), servedAddress);
+  ASSERT_TRUE(served.WaitForRevision(12, 5s));
+  RecordingSync relying(unused.Address(), FreeAddress());
+  relying.Sync().SetRole(policy::StoreRole::Relying, false);
+  ASSERT_TRUE(relying.WaitForRevision(7, 5s));
+  std::this_thread::sleep_for(3000ms);
+  EXPECT_EQ(Calls(unused, "/watch/"), 0U);
+  relying.Sync().OnPeerRevisions({ 12, 0, 0 }, servedAddress);
+  EXPECT_TRUE(relying.WaitForRevision(12, 300ms));
+  EXPECT_EQ(Calls(unused, "/watch/"), 0U);
+  EXPECT_EQ(Calls(unused, "/list/0 "), 1U);
+}
+
+// Guards against a VM that has announced nothing newer and against waiting for a change that no
+// peer provides.
+TEST(StoreSyncTest, ARelyingVmAsksTheStoreIfNoPeerHasTheChange)
+{
+  ScriptedUpstream store(ServeRevision(7, 8000ms));
+  RecordingSync relying(store.Address(), FreeAddress());
+  relying.Sync().SetRole(policy::StoreRole::Relying, false);
+  ASSERT_TRUE(relying.WaitForRevision(7, 5s));
+  std::this_thread::sleep_for(3000ms);
+  relying.Sync().OnPeerRevisions({ 12, 0, 0 }, "127.0.0.1:1");
+  std::this_thread::sleep_for(1000ms);
+  EXPECT_GE(Calls(store, "/list/0 "), 2U);
+}
+
+// The VMs that this one relied on have stopped.
+TEST(StoreSyncTest, ARelyingVmWatchesTheStoreWhenItIsElected)
+{
+  ScriptedUpstream store(ServeRevision(7, 8000ms));
+  RecordingSync relying(store.Address(), FreeAddress());
+  relying.Sync().SetRole(policy::StoreRole::Relying, false);
+  ASSERT_TRUE(relying.WaitForRevision(7, 5s));
+  std::this_thread::sleep_for(3000ms);
+  EXPECT_EQ(Calls(store, "/watch/"), 0U);
+  relying.Sync().SetRole(policy::StoreRole::Elected, true);
+  EXPECT_TRUE(relying.WaitUntilFollowing(1s));
+  std::this_thread::sleep_for(300ms);
+  EXPECT_EQ(Calls(store, "/watch/"), 3U);
+}
+
 // Guards against two VMs that cannot reach the store and adopt each other's stale snapshots.
 TEST(StoreSyncTest, APeerWithoutTheStoreServesNoSnapshot)
 {
@@ -262,6 +337,33 @@
   EXPECT_EQ(objects[1].m_value.asInt(), 3);
 }
 
+// Guards against a peer that keeps an upstream that has left, because removals are missing from the
+// changes that it is sent.
+TEST(StoreSnapshotTest, ChangesIncludeRemovals)
+{
+  StoreSnapshot ahead;
+  ahead.Replace({ { "a", 1, false, 1 }, { "b", 2, false, 2 }, { "c", 3, false, 3 } }, 5);
+  StoreSnapshot behind;
+  behind.Replace(ahead.Objects(), 5);
+  ahead.Apply({ { "a", 6, true, {} }, { "d", 7, false, 4 } }, 8);
+  ahead.Apply({ { "b", 9, true, {} }, { "b", 9, false, 5 } }, 9);
+  ASSERT_TRUE(ahead.HasChangesSince(5));
+  EXPECT_FALSE(ahead.HasChangesSince(4)) << "removals before the list are unknown";
+  const StoreChanges changes{ 5, ahead.Revision(), ahead.ChangesSince(5) };
+  const auto copy = StoreChanges::FromJson(changes.ToJson());
+  ASSERT_TRUE(copy);
+  behind.Apply(copy->m_objects, copy->m_revision);
+  EXPECT_EQ(behind.ToJson(), ahead.ToJson());
+  EXPECT_TRUE(ahead.ChangesSince(9).empty());
+}
+
+TEST(StoreSnapshotTest, AFullSnapshotIsNotTakenForChanges)
+{
+  StoreSnapshot snapshot;
+  snapshot.Replace({ { "a", 1, false, 1 } }, 5);
+  EXPECT_FALSE(StoreChanges::FromJson(snapshot.ToJson()));
+}
+
 // Guards against malformed responses to snapshot requests.
 TEST(StoreSnapshotTest, RejectsMalformedSnapshots)
 {
