--- a/packages/gateway/src/Steering.cpp
+++ b/packages/gateway/src/Steering.cpp
@@ -199,7 +199,6 @@
 void Steering::OnUnresponsive(const std::string& aService, const std::string& aId)
 {
   m_log.Write(base::LogRecord("upstream_silent").Add("upstream", aId).Add("service", aService));
-  OnRegionFailure(aId);
   m_unresponsive.insert_or_assign(
     aId, ProbeState{ m_clock.Monotonic(), kInitialProbeInterval, aService });
 }
--- a/packages/gateway/tests/SteeringTest.cpp
+++ b/packages/gateway/tests/SteeringTest.cpp
@@ -44,6 +44,51 @@
   EXPECT_TRUE(m_steering->Quarantine().IsQuarantined(crashing, clock.Monotonic()));
 }
 
+// Many upstreams of another region are busy with first requests and silent for a while. Guards
+// against taking that for a cut, which would move all of the region's keys.
+TEST_F(SteeringTest, SilentUpstreamsAreNoCut)
+{
+  m_settings.m_region = "r";
+  m_steering = std::make_unique<Steering>(m_settings, base::SystemClock::Get(), m_log);
+  std::vector<policy::Upstream> upstreams;
+  for (int i = 0; i < 20; ++i) {
+    policy::Upstream upstream;
+    upstream.m_id = "u" + std::to_string(i);
+    upstream.m_service = "s";
+    upstream.m_zone = upstream.m_region = i < 10 ? "far" : "r";
+    upstream.m_address = "127.0.0.1:1";
+    upstream.m_slots = 4;
+    upstreams.push_back(upstream);
+  }
+  m_steering->ReplaceUpstreams(upstreams);
+  const auto countFar = [this] {
+    int far = 0;
+    for (std::uint64_t key = 1; key <= 100; ++key) {
+      policy::ServiceBalancer::Query query;
+      query.m_key = key * 0x9E3779B97F4A7C15;
+      query.m_hasAffinity = true;
+      query.m_remaining = 2000ms;
+      query.m_targetLatency = 400ms;
+      const auto choice =
+        m_steering->Balancer("s").Choose(query, base::SystemClock::Get().Monotonic());
+      far += choice.m_upstream && choice.m_upstream->m_region == "far" ? 1 : 0;
+    }
+    return far;
+  };
+  EXPECT_GT(countFar(), 20);
+  for (int i = 0; i < 6; ++i) {
+    m_steering->OnUnresponsive("s", "u" + std::to_string(i));
+  }
+  EXPECT_GT(countFar(), 20);
+  for (int i = 0; i < 4; ++i) {
+    m_steering->OnUnreachable("u" + std::to_string(i));
+  }
+  EXPECT_EQ(countFar(), 0) << "the region is cut off";
+  m_steering->OnResponsive("u9");
+  m_steering->Tick();
+  EXPECT_LT(countFar(), 10) << "its keys must return slowly";
+}
+
 // Upstreams lose responses to a request that many callers send, but answer their health probes.
 // Guards against quarantining the request for a minute (soak seeds 94 and 303).
 TEST_F(SteeringTest, OnlyCrashesQuarantineARequest)
--- a/packages/policy/include/jaylane/policy/RegionReachability.h
+++ b/packages/policy/include/jaylane/policy/RegionReachability.h
@@ -33,7 +33,8 @@
   {
   }
 
-  /// An upstream could not be reached or stayed silent.
+  /// A connection to an upstream could not be established. Silence on an established connection
+  /// does not count: upstreams that are busy with first requests of many keys are silent, too.
   /// @return whether the region counts as cut off from now on.
   bool OnFailure(const std::string& aRegion, const std::string& aUpstream);
 
