--- a/packages/gateway/src/StoreSync.cpp
+++ b/packages/gateway/src/StoreSync.cpp
@@ -26,7 +26,7 @@
 constexpr milliseconds kCoalesceDelay{ 250 };
 constexpr int kCoalesceDrainDivisor = 2;
 /// The same if other VMs rely on this one: they learn of a change later than this VM.
-constexpr int kDependentsDrainDivisor = 8;
+constexpr int kDependentsDrainDivisor = 4;
 /// Delays of the first watch after the first list, for an elected VM and for others. By then the
 /// VMs of the zone have heard of each other, and of the watches of the elected ones.
 constexpr milliseconds kElectedWatchDelay{ 800 };
@@ -42,6 +42,8 @@
 /// Consecutive failed calls after which peers are asked as well. Single failures are common.
 constexpr std::uint32_t kFailuresBeforeAskingPeers = 2;
 constexpr milliseconds kPeerTimeout{ 500 };
+/// Delay before another peer is asked. The change reaches most peers in the meantime.
+constexpr milliseconds kPeerRetryDelay{ 200 };
 /// Peers that a VM without a watch asks for a change before it asks the store.
 constexpr std::uint32_t kMaxPeerFetchFailures = 3;
 /// Time within which a watch should have delivered a change that a peer has seen. A peer is asked
@@ -180,6 +182,8 @@
 void KindWatcher::Watch()
 {
   m_isFirstWatchPending = false;
+  m_isBehindCheckPending = false;
+  m_behindTimer.cancel();
   m_isPaused = m_role == policy::StoreRole::Relying;
   if (m_isPaused) {
     // Peers that reach the store provide the changes from here on.
@@ -241,12 +245,16 @@
 
 void KindWatcher::OnPeerRevision(std::uint64_t aRevision, const std::string& aPeer)
 {
-  m_peerRevision = std::max(m_peerRevision, aRevision);
+  if (aRevision > m_peerRevision) {
+    m_peerRevision = aRevision;
+    m_newestPeer = aPeer;
+  }
   if (!IsBehind()) {
     return;
   }
   if (m_isPaused) {
     if (!m_isPeerFetchPending && aRevision > m_snapshot.Revision()) {
+      m_behindTimer.cancel();
       FetchFromPeer(aPeer);
     }
   } else if (m_isWatching && !m_isBehindCheckPending) {
@@ -362,8 +370,17 @@
 
 void KindWatcher::ContinueCatchUp()
 {
+  if (m_peerFetchFailures == 0) {
+    FetchFromPeer(m_newestPeer);
+    return;
+  }
   if (m_peerFetchFailures < kMaxPeerFetchFailures && !m_peers.empty()) {
-    FetchFromNextPeer();
+    m_behindTimer.expires_after(kPeerRetryDelay);
+    m_behindTimer.async_wait([this](const boost::system::error_code& aError) {
+      if (!aError && m_isPaused && !m_isPeerFetchPending && IsBehind()) {
+        FetchFromNextPeer();
+      }
+    });
     return;
   }
   m_log.Write(base::LogRecord("peers_without_change")
--- a/packages/gateway/src/StoreSync.h
+++ b/packages/gateway/src/StoreSync.h
@@ -120,7 +120,9 @@
   std::vector<StoredObject> m_listedObjects;
   StoreSnapshot m_snapshot;
   std::uint64_t m_reportedRevision = 0;
+  /// Newest revision that a peer has announced, and that peer.
   std::uint64_t m_peerRevision = 0;
+  std::string m_newestPeer;
   /// Number of the last watch request, and whether its response is pending.
   std::uint32_t m_watchNumber = 0;
   bool m_isWatching = false;
