Tell peers of removals that a new list reveals

Cause: after the store drops its history, a VM that watches it lists all objects. An upstream that had left meanwhile was missing from the list, but no change in it was newer than what the peers had, so they were not told, and those that rely on the VM kept the upstream.

A new list is compared with the present objects; those that it lacks count as removed at the list's revision. StoreSnapshotTest.ANewListTellsOfRemovals fails without it.

--- a/packages/gateway/src/StoreSnapshot.cpp
+++ b/packages/gateway/src/StoreSnapshot.cpp
@@ -4,6 +4,7 @@
 #include "jaylane/gateway/GatewayError.h"
 
 #include <algorithm>
+#include <set>
 
 namespace jaylane::gateway {
 
@@ -22,10 +23,23 @@
 
 void StoreSnapshot::Replace(const std::vector<StoredObject>& aObjects, std::uint64_t aRevision)
 {
-  m_objects.clear();
-  m_removals.clear();
-  m_changesKnownFrom = aRevision;
-  Apply(aObjects, aRevision);
+  if (m_revision == 0) {
+    m_changesKnownFrom = aRevision;
+  }
+  std::set<std::string_view> names;
+  for (const StoredObject& object : aObjects) {
+    names.insert(object.m_name);
+  }
+  // The list does not say when an object that it lacks was removed. The list's revision is the
+  // latest possible one.
+  std::vector<StoredObject> changes;
+  for (const auto& [name, object] : m_objects) {
+    if (!names.contains(name)) {
+      changes.push_back({ name, aRevision, true, {} });
+    }
+  }
+  changes.insert(changes.end(), aObjects.begin(), aObjects.end());
+  Apply(changes, aRevision);
 }
 
 void StoreSnapshot::Apply(const std::vector<StoredObject>& aChanges, std::uint64_t aRevision)
--- a/packages/gateway/src/StoreSync.cpp
+++ b/packages/gateway/src/StoreSync.cpp
@@ -413,7 +413,7 @@
     if (snapshot->Revision() <= present) {
       return false;
     }
-    m_snapshot = std::move(*snapshot);
+    m_snapshot.Replace(snapshot->Objects(), snapshot->Revision());
     m_hasList = true;
     m_hooks.m_onList(m_snapshot.Objects());
   }
--- a/packages/gateway/tests/StoreSyncTest.cpp
+++ b/packages/gateway/tests/StoreSyncTest.cpp
@@ -357,6 +357,25 @@
   EXPECT_TRUE(ahead.ChangesSince(9).empty());
 }
 
+// The store has dropped its history, and a new list lacks an upstream that has left meanwhile.
+// Guards against peers that never learn of the removal, because no change in the list is newer than
+// what they have (DRAIN on scale-1 of the large site).
+TEST(StoreSnapshotTest, ANewListTellsOfRemovals)
+{
+  StoreSnapshot ahead;
+  ahead.Replace({ { "a", 1, false, 1 }, { "b", 2, false, 2 } }, 5);
+  StoreSnapshot behind;
+  behind.Replace(ahead.Objects(), 5);
+  ahead.Replace({ { "a", 1, false, 1 } }, 9);
+  EXPECT_GT(ahead.NewestChange(), behind.Revision()) << "peers must see that they are behind";
+  ASSERT_TRUE(ahead.HasChangesSince(behind.Revision()));
+  behind.Apply(ahead.ChangesSince(behind.Revision()), ahead.Revision());
+  EXPECT_EQ(behind.Objects().size(), 1U);
+  const std::uint64_t newest = ahead.NewestChange();
+  ahead.Replace(ahead.Objects(), 12);
+  EXPECT_EQ(ahead.NewestChange(), newest) << "an equal list is no change";
+}
+
 TEST(StoreSnapshotTest, AFullSnapshotIsNotTakenForChanges)
 {
   StoreSnapshot snapshot;
