Return as few VMs in lookups as a zone needs

Cause: 85 of 100 requests opened a new connection to an upstream at the large site. Each of 195 VMs met each of 726 upstreams about once a minute, beyond the idle limit, and what it had learned of the upstream's load was outdated as well.

VMs announce their cores, their request rate and whether they are ready; VMs that are not ready are left out. Announcements leave out fields with their usual values, 205 bytes instead of 240. New settings: cores, core_share.

--- a/packages/gateway/include/jaylane/gateway/GatewaySettings.h
+++ b/packages/gateway/include/jaylane/gateway/GatewaySettings.h
@@ -29,6 +29,8 @@
   std::vector<std::string> m_seeds;
   std::string m_storeAddress;
 
+  /// Processor cores of this VM; 0 if unknown.
+  double m_cores = 0;
   std::uint32_t m_maxDescriptors = 1024;
   /// Bytes of request and response bodies that are buffered at the same time; half of the memory of
   /// the process.
--- a/packages/gateway/src/Gateway.cpp
+++ b/packages/gateway/src/Gateway.cpp
@@ -32,6 +32,8 @@
 constexpr double kStopAcceptingShare = 0.5;
 constexpr double kCloseIdleShare = 0.55;
 constexpr double kExitShare = 0.9;
+/// Weight of the last second in the announced request rate.
+constexpr double kLoadAlpha = 0.5;
 /// Announcements of the same recovery of the store differ by less than this.
 constexpr milliseconds kRecoveryResolution{ 1000 };
 
@@ -70,6 +72,7 @@
   void OnPeerRevisions(const StoreRevisions& aRevisions, const std::string& aPeer);
   void OnStoreRecovered(std::chrono::milliseconds aAgo);
   void UpdateStoreRole();
+  void UpdateRequestRate();
   void SetRevision(std::uint64_t StoreRevisions::*aKind, std::uint64_t aRevision);
   void Tick();
   void Probe(const Steering::ProbeTarget& aTarget);
@@ -78,7 +81,7 @@
   void Stop();
   void ContinueStop();
   InfoResponse OnReady() const;
-  InfoResponse OnLookup(std::string_view aTarget) const;
+  InfoResponse OnLookup(std::string_view aTarget);
 
   Dependencies m_dependencies;
   asio::io_context m_io{ 1 };
@@ -99,6 +102,10 @@
   asio::steady_timer m_tickTimer;
   asio::steady_timer m_stopTimer;
   std::uint32_t m_tickCount = 0;
+  /// GatewayMetrics::m_received at the last call of UpdateRequestRate(), and the requests per
+  /// second.
+  std::uint64_t m_receivedBefore = 0;
+  double m_requestsPerSecond = 0;
   std::set<std::string> m_evacuatedZones;
   base::MonotonicTime m_stopStarted;
   /// Newest store revisions that this VM has seen, and that its peers have announced.
@@ -313,6 +320,15 @@
   m_storeSync->SetRole(role, m_storeFollowing.HasDependents(zoneVms));
 }
 
+void Gateway::Impl::UpdateRequestRate()
+{
+  const std::chrono::duration<double> interval = kTickInterval * kMaintenanceTicks;
+  const double rate =
+    static_cast<double>(m_metrics.m_received - m_receivedBefore) / interval.count();
+  m_receivedBefore = m_metrics.m_received;
+  m_requestsPerSecond += kLoadAlpha * (rate - m_requestsPerSecond);
+}
+
 void Gateway::Impl::UpdateMembers()
 {
   m_steering.SetMembers(m_peerLink.KnownVmNames());
@@ -399,7 +415,10 @@
   if (m_storeSync) {
     UpdateStoreRole();
   }
+  m_peerLink.SetLoad(m_context.m_phase == LifecyclePhase::Serving && m_steering.IsReady(),
+                     m_requestsPerSecond);
   if (++m_tickCount % kMaintenanceTicks == 0) {
+    UpdateRequestRate();
     m_pool.CloseUnusable(m_steering.UpstreamIds());
     if (m_storeSync) {
       m_storeSync->SetPeers(m_peerLink.RunningPeers());
@@ -449,7 +468,7 @@
   return { isReady ? 200U : 503U, "text/plain", isReady ? "ready\n" : "not ready\n" };
 }
 
-InfoResponse Gateway::Impl::OnLookup(std::string_view aTarget) const
+InfoResponse Gateway::Impl::OnLookup(std::string_view aTarget)
 {
   const auto location = m_dependencies.m_wire.m_parseLookup(aTarget);
   const auto addresses = m_peerLink.AddressesFor(location.m_zone, location.m_region);
--- a/packages/gateway/src/GatewayMetrics.cpp
+++ b/packages/gateway/src/GatewayMetrics.cpp
@@ -26,6 +26,7 @@
   for (const auto& [outcome, count] : m_outcomes) {
     fmt::format_to(out, "jaylane_requests_total{{outcome=\"{}\"}} {}\n", outcome, count);
   }
+  fmt::format_to(out, "jaylane_requests_received_total {}\n", m_received);
   fmt::format_to(out, "jaylane_attempts_total {}\n", m_attempts);
   fmt::format_to(out, "jaylane_retries_total {}\n", m_retries);
   fmt::format_to(out, "jaylane_hedges_total {}\n", m_hedges);
--- a/packages/gateway/src/GatewayMetrics.h
+++ b/packages/gateway/src/GatewayMetrics.h
@@ -13,6 +13,8 @@
 {
   /// Finished requests by outcome.
   std::map<std::string, std::uint64_t> m_outcomes;
+  /// Requests that callers sent.
+  std::uint64_t m_received = 0;
   std::uint64_t m_attempts = 0;
   std::uint64_t m_retries = 0;
   /// Attempts that were started while another attempt of the same request was still running.
--- a/packages/gateway/src/GatewaySettings.cpp
+++ b/packages/gateway/src/GatewaySettings.cpp
@@ -136,6 +136,10 @@
   reader.Require("peer_address", settings.m_peerAddress);
   reader.Read("seeds", settings.m_seeds);
   reader.Require("store_address", settings.m_storeAddress);
+  double coreShare = 1;
+  reader.ReadNumber("cores", settings.m_cores);
+  reader.ReadNumber("core_share", coreShare);
+  settings.m_cores *= coreShare;
   reader.ReadCount("max_descriptors", settings.m_maxDescriptors);
   reader.ReadHalfOfMegabytes("memory_mb", settings.m_bodyMemoryBytes);
   reader.ReadSeconds("stop_grace_seconds", settings.m_stopGrace);
--- a/packages/gateway/src/PeerLink.cpp
+++ b/packages/gateway/src/PeerLink.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 #include <fmt/format.h>
 
 namespace jaylane::gateway {
@@ -21,7 +22,7 @@
 constexpr milliseconds kAnnounceInterval{ 400 };
 constexpr milliseconds kPeerTimeout{ 1800 };
 /// VMs that an announcement is sent to: in the own zone, in the rest of the region and in other
-/// regions. With 240 bytes an announcement this is below 7 kB/s.
+/// regions. With 205 bytes an announcement this is below 7 kB/s.
 constexpr std::size_t kMaxZonePeers = 8;
 constexpr std::size_t kMaxRegionPeers = 2;
 constexpr std::size_t kMaxOtherRegionPeers = 2;
@@ -36,6 +37,9 @@
 /// Number of announcements after the start that are also sent to the seeds, so that VMs find each
 /// other while the store is unreachable.
 constexpr std::uint32_t kSeedAnnouncements = 20;
+constexpr double kMillicores = 1000;
+/// Bound on numbers in announcements of peers.
+constexpr double kMaxAnnouncedNumber = 1e9;
 /// Strikes in one announcement; more would not fit into a datagram.
 constexpr std::size_t kMaxStrikesPerMessage = 24;
 
@@ -126,6 +130,12 @@
   return value.isString() ? value.asString() : std::string{};
 }
 
+double NumberOf(const Json::Value& aObject, const char* aKey)
+{
+  const Json::Value& value = aObject[aKey];
+  return value.isNumeric() ? std::clamp(value.asDouble(), 0.0, kMaxAnnouncedNumber) : 0.0;
+}
+
 } // namespace
 
 PeerLink::PeerLink(asio::io_context& aIo,
@@ -217,6 +227,9 @@
     peer.m_lastHeard = m_clock.Monotonic();
     peer.m_hasBeenHeard = true;
     peer.m_leaving = aDescription["leaving"].isBool() && aDescription["leaving"].asBool();
+    peer.m_isReady = !aDescription["ready"].isBool() || aDescription["ready"].asBool();
+    peer.m_cores = NumberOf(aDescription, "millicores") / kMillicores;
+    peer.m_requestsPerSecond = NumberOf(aDescription, "requests_per_second");
   }
   // VMs of other regions send announcements here only now and then, so their state would flap in
   // the log.
@@ -273,10 +286,21 @@
   Json::Value message(Json::objectValue);
   message["jsonrpc"] = "2.0";
   message["method"] = "announce";
+  // Whatever has its usual value is left out, because announcements are a VM's steady traffic.
   Json::Value params = Describe(m_settings);
-  params["leaving"] = m_leaving;
+  params.removeMember("peer_address"); // The sender's address is the same.
   params["revisions"] = ToJson(m_revisions);
-  params["following"] = m_isFollowing;
+  params["millicores"] = Json::UInt(std::lround(m_settings.m_cores * kMillicores));
+  params["requests_per_second"] = Json::UInt(std::lround(m_requestsPerSecond));
+  if (m_leaving) {
+    params["leaving"] = true;
+  }
+  if (!m_isReady) {
+    params["ready"] = false;
+  }
+  if (m_isFollowing) {
+    params["following"] = true;
+  }
   if (m_storeRecoveredAt) {
     const auto ago =
       std::chrono::duration_cast<milliseconds>(m_clock.Monotonic() - *m_storeRecoveredAt);
@@ -284,13 +308,11 @@
       params["recovered_ms"] = Json::UInt(ago.count());
     }
   }
-  Json::Value strikes(Json::arrayValue);
   for (const policy::Strike& strike : m_hooks.m_strikes()) {
-    if (strikes.size() < kMaxStrikesPerMessage) {
-      strikes.append(ToJson(strike));
+    if (params["strikes"].size() < kMaxStrikesPerMessage) {
+      params["strikes"].append(ToJson(strike));
     }
   }
-  params["strikes"] = strikes;
   message["params"] = params;
   return base::WriteJson(message);
 }
@@ -407,33 +429,72 @@
   return names;
 }
 
+std::vector<PeerLink::Entry> PeerLink::RunningVms() const
+{
+  std::vector<Entry> vms;
+  if (!m_leaving) {
+    vms.push_back({ m_settings.m_name,
+                    m_settings.m_zone,
+                    m_settings.m_region,
+                    m_settings.m_callerAddress,
+                    m_isReady,
+                    m_settings.m_cores,
+                    m_requestsPerSecond });
+  }
+  for (const auto& [name, peer] : m_peers) {
+    if (IsRunning(peer)) {
+      vms.push_back({ name,
+                      peer.m_zone,
+                      peer.m_region,
+                      peer.m_callerAddress,
+                      peer.m_isReady,
+                      peer.m_cores,
+                      peer.m_requestsPerSecond });
+    }
+  }
+  return vms;
+}
+
+std::vector<std::string> PeerLink::SelectedAddresses(const std::vector<Entry>& aZoneVms)
+{
+  std::vector<policy::EntrySelection::Vm> candidates;
+  std::map<std::string, std::string> addresses;
+  for (const Entry& vm : aZoneVms) {
+    candidates.push_back({ vm.m_name, vm.m_cores, vm.m_requestsPerSecond });
+    addresses[vm.m_name] = vm.m_callerAddress;
+  }
+  std::vector<std::string> selected;
+  for (const std::string& name :
+       m_entrySelection.Select(std::move(candidates), m_clock.Monotonic())) {
+    selected.push_back(addresses[name]);
+  }
+  return selected;
+}
+
 std::vector<std::string> PeerLink::AddressesFor(const std::string& aZone,
-                                                const std::string& aRegion) const
+                                                const std::string& aRegion)
 {
-  const auto collect = [this](const auto& aMatches) {
+  std::vector<Entry> vms = RunningVms();
+  if (std::ranges::any_of(vms, &Entry::m_isReady)) {
+    std::erase_if(vms, [](const Entry& aVm) { return !aVm.m_isReady; });
+  }
+  const auto inZone = [&vms](const std::string& aName) {
+    std::vector<Entry> matching;
+    std::ranges::copy_if(
+      vms, std::back_inserter(matching), [&](const Entry& aVm) { return aVm.m_zone == aName; });
+    return matching;
+  };
+  const auto addressesOf = [](const std::vector<Entry>& aVms) {
     std::vector<std::string> addresses;
-    if (!m_leaving && aMatches(m_settings.m_zone, m_settings.m_region)) {
-      addresses.push_back(m_settings.m_callerAddress);
-    }
-    for (const auto& [name, peer] : m_peers) {
-      if (IsRunning(peer) && aMatches(peer.m_zone, peer.m_region)) {
-        addresses.push_back(peer.m_callerAddress);
-      }
-    }
+    std::ranges::transform(aVms, std::back_inserter(addresses), &Entry::m_callerAddress);
     return addresses;
   };
-  auto addresses =
-    collect([&](const std::string& aCandidate, const std::string&) { return aCandidate == aZone; });
-  if (addresses.empty()) {
-    addresses = collect(
-      [&](const std::string&, const std::string& aCandidate) { return aCandidate == aRegion; });
-  }
-  if (addresses.empty()) {
-    addresses = collect([&](const std::string& aCandidate, const std::string&) {
-      return aCandidate == m_settings.m_zone;
-    });
-  }
-  return addresses;
+  if (const auto own = inZone(aZone); !own.empty()) {
+    return aZone == m_settings.m_zone ? SelectedAddresses(own) : addressesOf(own);
+  }
+  std::vector<Entry> inRegion = vms;
+  std::erase_if(inRegion, [&](const Entry& aVm) { return aVm.m_region != aRegion; });
+  return addressesOf(inRegion.empty() ? inZone(m_settings.m_zone) : inRegion);
 }
 
 std::vector<std::string> PeerLink::RunningPeers()
--- a/packages/gateway/src/PeerLink.h
+++ b/packages/gateway/src/PeerLink.h
@@ -4,6 +4,7 @@
 #include "jaylane/base/AsyncLog.h"
 #include "jaylane/base/Clock.h"
 #include "jaylane/gateway/GatewaySettings.h"
+#include "jaylane/policy/EntrySelection.h"
 #include "jaylane/policy/QuarantineList.h"
 
 #include <array>
@@ -59,6 +60,10 @@
     base::MonotonicTime m_lastHeard;
     bool m_hasBeenHeard = false;
     bool m_leaving = false;
+    /// Whether it can serve requests; VMs of older versions do not announce it.
+    bool m_isReady = true;
+    double m_cores = 0;
+    double m_requestsPerSecond = 0;
   };
 
   PeerLink(boost::asio::io_context& aIo,
@@ -92,12 +97,19 @@
   /// Announces at once that this VM is stopping.
   void AnnounceLeaving();
 
+  /// @param aIsReady whether this VM can serve requests.
+  void SetLoad(bool aIsReady, double aRequestsPerSecond)
+  {
+    m_isReady = aIsReady;
+    m_requestsPerSecond = aRequestsPerSecond;
+  }
+
   /// @param aZone zone of the caller.
   /// @param aRegion region of the caller.
-  /// @return caller addresses of the running VMs in the caller's zone; if there are none, in its
-  ///         region; if there are none, in this VM's zone. This VM counts as running until it
-  ///         stops.
-  std::vector<std::string> AddressesFor(const std::string& aZone, const std::string& aRegion) const;
+  /// @return caller addresses of VMs in the caller's zone that are running and ready; if there are
+  ///         none, in its region; if there are none, in this VM's zone. In this VM's zone, as many
+  ///         as policy::EntrySelection selects. This VM counts as running until it stops.
+  std::vector<std::string> AddressesFor(const std::string& aZone, const std::string& aRegion);
 
   /// @return peer addresses of a few random running VMs of the own zone, followed by a few of
   /// others.
@@ -121,6 +133,21 @@
   std::string BuildAnnouncement() const;
   void SendTo(const std::string& aMessage, const boost::asio::ip::udp::endpoint& aEndpoint);
   bool IsRunning(const Peer& aPeer) const;
+  /// A VM that lookups may return.
+  struct Entry
+  {
+    std::string m_name;
+    std::string m_zone;
+    std::string m_region;
+    std::string m_callerAddress;
+    bool m_isReady = false;
+    double m_cores = 0;
+    double m_requestsPerSecond = 0;
+  };
+  /// @return the running VMs, this one included unless it is stopping.
+  std::vector<Entry> RunningVms() const;
+  /// @return caller addresses of the VMs that the selection for this VM's zone has.
+  std::vector<std::string> SelectedAddresses(const std::vector<Entry>& aZoneVms);
   /// @return all known VMs of the own zone, in the order of their names.
   std::vector<const Peer*> ZonePeers() const;
   /// @return the VMs of the own zone whose turn it is.
@@ -146,6 +173,9 @@
   bool m_isFollowing = false;
   std::optional<base::MonotonicTime> m_storeRecoveredAt;
   bool m_leaving = false;
+  bool m_isReady = false;
+  double m_requestsPerSecond = 0;
+  policy::EntrySelection m_entrySelection{ {} };
   StoreRevisions m_revisions;
 };
 
--- a/packages/gateway/src/RequestExchange.cpp
+++ b/packages/gateway/src/RequestExchange.cpp
@@ -49,6 +49,7 @@
 
 void RequestExchange::Start()
 {
+  ++m_context.m_metrics.m_received;
   ++m_context.m_metrics.m_inFlight;
   if (m_context.m_phase == LifecyclePhase::Closing) {
     Reject("stopping", milliseconds{ 0 });
--- a/packages/gateway/tests/GatewaySettingsTest.cpp
+++ b/packages/gateway/tests/GatewaySettingsTest.cpp
@@ -41,16 +41,19 @@
 // Guards against a VM that does not start because the platform scaled a limit to a fraction.
 TEST(GatewaySettingsTest, LimitsMayBeFractions)
 {
-  const auto settings = GatewaySettings::Parse(std::string{ kValid } +
-                                               "retry_slack: 30.714285714285715\n"
-                                               "cold_slack: 0.714\n"
-                                               "max_descriptors: 292.86\n"
-                                               "memory_mb: 36.5\n"
-                                               "drain_ms: 2500.5\n"
-                                               "retry_window_seconds: 0.7\n");
+  const auto settings =
+    GatewaySettings::Parse(std::string{ kValid } + "retry_slack: 30.714285714285715\n"
+                                                   "cold_slack: 0.714\n"
+                                                   "cores: 2\n"
+                                                   "core_share: 0.1\n"
+                                                   "max_descriptors: 292.86\n"
+                                                   "memory_mb: 36.5\n"
+                                                   "drain_ms: 2500.5\n"
+                                                   "retry_window_seconds: 0.7\n");
   ASSERT_TRUE(settings) << settings.GetError().Message();
   EXPECT_NEAR(settings->m_retrySlack, 30.714, 0.001);
   EXPECT_NEAR(settings->m_coldSlack, 0.714, 0.0001);
+  EXPECT_NEAR(settings->m_cores, 0.2, 1e-9);
   EXPECT_EQ(settings->m_maxDescriptors, 292U);
 }
 
--- a/packages/gateway/tests/PeerLinkTest.cpp
+++ b/packages/gateway/tests/PeerLinkTest.cpp
@@ -134,6 +134,38 @@
   EXPECT_EQ(std::ranges::count(own, Ip(2) + ":80"), 0);
 }
 
+// Guards against lookups that return a VM which has restarted and cannot serve requests yet.
+TEST_F(PeerLinkTest, VmsThatAreNotReadyAreLeftOut)
+{
+  Vm& first = Add(1, "a", "r", Ip(2) + ":99");
+  Vm& second = Add(2, "a", "r", Ip(1) + ":99");
+  RunFor(600ms);
+  EXPECT_EQ(first.m_link->AddressesFor("a", "r").size(), 2U) << "none is ready";
+  first.m_link->SetLoad(true, 0);
+  EXPECT_EQ(first.m_link->AddressesFor("a", "r"), std::vector<std::string>{ Ip(1) + ":80" });
+  second.m_link->SetLoad(true, 0);
+  RunFor(600ms);
+  EXPECT_EQ(first.m_link->AddressesFor("a", "r").size(), 2U);
+}
+
+// Guards against spreading a zone's requests over many more VMs than are needed for them.
+TEST_F(PeerLinkTest, LookupsReturnTheVmsThatTheZoneNeeds)
+{
+  for (int i = 1; i <= 8; ++i) {
+    Vm& vm = Add(i, "a", "r", Ip(1) + ":99");
+    vm.m_settings.m_cores = i <= 3 ? 0.5 : 0.1;
+    vm.m_link->SetLoad(true, 10);
+  }
+  RunFor(1000ms);
+  auto& link = *m_vms.front()->m_link;
+  auto addresses = link.AddressesFor("a", "r");
+  std::ranges::sort(addresses);
+  EXPECT_EQ(addresses, (std::vector<std::string>{ Ip(1) + ":80", Ip(2) + ":80", Ip(3) + ":80" }));
+  m_vms[1]->m_link->SetLoad(true, 5000);
+  RunFor(600ms);
+  EXPECT_EQ(link.AddressesFor("a", "r").size(), 8U);
+}
+
 // Guards against a VM that does not learn that its store revisions are behind those of its peers.
 TEST_F(PeerLinkTest, RevisionsReachOtherVms)
 {
