Send peers names instead of all objects after a new list

Cause: a VM that listed the objects again, after the store dropped its history or at a start of all VMs, no longer knew the removals before the list, and sent all objects to each VM that relies on it: 20 times 300 kB for 726 upstreams, from a VM that may have 20 Mbit/s and a tenth of a core, with a limit of 500 ms.

Change: changes since a revision come with the names of all objects if removals are missing; the receiver removes the rest. All objects are sent to a VM that has none only.

--- a/packages/gateway/src/StoreSnapshot.cpp
+++ b/packages/gateway/src/StoreSnapshot.cpp
@@ -30,16 +30,23 @@
   for (const StoredObject& object : aObjects) {
     names.insert(object.m_name);
   }
-  // The list does not say when an object that it lacks was removed. The list's revision is the
-  // latest possible one.
   std::vector<StoredObject> changes;
+  AppendRemovals(names, aRevision, changes);
+  changes.insert(changes.end(), aObjects.begin(), aObjects.end());
+  Apply(changes, aRevision);
+}
+
+void StoreSnapshot::AppendRemovals(const std::set<std::string_view>& aNames,
+                                   std::uint64_t aRevision,
+                                   std::vector<StoredObject>& aChanges) const
+{
+  // A list does not say when an object that it lacks was removed. The list's revision is the latest
+  // possible one.
   for (const auto& [name, object] : m_objects) {
-    if (!names.contains(name)) {
-      changes.push_back({ name, aRevision, true, {} });
+    if (!aNames.contains(name)) {
+      aChanges.push_back({ name, aRevision, true, {} });
     }
   }
-  changes.insert(changes.end(), aObjects.begin(), aObjects.end());
-  Apply(changes, aRevision);
 }
 
 void StoreSnapshot::Apply(const std::vector<StoredObject>& aChanges, std::uint64_t aRevision)
@@ -92,6 +99,34 @@
   return objects;
 }
 
+StoreChanges StoreSnapshot::MakeChanges(std::uint64_t aSince) const
+{
+  StoreChanges changes{ aSince, m_revision, ChangesSince(aSince), std::nullopt };
+  if (!HasChangesSince(aSince)) {
+    changes.m_allNames.emplace();
+    for (const auto& [name, object] : m_objects) {
+      changes.m_allNames->push_back(name);
+    }
+  }
+  return changes;
+}
+
+std::optional<std::vector<StoredObject>> StoreSnapshot::ApplyPeerChanges(
+  const StoreChanges& aChanges)
+{
+  if (aChanges.m_revision <= m_revision || aChanges.m_since > m_revision) {
+    return std::nullopt;
+  }
+  std::vector<StoredObject> changes = aChanges.m_objects;
+  if (aChanges.m_allNames) {
+    const std::set<std::string_view> names(aChanges.m_allNames->begin(),
+                                           aChanges.m_allNames->end());
+    AppendRemovals(names, aChanges.m_revision, changes);
+  }
+  Apply(changes, aChanges.m_revision);
+  return changes;
+}
+
 namespace {
 
 Json::Value ToJsonArray(const std::vector<StoredObject>& aObjects)
@@ -168,6 +203,12 @@
   json["since"] = Json::UInt64{ m_since };
   json["revision"] = Json::UInt64{ m_revision };
   json["objects"] = ToJsonArray(m_objects);
+  if (m_allNames) {
+    json["names"] = Json::Value(Json::arrayValue);
+    for (const std::string& name : *m_allNames) {
+      json["names"].append(name);
+    }
+  }
   return base::WriteJson(json);
 }
 
@@ -184,9 +225,20 @@
   if (!objects) {
     return objects.GetError();
   }
-  return StoreChanges{ (*json)["since"].asUInt64(),
-                       (*json)["revision"].asUInt64(),
-                       std::move(*objects) };
+  StoreChanges changes{
+    (*json)["since"].asUInt64(), (*json)["revision"].asUInt64(), std::move(*objects), std::nullopt
+  };
+  const Json::Value& names = (*json)["names"];
+  if (names.isArray()) {
+    changes.m_allNames.emplace();
+    for (const Json::Value& name : names) {
+      if (!name.isString()) {
+        return InvalidSnapshot("peer changes: name of another type");
+      }
+      changes.m_allNames->push_back(name.asString());
+    }
+  }
+  return changes;
 }
 
 } // namespace jaylane::gateway
--- a/packages/gateway/src/StoreSnapshot.h
+++ b/packages/gateway/src/StoreSnapshot.h
@@ -4,19 +4,36 @@
 #include "jaylane/gateway/StoreDialect.h"
 
 #include <map>
+#include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
 
 namespace jaylane::gateway {
 
+/// Changes between two revisions of the store, as a peer sends them.
+struct StoreChanges
+{
+  std::uint64_t m_since = 0;
+  std::uint64_t m_revision = 0;
+  std::vector<StoredObject> m_objects;
+  /// Names of all objects at m_revision, if not all removals since m_since are known.
+  std::optional<std::vector<std::string>> m_allNames;
+
+  std::string ToJson() const;
+  /// @param aText output of ToJson().
+  /// @return the changes, or InvalidStoreResponse if the text holds none.
+  static base::Result<StoreChanges> FromJson(std::string_view aText);
+};
+
 /// All objects of one kind as of a revision of the store, and their recent removals. VMs send it,
 /// or the changes since a revision, as JSON to peers that do not get them from the store.
 class StoreSnapshot
 {
 public:
-  /// Replaces all objects by a full list. Objects that it lacks count as removed at its revision, so
-  /// that peers learn of removals that this VM has not seen as changes.
+  /// Replaces all objects by a full list. Objects that it lacks count as removed at its revision,
+  /// so that peers learn of removals that this VM has not seen as changes.
   void Replace(const std::vector<StoredObject>& aObjects, std::uint64_t aRevision);
 
   /// Applies changes up to a revision, in their order.
@@ -28,11 +45,17 @@
   std::uint64_t NewestChange() const { return m_newestChange; }
   std::vector<StoredObject> Objects() const;
 
-  /// @return whether ChangesSince() knows all changes after the revision.
+  /// @return whether ChangesSince() knows all removals after the revision.
   bool HasChangesSince(std::uint64_t aRevision) const { return aRevision >= m_changesKnownFrom; }
   /// @return changed and removed objects after the revision.
   std::vector<StoredObject> ChangesSince(std::uint64_t aRevision) const;
 
+  /// @return the changes since the revision, to be sent to a peer.
+  StoreChanges MakeChanges(std::uint64_t aSince) const;
+  /// Applies the changes of a peer unless they start after this snapshot or are not newer.
+  /// @return the changes and removals that were applied; nothing if they were ignored.
+  std::optional<std::vector<StoredObject>> ApplyPeerChanges(const StoreChanges& aChanges);
+
   std::string ToJson() const;
   /// @param aText output of ToJson().
   /// @return the snapshot, or InvalidStoreResponse if the text is not a valid one.
@@ -40,6 +63,10 @@
 
 private:
   void ApplyChange(const StoredObject& aChange);
+  /// Appends the removal of each object whose name is missing.
+  void AppendRemovals(const std::set<std::string_view>& aNames,
+                      std::uint64_t aRevision,
+                      std::vector<StoredObject>& aChanges) const;
 
   std::uint64_t m_revision = 0;
   std::uint64_t m_newestChange = 0;
@@ -50,17 +77,4 @@
   std::map<std::string, std::uint64_t> m_removals;
 };
 
-/// Changes between two revisions of the store, as a peer sends them.
-struct StoreChanges
-{
-  std::uint64_t m_since = 0;
-  std::uint64_t m_revision = 0;
-  std::vector<StoredObject> m_objects;
-
-  std::string ToJson() const;
-  /// @param aText output of ToJson().
-  /// @return the changes, or InvalidStoreResponse if the text holds none.
-  static base::Result<StoreChanges> FromJson(std::string_view aText);
-};
-
 } // namespace jaylane::gateway
--- a/packages/gateway/src/StoreSync.cpp
+++ b/packages/gateway/src/StoreSync.cpp
@@ -395,12 +395,12 @@
 bool KindWatcher::AdoptPeerResponse(const std::string& aPeer, const std::string& aBody)
 {
   const std::uint64_t present = m_snapshot.Revision();
-  if (auto changes = StoreChanges::FromJson(aBody)) {
-    if (changes->m_revision <= present || changes->m_since > present) {
+  if (const auto changes = StoreChanges::FromJson(aBody)) {
+    auto applied = m_snapshot.ApplyPeerChanges(*changes);
+    if (!applied) {
       return false;
     }
-    m_snapshot.Apply(changes->m_objects, changes->m_revision);
-    m_hooks.m_onChanges(std::move(changes->m_objects));
+    m_hooks.m_onChanges(std::move(*applied));
   } else {
     auto snapshot = StoreSnapshot::FromJson(aBody);
     if (!snapshot) {
@@ -431,10 +431,7 @@
   if (m_hasFailed || m_snapshot.Revision() <= aAfter) {
     return std::nullopt;
   }
-  if (m_snapshot.HasChangesSince(aAfter)) {
-    return StoreChanges{ aAfter, m_snapshot.Revision(), m_snapshot.ChangesSince(aAfter) }.ToJson();
-  }
-  return m_snapshot.ToJson();
+  return aAfter == 0 ? m_snapshot.ToJson() : m_snapshot.MakeChanges(aAfter).ToJson();
 }
 
 void KindWatcher::LogUnreadable(std::uint32_t aCount)
--- a/packages/gateway/src/StoreSync.h
+++ b/packages/gateway/src/StoreSync.h
@@ -76,8 +76,9 @@
   bool IsFollowing() const { return m_hasList && !m_hasFailed && !m_isPaused; }
 
   /// @param aAfter revision that the requesting peer has.
-  /// @return the changes after the revision, or all objects if not all changes are known any more,
-  ///         as JSON; nothing if there is nothing newer or calls to the store fail.
+  /// @return the changes after the revision, or all objects if the revision is 0, as JSON; nothing
+  /// if
+  ///         there is nothing newer or calls to the store fail.
   std::optional<std::string> SnapshotAfter(std::uint64_t aAfter) const;
 
 private:
