--- a/packages/gateway/src/PeerLink.cpp
+++ b/packages/gateway/src/PeerLink.cpp
@@ -29,8 +29,8 @@
 /// In a zone of more VMs, each hears every other once per several intervals. It counts as running
 /// until this many of its turns are missed.
 constexpr double kMaxMissedTurns = 3.2;
-/// Time for which a VM announces that it reached the store again. Longer than the time in which all
-/// VMs hear it, and shorter than the grace period for expired registrations would allow to matter.
+/// Time for which a VM announces that it reached the store again. All VMs of the zone hear it in
+/// that time.
 constexpr milliseconds kRecoveryAnnounceTime{ 3000 };
 /// VMs of the own zone, and VMs of other zones, that RunningPeers() returns.
 constexpr std::size_t kMaxSnapshotPeersPerGroup = 4;
