--- a/packages/gateway/tests/StoreSyncTest.cpp
+++ b/packages/gateway/tests/StoreSyncTest.cpp
@@ -260,53 +260,50 @@
   }));
 }
 
-// A VM relies on others for changes. Guards against calls to the store whose number grows with the
-// number of VMs, and against changes that arrive late.
-TEST(StoreSyncTest, ARelyingVmFetchesChangesFromThePeerThatAnnouncesThem)
+/// A VM that relies on others, after the delay of the first watch; its store has revision 7.
+class RelyingVmTest : public testing::Test
+{
+protected:
+  void SetUp() override
+  {
+    m_vm.Sync().SetRole(policy::StoreRole::Relying, false);
+    ASSERT_TRUE(m_vm.WaitForRevision(7, 5s));
+    std::this_thread::sleep_for(3000ms);
+    ASSERT_EQ(Calls(m_store, "/watch/"), 0U);
+  }
+
+  ScriptedUpstream m_store{ ServeRevision(7, 8000ms) };
+  RecordingSync m_vm{ m_store.Address(), FreeAddress() };
+};
+
+// Guards against changes that arrive late or cost a call to the store.
+TEST_F(RelyingVmTest, FetchesChangesFromThePeerThatAnnouncesThem)
 {
   ScriptedUpstream working(ServeRevision(12, 8000ms));
-  ScriptedUpstream unused(ServeRevision(7, 8000ms));
   const std::string servedAddress = FreeAddress();
   RecordingSync served(working.Address(), servedAddress);
   ASSERT_TRUE(served.WaitForRevision(12, 5s));
-  RecordingSync relying(unused.Address(), FreeAddress());
-  relying.Sync().SetRole(policy::StoreRole::Relying, false);
-  ASSERT_TRUE(relying.WaitForRevision(7, 5s));
-  std::this_thread::sleep_for(3000ms);
-  EXPECT_EQ(Calls(unused, "/watch/"), 0U);
-  relying.Sync().OnPeerRevisions({ 12, 0, 0 }, servedAddress);
-  EXPECT_TRUE(relying.WaitForRevision(12, 300ms));
-  EXPECT_EQ(Calls(unused, "/watch/"), 0U);
-  EXPECT_EQ(Calls(unused, "/list/0 "), 1U);
+  m_vm.Sync().OnPeerRevisions({ 12, 0, 0 }, servedAddress);
+  EXPECT_TRUE(m_vm.WaitForRevision(12, 300ms));
+  EXPECT_EQ(Calls(m_store, "/watch/"), 0U);
+  EXPECT_EQ(Calls(m_store, "/list/0 "), 1U);
 }
 
-// Guards against a VM that has announced nothing newer and against waiting for a change that no
-// peer provides.
-TEST(StoreSyncTest, ARelyingVmAsksTheStoreIfNoPeerHasTheChange)
+// Guards against waiting for a change that no peer provides.
+TEST_F(RelyingVmTest, AsksTheStoreIfNoPeerHasTheChange)
 {
-  ScriptedUpstream store(ServeRevision(7, 8000ms));
-  RecordingSync relying(store.Address(), FreeAddress());
-  relying.Sync().SetRole(policy::StoreRole::Relying, false);
-  ASSERT_TRUE(relying.WaitForRevision(7, 5s));
-  std::this_thread::sleep_for(3000ms);
-  relying.Sync().OnPeerRevisions({ 12, 0, 0 }, "127.0.0.1:1");
+  m_vm.Sync().OnPeerRevisions({ 12, 0, 0 }, "127.0.0.1:1");
   std::this_thread::sleep_for(1000ms);
-  EXPECT_GE(Calls(store, "/list/0 "), 2U);
+  EXPECT_GE(Calls(m_store, "/list/0 "), 2U);
 }
 
 // The VMs that this one relied on have stopped.
-TEST(StoreSyncTest, ARelyingVmWatchesTheStoreWhenItIsElected)
+TEST_F(RelyingVmTest, WatchesTheStoreWhenItIsElected)
 {
-  ScriptedUpstream store(ServeRevision(7, 8000ms));
-  RecordingSync relying(store.Address(), FreeAddress());
-  relying.Sync().SetRole(policy::StoreRole::Relying, false);
-  ASSERT_TRUE(relying.WaitForRevision(7, 5s));
-  std::this_thread::sleep_for(3000ms);
-  EXPECT_EQ(Calls(store, "/watch/"), 0U);
-  relying.Sync().SetRole(policy::StoreRole::Elected, true);
-  EXPECT_TRUE(relying.WaitUntilFollowing(1s));
+  m_vm.Sync().SetRole(policy::StoreRole::Elected, true);
+  EXPECT_TRUE(m_vm.WaitUntilFollowing(1s));
   std::this_thread::sleep_for(300ms);
-  EXPECT_EQ(Calls(store, "/watch/"), 3U);
+  EXPECT_EQ(Calls(m_store, "/watch/"), 3U);
 }
 
 // Guards against two VMs that cannot reach the store and adopt each other's stale snapshots.
