Log how late the request thread handles input

Cause: the record of the DRAIN report cannot tell a slow network from a thread with more work than processor time. Change: LoopMonitor measures the delay of an event loop by a timer and logs loop_delayed from 100 ms on. Conclusion: used next to find out which of the hypotheses holds.

--- a/packages/gateway/src/Gateway.cpp
+++ b/packages/gateway/src/Gateway.cpp
@@ -4,6 +4,7 @@
 #include "GatewayContext.h"
 #include "HttpFetch.h"
 #include "InfoServer.h"
+#include "LoopMonitor.h"
 #include "PeerLink.h"
 #include "StoreSync.h"
 #include "jaylane/policy/StoreFollowing.h"
@@ -98,6 +99,7 @@
   InfoServer m_readyServer;
   InfoServer m_lookupServer;
   InfoServer m_metricsServer;
+  LoopMonitor m_loopMonitor;
   asio::signal_set m_signals;
   asio::steady_timer m_tickTimer;
   asio::steady_timer m_stopTimer;
@@ -151,6 +153,7 @@
                     [this](std::string_view) {
                       return InfoResponse{ 200, "text/plain", m_metrics.ToText() };
                     })
+  , m_loopMonitor(m_io, m_dependencies.m_clock, m_dependencies.m_log, "request")
   , m_signals(m_io, SIGTERM, SIGINT, SIGHUP)
   , m_tickTimer(m_io)
   , m_stopTimer(m_io)
@@ -193,6 +196,7 @@
                                .Add("caller_address", m_dependencies.m_settings.m_callerAddress)
                                .Add("store", m_dependencies.m_settings.m_storeAddress));
   AwaitSignal();
+  m_loopMonitor.Start();
   Tick();
   m_storeSync = std::make_unique<StoreSync>(m_dependencies.m_settings,
                                             m_dependencies.m_dialect,
