Move announcements, lookups and store following to a control thread

Callers saw: requests sent to upstreams that had left (DRAIN).

Cause: the thread that passes on requests also received the VMs' announcements, decided who watches the store and told the zone of changes. With more work than processor time, a change waited behind requests twice on the way to a VM that relies on others: in the VM that follows the store and in its own.

Change: ControlPlane owns the thread of the store and runs announcements, lookups and readiness on it as well. The request thread reports its state to it each 200 ms and receives batches by post. StoreSync runs on the loop of its user.

--- /dev/null
+++ b/packages/gateway/src/ControlPlane.cpp
@@ -0,0 +1,236 @@
+#include "ControlPlane.h"
+
+#include <boost/asio/dispatch.hpp>
+
+namespace jaylane::gateway {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Interval at which the role and the age of the view are checked.
+constexpr milliseconds kTickInterval{ 200 };
+/// Ticks between updates of the peers to fetch changes from.
+constexpr std::uint32_t kPeerUpdateTicks = 5;
+/// Announcements of the same recovery of the store differ by less than this.
+constexpr milliseconds kRecoveryResolution{ 1000 };
+const char* RoleName(policy::StoreRole aRole)
+{
+  switch (aRole) {
+    case policy::StoreRole::Elected:
+      return "elected";
+    case policy::StoreRole::Fallback:
+      return "fallback";
+    case policy::StoreRole::Relying:
+      return "relying";
+  }
+  return "unknown";
+}
+
+} // namespace
+
+ControlPlane::ControlPlane(const GatewaySettings& aSettings,
+                           const StoreDialect& aDialect,
+                           const WireFormat& aWire,
+                           const base::Clock& aClock,
+                           base::AsyncLog& aLog,
+                           Hooks aHooks)
+  : m_settings(aSettings)
+  , m_wire(aWire)
+  , m_clock(aClock)
+  , m_log(aLog)
+  , m_hooks(std::move(aHooks))
+  , m_loopMonitor(m_io, aClock, aLog, "control")
+  , m_peerLink(m_io, m_settings, aClock, aLog, MakePeerHooks())
+  , m_storeSync(m_io, m_settings, aDialect, aLog, PeerLink::Describe(m_settings), MakeStoreHooks())
+  , m_storeFollowing({}, m_settings.m_name)
+  , m_readyServer(m_io, [this](std::string_view) { return OnReady(); })
+  , m_lookupServer(m_io, [this](std::string_view aTarget) { return OnLookup(aTarget); })
+  , m_tickTimer(m_io)
+  , m_lookupLifetime(m_settings.m_lookupLifetime)
+{
+}
+
+ControlPlane::~ControlPlane()
+{
+  Stop();
+}
+
+base::Status ControlPlane::Listen()
+{
+  if (auto status = m_peerLink.Start(); !status) {
+    return status;
+  }
+  if (const base::Status& status = m_storeSync.PeerListenStatus(); !status) {
+    return status;
+  }
+  if (!m_settings.m_readyAddress.empty()) {
+    if (auto status = m_readyServer.Listen(m_settings.m_readyAddress); !status) {
+      return status;
+    }
+  }
+  if (!m_settings.m_lookupAddress.empty()) {
+    return m_lookupServer.Listen(m_settings.m_lookupAddress);
+  }
+  return base::Success{};
+}
+
+base::Status ControlPlane::Start()
+{
+  if (auto status = Listen(); !status) {
+    return status;
+  }
+  m_loopMonitor.Start();
+  m_storeSync.Start();
+  Tick();
+  m_thread = std::thread([this] { m_io.run(); });
+  return base::Success{};
+}
+
+void ControlPlane::Stop()
+{
+  m_io.stop();
+  if (m_thread.joinable()) {
+    m_thread.join();
+  }
+}
+
+KindWatcher::Hooks ControlPlane::MakeWatcherHooks(
+  std::function<void(std::vector<StoredObject>)> aOnList,
+  std::function<void(std::vector<StoredObject>)> aOnChanges,
+  std::uint64_t StoreRevisions::*aKind)
+{
+  KindWatcher::Hooks hooks;
+  hooks.m_onList = std::move(aOnList);
+  hooks.m_onChanges = std::move(aOnChanges);
+  hooks.m_onRecovered = [] {};
+  hooks.m_onCallCompleted = m_hooks.m_onStoreCall;
+  hooks.m_onRevision = [this, aKind](std::uint64_t aRevision) { SetRevision(aKind, aRevision); };
+  return hooks;
+}
+
+StoreSync::Hooks ControlPlane::MakeStoreHooks()
+{
+  StoreSync::Hooks hooks;
+  hooks.m_configuration = MakeWatcherHooks(
+    m_hooks.m_onConfigurations, m_hooks.m_onConfigurations, &StoreRevisions::m_configuration);
+  hooks.m_upstreams = MakeWatcherHooks(
+    m_hooks.m_onUpstreamList, m_hooks.m_onUpstreamChanges, &StoreRevisions::m_upstreams);
+  hooks.m_upstreams.m_onRecovered = [this] {
+    m_peerLink.OnStoreRecovered();
+    OnStoreRecovered(milliseconds{ 0 });
+  };
+  hooks.m_evacuations = MakeWatcherHooks(
+    m_hooks.m_onEvacuationList, m_hooks.m_onEvacuationChanges, &StoreRevisions::m_evacuations);
+  hooks.m_onFollowing = [this](bool aIsFollowing) { m_peerLink.SetFollowing(aIsFollowing); };
+  hooks.m_onMembers = [this](const std::vector<StoredObject>& aObjects) {
+    std::vector<Json::Value> members;
+    for (const StoredObject& object : aObjects) {
+      members.push_back(object.m_value);
+    }
+    m_peerLink.AddMembers(members);
+    m_hooks.m_onMembers(m_peerLink.KnownVmNames());
+  };
+  return hooks;
+}
+
+PeerLink::Hooks ControlPlane::MakePeerHooks()
+{
+  PeerLink::Hooks hooks;
+  hooks.m_strikes = [this] { return m_requestState.m_strikes; };
+  hooks.m_onStrikes = [this](const std::vector<policy::Strike>& aStrikes) {
+    if (!aStrikes.empty()) {
+      m_hooks.m_onStrikes(aStrikes);
+    }
+  };
+  hooks.m_onNewPeer = [this] { m_hooks.m_onMembers(m_peerLink.KnownVmNames()); };
+  hooks.m_onRevisions = [this](const StoreRevisions& aRevisions, const std::string& aPeer) {
+    m_storeSync.OnPeerRevisions(aRevisions, aPeer);
+  };
+  hooks.m_onFollower = [this] { m_storeFollowing.OnFollowerHeard(m_clock.Monotonic()); };
+  hooks.m_onStoreRecovered = [this](milliseconds aAgo) { OnStoreRecovered(aAgo); };
+  return hooks;
+}
+
+void ControlPlane::SetRevision(std::uint64_t StoreRevisions::*aKind, std::uint64_t aRevision)
+{
+  m_revisions.*aKind = aRevision;
+  m_peerLink.SetRevisions(m_revisions);
+  if (m_role == policy::StoreRole::Elected) {
+    m_peerLink.AnnounceToZone();
+  }
+}
+
+void ControlPlane::OnStoreRecovered(milliseconds aAgo)
+{
+  const auto recoveredAt = m_clock.Monotonic() - aAgo;
+  if (recoveredAt - m_storeRecoveredAt > kRecoveryResolution) {
+    m_storeRecoveredAt = recoveredAt;
+    m_hooks.m_onStoreRecovered(recoveredAt);
+  }
+}
+
+void ControlPlane::UpdateRole()
+{
+  const std::vector<std::string> zoneVms = m_peerLink.RunningZoneVms();
+  const policy::StoreRole role = m_storeFollowing.Decide(zoneVms, m_clock.Monotonic());
+  if (role != m_role) {
+    m_log.Write(base::LogRecord("store_role")
+                  .Add("role", RoleName(role))
+                  .Add("zone_vms", zoneVms.size() + 1));
+  }
+  m_role = role;
+  m_storeSync.SetRole(role, m_storeFollowing.HasDependents(zoneVms));
+}
+
+void ControlPlane::Tick()
+{
+  UpdateRole();
+  m_peerLink.SetLoad(m_requestState.m_isReady && !m_isLeaving, m_requestState.m_requestsPerSecond);
+  if (++m_tickCount % kPeerUpdateTicks == 0) {
+    m_storeSync.SetPeers(m_peerLink.RunningPeers());
+  }
+  m_tickTimer.expires_after(kTickInterval);
+  m_tickTimer.async_wait([this](const boost::system::error_code& aError) {
+    if (!aError) {
+      Tick();
+    }
+  });
+}
+
+void ControlPlane::SetRequestState(RequestState aState)
+{
+  boost::asio::dispatch(
+    m_io, [this, state = std::move(aState)]() mutable { m_requestState = std::move(state); });
+}
+
+void ControlPlane::SetLookupLifetime(milliseconds aLifetime)
+{
+  boost::asio::dispatch(m_io, [this, aLifetime] { m_lookupLifetime = aLifetime; });
+}
+
+void ControlPlane::AnnounceLeaving()
+{
+  boost::asio::dispatch(m_io, [this] {
+    m_isLeaving = true;
+    m_peerLink.AnnounceLeaving();
+  });
+}
+
+InfoResponse ControlPlane::OnReady() const
+{
+  const bool isReady = m_requestState.m_isReady && !m_isLeaving;
+  return { isReady ? 200U : 503U, "text/plain", isReady ? "ready\n" : "not ready\n" };
+}
+
+InfoResponse ControlPlane::OnLookup(std::string_view aTarget)
+{
+  const auto location = m_wire.m_parseLookup(aTarget);
+  const auto addresses = m_peerLink.AddressesFor(location.m_zone, location.m_region);
+  if (addresses.empty()) {
+    return { 503, "text/plain", "no running VM is known\n" };
+  }
+  return { 200, "application/json", m_wire.m_formatLookup(addresses, m_lookupLifetime) };
+}
+
+} // namespace jaylane::gateway
--- /dev/null
+++ b/packages/gateway/src/ControlPlane.h
@@ -0,0 +1,114 @@
+#pragma once
+
+#include "InfoServer.h"
+#include "LoopMonitor.h"
+#include "PeerLink.h"
+#include "StoreSync.h"
+#include "jaylane/gateway/WireFormat.h"
+#include "jaylane/policy/StoreFollowing.h"
+
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace jaylane::gateway {
+
+/// Keeps this VM informed: follows the store, exchanges announcements with the other VMs, and
+/// answers lookups and readiness checks.
+///
+/// Runs on a thread of its own, the control thread, so that a VM still learns of changes in time
+/// while its request thread has more work than processor time.
+class ControlPlane
+{
+public:
+  /// Called on the control thread.
+  struct Hooks
+  {
+    std::function<void(std::vector<StoredObject>)> m_onConfigurations;
+    std::function<void(std::vector<StoredObject>)> m_onUpstreamList;
+    std::function<void(std::vector<StoredObject>)> m_onUpstreamChanges;
+    std::function<void(std::vector<StoredObject>)> m_onEvacuationList;
+    std::function<void(std::vector<StoredObject>)> m_onEvacuationChanges;
+    /// Receives the names of all VMs known since the start, this one included.
+    std::function<void(std::set<std::string>)> m_onMembers;
+    std::function<void(std::vector<policy::Strike>)> m_onStrikes;
+    /// Some VM reached the store again after a failure.
+    std::function<void(base::MonotonicTime aRecoveredAt)> m_onStoreRecovered;
+    std::function<void(bool aSucceeded)> m_onStoreCall;
+  };
+
+  /// State of the request thread that is announced to other VMs.
+  struct RequestState
+  {
+    bool m_isReady = false;
+    double m_requestsPerSecond = 0;
+    std::vector<policy::Strike> m_strikes;
+  };
+
+  ControlPlane(const GatewaySettings& aSettings,
+               const StoreDialect& aDialect,
+               const WireFormat& aWire,
+               const base::Clock& aClock,
+               base::AsyncLog& aLog,
+               Hooks aHooks);
+  ~ControlPlane();
+
+  /// Listens and starts the thread.
+  /// @return an error if this VM cannot listen.
+  base::Status Start();
+
+  /// Ends the thread. No hook is called afterwards.
+  void Stop();
+
+  /// Reports the state of the request thread. May be called on any thread.
+  void SetRequestState(RequestState aState);
+
+  /// Changes the time for which callers may use the response to a lookup. May be called on any
+  /// thread.
+  void SetLookupLifetime(std::chrono::milliseconds aLifetime);
+
+  /// Announces that this VM is stopping, and leaves lookups. May be called on any thread.
+  void AnnounceLeaving();
+
+private:
+  KindWatcher::Hooks MakeWatcherHooks(std::function<void(std::vector<StoredObject>)> aOnList,
+                                      std::function<void(std::vector<StoredObject>)> aOnChanges,
+                                      std::uint64_t StoreRevisions::*aKind);
+  StoreSync::Hooks MakeStoreHooks();
+  PeerLink::Hooks MakePeerHooks();
+  base::Status Listen();
+  void SetRevision(std::uint64_t StoreRevisions::*aKind, std::uint64_t aRevision);
+  void OnStoreRecovered(std::chrono::milliseconds aAgo);
+  void Tick();
+  void UpdateRole();
+  InfoResponse OnReady() const;
+  InfoResponse OnLookup(std::string_view aTarget);
+
+  const GatewaySettings m_settings;
+  const WireFormat& m_wire;
+  const base::Clock& m_clock;
+  base::AsyncLog& m_log;
+  Hooks m_hooks;
+  boost::asio::io_context m_io{ 1 };
+  LoopMonitor m_loopMonitor;
+  PeerLink m_peerLink;
+  StoreSync m_storeSync;
+  policy::StoreFollowing m_storeFollowing;
+  policy::StoreRole m_role = policy::StoreRole::Elected;
+  InfoServer m_readyServer;
+  InfoServer m_lookupServer;
+  boost::asio::steady_timer m_tickTimer;
+  std::uint32_t m_tickCount = 0;
+  RequestState m_requestState;
+  std::chrono::milliseconds m_lookupLifetime;
+  bool m_isLeaving = false;
+  base::MonotonicTime m_storeRecoveredAt;
+  /// Newest store revisions that this VM has seen.
+  StoreRevisions m_revisions;
+  std::thread m_thread;
+};
+
+} // namespace jaylane::gateway
--- a/packages/gateway/src/Gateway.cpp
+++ b/packages/gateway/src/Gateway.cpp
@@ -1,13 +1,11 @@
 #include "jaylane/gateway/Gateway.h"
 
 #include "CallerServer.h"
+#include "ControlPlane.h"
 #include "GatewayContext.h"
 #include "HttpFetch.h"
 #include "InfoServer.h"
 #include "LoopMonitor.h"
-#include "PeerLink.h"
-#include "StoreSync.h"
-#include "jaylane/policy/StoreFollowing.h"
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -35,21 +33,6 @@
 constexpr double kExitShare = 0.9;
 /// Weight of the last second in the announced request rate.
 constexpr double kLoadAlpha = 0.5;
-/// Announcements of the same recovery of the store differ by less than this.
-constexpr milliseconds kRecoveryResolution{ 1000 };
-
-const char* RoleName(policy::StoreRole aRole)
-{
-  switch (aRole) {
-    case policy::StoreRole::Elected:
-      return "elected";
-    case policy::StoreRole::Fallback:
-      return "fallback";
-    case policy::StoreRole::Relying:
-      return "relying";
-  }
-  return "unknown";
-}
 
 } // namespace
 
@@ -61,28 +44,22 @@
 
 private:
   base::Status Listen();
-  StoreSync::Hooks MakeStoreHooks();
-  KindWatcher::Hooks MakeWatcherHooks(std::function<void(std::vector<StoredObject>)> aOnList,
-                                      std::function<void(std::vector<StoredObject>)> aOnChanges);
+  ControlPlane::Hooks MakeControlHooks();
   void OnConfigurations(const std::vector<StoredObject>& aObjects);
   void OnUpstreamList(const std::vector<StoredObject>& aObjects);
   void OnUpstreamChanges(const std::vector<StoredObject>& aObjects);
-  void OnEvacuations(const std::vector<StoredObject>& aObjects, bool aIsList);
+  void OnEvacuationList(const std::vector<StoredObject>& aObjects);
+  void OnEvacuationChanges(const std::vector<StoredObject>& aObjects);
   std::optional<policy::Upstream> DecodeUpstream(const StoredObject& aObject);
-  void UpdateMembers();
-  void OnPeerRevisions(const StoreRevisions& aRevisions, const std::string& aPeer);
-  void OnStoreRecovered(std::chrono::milliseconds aAgo);
-  void UpdateStoreRole();
   void UpdateRequestRate();
-  void SetRevision(std::uint64_t StoreRevisions::*aKind, std::uint64_t aRevision);
+  /// Reports the state that the control plane announces.
+  void ReportState();
   void Tick();
   void Probe(const Steering::ProbeTarget& aTarget);
   void AwaitSignal();
   void Reload();
   void Stop();
   void ContinueStop();
-  InfoResponse OnReady() const;
-  InfoResponse OnLookup(std::string_view aTarget);
 
   Dependencies m_dependencies;
   asio::io_context m_io{ 1 };
@@ -92,12 +69,6 @@
   BodyMemoryBudget m_bodyBudget;
   GatewayContext m_context;
   CallerServer m_callerServer;
-  policy::StoreFollowing m_storeFollowing;
-  policy::StoreRole m_storeRole = policy::StoreRole::Elected;
-  base::MonotonicTime m_storeRecoveredAt;
-  PeerLink m_peerLink;
-  InfoServer m_readyServer;
-  InfoServer m_lookupServer;
   InfoServer m_metricsServer;
   LoopMonitor m_loopMonitor;
   asio::signal_set m_signals;
@@ -110,10 +81,7 @@
   double m_requestsPerSecond = 0;
   std::set<std::string> m_evacuatedZones;
   base::MonotonicTime m_stopStarted;
-  /// Newest store revisions that this VM has seen, and that its peers have announced.
-  StoreRevisions m_revisions;
-  StoreRevisions m_peerRevisions;
-  std::unique_ptr<StoreSync> m_storeSync;
+  ControlPlane m_controlPlane;
 };
 
 Gateway::Impl::Impl(Dependencies aDependencies)
@@ -131,24 +99,6 @@
                m_metrics,
                m_bodyBudget }
   , m_callerServer(m_context)
-  , m_storeFollowing({}, m_dependencies.m_settings.m_name)
-  , m_peerLink(
-      m_io,
-      m_dependencies.m_settings,
-      m_dependencies.m_clock,
-      m_dependencies.m_log,
-      { [this] { return m_steering.Quarantine().Strikes(m_dependencies.m_clock.Monotonic()); },
-        [this](const std::vector<policy::Strike>& aStrikes) {
-          m_steering.Quarantine().Merge(aStrikes, m_dependencies.m_clock.Monotonic());
-        },
-        [this] { UpdateMembers(); },
-        [this](const StoreRevisions& aRevisions, const std::string& aPeer) {
-          OnPeerRevisions(aRevisions, aPeer);
-        },
-        [this] { m_storeFollowing.OnFollowerHeard(m_dependencies.m_clock.Monotonic()); },
-        [this](milliseconds aAgo) { OnStoreRecovered(aAgo); } })
-  , m_readyServer(m_io, [this](std::string_view) { return OnReady(); })
-  , m_lookupServer(m_io, [this](std::string_view aTarget) { return OnLookup(aTarget); })
   , m_metricsServer(m_io,
                     [this](std::string_view) {
                       return InfoResponse{ 200, "text/plain", m_metrics.ToText() };
@@ -157,6 +107,12 @@
   , m_signals(m_io, SIGTERM, SIGINT, SIGHUP)
   , m_tickTimer(m_io)
   , m_stopTimer(m_io)
+  , m_controlPlane(m_dependencies.m_settings,
+                   m_dependencies.m_dialect,
+                   m_dependencies.m_wire,
+                   m_dependencies.m_clock,
+                   m_dependencies.m_log,
+                   MakeControlHooks())
 {
 }
 
@@ -166,19 +122,6 @@
   if (auto status = m_callerServer.Listen(); !status) {
     return status;
   }
-  if (auto status = m_peerLink.Start(); !status) {
-    return status;
-  }
-  if (!settings.m_readyAddress.empty()) {
-    if (auto status = m_readyServer.Listen(settings.m_readyAddress); !status) {
-      return status;
-    }
-  }
-  if (!settings.m_lookupAddress.empty()) {
-    if (auto status = m_lookupServer.Listen(settings.m_lookupAddress); !status) {
-      return status;
-    }
-  }
   if (!settings.m_metricsAddress.empty()) {
     return m_metricsServer.Listen(settings.m_metricsAddress);
   }
@@ -198,38 +141,43 @@
   AwaitSignal();
   m_loopMonitor.Start();
   Tick();
-  m_storeSync = std::make_unique<StoreSync>(m_dependencies.m_settings,
-                                            m_dependencies.m_dialect,
-                                            m_dependencies.m_log,
-                                            PeerLink::Describe(m_dependencies.m_settings),
-                                            MakeStoreHooks());
-  if (auto status = m_storeSync->PeerListenStatus(); !status) {
+  if (auto status = m_controlPlane.Start(); !status) {
     return status;
   }
   m_io.run();
-  m_storeSync.reset();
+  m_controlPlane.Stop();
   m_dependencies.m_log.Write(base::LogRecord("stop").Add("in_flight", m_metrics.m_inFlight));
   return base::Success{};
 }
 
-KindWatcher::Hooks Gateway::Impl::MakeWatcherHooks(
-  std::function<void(std::vector<StoredObject>)> aOnList,
-  std::function<void(std::vector<StoredObject>)> aOnChanges)
+ControlPlane::Hooks Gateway::Impl::MakeControlHooks()
 {
-  // The hooks run on the thread of StoreSync and post their arguments to the request thread.
-  KindWatcher::Hooks hooks;
-  hooks.m_onList = [this, onList = std::move(aOnList)](std::vector<StoredObject> aObjects) {
+  // The hooks run on the control thread and post their arguments to the request thread.
+  const auto posted = [this](void (Impl::*aHandler)(const std::vector<StoredObject>&)) {
+    return [this, aHandler](std::vector<StoredObject> aObjects) {
+      asio::post(m_io,
+                 [this, aHandler, objects = std::move(aObjects)] { (this->*aHandler)(objects); });
+    };
+  };
+  ControlPlane::Hooks hooks;
+  hooks.m_onConfigurations = posted(&Impl::OnConfigurations);
+  hooks.m_onUpstreamList = posted(&Impl::OnUpstreamList);
+  hooks.m_onUpstreamChanges = posted(&Impl::OnUpstreamChanges);
+  hooks.m_onEvacuationList = posted(&Impl::OnEvacuationList);
+  hooks.m_onEvacuationChanges = posted(&Impl::OnEvacuationChanges);
+  hooks.m_onMembers = [this](std::set<std::string> aNames) {
     asio::post(m_io,
-               [onList, objects = std::move(aObjects)]() mutable { onList(std::move(objects)); });
+               [this, names = std::move(aNames)] { m_steering.SetMembers(std::move(names)); });
   };
-  hooks.m_onChanges = [this,
-                       onChanges = std::move(aOnChanges)](std::vector<StoredObject> aObjects) {
-    asio::post(m_io, [onChanges, objects = std::move(aObjects)]() mutable {
-      onChanges(std::move(objects));
+  hooks.m_onStrikes = [this](std::vector<policy::Strike> aStrikes) {
+    asio::post(m_io, [this, strikes = std::move(aStrikes)] {
+      m_steering.Quarantine().Merge(strikes, m_dependencies.m_clock.Monotonic());
     });
   };
-  hooks.m_onRecovered = [] {};
-  hooks.m_onCallCompleted = [this](bool aSucceeded) {
+  hooks.m_onStoreRecovered = [this](base::MonotonicTime aRecoveredAt) {
+    asio::post(m_io, [this, aRecoveredAt] { m_steering.OnStoreRecovered(aRecoveredAt); });
+  };
+  hooks.m_onStoreCall = [this](bool aSucceeded) {
     asio::post(m_io, [this, aSucceeded] {
       ++(aSucceeded ? m_metrics.m_storeBatches : m_metrics.m_storeFailures);
     });
@@ -237,93 +185,6 @@
   return hooks;
 }
 
-StoreSync::Hooks Gateway::Impl::MakeStoreHooks()
-{
-  const auto onConfigurations = [this](const std::vector<StoredObject>& aObjects) {
-    OnConfigurations(aObjects);
-  };
-  StoreSync::Hooks hooks;
-  hooks.m_configuration = MakeWatcherHooks(onConfigurations, onConfigurations);
-  hooks.m_upstreams = MakeWatcherHooks(
-    [this](const std::vector<StoredObject>& aObjects) { OnUpstreamList(aObjects); },
-    [this](const std::vector<StoredObject>& aObjects) { OnUpstreamChanges(aObjects); });
-  hooks.m_upstreams.m_onRecovered = [this] {
-    asio::post(m_io, [this] {
-      m_peerLink.OnStoreRecovered();
-      OnStoreRecovered(milliseconds{ 0 });
-    });
-  };
-  hooks.m_onFollowing = [this](bool aIsFollowing) {
-    asio::post(m_io, [this, aIsFollowing] { m_peerLink.SetFollowing(aIsFollowing); });
-  };
-  hooks.m_evacuations = MakeWatcherHooks(
-    [this](const std::vector<StoredObject>& aObjects) { OnEvacuations(aObjects, true); },
-    [this](const std::vector<StoredObject>& aObjects) { OnEvacuations(aObjects, false); });
-  const auto reportRevision = [this](std::uint64_t StoreRevisions::*aKind) {
-    return [this, aKind](std::uint64_t aRevision) {
-      asio::post(m_io, [this, aKind, aRevision] { SetRevision(aKind, aRevision); });
-    };
-  };
-  hooks.m_configuration.m_onRevision = reportRevision(&StoreRevisions::m_configuration);
-  hooks.m_upstreams.m_onRevision = reportRevision(&StoreRevisions::m_upstreams);
-  hooks.m_evacuations.m_onRevision = reportRevision(&StoreRevisions::m_evacuations);
-  hooks.m_onMembers = [this](std::vector<StoredObject> aObjects) {
-    asio::post(m_io, [this, objects = std::move(aObjects)] {
-      std::vector<Json::Value> members;
-      for (const StoredObject& object : objects) {
-        members.push_back(object.m_value);
-      }
-      m_peerLink.AddMembers(members);
-      UpdateMembers();
-    });
-  };
-  return hooks;
-}
-
-void Gateway::Impl::SetRevision(std::uint64_t StoreRevisions::*aKind, std::uint64_t aRevision)
-{
-  m_revisions.*aKind = aRevision;
-  m_peerLink.SetRevisions(m_revisions);
-  if (m_storeRole == policy::StoreRole::Elected) {
-    m_peerLink.AnnounceToZone();
-  }
-}
-
-void Gateway::Impl::OnPeerRevisions(const StoreRevisions& aRevisions, const std::string& aPeer)
-{
-  for (const auto kind : { &StoreRevisions::m_configuration,
-                           &StoreRevisions::m_upstreams,
-                           &StoreRevisions::m_evacuations }) {
-    if (aRevisions.*kind > m_revisions.*kind && m_storeSync) {
-      m_storeSync->OnPeerRevisions(aRevisions, aPeer);
-      return;
-    }
-  }
-}
-
-void Gateway::Impl::OnStoreRecovered(milliseconds aAgo)
-{
-  const auto recoveredAt = m_dependencies.m_clock.Monotonic() - aAgo;
-  if (recoveredAt - m_storeRecoveredAt > kRecoveryResolution) {
-    m_storeRecoveredAt = recoveredAt;
-    m_steering.OnStoreRecovered();
-  }
-}
-
-void Gateway::Impl::UpdateStoreRole()
-{
-  const std::vector<std::string> zoneVms = m_peerLink.RunningZoneVms();
-  const policy::StoreRole role =
-    m_storeFollowing.Decide(zoneVms, m_dependencies.m_clock.Monotonic());
-  if (role != m_storeRole) {
-    m_dependencies.m_log.Write(base::LogRecord("store_role")
-                                 .Add("role", RoleName(role))
-                                 .Add("zone_vms", zoneVms.size() + 1));
-  }
-  m_storeRole = role;
-  m_storeSync->SetRole(role, m_storeFollowing.HasDependents(zoneVms));
-}
-
 void Gateway::Impl::UpdateRequestRate()
 {
   const std::chrono::duration<double> interval = kTickInterval * kMaintenanceTicks;
@@ -333,9 +194,12 @@
   m_requestsPerSecond += kLoadAlpha * (rate - m_requestsPerSecond);
 }
 
-void Gateway::Impl::UpdateMembers()
+void Gateway::Impl::ReportState()
 {
-  m_steering.SetMembers(m_peerLink.KnownVmNames());
+  m_controlPlane.SetRequestState(
+    { m_context.m_phase == LifecyclePhase::Serving && m_steering.IsReady(),
+      m_requestsPerSecond,
+      m_steering.Quarantine().Strikes(m_dependencies.m_clock.Monotonic()) });
 }
 
 void Gateway::Impl::OnConfigurations(const std::vector<StoredObject>& aObjects)
@@ -353,6 +217,7 @@
                                    .Add("reason", configuration.GetError().Message()));
     }
   }
+  ReportState();
 }
 
 std::optional<policy::Upstream> Gateway::Impl::DecodeUpstream(const StoredObject& aObject)
@@ -380,6 +245,7 @@
     }
   }
   m_steering.ReplaceUpstreams(std::move(upstreams));
+  ReportState();
 }
 
 void Gateway::Impl::OnUpstreamChanges(const std::vector<StoredObject>& aObjects)
@@ -395,11 +261,14 @@
   m_steering.Tick();
 }
 
-void Gateway::Impl::OnEvacuations(const std::vector<StoredObject>& aObjects, bool aIsList)
+void Gateway::Impl::OnEvacuationList(const std::vector<StoredObject>& aObjects)
+{
+  m_evacuatedZones.clear();
+  OnEvacuationChanges(aObjects);
+}
+
+void Gateway::Impl::OnEvacuationChanges(const std::vector<StoredObject>& aObjects)
 {
-  if (aIsList) {
-    m_evacuatedZones.clear();
-  }
   for (const StoredObject& object : aObjects) {
     if (object.m_deleted) {
       m_evacuatedZones.erase(object.m_name);
@@ -416,17 +285,10 @@
   for (const Steering::ProbeTarget& target : m_steering.TakeDueProbes()) {
     Probe(target);
   }
-  if (m_storeSync) {
-    UpdateStoreRole();
-  }
-  m_peerLink.SetLoad(m_context.m_phase == LifecyclePhase::Serving && m_steering.IsReady(),
-                     m_requestsPerSecond);
+  ReportState();
   if (++m_tickCount % kMaintenanceTicks == 0) {
     UpdateRequestRate();
     m_pool.CloseUnusable(m_steering.UpstreamIds());
-    if (m_storeSync) {
-      m_storeSync->SetPeers(m_peerLink.RunningPeers());
-    }
     if (m_dependencies.m_hasNewSettings()) {
       Reload();
     }
@@ -466,25 +328,6 @@
                });
 }
 
-InfoResponse Gateway::Impl::OnReady() const
-{
-  const bool isReady = m_context.m_phase == LifecyclePhase::Serving && m_steering.IsReady();
-  return { isReady ? 200U : 503U, "text/plain", isReady ? "ready\n" : "not ready\n" };
-}
-
-InfoResponse Gateway::Impl::OnLookup(std::string_view aTarget)
-{
-  const auto location = m_dependencies.m_wire.m_parseLookup(aTarget);
-  const auto addresses = m_peerLink.AddressesFor(location.m_zone, location.m_region);
-  if (addresses.empty()) {
-    return { 503, "text/plain", "no running VM is known\n" };
-  }
-  return { 200,
-           "application/json",
-           m_dependencies.m_wire.m_formatLookup(addresses,
-                                                m_dependencies.m_settings.m_lookupLifetime) };
-}
-
 void Gateway::Impl::AwaitSignal()
 {
   m_signals.async_wait([this](const boost::system::error_code& aError, int aSignal) {
@@ -510,6 +353,7 @@
     // All other settings, such as addresses and the VM's zone, apply only after a restart.
     m_dependencies.m_settings.m_stopGrace = settings.Value().m_stopGrace;
     m_dependencies.m_settings.m_lookupLifetime = settings.Value().m_lookupLifetime;
+    m_controlPlane.SetLookupLifetime(settings.Value().m_lookupLifetime);
     m_dependencies.m_settings.m_retryShare = settings.Value().m_retryShare;
     m_dependencies.m_settings.m_retrySlack = settings.Value().m_retrySlack;
     m_dependencies.m_settings.m_coldFactor = settings.Value().m_coldFactor;
@@ -525,7 +369,7 @@
   m_dependencies.m_log.Write(base::LogRecord("stopping").Add("in_flight", m_metrics.m_inFlight));
   m_context.m_phase = LifecyclePhase::Draining;
   m_stopStarted = m_dependencies.m_clock.Monotonic();
-  m_peerLink.AnnounceLeaving();
+  m_controlPlane.AnnounceLeaving();
   ContinueStop();
 }
 
--- a/packages/gateway/src/Steering.cpp
+++ b/packages/gateway/src/Steering.cpp
@@ -132,9 +132,9 @@
   }
 }
 
-void Steering::OnStoreRecovered()
+void Steering::OnStoreRecovered(base::MonotonicTime aRecoveredAt)
 {
-  m_registry.OnStoreRecovered(m_clock.Monotonic());
+  m_registry.OnStoreRecovered(aRecoveredAt);
 }
 
 void Steering::Tick()
--- a/packages/gateway/src/Steering.h
+++ b/packages/gateway/src/Steering.h
@@ -37,7 +37,8 @@
   void SetEvacuations(std::set<std::string> aZones);
   /// @param aNames entry VMs that may send requests to upstreams; this VM is added if missing.
   void SetMembers(std::set<std::string> aNames);
-  void OnStoreRecovered();
+  /// A VM reached the store again after a failure.
+  void OnStoreRecovered(base::MonotonicTime aRecoveredAt);
 
   /// Expires registry entries, and updates the balancers if anything has changed. Called a few
   /// times per second.
--- a/packages/gateway/src/StoreSync.cpp
+++ b/packages/gateway/src/StoreSync.cpp
@@ -1,7 +1,7 @@
 #include "StoreSync.h"
 
 #include <algorithm>
-#include <boost/asio/post.hpp>
+#include <boost/asio/dispatch.hpp>
 #include <charconv>
 #include <fmt/format.h>
 #include <utility>
@@ -450,7 +450,8 @@
   m_unreadableCount = aCount;
 }
 
-StoreSync::StoreSync(const GatewaySettings& aSettings,
+StoreSync::StoreSync(boost::asio::io_context& aIo,
+                     const GatewaySettings& aSettings,
                      const StoreDialect& aDialect,
                      base::AsyncLog& aLog,
                      Json::Value aMember,
@@ -459,6 +460,7 @@
   , m_dialect(aDialect)
   , m_member(std::move(aMember))
   , m_hooks(WithFollowingHooks(std::move(aHooks), [this] { ReportFollowing(); }))
+  , m_io(aIo)
   , m_configuration(m_io,
                     aSettings,
                     aDialect,
@@ -471,25 +473,20 @@
   , m_peerListenStatus(m_snapshotServer.Listen(aSettings.m_peerAddress))
   , m_fetch(std::make_shared<HttpFetch>(m_io, aSettings.m_storeAddress))
   , m_timer(m_io)
-  , m_thread([this] {
-    m_configuration.Start();
-    m_upstreams.Start();
-    m_evacuations.Start();
-    Register();
-    m_io.run();
-  })
 {
 }
 
-StoreSync::~StoreSync()
+void StoreSync::Start()
 {
-  m_io.stop();
-  m_thread.join();
+  m_configuration.Start();
+  m_upstreams.Start();
+  m_evacuations.Start();
+  Register();
 }
 
 void StoreSync::SetPeers(std::vector<std::string> aAddresses)
 {
-  boost::asio::post(m_io, [this, addresses = std::move(aAddresses)] {
+  boost::asio::dispatch(m_io, [this, addresses = std::move(aAddresses)] {
     for (KindWatcher* watcher : { &m_configuration, &m_upstreams, &m_evacuations }) {
       watcher->SetPeers(addresses);
     }
@@ -498,7 +495,7 @@
 
 void StoreSync::OnPeerRevisions(const StoreRevisions& aRevisions, std::string aPeer)
 {
-  boost::asio::post(m_io, [this, aRevisions, peer = std::move(aPeer)] {
+  boost::asio::dispatch(m_io, [this, aRevisions, peer = std::move(aPeer)] {
     m_configuration.OnPeerRevision(aRevisions.m_configuration, peer);
     m_upstreams.OnPeerRevision(aRevisions.m_upstreams, peer);
     m_evacuations.OnPeerRevision(aRevisions.m_evacuations, peer);
@@ -507,7 +504,7 @@
 
 void StoreSync::SetRole(policy::StoreRole aRole, bool aHasDependents)
 {
-  boost::asio::post(m_io, [this, aRole, aHasDependents] {
+  boost::asio::dispatch(m_io, [this, aRole, aHasDependents] {
     for (KindWatcher* watcher : { &m_configuration, &m_upstreams, &m_evacuations }) {
       watcher->SetRole(aRole, aHasDependents);
     }
--- a/packages/gateway/src/StoreSync.h
+++ b/packages/gateway/src/StoreSync.h
@@ -14,7 +14,6 @@
 #include <memory>
 #include <random>
 #include <string>
-#include <thread>
 #include <vector>
 
 namespace jaylane::gateway {
@@ -151,8 +150,8 @@
   std::uint32_t m_unreadableCount = 0;
 };
 
-/// Owns the thread that communicates with the platform's store, and serves snapshots to peers. The
-/// hooks run on this thread and post the results to the request thread.
+/// Follows the platform's store, registers this VM in it, and serves snapshots to peers. Runs on an
+/// event loop of its user, whose thread calls the hooks.
 class StoreSync
 {
 public:
@@ -168,12 +167,15 @@
   };
 
   /// @param aMember value under which this VM registers in the store.
-  StoreSync(const GatewaySettings& aSettings,
+  StoreSync(boost::asio::io_context& aIo,
+            const GatewaySettings& aSettings,
             const StoreDialect& aDialect,
             base::AsyncLog& aLog,
             Json::Value aMember,
             Hooks aHooks);
-  ~StoreSync();
+
+  /// Makes the first calls to the store.
+  void Start();
 
   /// @return an error if this VM cannot listen for snapshot requests of peers.
   const base::Status& PeerListenStatus() const { return m_peerListenStatus; }
@@ -199,7 +201,7 @@
   const StoreDialect& m_dialect;
   Json::Value m_member;
   Hooks m_hooks;
-  boost::asio::io_context m_io;
+  boost::asio::io_context& m_io;
   KindWatcher m_configuration;
   KindWatcher m_upstreams;
   KindWatcher m_evacuations;
@@ -208,7 +210,6 @@
   bool m_isFollowing = false;
   std::shared_ptr<HttpFetch> m_fetch;
   boost::asio::steady_timer m_timer;
-  std::thread m_thread;
 };
 
 } // namespace jaylane::gateway
--- a/packages/gateway/tests/StoreSyncTest.cpp
+++ b/packages/gateway/tests/StoreSyncTest.cpp
@@ -14,8 +14,8 @@
 
 using namespace std::chrono_literals;
 
-/// Dialect whose list and watch responses have the format of StoreSnapshot::ToJson(). A page that is
-/// not the last has "more" in addition.
+/// Dialect whose list and watch responses have the format of StoreSnapshot::ToJson(). A page that
+/// is not the last has "more" in addition.
 class TestDialect : public StoreDialect
 {
 public:
@@ -116,7 +116,15 @@
       m_changed.notify_all();
     };
     m_sync = std::make_unique<StoreSync>(
-      m_settings, m_dialect, m_log, Json::Value(Json::objectValue), std::move(hooks));
+      m_io, m_settings, m_dialect, m_log, Json::Value(Json::objectValue), std::move(hooks));
+    m_sync->Start();
+    m_thread = std::thread([this] { m_io.run(); });
+  }
+
+  ~RecordingSync()
+  {
+    m_io.stop();
+    m_thread.join();
   }
 
   StoreSync& Sync() { return *m_sync; }
@@ -163,7 +171,9 @@
   std::vector<StoredObject> m_configurations;
   std::size_t m_changes = 0;
   bool m_isFollowing = false;
+  boost::asio::io_context m_io{ 1 };
   std::unique_ptr<StoreSync> m_sync;
+  std::thread m_thread;
 };
 
 /// @return a loopback address whose port is free.
