Let a removal overtake the requests that wait for the request thread

Callers saw: requests sent to upstreams that had left (DRAIN).

Cause: a removal is applied by the request thread, in its turn behind all input that arrived before it, up to 2.3 s late on a slowed VM. A choice was not looked at again after the time that connecting takes. Class: a decision that is acted on later than it was made.

Change: the control thread decodes the registrations and marks the upstreams that leave in PendingRemovals before it posts them. RequestExchange asks it at each choice, UpstreamAttempt once more after connecting; an attempt that ends as Withdrawn sent nothing and is repeated elsewhere without using the retry budget. A full list now tells the hooks which objects it lacks.

Tests: ARemovalOvertakesWaitingRequests and AnUpstreamThatLeavesDuringTheConnectGetsNoRequest fail with the checks taken out (run in a scratch copy) and pass now; AWithdrawnUpstreamIsExcludedUntilTheNextUpdate is new.

--- a/packages/gateway/src/Gateway.cpp
+++ b/packages/gateway/src/Gateway.cpp
@@ -46,8 +46,21 @@
   base::Status Listen();
   ControlPlane::Hooks MakeControlHooks();
   void OnConfigurations(const std::vector<StoredObject>& aObjects);
-  void OnUpstreamList(const std::vector<StoredObject>& aObjects);
-  void OnUpstreamChanges(const std::vector<StoredObject>& aObjects);
+  /// A new, changed or removed registration of an upstream.
+  struct UpstreamChange
+  {
+    std::string m_id;
+    std::uint64_t m_revision = 0;
+    /// Empty if the registration was removed or cannot be used.
+    std::optional<policy::Upstream> m_upstream;
+
+    bool IsLeaving() const { return !m_upstream || m_upstream->m_draining; }
+  };
+  /// Marks the upstreams that leave, and applies the changes on the request thread.
+  void PostUpstreams(const std::vector<StoredObject>& aObjects,
+                     void (Impl::*aHandler)(std::vector<UpstreamChange>));
+  void OnUpstreamList(std::vector<UpstreamChange> aChanges);
+  void OnUpstreamChanges(std::vector<UpstreamChange> aChanges);
   void OnEvacuationList(const std::vector<StoredObject>& aObjects);
   void OnEvacuationChanges(const std::vector<StoredObject>& aObjects);
   std::optional<policy::Upstream> DecodeUpstream(const StoredObject& aObject);
@@ -161,8 +174,12 @@
   };
   ControlPlane::Hooks hooks;
   hooks.m_onConfigurations = posted(&Impl::OnConfigurations);
-  hooks.m_onUpstreamList = posted(&Impl::OnUpstreamList);
-  hooks.m_onUpstreamChanges = posted(&Impl::OnUpstreamChanges);
+  hooks.m_onUpstreamList = [this](const std::vector<StoredObject>& aObjects) {
+    PostUpstreams(aObjects, &Impl::OnUpstreamList);
+  };
+  hooks.m_onUpstreamChanges = [this](const std::vector<StoredObject>& aObjects) {
+    PostUpstreams(aObjects, &Impl::OnUpstreamChanges);
+  };
   hooks.m_onEvacuationList = posted(&Impl::OnEvacuationList);
   hooks.m_onEvacuationChanges = posted(&Impl::OnEvacuationChanges);
   hooks.m_onMembers = [this](std::set<std::string> aNames) {
@@ -236,26 +253,45 @@
   return std::move(*upstream);
 }
 
-void Gateway::Impl::OnUpstreamList(const std::vector<StoredObject>& aObjects)
+void Gateway::Impl::PostUpstreams(const std::vector<StoredObject>& aObjects,
+                                  void (Impl::*aHandler)(std::vector<UpstreamChange>))
 {
-  std::vector<policy::Upstream> upstreams;
+  std::vector<UpstreamChange> changes;
+  std::vector<std::string> leaving;
   for (const StoredObject& object : aObjects) {
-    if (auto upstream = DecodeUpstream(object)) {
-      upstreams.push_back(std::move(*upstream));
+    changes.push_back({ object.m_name,
+                        object.m_revision,
+                        object.m_deleted ? std::nullopt : DecodeUpstream(object) });
+    if (changes.back().IsLeaving()) {
+      leaving.push_back(object.m_name);
+    }
+  }
+  m_steering.Pending().Add(leaving);
+  asio::post(m_io, [this, aHandler, changes = std::move(changes), leaving]() mutable {
+    (this->*aHandler)(std::move(changes));
+    m_steering.Pending().Remove(leaving);
+  });
+}
+
+void Gateway::Impl::OnUpstreamList(std::vector<UpstreamChange> aChanges)
+{
+  std::vector<policy::Upstream> upstreams;
+  for (UpstreamChange& change : aChanges) {
+    if (change.m_upstream) {
+      upstreams.push_back(std::move(*change.m_upstream));
     }
   }
   m_steering.ReplaceUpstreams(std::move(upstreams));
   ReportState();
 }
 
-void Gateway::Impl::OnUpstreamChanges(const std::vector<StoredObject>& aObjects)
+void Gateway::Impl::OnUpstreamChanges(std::vector<UpstreamChange> aChanges)
 {
-  for (const StoredObject& object : aObjects) {
-    auto upstream = object.m_deleted ? std::nullopt : DecodeUpstream(object);
-    if (upstream) {
-      m_steering.PutUpstream(std::move(*upstream));
+  for (UpstreamChange& change : aChanges) {
+    if (change.m_upstream) {
+      m_steering.PutUpstream(std::move(*change.m_upstream));
     } else {
-      m_steering.RemoveUpstream(object.m_name, object.m_revision);
+      m_steering.RemoveUpstream(change.m_id, change.m_revision);
     }
   }
   m_steering.Tick();
--- a/packages/gateway/src/RequestExchange.cpp
+++ b/packages/gateway/src/RequestExchange.cpp
@@ -121,11 +121,23 @@
   return query;
 }
 
+ServiceBalancer::Choice RequestExchange::ChooseUpstream(const ServiceBalancer::Query& aQuery)
+{
+  Steering& steering = m_context.m_steering;
+  ServiceBalancer& balancer = steering.Balancer(m_service->m_name);
+  while (true) {
+    const ServiceBalancer::Choice choice = balancer.Choose(aQuery, m_context.m_clock.Monotonic());
+    if (choice.m_decision != ServiceBalancer::Decision::Send ||
+        steering.MayReceive(choice.m_upstream->m_id)) {
+      return choice;
+    }
+    balancer.Withdraw(choice.m_upstream->m_id);
+  }
+}
+
 void RequestExchange::TryUpstream()
 {
-  ServiceBalancer& balancer = m_context.m_steering.Balancer(m_service->m_name);
-  const ServiceBalancer::Choice choice =
-    balancer.Choose(MakeQuery(), m_context.m_clock.Monotonic());
+  const ServiceBalancer::Choice choice = ChooseUpstream(MakeQuery());
   m_expectedLatency = choice.m_expectedLatency;
   if (choice.m_decision == ServiceBalancer::Decision::Send) {
     SendTo(choice);
@@ -162,11 +174,15 @@
   m_context.m_steering.Balancer(m_service->m_name)
     .OnSent(upstream, query, m_context.m_clock.Monotonic());
   auto attempt = std::make_shared<UpstreamAttempt>(
-    UpstreamAttempt::Dependencies{ m_context.m_io,
-                                   m_context.m_pool,
-                                   m_context.m_clock,
-                                   m_context.m_wire,
-                                   m_context.m_bodyBudget },
+    UpstreamAttempt::Dependencies{
+      m_context.m_io,
+      m_context.m_pool,
+      m_context.m_clock,
+      m_context.m_wire,
+      m_context.m_bodyBudget,
+      [&steering = m_context.m_steering](const std::string& aUpstream) {
+        return steering.MayReceive(aUpstream);
+      } },
     *aChoice.m_upstream,
     m_request,
     Remaining(),
@@ -223,8 +239,7 @@
   const auto now = m_context.m_clock.Monotonic();
   ServiceBalancer::Query query = MakeQuery();
   query.m_isHedge = true;
-  const ServiceBalancer::Choice choice =
-    m_context.m_steering.Balancer(m_service->m_name).Choose(query, now);
+  const ServiceBalancer::Choice choice = ChooseUpstream(query);
   if (choice.m_decision != ServiceBalancer::Decision::Send ||
       !m_context.m_steering.RetryBudget(m_service->m_name).TryHedge(now)) {
     return false;
@@ -271,6 +286,11 @@
   if (aResult.m_response.m_status != 0) {
     m_context.m_steering.OnResponsive(aUpstream);
   }
+  if (aResult.m_failure == AttemptFailure::Withdrawn) {
+    balancer.OnCancelled(aUpstream);
+    OnAttemptFailure(std::move(aResult));
+    return;
+  }
   if (aResult.m_failure) {
     balancer.OnFailure(aUpstream, *aResult.m_failure, aResult.m_load, now);
     if (aResult.m_response.m_status == 421) {
@@ -308,8 +328,9 @@
   if (!isSafe || !hasAttemptsLeft || Remaining().count() <= 0) {
     return false;
   }
-  if (aResult.m_failure == AttemptFailure::Unreachable) {
-    return true;
+  if (aResult.m_failure == AttemptFailure::Unreachable ||
+      aResult.m_failure == AttemptFailure::Withdrawn) {
+    return true; // Nothing was sent.
   }
   return m_context.m_steering.RetryBudget(m_service->m_name)
     .TryRetry(m_context.m_clock.Monotonic());
--- a/packages/gateway/src/RequestExchange.h
+++ b/packages/gateway/src/RequestExchange.h
@@ -37,6 +37,8 @@
   bool ResolveRoute();
   void StartDeadlineTimer();
   void TryUpstream();
+  /// @return the balancer's choice among the upstreams that may receive requests now.
+  policy::ServiceBalancer::Choice ChooseUpstream(const policy::ServiceBalancer::Query& aQuery);
   void SendTo(const policy::ServiceBalancer::Choice& aChoice);
   void StartOverdueTimer(std::chrono::milliseconds aOverdue);
   /// The response to the only attempt is overdue: reports an unresponsive upstream, and sends a
--- a/packages/gateway/src/Steering.h
+++ b/packages/gateway/src/Steering.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "PendingRemovals.h"
 #include "jaylane/base/AsyncLog.h"
 #include "jaylane/base/Clock.h"
 #include "jaylane/gateway/GatewaySettings.h"
@@ -76,6 +77,11 @@
   /// @return unreachable, unresponsive and possibly crashed upstreams whose probe is due.
   std::vector<ProbeTarget> TakeDueProbes();
 
+  /// Removals that were posted to the request thread and wait there. May be used on any thread.
+  PendingRemovals& Pending() { return m_pendingRemovals; }
+  /// @return whether the upstream may receive a request that is sent now.
+  bool MayReceive(const std::string& aId) const { return !m_pendingRemovals.Contains(aId); }
+
   /// @return the active routes, or null before the first configuration.
   std::shared_ptr<policy::RouteTable> Routes() const { return m_routes; }
   policy::ServiceBalancer& Balancer(const std::string& aService);
@@ -117,6 +123,7 @@
   std::shared_ptr<policy::RouteTable> m_routes;
   policy::UpstreamRegistry m_registry;
   bool m_hasUpstreams = false;
+  PendingRemovals m_pendingRemovals;
   /// The balancers do not reflect the last changes yet.
   bool m_hasChanges = false;
   policy::RegionReachability m_regions;
--- a/packages/gateway/src/StoreSnapshot.cpp
+++ b/packages/gateway/src/StoreSnapshot.cpp
@@ -21,7 +21,8 @@
 
 } // namespace
 
-void StoreSnapshot::Replace(const std::vector<StoredObject>& aObjects, std::uint64_t aRevision)
+std::vector<StoredObject> StoreSnapshot::Replace(const std::vector<StoredObject>& aObjects,
+                                                 std::uint64_t aRevision)
 {
   if (m_revision == 0) {
     m_changesKnownFrom = aRevision;
@@ -30,10 +31,11 @@
   for (const StoredObject& object : aObjects) {
     names.insert(object.m_name);
   }
-  std::vector<StoredObject> changes;
-  AppendRemovals(names, aRevision, changes);
-  changes.insert(changes.end(), aObjects.begin(), aObjects.end());
-  Apply(changes, aRevision);
+  std::vector<StoredObject> removals;
+  AppendRemovals(names, aRevision, removals);
+  Apply(removals, aRevision);
+  Apply(aObjects, aRevision);
+  return removals;
 }
 
 void StoreSnapshot::AppendRemovals(const std::set<std::string_view>& aNames,
--- a/packages/gateway/src/StoreSnapshot.h
+++ b/packages/gateway/src/StoreSnapshot.h
@@ -34,7 +34,9 @@
 public:
   /// Replaces all objects by a full list. Objects that it lacks count as removed at its revision,
   /// so that peers learn of removals that this VM has not seen as changes.
-  void Replace(const std::vector<StoredObject>& aObjects, std::uint64_t aRevision);
+  /// @return those removals.
+  std::vector<StoredObject> Replace(const std::vector<StoredObject>& aObjects,
+                                    std::uint64_t aRevision);
 
   /// Applies changes up to a revision, in their order.
   void Apply(const std::vector<StoredObject>& aChanges, std::uint64_t aRevision);
--- a/packages/gateway/src/StoreSync.cpp
+++ b/packages/gateway/src/StoreSync.cpp
@@ -141,8 +141,7 @@
   }
   OnSuccess();
   if (m_listRevision >= m_snapshot.Revision()) { // A peer's snapshot may be newer.
-    m_snapshot.Replace(m_listedObjects, m_listRevision);
-    m_hooks.m_onList(std::move(m_listedObjects));
+    AdoptList(std::move(m_listedObjects), m_listRevision);
     ReportRevision();
   }
   m_listedObjects.clear();
@@ -154,6 +153,13 @@
   }
 }
 
+void KindWatcher::AdoptList(std::vector<StoredObject> aObjects, std::uint64_t aRevision)
+{
+  std::vector<StoredObject> removals = m_snapshot.Replace(aObjects, aRevision);
+  std::ranges::move(removals, std::back_inserter(aObjects));
+  m_hooks.m_onList(std::move(aObjects));
+}
+
 void KindWatcher::ScheduleFirstWatch()
 {
   m_isPaused = true;
@@ -419,9 +425,8 @@
     if (snapshot->Revision() <= present) {
       return false;
     }
-    m_snapshot.Replace(snapshot->Objects(), snapshot->Revision());
     m_hasList = true;
-    m_hooks.m_onList(m_snapshot.Objects());
+    AdoptList(snapshot->Objects(), snapshot->Revision());
   }
   m_log.Write(base::LogRecord("peer_snapshot")
                 .Add("peer", aPeer)
--- a/packages/gateway/src/StoreSync.h
+++ b/packages/gateway/src/StoreSync.h
@@ -38,7 +38,7 @@
 public:
   struct Hooks
   {
-    /// A full list.
+    /// A full list, and the removals of objects that it lacks.
     std::function<void(std::vector<StoredObject>)> m_onList;
     /// Changes since the last call of m_onList or m_onChanges.
     std::function<void(std::vector<StoredObject>)> m_onChanges;
@@ -100,6 +100,8 @@
   void FetchFromNextPeer();
   void FetchFromPeer(const std::string& aPeer);
   void OnPeerResponse(const std::string& aPeer, const FetchResponse& aResponse);
+  /// Replaces the snapshot by a full list and reports it.
+  void AdoptList(std::vector<StoredObject> aObjects, std::uint64_t aRevision);
   /// @return whether the response had newer changes.
   bool AdoptPeerResponse(const std::string& aPeer, const std::string& aBody);
   /// While this VM relies on others: fetches from the next peer until it is no longer behind.
--- a/packages/gateway/src/UpstreamAttempt.cpp
+++ b/packages/gateway/src/UpstreamAttempt.cpp
@@ -117,6 +117,11 @@
         return;
       }
       self->m_connectTime = self->m_dependencies.m_clock.Monotonic() - self->m_startedAt;
+      const auto& mayReceive = self->m_dependencies.m_mayReceive;
+      if (mayReceive && !mayReceive(self->m_upstreamId)) {
+        self->Fail(AttemptFailure::Withdrawn);
+        return;
+      }
       SetTcpOptions(self->m_connection->m_socket, {});
       self->Send();
     });
--- a/packages/gateway/src/UpstreamAttempt.h
+++ b/packages/gateway/src/UpstreamAttempt.h
@@ -48,6 +48,9 @@
     const base::Clock& m_clock;
     const WireFormat& m_wire;
     BodyMemoryBudget& m_bodyBudget;
+    /// Returns whether an upstream may receive a request that is sent now. Asked after connecting,
+    /// which takes time; empty: always.
+    std::function<bool(const std::string& aUpstream)> m_mayReceive;
   };
 
   /// @param aRemaining time until the request's deadline; sent to the upstream as its time limit.
--- a/packages/gateway/tests/RequestPathTest.cpp
+++ b/packages/gateway/tests/RequestPathTest.cpp
@@ -363,6 +363,41 @@
   EXPECT_EQ(first.Seen().size() + second.Seen().size(), 2U);
 }
 
+// The request thread is busy while an upstream leaves, and requests wait for it. Guards against
+// sending them before the removal, which waits behind them.
+TEST_F(RequestPathTest, ARemovalOvertakesWaitingRequests)
+{
+  const auto respond = [](const SeenRequest& aRequest) {
+    return Script{ OkResponse(aRequest, "x") };
+  };
+  ScriptedUpstream leaving(respond);
+  ScriptedUpstream staying(respond);
+  Start({ leaving.Address(), staying.Address() });
+  constexpr int kRequests = 8;
+  std::vector<asio::ip::tcp::socket> callers;
+  for (int i = 0; i < kRequests; ++i) {
+    callers.push_back(Connect());
+  }
+  asio::post(m_io, [] { std::this_thread::sleep_for(300ms); });
+  for (int i = 0; i < kRequests; ++i) {
+    const std::string id = "r" + std::to_string(i);
+    asio::write(callers[static_cast<std::size_t>(i)], asio::buffer(Request("/a/" + id, id)));
+  }
+  m_steering->Pending().Add({ "i-0" });
+  for (auto& caller : callers) {
+    std::string response(512, '\0');
+    response.resize(caller.read_some(asio::buffer(response)));
+    EXPECT_EQ(Status(response), "HTTP/1.1 200 OK");
+  }
+  EXPECT_TRUE(leaving.Seen().empty());
+  OnRequestThread([this] {
+    m_steering->RemoveUpstream("i-0", 1);
+    m_steering->Tick();
+    m_steering->Pending().Remove({ "i-0" });
+    EXPECT_TRUE(m_steering->MayReceive("i-0")) << "a new incarnation may have the same id";
+  });
+}
+
 // Guards against upstreams that keep working for a caller that has disconnected.
 TEST_F(RequestPathTest, CallerDisconnectClosesTheUpstreamConnection)
 {
--- a/packages/gateway/tests/UpstreamAttemptTest.cpp
+++ b/packages/gateway/tests/UpstreamAttemptTest.cpp
@@ -39,7 +39,12 @@
     upstream.m_id = "i-1";
     upstream.m_address = aAddress;
     return std::make_shared<UpstreamAttempt>(
-      UpstreamAttempt::Dependencies{ m_io, m_pool, base::SystemClock::Get(), m_wire, m_bodyBudget },
+      UpstreamAttempt::Dependencies{ m_io,
+                                     m_pool,
+                                     base::SystemClock::Get(),
+                                     m_wire,
+                                     m_bodyBudget,
+                                     [this](const std::string&) { return m_mayReceive; } },
       upstream,
       request,
       2000ms,
@@ -60,8 +65,26 @@
   BodyMemoryBudget m_bodyBudget{ 1 << 20 };
   UpstreamConnectionPool m_pool{ base::SystemClock::Get() };
   WireFormat m_wire = TestWireFormat();
+  /// Whether the upstream may receive requests.
+  bool m_mayReceive = true;
 };
 
+// Guards against sending to an upstream that started to leave while the connection was established.
+TEST_F(UpstreamAttemptTest, AnUpstreamThatLeavesDuringTheConnectGetsNoRequest)
+{
+  ScriptedUpstream upstream(
+    [](const SeenRequest& aRequest) { return Script{ OkResponse(aRequest, "x") }; });
+  std::optional<AttemptResult> result;
+  const auto attempt = MakeAttempt(upstream.Address(), "r1", result);
+  attempt->Start();
+  m_mayReceive = false;
+  RunUntil([&] { return result.has_value(); });
+  ASSERT_TRUE(result);
+  EXPECT_EQ(result->m_failure, AttemptFailure::Withdrawn);
+  EXPECT_FALSE(attempt->WasSent());
+  EXPECT_TRUE(upstream.Seen().empty());
+}
+
 // Guards against reporting a sent request as unreachable when the connect timeout expires before
 // the established connection is handled: the request would be retried and run twice.
 TEST_F(UpstreamAttemptTest, ConnectTimeoutDoesNotEndASentRequest)
--- a/packages/policy/include/jaylane/policy/ServiceBalancer.h
+++ b/packages/policy/include/jaylane/policy/ServiceBalancer.h
@@ -35,6 +35,8 @@
   Error,
   /// No response before the deadline.
   TimedOut,
+  /// The upstream started to leave before the request was sent; nothing was sent.
+  Withdrawn,
 };
 
 /// Options of ServiceBalancer. The defaults are explained in docs/decisions/affinity.md.
@@ -183,9 +185,13 @@
                  AttemptFailure aFailure,
                  const std::optional<LoadReport>& aReport,
                  base::MonotonicTime aNow);
-  /// Reports an attempt that was cancelled because the caller disconnected.
+  /// Reports an attempt that ended without telling anything about the upstream, for example because
+  /// the caller disconnected.
   void OnCancelled(const std::string& aUpstream);
 
+  /// Excludes an upstream until the next Update(), which is expected to leave it out.
+  void Withdraw(const std::string& aUpstream);
+
   /// Reports an attempt whose response is overdue. If the upstream has sent nothing at all since
   /// the attempt began, it may have stopped without closing its connections. It is then
   /// unresponsive and gets no requests until its next response or OnProbeResponse().
@@ -220,6 +226,8 @@
     base::MonotonicTime m_lastResponseAt;
     /// Set by OnOverdue().
     bool m_isUnresponsive = false;
+    /// Set by Withdraw().
+    bool m_isWithdrawn = false;
     base::MonotonicTime m_lastColdRequestAt;
     bool m_hasSentColdRequest = false;
     /// Hashes of affinity keys that the upstream has served, with the time of the last response.
--- a/packages/policy/src/ServiceBalancer.cpp
+++ b/packages/policy/src/ServiceBalancer.cpp
@@ -72,6 +72,7 @@
         existing &&
         existing->m_candidate.m_upstream.m_startedAtMs == candidate.m_upstream.m_startedAtMs) {
       state = std::move(*existing);
+      state.m_isWithdrawn = false;
     }
     state.m_candidate = std::move(candidate);
     state.m_hash = XXH64(id.data(), id.size(), 0);
@@ -162,7 +163,7 @@
   if (aState.m_inFlight >= aState.m_candidate.m_maxInFlight) {
     return false;
   }
-  if (aState.m_isUnresponsive || aNow < aState.m_ejectedUntil ||
+  if (aState.m_isWithdrawn || aState.m_isUnresponsive || aNow < aState.m_ejectedUntil ||
       (aState.m_connectFailures > 0 && aState.m_inFlight > 0)) {
     return false;
   }
@@ -466,6 +467,13 @@
   }
 }
 
+void ServiceBalancer::Withdraw(const std::string& aUpstream)
+{
+  if (State* state = FindState(aUpstream)) {
+    state->m_isWithdrawn = true;
+  }
+}
+
 bool ServiceBalancer::OnOverdue(const std::string& aUpstream, base::MonotonicTime aSentAt)
 {
   State* state = FindState(aUpstream);
--- a/packages/policy/tests/ServiceBalancerTest.cpp
+++ b/packages/policy/tests/ServiceBalancerTest.cpp
@@ -487,5 +487,18 @@
   }
 }
 
+// Guards against sending to an upstream whose removal is known and not applied yet, and against
+// excluding it for good if it stays.
+TEST_F(ServiceBalancerChoiceTest, AWithdrawnUpstreamIsExcludedUntilTheNextUpdate)
+{
+  const std::string first = Choose(MakeQuery(1)).m_upstream->m_id;
+  m_balancer.Withdraw(first);
+  for (std::uint64_t key = 0; key < 200; ++key) {
+    EXPECT_NE(Choose(MakeQuery(key)).m_upstream->m_id, first);
+  }
+  m_balancer.Update(m_candidates, m_clock.Monotonic());
+  EXPECT_EQ(Choose(MakeQuery(1)).m_upstream->m_id, first);
+}
+
 } // namespace
 } // namespace jaylane::policy
