Bound how late a VM learns of a change from others

Cause: a VM that relies on the two VMs which watch the store for its zone counted them as present for 3 s after their last sign, longer than the drain time, and any sign counted, even one that told of changes it did not have. Once it knew that it was behind, it asked three peers with 500 ms each and then listed all objects, the slowest call of all (over 1.5 s in the record). A VM that had just started waited 2.5 s for its first watch; after one failed call, 2.5 s as well. All VMs of a zone that start together announced themselves in the same order, so that each heard all others at once and then none for a whole turn.

Class: limits that do not follow from the bound they serve.

The limits of fetches, checks and the first watch are parts of the drain time; the way out is a short watch, which returns what is missing. A zone elects one VM in twelve, two at least. A revision that the store itself has not reached is ignored.

AsksTheStoreIfNoPeerHasTheChange expected a second list; it now expects the change itself within a second, without one.

--- a/packages/gateway/src/ControlPlane.cpp
+++ b/packages/gateway/src/ControlPlane.cpp
@@ -14,6 +14,9 @@
 constexpr std::uint32_t kPeerUpdateTicks = 5;
 /// Announcements of the same recovery of the store differ by less than this.
 constexpr milliseconds kRecoveryResolution{ 1000 };
+/// Part of the drain time by which the control thread may be late while other VMs rely on this one.
+constexpr int kMaxFollowerDelayDivisor = 10;
+
 const char* RoleName(policy::StoreRole aRole)
 {
   switch (aRole) {
@@ -43,7 +46,7 @@
   , m_loopMonitor(m_io, aClock, aLog, "control")
   , m_peerLink(m_io, m_settings, aClock, aLog, MakePeerHooks())
   , m_storeSync(m_io, m_settings, aDialect, aLog, PeerLink::Describe(m_settings), MakeStoreHooks())
-  , m_storeFollowing({}, m_settings.m_name)
+  , m_storeFollowing(policy::StoreFollowing::OptionsFor(m_settings.m_drainTime), m_settings.m_name)
   , m_readyServer(m_io, [this](std::string_view) { return OnReady(); })
   , m_lookupServer(m_io, [this](std::string_view aTarget) { return OnLookup(aTarget); })
   , m_tickTimer(m_io)
@@ -122,7 +125,13 @@
   };
   hooks.m_evacuations = MakeWatcherHooks(
     m_hooks.m_onEvacuationList, m_hooks.m_onEvacuationChanges, &StoreRevisions::m_evacuations);
-  hooks.m_onFollowing = [this](bool aIsFollowing) { m_peerLink.SetFollowing(aIsFollowing); };
+  hooks.m_onFollowing = [this](bool aIsFollowing) {
+    m_isFollowing = aIsFollowing;
+    UpdateFollowing();
+    if (aIsFollowing) {
+      m_peerLink.AnnounceToZone();
+    }
+  };
   hooks.m_onMembers = [this](const std::vector<StoredObject>& aObjects) {
     std::vector<Json::Value> members;
     for (const StoredObject& object : aObjects) {
@@ -147,7 +156,7 @@
   hooks.m_onRevisions = [this](const StoreRevisions& aRevisions, const std::string& aPeer) {
     m_storeSync.OnPeerRevisions(aRevisions, aPeer);
   };
-  hooks.m_onFollower = [this] { m_storeFollowing.OnFollowerHeard(m_clock.Monotonic()); };
+  hooks.m_onFollower = [this](const StoreRevisions& aRevisions) { OnFollower(aRevisions); };
   hooks.m_onStoreRecovered = [this](milliseconds aAgo) { OnStoreRecovered(aAgo); };
   return hooks;
 }
@@ -170,6 +179,26 @@
   }
 }
 
+void ControlPlane::OnFollower(const StoreRevisions& aRevisions)
+{
+  m_followerRevisions = aRevisions;
+  m_followerHeardAt = m_clock.Monotonic();
+  ConfirmView();
+}
+
+void ControlPlane::ConfirmView()
+{
+  if (m_followerHeardAt && m_storeSync.HasSeen(m_followerRevisions)) {
+    m_storeFollowing.OnViewConfirmed(*m_followerHeardAt);
+  }
+}
+
+void ControlPlane::UpdateFollowing()
+{
+  const bool isDelayed = m_loopMonitor.Delay() > m_settings.m_drainTime / kMaxFollowerDelayDivisor;
+  m_peerLink.SetFollowing(m_isFollowing && !isDelayed);
+}
+
 void ControlPlane::UpdateRole()
 {
   const std::vector<std::string> zoneVms = m_peerLink.RunningZoneVms();
@@ -185,7 +214,9 @@
 
 void ControlPlane::Tick()
 {
+  ConfirmView();
   UpdateRole();
+  UpdateFollowing();
   m_peerLink.SetLoad(m_requestState.m_isReady && !m_isLeaving, m_requestState.m_requestsPerSecond);
   if (++m_tickCount % kPeerUpdateTicks == 0) {
     m_storeSync.SetPeers(m_peerLink.RunningPeers());
--- a/packages/gateway/src/ControlPlane.h
+++ b/packages/gateway/src/ControlPlane.h
@@ -82,8 +82,14 @@
   base::Status Listen();
   void SetRevision(std::uint64_t StoreRevisions::*aKind, std::uint64_t aRevision);
   void OnStoreRecovered(std::chrono::milliseconds aAgo);
+  /// Another VM announced that it watches the store successfully and has seen these revisions.
+  void OnFollower(const StoreRevisions& aRevisions);
   void Tick();
+  /// Reports that the view is confirmed if it has all that the last follower had seen.
+  void ConfirmView();
   void UpdateRole();
+  /// Announces this VM as one to rely on unless it is behind with its work.
+  void UpdateFollowing();
   InfoResponse OnReady() const;
   InfoResponse OnLookup(std::string_view aTarget);
 
@@ -108,6 +114,11 @@
   base::MonotonicTime m_storeRecoveredAt;
   /// Newest store revisions that this VM has seen.
   StoreRevisions m_revisions;
+  /// Last announcement of a VM that watches the store.
+  StoreRevisions m_followerRevisions;
+  std::optional<base::MonotonicTime> m_followerHeardAt;
+  /// Whether this VM itself watches the store successfully.
+  bool m_isFollowing = false;
   std::thread m_thread;
 };
 
--- a/packages/gateway/src/PeerLink.cpp
+++ b/packages/gateway/src/PeerLink.cpp
@@ -150,6 +150,7 @@
   , m_socket(aIo)
   , m_timer(aIo)
   , m_random(std::random_device{}())
+  , m_nextZonePeer(m_random())
 {
 }
 
@@ -272,12 +273,14 @@
   if (params["recovered_ms"].isUInt()) {
     m_hooks.m_onStoreRecovered(milliseconds{ params["recovered_ms"].asUInt() });
   }
-  if (const auto revisions = RevisionsFrom(params["revisions"])) {
-    m_hooks.m_onRevisions(*revisions, ToText(m_sender));
+  const auto revisions = RevisionsFrom(params["revisions"]);
+  if (!revisions) {
+    return;
   }
+  m_hooks.m_onRevisions(*revisions, ToText(m_sender));
   if (params["following"].isBool() && params["following"].asBool() &&
       TextOf(params, "region") == m_settings.m_region) {
-    m_hooks.m_onFollower();
+    m_hooks.m_onFollower(*revisions);
   }
 }
 
--- a/packages/gateway/src/PeerLink.h
+++ b/packages/gateway/src/PeerLink.h
@@ -43,8 +43,9 @@
     /// Receives the store revisions that a peer has seen.
     /// @param aPeer "ip:port" at which the peer serves snapshots.
     std::function<void(const StoreRevisions&, const std::string& aPeer)> m_onRevisions;
-    /// A VM of the own region announced that it watches the store successfully.
-    std::function<void()> m_onFollower;
+    /// A VM of the own region announced that it watches the store successfully and has seen these
+    /// revisions.
+    std::function<void(const StoreRevisions&)> m_onFollower;
     /// A VM announced that it reached the store again after a failure.
     /// @param aAgo time since then.
     std::function<void(std::chrono::milliseconds aAgo)> m_onStoreRecovered;
@@ -167,8 +168,9 @@
   boost::asio::ip::udp::endpoint m_sender;
   std::minstd_rand m_random;
   std::uint32_t m_announcements = 0;
-  /// Position of the next recipient among ZonePeers().
-  std::size_t m_nextZonePeer = 0;
+  /// Position of the next recipient among ZonePeers(). Starts anywhere, so that a VM does not hear
+  /// all VMs of the zone at once and then none for a whole turn.
+  std::size_t m_nextZonePeer;
   std::size_t m_zonePeerCount = 0;
   bool m_isFollowing = false;
   std::optional<base::MonotonicTime> m_storeRecoveredAt;
--- a/packages/gateway/src/StoreSync.cpp
+++ b/packages/gateway/src/StoreSync.cpp
@@ -27,13 +27,15 @@
 constexpr int kCoalesceDrainDivisor = 2;
 /// The same if other VMs rely on this one: they learn of a change later than this VM.
 constexpr int kDependentsDrainDivisor = 4;
-/// Delays of the first watch after the first list, for an elected VM and for others. By then the
-/// VMs of the zone have heard of each other, and of the watches of the elected ones.
+/// Delays of the first watch after the first list, for an elected VM and, as a part of the drain
+/// time, for others. By then the VMs of the zone have heard of each other, and of the watches of
+/// the elected ones.
 constexpr milliseconds kElectedWatchDelay{ 800 };
-constexpr milliseconds kFallbackWatchDelay{ 2500 };
+constexpr int kFallbackWatchDrainDivisor = 2;
 constexpr milliseconds kInitialBackoff{ 100 };
 constexpr milliseconds kMaxBackoff{ 800 };
-/// The same for VMs that were not elected to watch. All of them try the store during an outage.
+/// The same after the second failure, for VMs that were not elected to watch. All of them try the
+/// store during an outage.
 constexpr milliseconds kFallbackBackoff{ 2500 };
 /// Members are listed again this long after the start, when all VMs that started together have
 /// registered, and then only now and then, because new VMs announce themselves to their peers.
@@ -41,14 +43,21 @@
 constexpr milliseconds kMemberListInterval{ 30'000 };
 /// Consecutive failed calls after which peers are asked as well. Single failures are common.
 constexpr std::uint32_t kFailuresBeforeAskingPeers = 2;
+/// Time limit of a fetch of all objects from a peer. Changes are smaller: their limit is a part of
+/// the drain time, since another peer or the store may have to be asked afterwards.
 constexpr milliseconds kPeerTimeout{ 500 };
+constexpr int kPeerTimeoutDrainDivisor = 8;
 /// Delay before another peer is asked. The change reaches most peers in the meantime.
 constexpr milliseconds kPeerRetryDelay{ 200 };
+/// Time after which the store answers that it has no change either, as a part of the drain time.
+constexpr int kCatchUpDrainDivisor = 4;
 /// Peers that a VM without a watch asks for a change before it asks the store.
-constexpr std::uint32_t kMaxPeerFetchFailures = 3;
+constexpr std::uint32_t kMaxPeerFetchFailures = 2;
 /// Time within which a watch should have delivered a change that a peer has seen. A peer is asked
 /// for it then, and after kChecksBeforeRestart such checks the connection to the store is replaced.
+/// For upstreams it is a part of the drain time.
 constexpr milliseconds kBehindCheckInterval{ 700 };
+constexpr int kBehindCheckDrainDivisor = 8;
 constexpr std::uint32_t kChecksBeforeRestart = 3;
 constexpr std::string_view kSnapshotPathPrefix = "/snapshots/";
 constexpr std::string_view kAfterQuery = "?after=";
@@ -113,6 +122,7 @@
   if (aAfter.empty()) {
     m_listedObjects.clear();
   }
+  m_peerRevisionAtCall = m_peerRevision;
   m_fetch->Start(
     { "GET", m_dialect.ListTarget(m_kind, aAfter, Freshness::Current), {}, kListTimeout },
     [this, isFirstPage = aAfter.empty()](const FetchResponse& aResponse) {
@@ -144,6 +154,7 @@
     AdoptList(std::move(m_listedObjects), m_listRevision);
     ReportRevision();
   }
+  CheckPeerRevision(m_listRevision);
   m_listedObjects.clear();
   if (m_hasList) {
     Watch();
@@ -164,15 +175,42 @@
 {
   m_isPaused = true;
   m_isFirstWatchPending = true;
-  ScheduleAfter(kElectedWatchDelay, [this] {
+  const milliseconds electedDelay = std::min(kElectedWatchDelay, FirstWatchDelay());
+  ScheduleAfter(electedDelay, [this, electedDelay] {
     if (m_role == policy::StoreRole::Elected) {
       Watch();
     } else {
-      ScheduleAfter(kFallbackWatchDelay - kElectedWatchDelay, [this] { Watch(); });
+      ScheduleAfter(FirstWatchDelay() - electedDelay, [this] { Watch(); });
     }
   });
 }
 
+milliseconds KindWatcher::FirstWatchDelay() const
+{
+  return m_drainTime / kFallbackWatchDrainDivisor;
+}
+
+milliseconds KindWatcher::PeerTimeout() const
+{
+  return m_snapshot.Revision() == 0
+           ? kPeerTimeout
+           : std::min(kPeerTimeout, m_drainTime / kPeerTimeoutDrainDivisor);
+}
+
+milliseconds KindWatcher::BehindCheckInterval() const
+{
+  return std::min(kBehindCheckInterval, m_drainTime / kBehindCheckDrainDivisor);
+}
+
+milliseconds KindWatcher::NextBackoff()
+{
+  m_backoff = std::clamp(m_backoff * 2, kInitialBackoff, kMaxBackoff);
+  if (m_role == policy::StoreRole::Elected || m_failures <= 1) {
+    return m_backoff;
+  }
+  return kFallbackBackoff;
+}
+
 milliseconds KindWatcher::CoalesceDelay() const
 {
   if (m_kind != ObjectKind::Upstreams) {
@@ -205,14 +243,19 @@
   if (m_isPaused) {
     return;
   }
-  const milliseconds wait{ std::uniform_int_distribution<milliseconds::rep>(
-    kMinWatchTime.count(), kMaxWatchTime.count())(m_random) };
+  StartWatch(milliseconds{ std::uniform_int_distribution<milliseconds::rep>(
+    kMinWatchTime.count(), kMaxWatchTime.count())(m_random) });
+}
+
+void KindWatcher::StartWatch(milliseconds aWait)
+{
   ++m_watchNumber;
   m_isWatching = true;
+  m_peerRevisionAtCall = m_peerRevision;
   m_fetch->Start({ "GET",
-                   m_dialect.WatchTarget(m_kind, m_snapshot.Revision(), wait),
+                   m_dialect.WatchTarget(m_kind, m_snapshot.Revision(), aWait),
                    {},
-                   wait + kWatchResponseMargin },
+                   aWait + kWatchResponseMargin },
                  [this](const FetchResponse& aResponse) { OnWatched(aResponse); });
 }
 
@@ -233,6 +276,7 @@
     return;
   }
   OnSuccess();
+  CheckPeerRevision(batch->m_revision);
   LogUnreadable(batch->m_unreadable);
   // A peer's snapshot that is newer than this response already contains its changes.
   if (batch->m_objects.empty() || batch->m_revision < m_snapshot.Revision()) {
@@ -243,9 +287,25 @@
   m_snapshot.Apply(batch->m_objects, batch->m_revision);
   m_hooks.m_onChanges(std::move(batch->m_objects));
   ReportRevision();
+  if (m_role == policy::StoreRole::Relying) {
+    Watch();
+    return;
+  }
   ScheduleAfter(CoalesceDelay(), [this] { Watch(); });
 }
 
+void KindWatcher::CheckPeerRevision(std::uint64_t aRevision)
+{
+  if (m_peerRevision == m_peerRevisionAtCall && m_peerRevision > aRevision) {
+    m_log.Write(base::LogRecord("peer_revision_ignored")
+                  .Add("kind", KindName(m_kind))
+                  .Add("peer", m_newestPeer)
+                  .Add("peer_revision", m_peerRevision)
+                  .Add("revision", aRevision));
+    m_peerRevision = aRevision;
+  }
+}
+
 void KindWatcher::ReportRevision()
 {
   const std::uint64_t newest = std::min(m_snapshot.NewestChange(), m_snapshot.Revision());
@@ -264,7 +324,7 @@
   if (!IsBehind()) {
     return;
   }
-  if (m_isPaused) {
+  if (m_isPaused || m_hasFailed) {
     if (!m_isPeerFetchPending && aRevision > m_snapshot.Revision()) {
       m_behindTimer.cancel();
       FetchFromPeer(aPeer);
@@ -277,7 +337,7 @@
 
 void KindWatcher::ScheduleBehindCheck(std::uint32_t aWatch, std::uint32_t aChecks)
 {
-  m_behindTimer.expires_after(kBehindCheckInterval);
+  m_behindTimer.expires_after(BehindCheckInterval());
   m_behindTimer.async_wait([this, aWatch, aChecks](const boost::system::error_code& aError) {
     if (aError) {
       return;
@@ -329,13 +389,10 @@
       base::LogRecord("dependency_lost").Add("dependency", "store").Add("kind", KindName(m_kind)));
   }
   m_hooks.m_onFollowingChanged();
-  m_backoff = m_role == policy::StoreRole::Elected
-                ? std::clamp(m_backoff * 2, kInitialBackoff, kMaxBackoff)
-                : kFallbackBackoff;
   if (++m_failures >= kFailuresBeforeAskingPeers) {
     FetchFromNextPeer();
   }
-  ScheduleAfter(m_backoff, [this] {
+  ScheduleAfter(NextBackoff(), [this] {
     if (m_hasList && m_role == policy::StoreRole::Relying) {
       Watch();
     } else {
@@ -366,7 +423,7 @@
       fmt::format(
         "{}{}{}{}", kSnapshotPathPrefix, KindName(m_kind), kAfterQuery, m_snapshot.Revision()),
       {},
-      kPeerTimeout },
+      PeerTimeout() },
     [this, peer = aPeer](const FetchResponse& aResponse) { OnPeerResponse(peer, aResponse); });
 }
 
@@ -401,7 +458,8 @@
                 .Add("peer_revision", m_peerRevision));
   m_peerFetchFailures = 0;
   m_isPaused = false;
-  List({});
+  // The store responds to a watch with the missing changes at once; a list would take longer.
+  StartWatch(m_drainTime / kCatchUpDrainDivisor);
 }
 
 bool KindWatcher::AdoptPeerResponse(const std::string& aPeer, const std::string& aBody)
@@ -507,6 +565,13 @@
   });
 }
 
+bool StoreSync::HasSeen(const StoreRevisions& aRevisions) const
+{
+  return m_configuration.HasSeen(aRevisions.m_configuration) &&
+         m_upstreams.HasSeen(aRevisions.m_upstreams) &&
+         m_evacuations.HasSeen(aRevisions.m_evacuations);
+}
+
 void StoreSync::SetRole(policy::StoreRole aRole, bool aHasDependents)
 {
   boost::asio::dispatch(m_io, [this, aRole, aHasDependents] {
--- a/packages/gateway/src/StoreSync.h
+++ b/packages/gateway/src/StoreSync.h
@@ -72,7 +72,13 @@
   void SetRole(policy::StoreRole aRole, bool aHasDependents);
 
   /// @return whether this VM watches the store and its last call did not fail.
-  bool IsFollowing() const { return m_hasList && !m_hasFailed && !m_isPaused; }
+  bool IsFollowing() const
+  {
+    return m_hasList && !m_hasFailed && !m_isPaused && m_role != policy::StoreRole::Relying;
+  }
+
+  /// @return whether this VM has every change up to a revision.
+  bool HasSeen(std::uint64_t aRevision) const { return m_snapshot.Revision() >= aRevision; }
 
   /// @param aAfter revision that the requesting peer has.
   /// @return the changes after the revision, or all objects if the revision is 0, as JSON; nothing
@@ -83,13 +89,23 @@
 private:
   void List(const std::string& aAfter);
   void OnListed(const FetchResponse& aResponse, bool aIsFirstPage);
+  std::chrono::milliseconds FirstWatchDelay() const;
+  /// Time limit of one exchange with a peer.
+  std::chrono::milliseconds PeerTimeout() const;
+  std::chrono::milliseconds BehindCheckInterval() const;
+  std::chrono::milliseconds NextBackoff();
   /// Delays the first watch until it is known whether other VMs watch.
   void ScheduleFirstWatch();
   /// Watches the store, or pauses if this VM relies on others.
   void Watch();
+  /// @param aWait time after which the store responds without changes.
+  void StartWatch(std::chrono::milliseconds aWait);
   std::chrono::milliseconds CoalesceDelay() const;
   void OnWatched(const FetchResponse& aResponse);
   void ReportRevision();
+  /// The store has answered a call: corrects the announcement of a peer that is ahead of the store.
+  /// @param aRevision revision of the response.
+  void CheckPeerRevision(std::uint64_t aRevision);
   bool IsBehind() const { return m_peerRevision > m_snapshot.Revision(); }
   /// Checks after a while whether the watch is still behind a peer: fetches a peer's snapshot then,
   /// and reconnects to the store after several checks.
@@ -104,7 +120,8 @@
   void AdoptList(std::vector<StoredObject> aObjects, std::uint64_t aRevision);
   /// @return whether the response had newer changes.
   bool AdoptPeerResponse(const std::string& aPeer, const std::string& aBody);
-  /// While this VM relies on others: fetches from the next peer until it is no longer behind.
+  /// While this VM relies on others: fetches from the next peer until it is no longer behind, and
+  /// from the store if the peers do not have the change.
   void ContinueCatchUp();
   void OnSuccess();
   void ScheduleAfter(std::chrono::milliseconds aPause, std::function<void()> aNext);
@@ -128,6 +145,8 @@
   /// Newest revision that a peer has announced, and that peer.
   std::uint64_t m_peerRevision = 0;
   std::string m_newestPeer;
+  /// m_peerRevision when the last call to the store started.
+  std::uint64_t m_peerRevisionAtCall = 0;
   /// Number of the last watch request, and whether its response is pending.
   std::uint32_t m_watchNumber = 0;
   bool m_isWatching = false;
@@ -189,6 +208,10 @@
   /// @param aPeer "ip:port" at which the peer serves snapshots.
   void OnPeerRevisions(const StoreRevisions& aRevisions, std::string aPeer);
 
+  /// @return whether this VM has every change up to the revisions. To be called on the loop's
+  /// thread.
+  bool HasSeen(const StoreRevisions& aRevisions) const;
+
   /// Sets how this VM learns of changes. May be called on any thread.
   /// @param aHasDependents whether other VMs rely on this one for changes.
   void SetRole(policy::StoreRole aRole, bool aHasDependents);
--- a/packages/gateway/tests/PeerLinkTest.cpp
+++ b/packages/gateway/tests/PeerLinkTest.cpp
@@ -63,7 +63,7 @@
                          raw->m_seen = aRevisions;
                          raw->m_revisionPeer = aPeer;
                        },
-                       [raw] { ++raw->m_followersHeard; },
+                       [raw](const StoreRevisions&) { ++raw->m_followersHeard; },
                        [raw](std::chrono::milliseconds aAgo) { raw->m_recoveredAgo = aAgo; } });
     EXPECT_TRUE(vm->m_link->Start());
     m_vms.push_back(std::move(vm));
--- a/packages/gateway/tests/StoreSyncTest.cpp
+++ b/packages/gateway/tests/StoreSyncTest.cpp
@@ -3,6 +3,7 @@
 #include "ScriptedUpstream.h"
 
 #include <algorithm>
+#include <atomic>
 #include <condition_variable>
 #include <fmt/format.h>
 #include <gtest/gtest.h>
@@ -343,7 +344,10 @@
     ASSERT_EQ(Calls(m_store, "/watch/"), 0U);
   }
 
-  ScriptedUpstream m_store{ ServeRevision(7, 8000ms) };
+  std::atomic<std::chrono::milliseconds> m_watchPause{ 8000ms };
+  ScriptedUpstream m_store{ [this](const SeenRequest& aRequest) {
+    return ServeRevision(7, m_watchPause)(aRequest);
+  } };
   RecordingSync m_vm{ m_store.Address(), FreeAddress() };
 };
 
@@ -360,12 +364,28 @@
   EXPECT_EQ(Calls(m_store, "/list/0 "), 1U);
 }
 
-// Guards against waiting for a change that no peer provides.
+// Guards against waiting for a change that no peer provides, and against listing all objects for
+// it, which is the slowest call of all on a VM that is behind.
 TEST_F(RelyingVmTest, AsksTheStoreIfNoPeerHasTheChange)
 {
-  m_vm.Sync().OnPeerRevisions({ 12, 0, 0 }, "127.0.0.1:1");
-  std::this_thread::sleep_for(1000ms);
-  EXPECT_GE(Calls(m_store, "/list/0 "), 2U);
+  m_watchPause = 50ms;
+  m_vm.Sync().OnPeerRevisions({ 11, 0, 0 }, "127.0.0.1:1");
+  EXPECT_TRUE(m_vm.WaitForRevision(8, 1000ms));
+  EXPECT_EQ(Calls(m_store, "/watch/10/0 "), 1U);
+  EXPECT_EQ(Calls(m_store, "/list/0 "), 1U) << "only the list at the start";
+  std::this_thread::sleep_for(500ms);
+  EXPECT_EQ(Calls(m_store, "/watch/"), 1U) << "it relies on others again";
+}
+
+// A peer announces a revision that the store has not reached. Guards against taking its word for
+// good, which would keep this VM busy with catching up.
+TEST_F(RelyingVmTest, APeerAheadOfTheStoreIsIgnored)
+{
+  m_watchPause = 50ms;
+  m_vm.Sync().OnPeerRevisions({ 1000, 0, 0 }, "127.0.0.1:1");
+  EXPECT_TRUE(m_vm.WaitForRevision(8, 1000ms));
+  std::this_thread::sleep_for(1500ms);
+  EXPECT_EQ(Calls(m_store, "/watch/"), 1U);
 }
 
 // The VMs that this one relied on have stopped.
--- a/packages/policy/include/jaylane/policy/StoreFollowing.h
+++ b/packages/policy/include/jaylane/policy/StoreFollowing.h
@@ -2,6 +2,7 @@
 
 #include "jaylane/base/Clock.h"
 
+#include <algorithm>
 #include <chrono>
 #include <cstddef>
 #include <optional>
@@ -27,19 +28,26 @@
 /// that watch it are killed or lose their connection at any time.
 ///
 /// All VMs of a zone elect the same few by a hash of their names, without messages for the purpose.
-/// Views that differ for a while only lead to more or fewer watches: a VM relies on others only as
-/// long as one that watches successfully is heard. Not thread safe.
+/// Lists of running VMs that differ for a while only lead to more or fewer watches: a VM relies on
+/// others only as long as its view of the store is confirmed often enough, however many VMs there
+/// are and whatever happens to them. Not thread safe.
 class StoreFollowing
 {
 public:
   struct Options
   {
-    /// VMs that watch the store in each zone.
+    /// Smallest number of VMs that watch the store in each zone.
     std::size_t m_electedPerZone = 2;
-    /// Time without an announcement of a successful watch after which a VM watches by itself.
-    std::chrono::milliseconds m_followerTimeout{ 3000 };
+    /// A zone elects at least one of this many VMs, so that each VM hears one often enough.
+    std::size_t m_vmsPerElected = 12;
+    /// Time without a confirmation of its view after which a VM watches by itself.
+    std::chrono::milliseconds m_confirmationTimeout{ 1000 };
   };
 
+  /// @param aDrainTime time for which an upstream serves after it has announced that it leaves.
+  /// @return options with which a VM that relies on others learns of the leaving in time.
+  static Options OptionsFor(std::chrono::milliseconds aDrainTime);
+
   /// @param aName name of this VM.
   StoreFollowing(Options aOptions, std::string aName)
     : m_options(aOptions)
@@ -47,8 +55,11 @@
   {
   }
 
-  /// Another VM announced that it watches the store successfully.
-  void OnFollowerHeard(base::MonotonicTime aNow) { m_lastHeard = aNow; }
+  /// This VM has every change that a VM which watches the store successfully had seen at a time.
+  void OnViewConfirmed(base::MonotonicTime aSeenAt)
+  {
+    m_confirmedAt = m_confirmedAt ? std::max(*m_confirmedAt, aSeenAt) : aSeenAt;
+  }
 
   /// @param aZoneVms names of the running VMs in this VM's zone, without this VM.
   StoreRole Decide(const std::vector<std::string>& aZoneVms, base::MonotonicTime aNow) const;
@@ -56,13 +67,15 @@
   /// @return whether the zone has VMs that are not elected.
   bool HasDependents(const std::vector<std::string>& aZoneVms) const
   {
-    return aZoneVms.size() + 1 > m_options.m_electedPerZone;
+    return aZoneVms.size() + 1 > ElectedCount(aZoneVms.size() + 1);
   }
 
 private:
+  std::size_t ElectedCount(std::size_t aZoneVms) const;
+
   Options m_options;
   std::string m_name;
-  std::optional<base::MonotonicTime> m_lastHeard;
+  std::optional<base::MonotonicTime> m_confirmedAt;
 };
 
 } // namespace jaylane::policy
