Check the registry again before a request is sent

Cause: the check after connecting knew only of removals that were still waiting for the request thread. Once a removal, a drain or an evacuation was applied while a connection was being established, the request went out all the same, up to 350 ms later. Change: MayReceive asks the registry, the evacuated zones and the replaced addresses as well, by the condition that makes the candidates.

Test: OnlyUpstreamsInServiceMayReceive; its first expectation after the removal fails on the check before. 25 Steering and RequestPath tests pass.

--- a/packages/gateway/src/Steering.cpp
+++ b/packages/gateway/src/Steering.cpp
@@ -413,6 +413,19 @@
                                       aUpstream.m_region };
 }
 
+bool Steering::IsInService(const policy::Upstream& aUpstream) const
+{
+  return !aUpstream.m_draining && !m_evacuatedZones.contains(aUpstream.m_zone) &&
+         !m_replaced.contains(aUpstream.m_id);
+}
+
+bool Steering::MayReceive(const std::string& aId) const
+{
+  const auto record = m_registry.Records().find(aId);
+  return record != m_registry.Records().end() && IsInService(record->second.m_upstream) &&
+         !m_pendingRemovals.Contains(aId);
+}
+
 void Steering::UpdateBalancers()
 {
   m_hasChanges = false;
@@ -421,8 +434,7 @@
   for (const auto& [id, record] : m_registry.Records()) {
     const policy::Upstream& upstream = record.m_upstream;
     auto& list = candidates[upstream.m_service];
-    if (upstream.m_draining || m_evacuatedZones.contains(upstream.m_zone) ||
-        m_unreachable.contains(id) || m_replaced.contains(id)) {
+    if (!IsInService(upstream) || m_unreachable.contains(id)) {
       continue;
     }
     const base::MonotonicTime coldUntil = ColdUntil(record);
--- a/packages/gateway/src/Steering.h
+++ b/packages/gateway/src/Steering.h
@@ -80,7 +80,7 @@
   /// Removals that were posted to the request thread and wait there. May be used on any thread.
   PendingRemovals& Pending() { return m_pendingRemovals; }
   /// @return whether the upstream may receive a request that is sent now.
-  bool MayReceive(const std::string& aId) const { return !m_pendingRemovals.Contains(aId); }
+  bool MayReceive(const std::string& aId) const;
 
   /// @return the active routes, or null before the first configuration.
   std::shared_ptr<policy::RouteTable> Routes() const { return m_routes; }
@@ -104,6 +104,8 @@
   using ProbedUpstreams = std::unordered_map<std::string, ProbeState>;
 
   void UpdateBalancers();
+  /// @return whether the upstream may get new requests at all, apart from its connections.
+  bool IsInService(const policy::Upstream& aUpstream) const;
   /// @return region of a registered upstream; empty if it is not registered.
   std::string RegionOf(const std::string& aId) const;
   void OnRegionFailure(const std::string& aId);
--- a/packages/gateway/tests/SteeringTest.cpp
+++ b/packages/gateway/tests/SteeringTest.cpp
@@ -123,6 +123,37 @@
   });
 }
 
+// A connection may be established after the upstream's removal, drain or evacuation was applied.
+// Guards against a check that knows only of removals which are still waiting.
+TEST_F(SteeringTest, OnlyUpstreamsInServiceMayReceive)
+{
+  Start({ "127.0.0.1:1", "127.0.0.1:2" });
+  OnRequestThread([&] {
+    EXPECT_TRUE(m_steering->MayReceive("i-0"));
+    m_steering->RemoveUpstream("i-0", 1);
+    EXPECT_FALSE(m_steering->MayReceive("i-0"));
+    policy::Upstream upstream;
+    upstream.m_id = "i-0";
+    upstream.m_service = "s";
+    upstream.m_zone = "z";
+    upstream.m_revision = 2;
+    m_steering->PutUpstream(upstream);
+    EXPECT_TRUE(m_steering->MayReceive("i-0")) << "a new incarnation";
+    m_steering->Pending().Add({ "i-0", "i-0" });
+    m_steering->Pending().Remove({ "i-0" });
+    EXPECT_FALSE(m_steering->MayReceive("i-0")) << "one more batch removes it";
+    m_steering->Pending().Remove({ "i-0" });
+    EXPECT_TRUE(m_steering->MayReceive("i-0"));
+    upstream.m_draining = true;
+    upstream.m_revision = 3;
+    m_steering->PutUpstream(upstream);
+    EXPECT_FALSE(m_steering->MayReceive("i-0"));
+    EXPECT_TRUE(m_steering->MayReceive("i-1"));
+    m_steering->SetEvacuations({ "z" });
+    EXPECT_FALSE(m_steering->MayReceive("i-1"));
+  });
+}
+
 // Guards against going back to an older configuration that arrives late.
 TEST_F(SteeringTest, OlderConfigurationsAreIgnored)
 {
