Stop sending to an upstream whose responses say that it leaves

Cause: the gateway did not read the header. Change: WireFormat names it, UpstreamAttempt reports it for every whole response, rejections included, and so does a health probe. Steering takes that incarnation out of service at once and closes its idle connections, whatever its registration says; a late copy of the registration does not bring it back, a new incarnation does.

--- a/packages/gateway/include/jaylane/gateway/WireFormat.h
+++ b/packages/gateway/include/jaylane/gateway/WireFormat.h
@@ -24,6 +24,8 @@
   std::string m_notExecuted;
   std::string m_signature;
   std::string m_load;
+  /// Header that an upstream which leaves adds to all its responses.
+  std::string m_leaving;
 
   /// Parses the value of the load header.
   std::optional<policy::LoadReport> (*m_parseLoad)(std::string_view aValue) = nullptr;
--- a/packages/gateway/src/Gateway.cpp
+++ b/packages/gateway/src/Gateway.cpp
@@ -353,6 +353,9 @@
                  const bool isAlive =
                    aResponse.m_status != 0 && (!health || health->m_upstream == id);
                  m_steering.OnProbeEnded(id, isAlive);
+                 if (isAlive && aResponse.m_fields.count(m_dependencies.m_wire.m_leaving) > 0) {
+                   m_steering.OnLeaving(id);
+                 }
                  if (isAlive) {
                    m_steering.OnResponsive(id);
                  }
--- a/packages/gateway/src/RequestExchange.cpp
+++ b/packages/gateway/src/RequestExchange.cpp
@@ -286,6 +286,10 @@
   if (aResult.m_response.m_status != 0) {
     m_context.m_steering.OnResponsive(aUpstream);
   }
+  if (aResult.m_isUpstreamLeaving) {
+    m_context.m_steering.OnLeaving(aUpstream);
+    m_context.m_pool.Drop(aUpstream);
+  }
   if (aResult.m_failure == AttemptFailure::Withdrawn) {
     balancer.OnCancelled(aUpstream);
     OnAttemptFailure(std::move(aResult));
--- a/packages/gateway/src/Steering.cpp
+++ b/packages/gateway/src/Steering.cpp
@@ -36,6 +36,10 @@
   return options;
 }
 
+/// Time for which an upstream that said that it leaves is remembered after its registration has
+/// ended. A late copy of the registration may bring it back.
+constexpr std::chrono::minutes kLeavingMemory{ 10 };
+
 /// Requests kept per upstream until its crash probe ends. Few are open at one upstream at a time.
 constexpr std::size_t kMaxSuspectedRequests = 64;
 
@@ -267,6 +271,18 @@
   UpdateBalancers();
 }
 
+void Steering::OnLeaving(const std::string& aId)
+{
+  const auto record = m_registry.Records().find(aId);
+  if (record == m_registry.Records().end() || IsLeaving(record->second.m_upstream)) {
+    return;
+  }
+  m_log.Write(base::LogRecord("upstream_leaving").Add("upstream", aId));
+  m_leaving.insert_or_assign(
+    aId, LeavingIncarnation{ record->second.m_upstream.m_startedAtMs, m_clock.Monotonic() });
+  UpdateBalancers();
+}
+
 void Steering::OnAddressReused(const std::string& aId)
 {
   m_log.Write(base::LogRecord("upstream_replaced").Add("upstream", aId));
@@ -413,10 +429,28 @@
                                       aUpstream.m_region };
 }
 
+bool Steering::IsLeaving(const policy::Upstream& aUpstream) const
+{
+  const auto leaving = m_leaving.find(aUpstream.m_id);
+  return leaving != m_leaving.end() && leaving->second.m_startedAtMs == aUpstream.m_startedAtMs;
+}
+
+void Steering::ForgetLeaving(base::MonotonicTime aNow)
+{
+  for (auto& [id, leaving] : m_leaving) {
+    if (m_registry.Records().contains(id)) {
+      leaving.m_lastRegistered = aNow;
+    }
+  }
+  std::erase_if(m_leaving, [aNow](const auto& aEntry) {
+    return aNow - aEntry.second.m_lastRegistered > kLeavingMemory;
+  });
+}
+
 bool Steering::IsInService(const policy::Upstream& aUpstream) const
 {
-  return !aUpstream.m_draining && !m_evacuatedZones.contains(aUpstream.m_zone) &&
-         !m_replaced.contains(aUpstream.m_id);
+  return !aUpstream.m_draining && !IsLeaving(aUpstream) &&
+         !m_evacuatedZones.contains(aUpstream.m_zone) && !m_replaced.contains(aUpstream.m_id);
 }
 
 bool Steering::MayReceive(const std::string& aId) const
@@ -456,6 +490,7 @@
   const auto isGone = [this](const auto& aEntry) {
     return !m_registry.Records().contains(aEntry.first);
   };
+  ForgetLeaving(now);
   std::erase_if(m_unreachable, isGone);
   std::erase_if(m_unresponsive, isGone);
   std::erase_if(m_replaced,
--- a/packages/gateway/src/Steering.h
+++ b/packages/gateway/src/Steering.h
@@ -64,6 +64,9 @@
   /// A health probe succeeded; the upstream may get requests again.
   /// @param aColdRemaining time for which the upstream is still cold.
   void OnProbeSucceeded(const std::string& aId, std::chrono::milliseconds aColdRemaining);
+  /// A response of an upstream says that it leaves. This incarnation gets no more requests,
+  /// whatever its registration says.
+  void OnLeaving(const std::string& aId);
   /// The address of an upstream is now used by another upstream.
   void OnAddressReused(const std::string& aId);
 
@@ -148,6 +151,17 @@
   std::unordered_map<std::string, SuspectedCrash> m_suspectedCrashes;
   /// End of the cold period that a probe reported, by upstream.
   std::unordered_map<std::string, base::MonotonicTime> m_probedColdUntil;
+  /// An incarnation of an upstream that said that it leaves.
+  struct LeavingIncarnation
+  {
+    std::int64_t m_startedAtMs = 0;
+    /// Last time at which it was registered.
+    base::MonotonicTime m_lastRegistered;
+  };
+  bool IsLeaving(const policy::Upstream& aUpstream) const;
+  void ForgetLeaving(base::MonotonicTime aNow);
+
+  std::unordered_map<std::string, LeavingIncarnation> m_leaving;
   /// Upstreams whose address is now used by another upstream.
   std::set<std::string> m_replaced;
   std::unordered_map<std::string, policy::ServiceBalancer> m_balancers;
--- a/packages/gateway/src/UpstreamAttempt.cpp
+++ b/packages/gateway/src/UpstreamAttempt.cpp
@@ -268,6 +268,7 @@
   AttemptResult result;
   result.m_latency = m_dependencies.m_clock.Monotonic() - m_startedAt;
   result.m_isSigned = message.count(wire.m_signature) > 0;
+  result.m_isUpstreamLeaving = message.count(wire.m_leaving) > 0;
   if (const auto load = message[wire.m_load]; !load.empty()) {
     result.m_load = wire.m_parseLoad(ToStringView(load));
   }
--- a/packages/gateway/src/UpstreamAttempt.h
+++ b/packages/gateway/src/UpstreamAttempt.h
@@ -27,6 +27,8 @@
   CallerResponse m_response;
   bool m_isSigned = false;
   std::optional<policy::LoadReport> m_load;
+  /// The response says that the upstream leaves.
+  bool m_isUpstreamLeaving = false;
   /// Time to establish the connection; empty if a pooled one was used or it failed.
   std::optional<std::chrono::nanoseconds> m_connectTime;
   std::chrono::nanoseconds m_latency{ 0 };
--- a/packages/gateway/tests/RequestPathTest.cpp
+++ b/packages/gateway/tests/RequestPathTest.cpp
@@ -397,6 +397,85 @@
   });
 }
 
+/// @return the registration of an upstream of the fixture's service.
+policy::Upstream MakeUpstream(const std::string& aId,
+                              const std::string& aAddress,
+                              std::uint64_t aRevision)
+{
+  policy::Upstream upstream;
+  upstream.m_id = aId;
+  upstream.m_service = "s";
+  upstream.m_address = aAddress;
+  upstream.m_zone = "z";
+  upstream.m_region = "r";
+  upstream.m_slots = 4;
+  upstream.m_revision = aRevision;
+  return upstream;
+}
+
+/// @return a response whose headers include the given lines.
+std::string ResponseWith(const SeenRequest& aRequest, const std::string& aLines)
+{
+  std::string response = OkResponse(aRequest, "x");
+  response.insert(response.find("\r\n") + 2, aLines);
+  return response;
+}
+
+// An upstream says in its responses that it leaves, while its registration in the store does not.
+// Guards against requests that reach it later (DRAIN), also after its registration was read again.
+TEST_F(RequestPathTest, AnUpstreamThatSaysItLeavesGetsNoMoreRequests)
+{
+  ScriptedUpstream leaving([](const SeenRequest& aRequest) {
+    return Script{ ResponseWith(aRequest, "Server-Leaving: 1\r\n") };
+  });
+  ScriptedUpstream staying(
+    [](const SeenRequest& aRequest) { return Script{ OkResponse(aRequest, "x") }; });
+  Start({ leaving.Address() });
+  const auto send = [this](int aCount, const std::string& aPrefix) {
+    for (int i = 0; i < aCount; ++i) {
+      const std::string id = aPrefix + std::to_string(i);
+      EXPECT_EQ(Status(Exchange(Request("/a/" + id, id, "Connection: close\r\n"))),
+                "HTTP/1.1 200 OK");
+    }
+  };
+  const auto put = [this](const policy::Upstream& aUpstream) {
+    OnRequestThread([&] {
+      m_steering->PutUpstream(aUpstream);
+      m_steering->Tick();
+    });
+  };
+  send(1, "r");
+  ASSERT_EQ(leaving.Seen().size(), 1U);
+  put(MakeUpstream("i-1", staying.Address(), 5));
+  send(6, "s");
+  put(MakeUpstream("i-0", leaving.Address(), 6));
+  send(6, "t");
+  OnRequestThread([&] { m_steering->RemoveUpstream("i-0", 7); });
+  put(MakeUpstream("i-0", leaving.Address(), 8));
+  send(6, "u");
+  EXPECT_EQ(leaving.Seen().size(), 1U) << "only the request whose response had the header";
+  policy::Upstream next = MakeUpstream("i-0", leaving.Address(), 9);
+  next.m_startedAtMs = 1;
+  put(next);
+  OnRequestThread([&] { EXPECT_TRUE(m_steering->MayReceive("i-0")) << "a new incarnation"; });
+}
+
+// Guards against sending to an upstream that rejects a request and says that it leaves.
+TEST_F(RequestPathTest, ARejectionMaySayThatTheUpstreamLeaves)
+{
+  ScriptedUpstream leaving([](const SeenRequest&) {
+    return Script{ "HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nServer-Leaving: 1\r\n"
+                   "Content-Length: 0\r\n\r\n" };
+  });
+  Start({ leaving.Address() });
+  for (int i = 0; i < 6; ++i) {
+    const std::string id = "r" + std::to_string(i);
+    EXPECT_EQ(Status(Exchange(Request("/b/" + id, id, "Connection: close\r\n"))),
+              "HTTP/1.1 503 Service Unavailable");
+  }
+  EXPECT_EQ(leaving.Seen().size(), 1U);
+}
+
 // Guards against upstreams that keep working for a caller that has disconnected.
 TEST_F(RequestPathTest, CallerDisconnectClosesTheUpstreamConnection)
 {
--- a/packages/gateway/tests/TestWireFormat.h
+++ b/packages/gateway/tests/TestWireFormat.h
@@ -15,6 +15,7 @@
   wire.m_notExecuted = "Not-Executed";
   wire.m_signature = "Response-Signature";
   wire.m_load = "Server-Load";
+  wire.m_leaving = "Server-Leaving";
   wire.m_parseLoad = [](std::string_view) -> std::optional<policy::LoadReport> {
     return std::nullopt;
   };
