Grant the pause that an upstream asks for when it rejects a request

Cause: the gateway did not read the header of an upstream. If only paused upstreams are left, the request is rejected at once and the caller told to come back when the first pause ends.

--- a/packages/gateway/src/RequestExchange.cpp
+++ b/packages/gateway/src/RequestExchange.cpp
@@ -147,6 +147,11 @@
     Respond(502, "upstream_lost");
   } else {
     const bool hasUpstream = choice.m_decision == ServiceBalancer::Decision::Overloaded;
+    const milliseconds pause = m_context.m_steering.ShortestPause(m_service->m_name);
+    if (!hasUpstream && pause.count() > 0) {
+      Reject("upstreams_paused", RetryDelayFor(policy::RejectionCause::Paused, pause));
+      return;
+    }
     Reject(hasUpstream ? "overloaded" : "no_upstream",
            RetryDelayFor(hasUpstream ? policy::RejectionCause::NoCapacity
                                      : policy::RejectionCause::NoUpstream,
@@ -286,6 +291,9 @@
   if (aResult.m_response.m_status != 0) {
     m_context.m_steering.OnResponsive(aUpstream);
   }
+  if (aResult.m_requestedPause) {
+    m_context.m_steering.OnPauseRequested(aUpstream, *aResult.m_requestedPause);
+  }
   if (aResult.m_isUpstreamLeaving) {
     m_context.m_steering.OnLeaving(aUpstream);
     m_context.m_pool.Drop(aUpstream);
--- a/packages/gateway/src/Steering.cpp
+++ b/packages/gateway/src/Steering.cpp
@@ -43,6 +43,12 @@
 /// Requests kept per upstream until its crash probe ends. Few are open at one upstream at a time.
 constexpr std::size_t kMaxSuspectedRequests = 64;
 
+/// Name of one incarnation: an upstream may start again under its id.
+std::string IncarnationOf(const policy::Upstream& aUpstream)
+{
+  return std::string{ aUpstream.m_id }.append("@").append(std::to_string(aUpstream.m_startedAtMs));
+}
+
 std::uint64_t HashOf(const std::string& aText)
 {
   return XXH64(aText.data(), aText.size(), 0);
@@ -144,6 +150,7 @@
 void Steering::Tick()
 {
   m_hasChanges = m_registry.RemoveExpired(m_clock.Monotonic()) || m_hasChanges ||
+                 m_pauses.RemoveExpired(m_clock.Monotonic()) ||
                  m_regions.IsReturning(m_clock.Monotonic());
   if (m_hasChanges) {
     UpdateBalancers();
@@ -283,6 +290,31 @@
   UpdateBalancers();
 }
 
+void Steering::OnPauseRequested(const std::string& aId, milliseconds aPause)
+{
+  const auto record = m_registry.Records().find(aId);
+  if (record == m_registry.Records().end()) {
+    return;
+  }
+  m_log.Write(base::LogRecord("upstream_pause").Add("upstream", aId).Add("pause_ms", aPause));
+  m_pauses.OnRejected(IncarnationOf(record->second.m_upstream), aPause, m_clock.Monotonic());
+}
+
+milliseconds Steering::ShortestPause(const std::string& aService) const
+{
+  milliseconds shortest{ 0 };
+  for (const auto& [id, record] : m_registry.Records()) {
+    const milliseconds pause =
+      record.m_upstream.m_service == aService
+        ? m_pauses.Remaining(IncarnationOf(record.m_upstream), m_clock.Monotonic())
+        : milliseconds{ 0 };
+    if (pause.count() > 0 && (shortest.count() == 0 || pause < shortest)) {
+      shortest = pause;
+    }
+  }
+  return shortest;
+}
+
 void Steering::OnAddressReused(const std::string& aId)
 {
   m_log.Write(base::LogRecord("upstream_replaced").Add("upstream", aId));
@@ -304,7 +336,8 @@
   const auto now = m_clock.Monotonic();
   for (auto& [id, state] : aUpstreams) {
     const auto record = m_registry.Records().find(id);
-    if (now < state.m_nextProbe || record == m_registry.Records().end()) {
+    if (now < state.m_nextProbe || record == m_registry.Records().end() ||
+        m_pauses.IsPaused(IncarnationOf(record->second.m_upstream), now)) {
       continue;
     }
     state.m_interval = std::min(state.m_interval * 2, kMaxProbeInterval);
@@ -457,7 +490,8 @@
 {
   const auto record = m_registry.Records().find(aId);
   return record != m_registry.Records().end() && IsInService(record->second.m_upstream) &&
-         !m_pendingRemovals.Contains(aId);
+         !m_pendingRemovals.Contains(aId) &&
+         !m_pauses.IsPaused(IncarnationOf(record->second.m_upstream), m_clock.Monotonic());
 }
 
 void Steering::UpdateBalancers()
--- a/packages/gateway/src/Steering.h
+++ b/packages/gateway/src/Steering.h
@@ -6,6 +6,7 @@
 #include "jaylane/gateway/GatewaySettings.h"
 #include "jaylane/policy/QuarantineList.h"
 #include "jaylane/policy/RegionReachability.h"
+#include "jaylane/policy/RequestedPauses.h"
 #include "jaylane/policy/RetryBudget.h"
 #include "jaylane/policy/RoundTripTimes.h"
 #include "jaylane/policy/RouteTable.h"
@@ -67,6 +68,11 @@
   /// A response of an upstream says that it leaves. This incarnation gets no more requests,
   /// whatever its registration says.
   void OnLeaving(const std::string& aId);
+  /// An upstream rejected a request and wants none from this VM for a time.
+  void OnPauseRequested(const std::string& aId, std::chrono::milliseconds aPause);
+  /// @return shortest time until an upstream of the service that asked for a pause may get requests
+  ///         again; 0 if none has asked.
+  std::chrono::milliseconds ShortestPause(const std::string& aService) const;
   /// The address of an upstream is now used by another upstream.
   void OnAddressReused(const std::string& aId);
 
@@ -162,6 +168,7 @@
   void ForgetLeaving(base::MonotonicTime aNow);
 
   std::unordered_map<std::string, LeavingIncarnation> m_leaving;
+  policy::RequestedPauses m_pauses;
   /// Upstreams whose address is now used by another upstream.
   std::set<std::string> m_replaced;
   std::unordered_map<std::string, policy::ServiceBalancer> m_balancers;
--- a/packages/gateway/src/UpstreamAttempt.cpp
+++ b/packages/gateway/src/UpstreamAttempt.cpp
@@ -44,6 +44,20 @@
   return std::chrono::seconds{ seconds };
 }
 
+/// Parses the seconds of a Retry-After header, which may have a fraction.
+std::optional<std::chrono::milliseconds> ParseSeconds(std::string_view aValue)
+{
+  constexpr double kMaxSeconds = 1e6;
+  double seconds = 0;
+  const char* end = aValue.data() + aValue.size();
+  const auto parsed = std::from_chars(aValue.data(), end, seconds);
+  if (parsed.ec != std::errc{} || parsed.ptr != end || !(seconds >= 0)) {
+    return std::nullopt;
+  }
+  return std::chrono::ceil<std::chrono::milliseconds>(
+    std::chrono::duration<double>(std::min(seconds, kMaxSeconds)));
+}
+
 std::string_view ToStringView(boost::beast::string_view aText)
 {
   return { aText.data(), aText.size() };
@@ -268,6 +282,9 @@
   AttemptResult result;
   result.m_latency = m_dependencies.m_clock.Monotonic() - m_startedAt;
   result.m_isSigned = message.count(wire.m_signature) > 0;
+  if (message.result_int() == 503) {
+    result.m_requestedPause = ParseSeconds(ToStringView(message[http::field::retry_after]));
+  }
   result.m_isUpstreamLeaving = message.count(wire.m_leaving) > 0;
   if (const auto load = message[wire.m_load]; !load.empty()) {
     result.m_load = wire.m_parseLoad(ToStringView(load));
--- a/packages/gateway/src/UpstreamAttempt.h
+++ b/packages/gateway/src/UpstreamAttempt.h
@@ -29,6 +29,8 @@
   std::optional<policy::LoadReport> m_load;
   /// The response says that the upstream leaves.
   bool m_isUpstreamLeaving = false;
+  /// Time for which the upstream wants no requests from this VM.
+  std::optional<std::chrono::milliseconds> m_requestedPause;
   /// Time to establish the connection; empty if a pooled one was used or it failed.
   std::optional<std::chrono::nanoseconds> m_connectTime;
   std::chrono::nanoseconds m_latency{ 0 };
--- a/packages/gateway/tests/RequestPathTest.cpp
+++ b/packages/gateway/tests/RequestPathTest.cpp
@@ -476,6 +476,38 @@
   EXPECT_EQ(leaving.Seen().size(), 1U);
 }
 
+// An upstream rejects requests and asks this VM to stay away for a while. Guards against requests
+// that reach it before that time is over (BUDGET), and against callers that are told to come back
+// earlier.
+TEST_F(RequestPathTest, AnUpstreamThatAsksForAPauseGetsNoRequests)
+{
+  std::atomic<bool> isBusy{ true };
+  ScriptedUpstream upstream([&](const SeenRequest& aRequest) {
+    return isBusy ? Script{ "HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nRetry-After: 0.8\r\n"
+                            "Content-Length: 0\r\n\r\n" }
+                  : Script{ OkResponse(aRequest, "x") };
+  });
+  Start({ upstream.Address() });
+  const auto start = std::chrono::steady_clock::now();
+  std::string response;
+  for (int i = 0; i < 20; ++i) {
+    const std::string id = "r" + std::to_string(i);
+    response = Exchange(Request("/a/" + id, id, "Connection: close\r\n"));
+    EXPECT_EQ(Status(response), "HTTP/1.1 503 Service Unavailable");
+  }
+  ASSERT_LT(std::chrono::steady_clock::now() - start, 500ms);
+  EXPECT_EQ(upstream.Seen().size(), 1U);
+  const std::size_t at = response.find("Retry-After: ");
+  ASSERT_NE(at, std::string::npos) << response;
+  const double retryAfter = std::stod(response.substr(at + std::string{ "Retry-After: " }.size()));
+  EXPECT_GE(retryAfter, 0.3);
+  EXPECT_LE(retryAfter, 1.0);
+  isBusy = false;
+  std::this_thread::sleep_until(start + 900ms);
+  OnRequestThread([this] { m_steering->Tick(); });
+  EXPECT_EQ(Status(Exchange(Request("/a/x", "s", "Connection: close\r\n"))), "HTTP/1.1 200 OK");
+}
+
 // Guards against upstreams that keep working for a caller that has disconnected.
 TEST_F(RequestPathTest, CallerDisconnectClosesTheUpstreamConnection)
 {
--- a/packages/policy/include/jaylane/policy/RetryDelay.h
+++ b/packages/policy/include/jaylane/policy/RetryDelay.h
@@ -14,6 +14,8 @@
   SpuriousRejection,
   /// No upstream is reachable and allowed for the request.
   NoUpstream,
+  /// All usable upstreams have asked for a pause; the expected wait is the time until one ends.
+  Paused,
 };
 
 /// Chooses the time after which the caller of a rejected request should retry.
--- a/packages/policy/include/jaylane/policy/ServiceBalancer.h
+++ b/packages/policy/include/jaylane/policy/ServiceBalancer.h
@@ -189,7 +189,7 @@
   /// the caller disconnected.
   void OnCancelled(const std::string& aUpstream);
 
-  /// Excludes an upstream until the next Update(), which is expected to leave it out.
+  /// Excludes an upstream until the next Update().
   void Withdraw(const std::string& aUpstream);
 
   /// Reports an attempt whose response is overdue. If the upstream has sent nothing at all since
--- a/packages/policy/src/RetryDelay.cpp
+++ b/packages/policy/src/RetryDelay.cpp
@@ -18,6 +18,8 @@
 constexpr milliseconds kMinDelay{ 100 };
 /// Delay when there is no upstream. The registration of an upstream takes about this long.
 constexpr milliseconds kNoUpstreamDelay{ 500 };
+/// After a pause, callers return within this part of it.
+constexpr std::int64_t kPausedSpread = 4;
 /// Number of different delays among which callers are spread.
 constexpr std::uint64_t kJitterSteps = 512;
 
@@ -33,6 +35,10 @@
   if (aCause == RejectionCause::SpuriousRejection) {
     return kSpuriousRejectionDelay + kSpuriousRejectionJitter * step / steps;
   }
+  if (aCause == RejectionCause::Paused) {
+    const milliseconds delay = aExpectedWait + aExpectedWait * step / (kPausedSpread * steps);
+    return std::max(kMinDelay, std::min(delay, aRemaining / kMaxWaitDivisor));
+  }
   const milliseconds wait = aCause == RejectionCause::NoUpstream ? kNoUpstreamDelay : aExpectedWait;
   const milliseconds delay = wait * (steps + step) / (2 * steps);
   return std::max(kMinDelay, std::min(delay, aRemaining / kMaxWaitDivisor));
