Reject requests while the view is known to be outdated

Callers saw: requests sent to upstreams that had left. In the record the VM knew from 8.13 s on that it lacked changes which its peers had announced, and went on sending for four seconds.

Cause: nothing made a VM act on that knowledge. Change: KindWatcher remembers when each revision that it lacks was first announced; a revision that the store itself does not confirm is forgotten. After half of the drain time without the change the VM is not ready, leaves lookups and rejects requests as not run with a short Retry-After, since other VMs have the change.

--- a/packages/gateway/src/ControlPlane.cpp
+++ b/packages/gateway/src/ControlPlane.cpp
@@ -17,6 +17,10 @@
 /// Part of the drain time by which the control thread may be late while other VMs rely on this one.
 constexpr int kMaxFollowerDelayDivisor = 10;
 
+/// Part of the drain time for which a VM may know that its view of the upstreams is behind and
+/// still send requests. The rest covers the time until the change was announced.
+constexpr int kMaxBehindDivisor = 2;
+
 const char* RoleName(policy::StoreRole aRole)
 {
   switch (aRole) {
@@ -45,7 +49,13 @@
   , m_hooks(std::move(aHooks))
   , m_loopMonitor(m_io, aClock, aLog, "control")
   , m_peerLink(m_io, m_settings, aClock, aLog, MakePeerHooks())
-  , m_storeSync(m_io, m_settings, aDialect, aLog, PeerLink::Describe(m_settings), MakeStoreHooks())
+  , m_storeSync(m_io,
+                m_settings,
+                aDialect,
+                aClock,
+                aLog,
+                PeerLink::Describe(m_settings),
+                MakeStoreHooks())
   , m_storeFollowing(policy::StoreFollowing::OptionsFor(m_settings.m_drainTime), m_settings.m_name)
   , m_readyServer(m_io, [this](std::string_view) { return OnReady(); })
   , m_lookupServer(m_io, [this](std::string_view aTarget) { return OnLookup(aTarget); })
@@ -212,12 +222,24 @@
   m_storeSync.SetRole(role, m_storeFollowing.HasDependents(zoneVms));
 }
 
+void ControlPlane::UpdateViewAge()
+{
+  const milliseconds behindFor = m_storeSync.UpstreamsBehindFor();
+  const bool isOutdated = behindFor >= m_settings.m_drainTime / kMaxBehindDivisor;
+  if (isOutdated != m_isViewOutdated) {
+    m_log.Write(
+      base::LogRecord(isOutdated ? "view_outdated" : "view_current").Add("behind_ms", behindFor));
+  }
+  m_isViewOutdated = isOutdated;
+}
+
 void ControlPlane::Tick()
 {
   ConfirmView();
   UpdateRole();
   UpdateFollowing();
-  m_peerLink.SetLoad(m_requestState.m_isReady && !m_isLeaving, m_requestState.m_requestsPerSecond);
+  UpdateViewAge();
+  m_peerLink.SetLoad(IsReady(), m_requestState.m_requestsPerSecond);
   if (++m_tickCount % kPeerUpdateTicks == 0) {
     m_storeSync.SetPeers(m_peerLink.RunningPeers());
   }
@@ -248,9 +270,14 @@
   });
 }
 
+bool ControlPlane::IsReady() const
+{
+  return m_requestState.m_isReady && !m_isViewOutdated && !m_isLeaving;
+}
+
 InfoResponse ControlPlane::OnReady() const
 {
-  const bool isReady = m_requestState.m_isReady && !m_isLeaving;
+  const bool isReady = IsReady();
   return { isReady ? 200U : 503U, "text/plain", isReady ? "ready\n" : "not ready\n" };
 }
 
--- a/packages/gateway/src/ControlPlane.h
+++ b/packages/gateway/src/ControlPlane.h
@@ -7,6 +7,7 @@
 #include "jaylane/gateway/WireFormat.h"
 #include "jaylane/policy/StoreFollowing.h"
 
+#include <atomic>
 #include <functional>
 #include <memory>
 #include <set>
@@ -73,6 +74,10 @@
   /// Announces that this VM is stopping, and leaves lookups. May be called on any thread.
   void AnnounceLeaving();
 
+  /// @return whether other VMs have announced a change of upstreams that this VM could not get for
+  ///         so long that it may not send requests on its view. May be called on any thread.
+  bool IsViewOutdated() const { return m_isViewOutdated; }
+
 private:
   KindWatcher::Hooks MakeWatcherHooks(std::function<void(std::vector<StoredObject>)> aOnList,
                                       std::function<void(std::vector<StoredObject>)> aOnChanges,
@@ -90,6 +95,9 @@
   void UpdateRole();
   /// Announces this VM as one to rely on unless it is behind with its work.
   void UpdateFollowing();
+  void UpdateViewAge();
+  /// @return whether this VM can serve requests.
+  bool IsReady() const;
   InfoResponse OnReady() const;
   InfoResponse OnLookup(std::string_view aTarget);
 
@@ -119,6 +127,7 @@
   std::optional<base::MonotonicTime> m_followerHeardAt;
   /// Whether this VM itself watches the store successfully.
   bool m_isFollowing = false;
+  std::atomic<bool> m_isViewOutdated{ false };
   std::thread m_thread;
 };
 
--- a/packages/gateway/src/Gateway.cpp
+++ b/packages/gateway/src/Gateway.cpp
@@ -127,6 +127,7 @@
                    m_dependencies.m_log,
                    MakeControlHooks())
 {
+  m_context.m_isViewOutdated = [this] { return m_controlPlane.IsViewOutdated(); };
 }
 
 base::Status Gateway::Impl::Listen()
--- a/packages/gateway/src/GatewayContext.h
+++ b/packages/gateway/src/GatewayContext.h
@@ -36,6 +36,9 @@
   LifecyclePhase m_phase = LifecyclePhase::Serving;
   /// The number of caller connections is close to its limit; responses close their connections.
   bool m_isNearConnectionLimit = false;
+  /// Returns whether this VM knows that its view of the upstreams is too old to send requests on
+  /// it.
+  std::function<bool()> m_isViewOutdated = [] { return false; };
 };
 
 } // namespace jaylane::gateway
--- a/packages/gateway/src/RequestExchange.cpp
+++ b/packages/gateway/src/RequestExchange.cpp
@@ -22,6 +22,8 @@
 constexpr milliseconds kMaxTimeout{ 60'000 };
 /// Retry delay given to callers while a VM that has just started fetches the configuration.
 constexpr milliseconds kStartupRetryDelay{ 500 };
+/// The same when another VM can serve the request at once.
+constexpr milliseconds kOtherVmRetryDelay{ 50 };
 
 std::uint64_t HashOf(std::string_view aText)
 {
@@ -55,6 +57,8 @@
     Reject("stopping", milliseconds{ 0 });
   } else if (!m_routes || !m_context.m_steering.IsReady()) {
     Reject("no_configuration", kStartupRetryDelay);
+  } else if (m_context.m_isViewOutdated()) {
+    Reject("view_outdated", kOtherVmRetryDelay);
   } else if (ResolveRoute()) {
     StartDeadlineTimer();
     TryUpstream();
--- a/packages/gateway/src/StoreSync.cpp
+++ b/packages/gateway/src/StoreSync.cpp
@@ -59,6 +59,9 @@
 constexpr milliseconds kBehindCheckInterval{ 700 };
 constexpr int kBehindCheckDrainDivisor = 8;
 constexpr std::uint32_t kChecksBeforeRestart = 3;
+/// Announced revisions that are remembered while this VM lacks them. The first ones tell for how
+/// long it has been behind.
+constexpr std::size_t kMaxAnnouncedRevisions = 256;
 constexpr std::string_view kSnapshotPathPrefix = "/snapshots/";
 constexpr std::string_view kAfterQuery = "?after=";
 
@@ -90,11 +93,13 @@
 KindWatcher::KindWatcher(boost::asio::io_context& aIo,
                          const GatewaySettings& aSettings,
                          const StoreDialect& aDialect,
+                         const base::Clock& aClock,
                          base::AsyncLog& aLog,
                          ObjectKind aKind,
                          Hooks aHooks)
   : m_io(aIo)
   , m_dialect(aDialect)
+  , m_clock(aClock)
   , m_log(aLog)
   , m_kind(aKind)
   , m_drainTime(aSettings.m_drainTime)
@@ -304,10 +309,26 @@
                   .Add("revision", aRevision));
     m_peerRevision = aRevision;
   }
+  TrimAnnounced();
+}
+
+void KindWatcher::TrimAnnounced()
+{
+  m_announced.erase(m_announced.begin(), m_announced.upper_bound(m_snapshot.Revision()));
+  m_announced.erase(m_announced.upper_bound(m_peerRevision), m_announced.end());
+}
+
+milliseconds KindWatcher::BehindFor() const
+{
+  const auto first = m_announced.upper_bound(m_snapshot.Revision());
+  return first == m_announced.end()
+           ? milliseconds{ 0 }
+           : std::chrono::duration_cast<milliseconds>(m_clock.Monotonic() - first->second);
 }
 
 void KindWatcher::ReportRevision()
 {
+  TrimAnnounced();
   const std::uint64_t newest = std::min(m_snapshot.NewestChange(), m_snapshot.Revision());
   if (newest > m_reportedRevision) {
     m_reportedRevision = newest;
@@ -320,6 +341,9 @@
   if (aRevision > m_peerRevision) {
     m_peerRevision = aRevision;
     m_newestPeer = aPeer;
+    if (IsBehind() && m_announced.size() < kMaxAnnouncedRevisions) {
+      m_announced.emplace(aRevision, m_clock.Monotonic());
+    }
   }
   if (!IsBehind()) {
     return;
@@ -516,6 +540,7 @@
 StoreSync::StoreSync(boost::asio::io_context& aIo,
                      const GatewaySettings& aSettings,
                      const StoreDialect& aDialect,
+                     const base::Clock& aClock,
                      base::AsyncLog& aLog,
                      Json::Value aMember,
                      Hooks aHooks)
@@ -527,11 +552,18 @@
   , m_configuration(m_io,
                     aSettings,
                     aDialect,
+                    aClock,
                     aLog,
                     ObjectKind::Configuration,
                     m_hooks.m_configuration)
-  , m_upstreams(m_io, aSettings, aDialect, aLog, ObjectKind::Upstreams, m_hooks.m_upstreams)
-  , m_evacuations(m_io, aSettings, aDialect, aLog, ObjectKind::Evacuations, m_hooks.m_evacuations)
+  , m_upstreams(m_io, aSettings, aDialect, aClock, aLog, ObjectKind::Upstreams, m_hooks.m_upstreams)
+  , m_evacuations(m_io,
+                  aSettings,
+                  aDialect,
+                  aClock,
+                  aLog,
+                  ObjectKind::Evacuations,
+                  m_hooks.m_evacuations)
   , m_snapshotServer(m_io, [this](std::string_view aTarget) { return OnSnapshotRequest(aTarget); })
   , m_peerListenStatus(m_snapshotServer.Listen(aSettings.m_peerAddress))
   , m_fetch(std::make_shared<HttpFetch>(m_io, aSettings.m_storeAddress))
--- a/packages/gateway/src/StoreSync.h
+++ b/packages/gateway/src/StoreSync.h
@@ -11,6 +11,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
+#include <map>
 #include <memory>
 #include <random>
 #include <string>
@@ -55,6 +56,7 @@
   KindWatcher(boost::asio::io_context& aIo,
               const GatewaySettings& aSettings,
               const StoreDialect& aDialect,
+              const base::Clock& aClock,
               base::AsyncLog& aLog,
               ObjectKind aKind,
               Hooks aHooks);
@@ -77,6 +79,10 @@
     return m_hasList && !m_hasFailed && !m_isPaused && m_role != policy::StoreRole::Relying;
   }
 
+  /// @return time for which a peer has announced a change that this VM could not get; 0 if there is
+  ///         none.
+  std::chrono::milliseconds BehindFor() const;
+
   /// @return whether this VM has every change up to a revision.
   bool HasSeen(std::uint64_t aRevision) const { return m_snapshot.Revision() >= aRevision; }
 
@@ -107,6 +113,8 @@
   /// @param aRevision revision of the response.
   void CheckPeerRevision(std::uint64_t aRevision);
   bool IsBehind() const { return m_peerRevision > m_snapshot.Revision(); }
+  /// Forgets the announced changes that this VM has by now, or that do not exist.
+  void TrimAnnounced();
   /// Checks after a while whether the watch is still behind a peer: fetches a peer's snapshot then,
   /// and reconnects to the store after several checks.
   /// @param aWatch number of the watch; a later watch ends the checks.
@@ -129,6 +137,7 @@
 
   boost::asio::io_context& m_io;
   const StoreDialect& m_dialect;
+  const base::Clock& m_clock;
   base::AsyncLog& m_log;
   ObjectKind m_kind;
   std::chrono::milliseconds m_drainTime;
@@ -147,6 +156,8 @@
   std::string m_newestPeer;
   /// m_peerRevision when the last call to the store started.
   std::uint64_t m_peerRevisionAtCall = 0;
+  /// When a peer first announced a revision, for those that this VM still lacks.
+  std::map<std::uint64_t, base::MonotonicTime> m_announced;
   /// Number of the last watch request, and whether its response is pending.
   std::uint32_t m_watchNumber = 0;
   bool m_isWatching = false;
@@ -191,6 +202,7 @@
   StoreSync(boost::asio::io_context& aIo,
             const GatewaySettings& aSettings,
             const StoreDialect& aDialect,
+            const base::Clock& aClock,
             base::AsyncLog& aLog,
             Json::Value aMember,
             Hooks aHooks);
@@ -212,6 +224,10 @@
   /// thread.
   bool HasSeen(const StoreRevisions& aRevisions) const;
 
+  /// @return time for which peers have announced a change of upstreams that this VM could not get.
+  ///         To be called on the loop's thread.
+  std::chrono::milliseconds UpstreamsBehindFor() const { return m_upstreams.BehindFor(); }
+
   /// Sets how this VM learns of changes. May be called on any thread.
   /// @param aHasDependents whether other VMs rely on this one for changes.
   void SetRole(policy::StoreRole aRole, bool aHasDependents);
--- a/packages/gateway/tests/RequestPathTest.cpp
+++ b/packages/gateway/tests/RequestPathTest.cpp
@@ -421,6 +421,21 @@
   return response;
 }
 
+// Guards against sending requests on a view of the upstreams that is known to be too old.
+TEST_F(RequestPathTest, RejectsWhileItsViewIsOutdated)
+{
+  ScriptedUpstream upstream(
+    [](const SeenRequest& aRequest) { return Script{ OkResponse(aRequest, "x") }; });
+  Start({ upstream.Address() });
+  OnRequestThread([this] { m_context->m_isViewOutdated = [] { return true; }; });
+  const std::string response = Exchange(Request("/a/x", "r1", "Connection: close\r\n"));
+  EXPECT_EQ(Status(response), "HTTP/1.1 503 Service Unavailable");
+  EXPECT_NE(response.find("Retry-After: "), std::string::npos);
+  EXPECT_TRUE(upstream.Seen().empty());
+  OnRequestThread([this] { m_context->m_isViewOutdated = [] { return false; }; });
+  EXPECT_EQ(Status(Exchange(Request("/a/x", "r2", "Connection: close\r\n"))), "HTTP/1.1 200 OK");
+}
+
 // An upstream says in its responses that it leaves, while its registration in the store does not.
 // Guards against requests that reach it later (DRAIN), also after its registration was read again.
 TEST_F(RequestPathTest, AnUpstreamThatSaysItLeavesGetsNoMoreRequests)
--- a/packages/gateway/tests/StoreSyncTest.cpp
+++ b/packages/gateway/tests/StoreSyncTest.cpp
@@ -4,8 +4,10 @@
 
 #include <algorithm>
 #include <atomic>
+#include <boost/asio/post.hpp>
 #include <condition_variable>
 #include <fmt/format.h>
+#include <future>
 #include <gtest/gtest.h>
 #include <mutex>
 #include <thread>
@@ -116,8 +118,13 @@
       }
       m_changed.notify_all();
     };
-    m_sync = std::make_unique<StoreSync>(
-      m_io, m_settings, m_dialect, m_log, Json::Value(Json::objectValue), std::move(hooks));
+    m_sync = std::make_unique<StoreSync>(m_io,
+                                         m_settings,
+                                         m_dialect,
+                                         base::SystemClock::Get(),
+                                         m_log,
+                                         Json::Value(Json::objectValue),
+                                         std::move(hooks));
     m_sync->Start();
     m_thread = std::thread([this] { m_io.run(); });
   }
@@ -151,6 +158,13 @@
     return m_changed.wait_for(lock, aLimit, [this] { return m_isFollowing; });
   }
 
+  std::chrono::milliseconds UpstreamsBehindFor()
+  {
+    std::promise<std::chrono::milliseconds> result;
+    boost::asio::post(m_io, [&] { result.set_value(m_sync->UpstreamsBehindFor()); });
+    return result.get_future().get();
+  }
+
   std::size_t Changes()
   {
     const std::lock_guard lock(m_mutex);
@@ -388,6 +402,24 @@
   EXPECT_EQ(Calls(m_store, "/watch/"), 1U);
 }
 
+// Peers announce a change that this VM can get neither from them nor from the store. Guards against
+// a VM that does not know for how long its view has been outdated, or that takes the word of a peer
+// against the store's.
+TEST_F(RelyingVmTest, TellsForHowLongItHasBeenBehind)
+{
+  EXPECT_EQ(m_vm.UpstreamsBehindFor(), 0ms);
+  m_vm.Sync().OnPeerRevisions({ 0, 50, 0 }, "127.0.0.1:1");
+  std::this_thread::sleep_for(300ms);
+  m_vm.Sync().OnPeerRevisions({ 0, 60, 0 }, "127.0.0.1:1");
+  std::this_thread::sleep_for(100ms);
+  EXPECT_GE(m_vm.UpstreamsBehindFor(), 350ms);
+  m_watchPause = 0ms;
+  std::this_thread::sleep_for(2500ms);
+  m_vm.Sync().OnPeerRevisions({ 0, 70, 0 }, "127.0.0.1:1");
+  std::this_thread::sleep_for(1500ms);
+  EXPECT_EQ(m_vm.UpstreamsBehindFor(), 0ms);
+}
+
 // The VMs that this one relied on have stopped.
 TEST_F(RelyingVmTest, WatchesTheStoreWhenItIsElected)
 {
