Look for the caller's close before each attempt

Cause: a close was noticed only by the read that reports it. (1) If a request and its close lie in the kernel together, as on a busy VM, the request was parsed, dispatched and written to a kept connection before that read. (2) A connection whose pipeline is full is not read, so a close was noticed with the next response only, and the requests behind it went on. (3) A retry, a hedge and an attempt that had to connect first looked at the deadline and not at the caller. Class: a fact that is known to the kernel and looked at too late.

Change: HasPeerClosed asks the socket, also for a close behind unread bytes, before each attempt and after connecting; while a pipeline is full, each 0.2 s.

Tests: ARequestAheadOfItsCloseIsNotSent (five requests sent before, none now) and ACloseBehindAFullPipelineIsNoticed (0 of 32 cancelled within half a second before, 32 now) fail on the code before and pass now; the 90 gateway tests pass.

--- a/packages/gateway/src/CallerConnection.cpp
+++ b/packages/gateway/src/CallerConnection.cpp
@@ -4,6 +4,7 @@
 #include "SocketOptions.h"
 
 #include <algorithm>
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <charconv>
 
@@ -28,6 +29,8 @@
 constexpr const char* kBodyMemoryRetryAfter = "Retry-After: 0.5\r\n";
 /// Usual interval between checks of the connection's timeouts.
 constexpr std::chrono::milliseconds kTimerInterval{ 1000 };
+/// Interval between checks for a close while the connection is not read.
+constexpr std::chrono::milliseconds kCloseCheckInterval{ 200 };
 /// Shortest interval, when a timeout is about to expire.
 constexpr std::chrono::milliseconds kMinTimerInterval{ 10 };
 
@@ -149,12 +152,15 @@
   ParseBuffer();
   if (m_pipeline.size() < kMaxPipelinedRequests || m_isClosing) {
     Read();
+  } else {
+    StartTimer(kCloseCheckInterval);
   }
 }
 
 void CallerConnection::ParseBuffer()
 {
-  while (m_buffer.size() > 0 && !m_isClosing && m_pipeline.size() < kMaxPipelinedRequests) {
+  while (m_buffer.size() > 0 && !m_isClosing && !m_hasCallerLeft &&
+         m_pipeline.size() < kMaxPipelinedRequests) {
     if (!IsMidRequest()) {
       m_requestStarted = m_context.m_clock.Monotonic();
     }
@@ -252,12 +258,7 @@
     return;
   }
   const bool isLastRequest = !m_parser->get().keep_alive();
-  auto exchange =
-    std::make_shared<RequestExchange>(m_context, TakeRequest(), [weak = weak_from_this()] {
-      if (const auto self = weak.lock()) {
-        self->Flush();
-      }
-    });
+  auto exchange = std::make_shared<RequestExchange>(m_context, TakeRequest(), MakeExchangeHooks());
   ResetParser();
   m_isClosing = m_isClosing || isLastRequest || m_context.m_isNearConnectionLimit ||
                 m_context.m_phase != LifecyclePhase::Serving;
@@ -265,6 +266,30 @@
   exchange->Start();
 }
 
+RequestExchange::Hooks CallerConnection::MakeExchangeHooks()
+{
+  RequestExchange::Hooks hooks;
+  hooks.m_onResponse = [weak = weak_from_this()] {
+    if (const auto self = weak.lock()) {
+      self->Flush();
+    }
+  };
+  hooks.m_hasCallerLeft = [weak = weak_from_this()] {
+    const auto self = weak.lock();
+    return !self || self->HasCallerLeft();
+  };
+  return hooks;
+}
+
+bool CallerConnection::HasCallerLeft()
+{
+  if (!m_hasCallerLeft && !m_isAborted && HasPeerClosed(m_socket)) {
+    m_hasCallerLeft = true;
+    asio::post(m_context.m_io, [self = shared_from_this()] { self->Abort(); });
+  }
+  return m_hasCallerLeft || m_isAborted;
+}
+
 void CallerConnection::RejectInput(unsigned aStatus, const char* aReason)
 {
   m_context.m_log.Write(
@@ -298,7 +323,13 @@
   }
   const auto now = m_context.m_clock.Monotonic();
   std::chrono::milliseconds pause = kTimerInterval;
-  if (m_isSendShutdown) {
+  if (!m_isReading && !m_pipeline.empty()) {
+    // The pipeline is full, so that no read reports a close.
+    if (HasCallerLeft()) {
+      return;
+    }
+    pause = kCloseCheckInterval;
+  } else if (m_isSendShutdown) {
     if (now - m_lastActivity > kLingerTimeout) {
       Abort();
       return;
@@ -323,7 +354,7 @@
 
 void CallerConnection::Flush()
 {
-  if (m_isWriting || m_isAborted) {
+  if (m_isWriting || m_isAborted || m_hasCallerLeft) {
     return;
   }
   std::string text;
--- a/packages/gateway/src/CallerConnection.h
+++ b/packages/gateway/src/CallerConnection.h
@@ -54,6 +54,9 @@
   void OnRead(const boost::system::error_code& aError, std::size_t aBytes);
   void ParseBuffer();
   void Dispatch();
+  RequestExchange::Hooks MakeExchangeHooks();
+  /// @return whether the caller has closed the connection; it is then aborted soon.
+  bool HasCallerLeft();
   std::optional<std::string> CheckRequest(const Parser::value_type& aMessage) const;
   CallerRequest TakeRequest();
   /// Reserves memory for the body received so far.
@@ -93,6 +96,8 @@
   /// No further requests are read; the connection is closed after the last response.
   bool m_isClosing = false;
   bool m_isSendShutdown = false;
+  /// The caller has closed the connection, and Abort() follows.
+  bool m_hasCallerLeft = false;
   bool m_isAborted = false;
 };
 
--- a/packages/gateway/src/RequestExchange.cpp
+++ b/packages/gateway/src/RequestExchange.cpp
@@ -37,12 +37,10 @@
 
 } // namespace
 
-RequestExchange::RequestExchange(GatewayContext& aContext,
-                                 CallerRequest aRequest,
-                                 std::function<void()> aOnResponse)
+RequestExchange::RequestExchange(GatewayContext& aContext, CallerRequest aRequest, Hooks aHooks)
   : m_context(aContext)
   , m_request(std::make_shared<CallerRequest>(std::move(aRequest)))
-  , m_onResponse(std::move(aOnResponse))
+  , m_hooks(std::move(aHooks))
   , m_routes(aContext.m_steering.Routes())
   , m_deadlineTimer(aContext.m_io)
   , m_overdueTimer(aContext.m_io)
@@ -139,8 +137,24 @@
   }
 }
 
+bool RequestExchange::CancelIfCallerLeft()
+{
+  if (!m_isDone && m_hooks.m_hasCallerLeft()) {
+    Cancel();
+  }
+  return m_isDone;
+}
+
+bool RequestExchange::MaySend(const std::string& aUpstream)
+{
+  return !m_isDone && !m_hooks.m_hasCallerLeft() && m_context.m_steering.MayReceive(aUpstream);
+}
+
 void RequestExchange::TryUpstream()
 {
+  if (CancelIfCallerLeft()) {
+    return;
+  }
   const ServiceBalancer::Choice choice = ChooseUpstream(MakeQuery());
   m_expectedLatency = choice.m_expectedLatency;
   if (choice.m_decision == ServiceBalancer::Decision::Send) {
@@ -183,15 +197,15 @@
   m_context.m_steering.Balancer(m_service->m_name)
     .OnSent(upstream, query, m_context.m_clock.Monotonic());
   auto attempt = std::make_shared<UpstreamAttempt>(
-    UpstreamAttempt::Dependencies{
-      m_context.m_io,
-      m_context.m_pool,
-      m_context.m_clock,
-      m_context.m_wire,
-      m_context.m_bodyBudget,
-      [&steering = m_context.m_steering](const std::string& aUpstream) {
-        return steering.MayReceive(aUpstream);
-      } },
+    UpstreamAttempt::Dependencies{ m_context.m_io,
+                                   m_context.m_pool,
+                                   m_context.m_clock,
+                                   m_context.m_wire,
+                                   m_context.m_bodyBudget,
+                                   [weak = weak_from_this()](const std::string& aUpstream) {
+                                     const auto self = weak.lock();
+                                     return self && self->MaySend(aUpstream);
+                                   } },
     *aChoice.m_upstream,
     m_request,
     Remaining(),
@@ -242,7 +256,7 @@
 bool RequestExchange::TryHedge()
 {
   const bool mayRunTwice = m_route->m_kind == RequestKind::Idempotent;
-  if (!mayRunTwice || m_tried.size() >= m_route->m_attempts) {
+  if (!mayRunTwice || m_tried.size() >= m_route->m_attempts || CancelIfCallerLeft()) {
     return false;
   }
   const auto now = m_context.m_clock.Monotonic();
@@ -440,7 +454,7 @@
   }
   --m_context.m_metrics.m_inFlight;
   LogOutcome(aOutcome);
-  const auto onResponse = std::move(m_onResponse);
+  const auto onResponse = std::move(m_hooks.m_onResponse);
   onResponse();
 }
 
@@ -475,7 +489,7 @@
     return;
   }
   m_isDone = true;
-  m_onResponse = nullptr;
+  m_hooks.m_onResponse = nullptr;
   m_deadlineTimer.cancel();
   CancelAttempts();
   --m_context.m_metrics.m_inFlight;
--- a/packages/gateway/src/RequestExchange.h
+++ b/packages/gateway/src/RequestExchange.h
@@ -18,10 +18,16 @@
 class RequestExchange : public std::enable_shared_from_this<RequestExchange>
 {
 public:
-  /// @param aOnResponse called once; not after Cancel().
-  RequestExchange(GatewayContext& aContext,
-                  CallerRequest aRequest,
-                  std::function<void()> aOnResponse);
+  struct Hooks
+  {
+    /// Called once with the response ready; not after Cancel().
+    std::function<void()> m_onResponse;
+    /// Returns whether the caller has closed its connection, also if this VM has not read that yet.
+    /// Asked before each attempt.
+    std::function<bool()> m_hasCallerLeft;
+  };
+
+  RequestExchange(GatewayContext& aContext, CallerRequest aRequest, Hooks aHooks);
 
   void Start();
 
@@ -37,6 +43,11 @@
   bool ResolveRoute();
   void StartDeadlineTimer();
   void TryUpstream();
+  /// Cancels the exchange if the caller has left.
+  /// @return whether it has.
+  bool CancelIfCallerLeft();
+  /// @return whether an upstream may receive the request now.
+  bool MaySend(const std::string& aUpstream);
   /// @return the balancer's choice among the upstreams that may receive requests now.
   policy::ServiceBalancer::Choice ChooseUpstream(const policy::ServiceBalancer::Query& aQuery);
   void SendTo(const policy::ServiceBalancer::Choice& aChoice);
@@ -70,7 +81,7 @@
 
   GatewayContext& m_context;
   std::shared_ptr<CallerRequest> m_request;
-  std::function<void()> m_onResponse;
+  Hooks m_hooks;
   /// Routes that were active when the request arrived; m_route and m_service point into them.
   std::shared_ptr<policy::RouteTable> m_routes;
   const policy::Route* m_route = nullptr;
--- a/packages/gateway/src/SocketOptions.cpp
+++ b/packages/gateway/src/SocketOptions.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/ip/address.hpp>
 #include <charconv>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 namespace jaylane::gateway {
@@ -53,4 +54,19 @@
   return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+bool HasPeerClosed(boost::asio::ip::tcp::socket& aSocket)
+{
+  char byte = 0;
+  const ssize_t received = ::recv(aSocket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  if (received < 0) {
+    return errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR;
+  }
+  if (received == 0) {
+    return true;
+  }
+  // The close is behind bytes that have not been read.
+  pollfd waited{ aSocket.native_handle(), POLLRDHUP, 0 };
+  return ::poll(&waited, 1, 0) > 0 && (waited.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
 } // namespace jaylane::gateway
--- a/packages/gateway/src/SocketOptions.h
+++ b/packages/gateway/src/SocketOptions.h
@@ -31,4 +31,7 @@
 ///         (which would belong to no request).
 bool IsIdleAndOpen(boost::asio::ip::tcp::socket& aSocket);
 
+/// @return whether the peer has closed the connection, also if unread bytes are ahead of the close.
+bool HasPeerClosed(boost::asio::ip::tcp::socket& aSocket);
+
 } // namespace jaylane::gateway
--- a/packages/gateway/tests/RequestPathTest.cpp
+++ b/packages/gateway/tests/RequestPathTest.cpp
@@ -539,6 +539,67 @@
   EXPECT_EQ(upstream.AbandonedCount(), 1U);
 }
 
+// The request thread is busy while callers send requests and leave. Guards against running requests
+// whose close arrived with them (GONE).
+TEST_F(RequestPathTest, ARequestAheadOfItsCloseIsNotSent)
+{
+  ScriptedUpstream upstream(
+    [](const SeenRequest& aRequest) { return Script{ OkResponse(aRequest, "x") }; });
+  Start({ upstream.Address() });
+  // Leaves a connection to the upstream open, on which a request would be sent at once.
+  ASSERT_EQ(Status(Exchange(Request("/a/x", "kept", "Connection: close\r\n"))), "HTTP/1.1 200 OK");
+  std::vector<asio::ip::tcp::socket> callers;
+  for (int i = 0; i < 6; ++i) {
+    callers.push_back(Connect());
+  }
+  asio::post(m_io, [] { std::this_thread::sleep_for(300ms); });
+  for (std::size_t i = 0; i < callers.size(); ++i) {
+    std::string requests;
+    for (std::size_t j = 0; j <= i; ++j) { // The later ones have several requests in the pipeline.
+      const std::string id = "r" + std::to_string(i) + "-" + std::to_string(j);
+      requests += Request("/a/" + id, id);
+    }
+    asio::write(callers[i], asio::buffer(requests));
+    callers[i].close();
+  }
+  std::this_thread::sleep_for(600ms);
+  EXPECT_EQ(upstream.Seen().size(), 1U);
+  OnRequestThread([this] {
+    EXPECT_EQ(m_metrics.m_callerConnections, 0U);
+    EXPECT_EQ(m_metrics.m_inFlight, 0);
+  });
+}
+
+// A connection is not read while its pipeline is full. Guards against upstreams that keep working
+// because the close is noticed only with the next response (GONE).
+TEST_F(RequestPathTest, ACloseBehindAFullPipelineIsNoticed)
+{
+  ScriptedUpstream upstream([](const SeenRequest& aRequest) {
+    return Script{ OkResponse(aRequest, "x"), false, false, 3000ms };
+  });
+  Start({ upstream.Address() });
+  policy::Upstream roomy = MakeUpstream("i-0", upstream.Address(), 5);
+  roomy.m_slots = 100;
+  OnRequestThread([&] {
+    m_steering->PutUpstream(roomy);
+    m_steering->Tick();
+  });
+  constexpr std::size_t kPipelined = 32; // The connection serves as many at once.
+  {
+    auto caller = Connect();
+    std::string requests;
+    for (std::size_t i = 0; i < kPipelined + 8; ++i) {
+      requests += Request("/a/x", "r" + std::to_string(i));
+    }
+    asio::write(caller, asio::buffer(requests));
+    std::this_thread::sleep_for(150ms);
+    ASSERT_EQ(upstream.Seen().size(), kPipelined);
+  }
+  std::this_thread::sleep_for(500ms);
+  EXPECT_EQ(upstream.AbandonedCount(), kPipelined);
+  EXPECT_EQ(upstream.Seen().size(), kPipelined);
+}
+
 TEST_F(RequestPathTest, AnswersAtTheRoutesTimeout)
 {
   ScriptedUpstream upstream([](const SeenRequest& aRequest) {
