Divide the limit that an upstream names among the VMs

Cause: the gateway did not read the header. Class: a bound of one upstream over all VMs that no VM had a part of.

With OnLimit() not called, GetsNoMoreThanItTakes (88 requests where 64 are allowed), RejectsAtOnceWhatItDoesNotTake (100, 32) and NoticesTheEndOfALimitOfZero fail; all pass now.

--- a/packages/gateway/include/jaylane/gateway/WireFormat.h
+++ b/packages/gateway/include/jaylane/gateway/WireFormat.h
@@ -26,9 +26,13 @@
   std::string m_load;
   /// Header that an upstream which leaves adds to all its responses.
   std::string m_leaving;
+  /// Header with the requests per second that an upstream takes from all VMs together.
+  std::string m_limit;
 
   /// Parses the value of the load header.
   std::optional<policy::LoadReport> (*m_parseLoad)(std::string_view aValue) = nullptr;
+  /// Parses the value of the limit header.
+  std::optional<double> (*m_parseLimit)(std::string_view aValue) = nullptr;
   /// Formats the response to a lookup.
   std::string (*m_formatLookup)(const std::vector<std::string>& aAddresses,
                                 std::chrono::milliseconds aLifetime) = nullptr;
--- a/packages/gateway/src/ControlPlane.cpp
+++ b/packages/gateway/src/ControlPlane.cpp
@@ -10,8 +10,8 @@
 
 /// Interval at which the role and the age of the view are checked.
 constexpr milliseconds kTickInterval{ 200 };
-/// Ticks between updates of the peers to fetch changes from.
-constexpr std::uint32_t kPeerUpdateTicks = 5;
+/// Ticks between updates of the peers to fetch changes from, and of the demand.
+constexpr std::uint32_t kMaintenanceTicks = 5;
 /// Announcements of the same recovery of the store differ by less than this.
 constexpr milliseconds kRecoveryResolution{ 1000 };
 /// Part of the drain time by which the control thread may be late while other VMs rely on this one.
@@ -168,6 +168,16 @@
   };
   hooks.m_onFollower = [this](const StoreRevisions& aRevisions) { OnFollower(aRevisions); };
   hooks.m_onStoreRecovered = [this](milliseconds aAgo) { OnStoreRecovered(aAgo); };
+  hooks.m_limits = [this] { return m_requestState.m_limits; };
+  hooks.m_onLimits = [this](const std::vector<policy::LimitObservation>& aLimits) {
+    m_hooks.m_onLimits(aLimits);
+  };
+  hooks.m_zoneDemand = [this] { return m_demandShare.NextToTell(m_clock.Monotonic()); };
+  hooks.m_onZoneDemand = [this](const policy::ZoneDemand& aDemand) {
+    if (aDemand.m_zone != m_settings.m_zone) {
+      m_demandShare.OnZoneDemand(aDemand);
+    }
+  };
   return hooks;
 }
 
@@ -233,6 +243,14 @@
   m_isViewOutdated = isOutdated;
 }
 
+void ControlPlane::UpdateDemand()
+{
+  const base::MonotonicTime now = m_clock.Monotonic();
+  m_demandShare.OnOwnRate(m_requestState.m_requestsPerSecond);
+  m_demandShare.OnZoneDemand({ m_settings.m_zone, m_peerLink.ZoneRequestsPerSecond(), now });
+  m_share = m_demandShare.Share(m_peerLink.KnownZoneVms(), now);
+}
+
 void ControlPlane::Tick()
 {
   ConfirmView();
@@ -240,8 +258,9 @@
   UpdateFollowing();
   UpdateViewAge();
   m_peerLink.SetLoad(IsReady(), m_requestState.m_requestsPerSecond);
-  if (++m_tickCount % kPeerUpdateTicks == 0) {
+  if (++m_tickCount % kMaintenanceTicks == 0) {
     m_storeSync.SetPeers(m_peerLink.RunningPeers());
+    UpdateDemand();
   }
   m_tickTimer.expires_after(kTickInterval);
   m_tickTimer.async_wait([this](const boost::system::error_code& aError) {
--- a/packages/gateway/src/ControlPlane.h
+++ b/packages/gateway/src/ControlPlane.h
@@ -36,6 +36,8 @@
     /// Receives the names of all VMs known since the start, this one included.
     std::function<void(std::set<std::string>)> m_onMembers;
     std::function<void(std::vector<policy::Strike>)> m_onStrikes;
+    /// Receives limits of upstreams that other VMs have seen.
+    std::function<void(std::vector<policy::LimitObservation>)> m_onLimits;
     /// Some VM reached the store again after a failure.
     std::function<void(base::MonotonicTime aRecoveredAt)> m_onStoreRecovered;
     std::function<void(bool aSucceeded)> m_onStoreCall;
@@ -47,6 +49,7 @@
     bool m_isReady = false;
     double m_requestsPerSecond = 0;
     std::vector<policy::Strike> m_strikes;
+    std::vector<policy::LimitObservation> m_limits;
   };
 
   ControlPlane(const GatewaySettings& aSettings,
@@ -78,6 +81,10 @@
   ///         so long that it may not send requests on its view. May be called on any thread.
   bool IsViewOutdated() const { return m_isViewOutdated; }
 
+  /// @return part of all requests that arrives at this VM; 0 until it is known. May be called on
+  ///   any thread.
+  double DemandShare() const { return m_share; }
+
 private:
   KindWatcher::Hooks MakeWatcherHooks(std::function<void(std::vector<StoredObject>)> aOnList,
                                       std::function<void(std::vector<StoredObject>)> aOnChanges,
@@ -96,6 +103,7 @@
   /// Announces this VM as one to rely on unless it is behind with its work.
   void UpdateFollowing();
   void UpdateViewAge();
+  void UpdateDemand();
   /// @return whether this VM can serve requests.
   bool IsReady() const;
   InfoResponse OnReady() const;
@@ -128,6 +136,8 @@
   /// Whether this VM itself watches the store successfully.
   bool m_isFollowing = false;
   std::atomic<bool> m_isViewOutdated{ false };
+  policy::DemandShare m_demandShare;
+  std::atomic<double> m_share{ 0 };
   std::thread m_thread;
 };
 
--- a/packages/gateway/src/Gateway.cpp
+++ b/packages/gateway/src/Gateway.cpp
@@ -192,6 +192,9 @@
       m_steering.Quarantine().Merge(strikes, m_dependencies.m_clock.Monotonic());
     });
   };
+  hooks.m_onLimits = [this](std::vector<policy::LimitObservation> aLimits) {
+    asio::post(m_io, [this, limits = std::move(aLimits)] { m_steering.OnPeerLimits(limits); });
+  };
   hooks.m_onStoreRecovered = [this](base::MonotonicTime aRecoveredAt) {
     asio::post(m_io, [this, aRecoveredAt] { m_steering.OnStoreRecovered(aRecoveredAt); });
   };
@@ -217,7 +220,8 @@
   m_controlPlane.SetRequestState(
     { m_context.m_phase == LifecyclePhase::Serving && m_steering.IsReady(),
       m_requestsPerSecond,
-      m_steering.Quarantine().Strikes(m_dependencies.m_clock.Monotonic()) });
+      m_steering.Quarantine().Strikes(m_dependencies.m_clock.Monotonic()),
+      m_steering.RecentLimits() });
 }
 
 void Gateway::Impl::OnConfigurations(const std::vector<StoredObject>& aObjects)
@@ -318,6 +322,7 @@
 
 void Gateway::Impl::Tick()
 {
+  m_steering.SetDemandShare(m_controlPlane.DemandShare());
   m_steering.Tick();
   for (const Steering::ProbeTarget& target : m_steering.TakeDueProbes()) {
     Probe(target);
--- a/packages/gateway/src/PeerLink.cpp
+++ b/packages/gateway/src/PeerLink.cpp
@@ -40,6 +40,10 @@
 constexpr double kMillicores = 1000;
 /// Bound on numbers in announcements of peers.
 constexpr double kMaxAnnouncedNumber = 1e9;
+/// Announced instead of a limit for an upstream that no longer has one.
+constexpr double kNoLimit = -1;
+/// Limits of upstreams in one announcement.
+constexpr std::size_t kMaxLimitsPerMessage = 4;
 /// Strikes in one announcement; more would not fit into a datagram.
 constexpr std::size_t kMaxStrikesPerMessage = 24;
 
@@ -70,6 +74,13 @@
   return json;
 }
 
+/// @return age in milliseconds.
+Json::Value AgeOf(base::MonotonicTime aTime, base::MonotonicTime aNow)
+{
+  return Json::UInt(
+    std::max<std::int64_t>(0, std::chrono::duration_cast<milliseconds>(aNow - aTime).count()));
+}
+
 std::vector<policy::Strike> StrikesFrom(const Json::Value& aJson)
 {
   std::vector<policy::Strike> strikes;
@@ -269,6 +280,7 @@
   const Json::Value& params = (*message)["params"];
   UpdatePeer(params, m_sender, true);
   m_hooks.m_onStrikes(StrikesFrom(params["strikes"]));
+  ReadLimits(params);
   // The recovery goes first: it tells how to apply the removals that the revisions lead to.
   if (params["recovered_ms"].isUInt()) {
     m_hooks.m_onStoreRecovered(milliseconds{ params["recovered_ms"].asUInt() });
@@ -284,7 +296,7 @@
   }
 }
 
-std::string PeerLink::BuildAnnouncement() const
+std::string PeerLink::BuildAnnouncement()
 {
   Json::Value message(Json::objectValue);
   message["jsonrpc"] = "2.0";
@@ -316,10 +328,62 @@
       params["strikes"].append(ToJson(strike));
     }
   }
+  AddLimits(params);
   message["params"] = params;
   return base::WriteJson(message);
 }
 
+void PeerLink::AddLimits(Json::Value& aParams)
+{
+  const base::MonotonicTime now = m_clock.Monotonic();
+  const std::vector<policy::LimitObservation> limits = m_hooks.m_limits();
+  if (limits.empty()) {
+    return;
+  }
+  const std::size_t count = std::min(limits.size(), kMaxLimitsPerMessage);
+  for (std::size_t i = 0; i < count; ++i) {
+    const policy::LimitObservation& limit = limits[m_nextLimit++ % limits.size()];
+    Json::Value entry(Json::arrayValue);
+    entry.append(limit.m_upstream);
+    entry.append(limit.m_perSecond.value_or(kNoLimit));
+    entry.append(AgeOf(limit.m_seenAt, now));
+    aParams["limits"].append(std::move(entry));
+  }
+  if (const auto demand = m_hooks.m_zoneDemand()) {
+    Json::Value& entry = aParams["zone_demand"];
+    entry.append(demand->m_zone);
+    entry.append(Json::UInt(std::lround(demand->m_requestsPerSecond)));
+    entry.append(AgeOf(demand->m_seenAt, now));
+  }
+}
+
+void PeerLink::ReadLimits(const Json::Value& aParams)
+{
+  const base::MonotonicTime now = m_clock.Monotonic();
+  const auto isEntry = [](const Json::Value& aEntry) {
+    return aEntry.isArray() && aEntry.size() == 3 && aEntry[0].isString() &&
+           aEntry[1].isNumeric() && aEntry[2].isUInt();
+  };
+  if (const Json::Value& entry = aParams["zone_demand"]; isEntry(entry)) {
+    m_hooks.m_onZoneDemand({ entry[0].asString(),
+                             std::clamp(entry[1].asDouble(), 0.0, kMaxAnnouncedNumber),
+                             now - milliseconds{ entry[2].asUInt() } });
+  }
+  if (!aParams["limits"].isArray()) {
+    return;
+  }
+  std::vector<policy::LimitObservation> limits;
+  for (const Json::Value& entry : aParams["limits"]) {
+    if (isEntry(entry)) {
+      const double perSecond = entry[1].asDouble();
+      limits.push_back({ entry[0].asString(),
+                         perSecond < 0 ? std::nullopt : std::optional<double>{ perSecond },
+                         now - milliseconds{ entry[2].asUInt() } });
+    }
+  }
+  m_hooks.m_onLimits(limits);
+}
+
 void PeerLink::SendTo(const std::string& aMessage, const udp::endpoint& aEndpoint)
 {
   boost::system::error_code ignored; // Datagrams may be lost anyway; the next one replaces it.
@@ -517,6 +581,24 @@
   return own;
 }
 
+double PeerLink::ZoneRequestsPerSecond() const
+{
+  double rate = m_requestsPerSecond;
+  for (const Peer* peer : ZonePeers()) {
+    rate += IsRunning(*peer) ? peer->m_requestsPerSecond : 0;
+  }
+  return rate;
+}
+
+std::map<std::string, std::size_t> PeerLink::KnownZoneVms() const
+{
+  std::map<std::string, std::size_t> vms{ { m_settings.m_zone, 1 } };
+  for (const auto& [name, peer] : m_peers) {
+    ++vms[peer.m_zone];
+  }
+  return vms;
+}
+
 std::set<std::string> PeerLink::KnownVmNames() const
 {
   std::set<std::string> names{ m_settings.m_name };
--- a/packages/gateway/src/PeerLink.h
+++ b/packages/gateway/src/PeerLink.h
@@ -4,8 +4,10 @@
 #include "jaylane/base/AsyncLog.h"
 #include "jaylane/base/Clock.h"
 #include "jaylane/gateway/GatewaySettings.h"
+#include "jaylane/policy/DemandShare.h"
 #include "jaylane/policy/EntrySelection.h"
 #include "jaylane/policy/QuarantineList.h"
+#include "jaylane/policy/UpstreamLimits.h"
 
 #include <array>
 #include <boost/asio/io_context.hpp>
@@ -49,6 +51,14 @@
     /// A VM announced that it reached the store again after a failure.
     /// @param aAgo time since then.
     std::function<void(std::chrono::milliseconds aAgo)> m_onStoreRecovered;
+    /// Returns limits of upstreams to announce, in turn.
+    std::function<std::vector<policy::LimitObservation>()> m_limits;
+    /// Receives the limits that a peer announced.
+    std::function<void(const std::vector<policy::LimitObservation>&)> m_onLimits;
+    /// Returns the demand of a zone to announce; asked while there are limits.
+    std::function<std::optional<policy::ZoneDemand>()> m_zoneDemand;
+    /// Receives the demand of a zone that a peer announced.
+    std::function<void(const policy::ZoneDemand&)> m_onZoneDemand;
   };
 
   struct Peer
@@ -116,6 +126,12 @@
   /// others.
   std::vector<std::string> RunningPeers();
 
+  /// @return requests per second of all running VMs in this VM's zone.
+  double ZoneRequestsPerSecond() const;
+
+  /// @return number of known VMs of each zone, running or not, this one included.
+  std::map<std::string, std::size_t> KnownZoneVms() const;
+
   /// @return names of this VM and of all VMs known since the start, running or not.
   std::set<std::string> KnownVmNames() const;
 
@@ -131,7 +147,10 @@
                   bool aIsAnnouncement);
   void ScheduleAnnouncements();
   void SendAnnouncements();
-  std::string BuildAnnouncement() const;
+  std::string BuildAnnouncement();
+  /// Adds the limits whose turn it is, and the demand by which they are divided.
+  void AddLimits(Json::Value& aParams);
+  void ReadLimits(const Json::Value& aParams);
   void SendTo(const std::string& aMessage, const boost::asio::ip::udp::endpoint& aEndpoint);
   bool IsRunning(const Peer& aPeer) const;
   /// A VM that lookups may return.
@@ -171,6 +190,8 @@
   /// Position of the next recipient among ZonePeers(). Starts anywhere, so that a VM does not hear
   /// all VMs of the zone at once and then none for a whole turn.
   std::size_t m_nextZonePeer;
+  /// Counts the limits that were announced.
+  std::size_t m_nextLimit = 0;
   std::size_t m_zonePeerCount = 0;
   bool m_isFollowing = false;
   std::optional<base::MonotonicTime> m_storeRecoveredAt;
--- a/packages/gateway/src/RequestExchange.cpp
+++ b/packages/gateway/src/RequestExchange.cpp
@@ -309,6 +309,11 @@
   if (aResult.m_response.m_status != 0) {
     m_context.m_steering.OnResponsive(aUpstream);
   }
+  // A 421 response is another upstream's.
+  if (aResult.m_response.m_status != 0 && aResult.m_response.m_status != 421 &&
+      aResult.m_isLimitReadable) {
+    m_context.m_steering.OnLimit(aUpstream, aResult.m_limit);
+  }
   if (aResult.m_requestedPause) {
     m_context.m_steering.OnPauseRequested(aUpstream, *aResult.m_requestedPause);
   }
--- a/packages/gateway/src/Steering.cpp
+++ b/packages/gateway/src/Steering.cpp
@@ -3,6 +3,7 @@
 #include "jaylane/policy/ColdStartPacing.h"
 
 #include <algorithm>
+#include <fmt/format.h>
 #include <random>
 #include <xxhash.h>
 
@@ -36,6 +37,8 @@
   return options;
 }
 
+/// Requests per second that all VMs together send whatever the limit is, to notice when it ends.
+constexpr double kMinLimit = 0.1;
 /// Time for which an upstream that said that it leaves is remembered after its registration has
 /// ended. A late copy of the registration may bring it back.
 constexpr std::chrono::minutes kLeavingMemory{ 10 };
@@ -300,6 +303,75 @@
   m_pauses.OnRejected(IncarnationOf(record->second.m_upstream), aPause, m_clock.Monotonic());
 }
 
+void Steering::OnLimit(const std::string& aId, std::optional<double> aPerSecond)
+{
+  Observe({ aId, aPerSecond, m_clock.Monotonic() });
+}
+
+void Steering::OnPeerLimits(const std::vector<policy::LimitObservation>& aObservations)
+{
+  for (const policy::LimitObservation& observation : aObservations) {
+    if (m_registry.Records().contains(observation.m_upstream)) {
+      Observe(observation);
+    }
+  }
+}
+
+void Steering::Observe(const policy::LimitObservation& aObservation)
+{
+  if (!m_limits.Observe(aObservation)) {
+    return;
+  }
+  base::LogRecord record("upstream_limit");
+  record.Add("upstream", aObservation.m_upstream);
+  if (aObservation.m_perSecond) {
+    record.Add("per_second", fmt::format("{:.3f}", *aObservation.m_perSecond));
+  } else {
+    record.Add("state", "ended");
+  }
+  m_log.Write(record);
+  ApplyLimit(aObservation.m_upstream);
+}
+
+std::vector<policy::LimitObservation> Steering::RecentLimits()
+{
+  m_limits.RemoveExpired(m_clock.Monotonic());
+  return m_limits.Recent(m_clock.Monotonic());
+}
+
+void Steering::SetDemandShare(double aShare)
+{
+  if (aShare > 0 && m_demandShare != aShare) {
+    m_demandShare = aShare;
+    ApplyLimits();
+  }
+}
+
+void Steering::ApplyLimit(const std::string& aId)
+{
+  const auto record = m_registry.Records().find(aId);
+  if (record == m_registry.Records().end()) {
+    return;
+  }
+  std::optional<double> rate = m_limits.LimitOf(aId);
+  if (rate) {
+    const auto vms = static_cast<double>(std::max<std::size_t>(m_members.size(), 1));
+    rate = std::max(*rate, kMinLimit) * m_demandShare.value_or(1 / vms);
+  }
+  Balancer(record->second.m_upstream.m_service).SetRate(aId, rate, m_clock.Monotonic());
+}
+
+void Steering::ApplyLimits()
+{
+  for (const std::string& id : m_limits.Limited()) {
+    if (m_registry.Records().contains(id)) {
+      ApplyLimit(id);
+    } else {
+      m_limits.Remove(id);
+    }
+  }
+}
+
 milliseconds Steering::ShortestPause(const std::string& aService) const
 {
   milliseconds shortest{ 0 };
@@ -359,7 +431,9 @@
 
 policy::ServiceBalancer& Steering::Balancer(const std::string& aService)
 {
-  return m_balancers.try_emplace(aService, policy::BalancerOptions{}, m_settings.m_region)
+  return m_balancers
+    .try_emplace(
+      aService, policy::BalancerOptions{}, m_settings.m_region, HashOf(m_settings.m_name))
     .first->second;
 }
 
@@ -521,6 +595,7 @@
   for (auto& [service, list] : candidates) {
     Balancer(service).Update(std::move(list), now);
   }
+  ApplyLimits();
   const auto isGone = [this](const auto& aEntry) {
     return !m_registry.Records().contains(aEntry.first);
   };
--- a/packages/gateway/src/Steering.h
+++ b/packages/gateway/src/Steering.h
@@ -11,6 +11,7 @@
 #include "jaylane/policy/RoundTripTimes.h"
 #include "jaylane/policy/RouteTable.h"
 #include "jaylane/policy/ServiceBalancer.h"
+#include "jaylane/policy/UpstreamLimits.h"
 #include "jaylane/policy/UpstreamRegistry.h"
 
 #include <memory>
@@ -68,6 +69,16 @@
   /// A response of an upstream says that it leaves. This incarnation gets no more requests,
   /// whatever its registration says.
   void OnLeaving(const std::string& aId);
+  /// A response of an upstream names a limit on its requests, or none.
+  /// @param aPerSecond requests per second that it takes from all VMs together; empty: no limit.
+  void OnLimit(const std::string& aId, std::optional<double> aPerSecond);
+  /// Another VM has seen responses that name limits, or none any more.
+  void OnPeerLimits(const std::vector<policy::LimitObservation>& aObservations);
+  /// @return limits seen recently, which other VMs may not know.
+  std::vector<policy::LimitObservation> RecentLimits();
+  /// @param aShare part of all requests that arrives at this VM; its part of each limit. 0 if it is
+  ///   not known.
+  void SetDemandShare(double aShare);
   /// An upstream rejected a request and wants none from this VM for a time.
   void OnPauseRequested(const std::string& aId, std::chrono::milliseconds aPause);
   /// @return shortest time until an upstream of the service that asked for a pause may get requests
@@ -115,6 +126,12 @@
   void UpdateBalancers();
   /// @return whether the upstream may get new requests at all, apart from its connections.
   bool IsInService(const policy::Upstream& aUpstream) const;
+  bool IsLeaving(const policy::Upstream& aUpstream) const;
+  void ForgetLeaving(base::MonotonicTime aNow);
+  void Observe(const policy::LimitObservation& aObservation);
+  /// Sets this VM's part of an upstream's limit.
+  void ApplyLimit(const std::string& aId);
+  void ApplyLimits();
   /// @return region of a registered upstream; empty if it is not registered.
   std::string RegionOf(const std::string& aId) const;
   void OnRegionFailure(const std::string& aId);
@@ -164,11 +181,11 @@
     /// Last time at which it was registered.
     base::MonotonicTime m_lastRegistered;
   };
-  bool IsLeaving(const policy::Upstream& aUpstream) const;
-  void ForgetLeaving(base::MonotonicTime aNow);
 
   std::unordered_map<std::string, LeavingIncarnation> m_leaving;
   policy::RequestedPauses m_pauses;
+  policy::UpstreamLimits m_limits;
+  std::optional<double> m_demandShare;
   /// Upstreams whose address is now used by another upstream.
   std::set<std::string> m_replaced;
   std::unordered_map<std::string, policy::ServiceBalancer> m_balancers;
--- a/packages/gateway/src/UpstreamAttempt.cpp
+++ b/packages/gateway/src/UpstreamAttempt.cpp
@@ -285,6 +285,10 @@
   if (message.result_int() == 503) {
     result.m_requestedPause = ParseSeconds(ToStringView(message[http::field::retry_after]));
   }
+  if (message.count(wire.m_limit) > 0) {
+    result.m_limit = wire.m_parseLimit(ToStringView(message[wire.m_limit]));
+    result.m_isLimitReadable = result.m_limit.has_value();
+  }
   result.m_isUpstreamLeaving = message.count(wire.m_leaving) > 0;
   if (const auto load = message[wire.m_load]; !load.empty()) {
     result.m_load = wire.m_parseLoad(ToStringView(load));
--- a/packages/gateway/src/UpstreamAttempt.h
+++ b/packages/gateway/src/UpstreamAttempt.h
@@ -27,6 +27,10 @@
   CallerResponse m_response;
   bool m_isSigned = false;
   std::optional<policy::LoadReport> m_load;
+  /// Requests per second that the upstream takes from all VMs together; empty: no limit.
+  std::optional<double> m_limit;
+  /// Whether m_limit says what the upstream has stated.
+  bool m_isLimitReadable = true;
   /// The response says that the upstream leaves.
   bool m_isUpstreamLeaving = false;
   /// Time for which the upstream wants no requests from this VM.
--- a/packages/gateway/tests/PeerLinkTest.cpp
+++ b/packages/gateway/tests/PeerLinkTest.cpp
@@ -32,6 +32,10 @@
     std::string m_revisionPeer;
     int m_followersHeard = 0;
     std::optional<std::chrono::milliseconds> m_recoveredAgo;
+    std::vector<policy::LimitObservation> m_limits;
+    std::vector<policy::LimitObservation> m_receivedLimits;
+    std::optional<policy::ZoneDemand> m_zoneDemand;
+    std::optional<policy::ZoneDemand> m_receivedDemand;
     std::unique_ptr<PeerLink> m_link;
   };
 
@@ -54,17 +58,24 @@
       vm->m_settings,
       base::SystemClock::Get(),
       m_log,
-      PeerLink::Hooks{ [raw] { return raw->m_strikes; },
-                       [raw](const std::vector<policy::Strike>& aStrikes) {
-                         std::ranges::copy(aStrikes, std::back_inserter(raw->m_received));
-                       },
-                       [] {},
-                       [raw](const StoreRevisions& aRevisions, const std::string& aPeer) {
-                         raw->m_seen = aRevisions;
-                         raw->m_revisionPeer = aPeer;
-                       },
-                       [raw](const StoreRevisions&) { ++raw->m_followersHeard; },
-                       [raw](std::chrono::milliseconds aAgo) { raw->m_recoveredAgo = aAgo; } });
+      PeerLink::Hooks{
+        [raw] { return raw->m_strikes; },
+        [raw](const std::vector<policy::Strike>& aStrikes) {
+          std::ranges::copy(aStrikes, std::back_inserter(raw->m_received));
+        },
+        [] {},
+        [raw](const StoreRevisions& aRevisions, const std::string& aPeer) {
+          raw->m_seen = aRevisions;
+          raw->m_revisionPeer = aPeer;
+        },
+        [raw](const StoreRevisions&) { ++raw->m_followersHeard; },
+        [raw](std::chrono::milliseconds aAgo) { raw->m_recoveredAgo = aAgo; },
+        [raw] { return raw->m_limits; },
+        [raw](const std::vector<policy::LimitObservation>& aLimits) {
+          raw->m_receivedLimits = aLimits;
+        },
+        [raw] { return raw->m_zoneDemand; },
+        [raw](const policy::ZoneDemand& aDemand) { raw->m_receivedDemand = aDemand; } });
     EXPECT_TRUE(vm->m_link->Start());
     m_vms.push_back(std::move(vm));
     return *raw;
@@ -96,6 +107,50 @@
   EXPECT_EQ(first.m_link->KnownVmNames().size(), 3U);
 }
 
+// Guards against VMs that exceed a limit of an upstream which they have not met themselves.
+TEST_F(PeerLinkTest, AnnouncesLimitsAndTheDemandOfZones)
+{
+  Vm& first = Add(1, "a", "r", Ip(2) + ":99");
+  Vm& second = Add(2, "b", "r", Ip(1) + ":99");
+  first.m_zoneDemand = policy::ZoneDemand{ "a", 120, base::SystemClock::Get().Monotonic() };
+  RunFor(900ms);
+  EXPECT_FALSE(second.m_receivedDemand) << "it costs bytes and nobody needs it";
+  const auto seenAt = base::SystemClock::Get().Monotonic() - 500ms;
+  first.m_limits = { { "u", 5.8, seenAt }, { "v", std::nullopt, seenAt } };
+  RunFor(900ms);
+  ASSERT_EQ(second.m_receivedLimits.size(), 2U);
+  EXPECT_EQ(second.m_receivedLimits[0].m_upstream, "u");
+  EXPECT_DOUBLE_EQ(second.m_receivedLimits[0].m_perSecond.value_or(0), 5.8);
+  EXPECT_FALSE(second.m_receivedLimits[1].m_perSecond);
+  EXPECT_LE(second.m_receivedLimits[0].m_seenAt - seenAt, 100ms);
+  EXPECT_GE(second.m_receivedLimits[0].m_seenAt - seenAt, -100ms);
+  ASSERT_TRUE(second.m_receivedDemand);
+  EXPECT_EQ(second.m_receivedDemand->m_requestsPerSecond, 120);
+  EXPECT_EQ(first.m_link->KnownZoneVms().at("b"), 1U);
+}
+
+// Guards against announcements that grow with the number of limits, and against limits that are
+// never told.
+TEST_F(PeerLinkTest, AnnouncesManyLimitsInTurn)
+{
+  Vm& first = Add(1, "a", "r", Ip(2) + ":99");
+  Vm& second = Add(2, "a", "r", Ip(1) + ":99");
+  constexpr std::size_t kLimits = 10;
+  for (std::size_t i = 0; i < kLimits; ++i) {
+    first.m_limits.push_back(
+      { "u" + std::to_string(i), 1.0, base::SystemClock::Get().Monotonic() });
+  }
+  std::set<std::string> heard;
+  for (int i = 0; i < 60 && heard.size() < kLimits; ++i) {
+    RunFor(50ms);
+    EXPECT_LE(second.m_receivedLimits.size(), 4U);
+    for (const policy::LimitObservation& limit : second.m_receivedLimits) {
+      heard.insert(limit.m_upstream);
+    }
+  }
+  EXPECT_EQ(heard.size(), kLimits);
+}
+
 TEST_F(PeerLinkTest, LeavingAndSilentVmsAreLeftOut)
 {
   Vm& first = Add(1, "a", "r", Ip(1) + ":99");
--- a/packages/gateway/tests/RequestPathTest.cpp
+++ b/packages/gateway/tests/RequestPathTest.cpp
@@ -523,6 +523,109 @@
   EXPECT_EQ(Status(Exchange(Request("/a/x", "s", "Connection: close\r\n"))), "HTTP/1.1 200 OK");
 }
 
+/// Callers of an upstream that names a limit.
+class LimitedUpstreamPathTest : public RequestPathTest
+{
+protected:
+  static constexpr double kLimit = 4.5;
+
+  Script Respond(const SeenRequest& aRequest) const
+  {
+    return Script{ m_isLimited ? ResponseWith(aRequest, fmt::format("Server-Limit: {}\r\n", kLimit))
+                               : OkResponse(aRequest, "x") };
+  }
+
+  /// Sends requests ten milliseconds after each other.
+  /// @return the last response that is not 200; empty if there is none.
+  std::string Send(int aCount, const std::string& aPrefix)
+  {
+    std::string rejection;
+    for (int i = 0; i < aCount; ++i) {
+      const std::string id = aPrefix + std::to_string(i);
+      const std::string response = Exchange(Request("/a/" + id, id, "Connection: close\r\n"));
+      if (Status(response) != "HTTP/1.1 200 OK") {
+        rejection = response;
+      }
+      std::this_thread::sleep_for(10ms);
+    }
+    return rejection;
+  }
+
+  /// @return most requests in four seconds that the users allow: one and a half times the limit,
+  /// and
+  ///   five more.
+  static double Allowed(double aLimit = kLimit) { return 1.5 * aLimit * 4 + 5; }
+
+  std::atomic<bool> m_isLimited{ true };
+};
+
+// An upstream names the requests per second that it takes. Guards against sending it more (LIMIT),
+// and against rejecting what another upstream can serve.
+TEST_F(LimitedUpstreamPathTest, GetsNoMoreThanItTakes)
+{
+  ScriptedUpstream limited([this](const SeenRequest& aRequest) { return Respond(aRequest); });
+  // The balancer prefers the limited upstream, which is faster.
+  ScriptedUpstream other([](const SeenRequest& aRequest) {
+    return Script{ OkResponse(aRequest, "x"), false, false, 15ms };
+  });
+  Start({ limited.Address(), other.Address() });
+  const auto start = std::chrono::steady_clock::now();
+  EXPECT_EQ(Send(150, "r"), "");
+  ASSERT_LT(std::chrono::steady_clock::now() - start, 8s);
+  EXPECT_LE(limited.Seen().size(), Allowed() * 2);
+  m_isLimited = false;
+  Send(60, "s");
+  const std::size_t before = limited.Seen().size();
+  Send(60, "t");
+  EXPECT_GE(limited.Seen().size() - before, 15U) << "its keys return";
+}
+
+// Guards against requests that wait, or go on, when only limited upstreams are left.
+TEST_F(LimitedUpstreamPathTest, RejectsAtOnceWhatItDoesNotTake)
+{
+  ScriptedUpstream limited([this](const SeenRequest& aRequest) { return Respond(aRequest); });
+  Start({ limited.Address() });
+  const auto start = std::chrono::steady_clock::now();
+  const std::string rejection = Send(100, "r");
+  ASSERT_LT(std::chrono::steady_clock::now() - start, 2s) << "they must not wait";
+  EXPECT_EQ(Status(rejection), "HTTP/1.1 503 Service Unavailable");
+  EXPECT_NE(rejection.find("Retry-After: 0."), std::string::npos) << rejection;
+  EXPECT_LE(limited.Seen().size(), Allowed());
+}
+
+// Guards against a VM that has just started and exceeds a limit which other VMs know, and against
+// an unreadable header that ends a limit.
+TEST_F(LimitedUpstreamPathTest, ObservesWhatOtherVmsHaveSeen)
+{
+  ScriptedUpstream limited([](const SeenRequest& aRequest) {
+    return Script{ ResponseWith(aRequest, "Server-Limit: many\r\n") };
+  });
+  Start({ limited.Address() });
+  OnRequestThread([this] {
+    m_steering->SetMembers({ "vm", "other" });
+    m_steering->OnPeerLimits({ { "i-0", kLimit, base::SystemClock::Get().Monotonic() } });
+  });
+  Send(100, "r");
+  EXPECT_GE(limited.Seen().size(), 1U);
+  EXPECT_LE(limited.Seen().size(), Allowed(kLimit / 2)) << "half is the other VM's";
+}
+
+// Guards against keeping away for good from an upstream that takes nothing for a while.
+TEST_F(LimitedUpstreamPathTest, NoticesTheEndOfALimitOfZero)
+{
+  ScriptedUpstream limited(
+    [](const SeenRequest& aRequest) { return Script{ OkResponse(aRequest, "x") }; });
+  Start({ limited.Address() });
+  OnRequestThread([this] {
+    m_steering->OnPeerLimits({ { "i-0", 0.0, base::SystemClock::Get().Monotonic() } });
+  });
+  const auto end = std::chrono::steady_clock::now() + 14s;
+  while (limited.Seen().empty() && std::chrono::steady_clock::now() < end) {
+    Send(10, "r");
+  }
+  EXPECT_EQ(Send(10, "s"), "");
+}
+
 // Guards against upstreams that keep working for a caller that has disconnected.
 TEST_F(RequestPathTest, CallerDisconnectClosesTheUpstreamConnection)
 {
--- a/packages/gateway/tests/TestWireFormat.h
+++ b/packages/gateway/tests/TestWireFormat.h
@@ -2,6 +2,8 @@
 
 #include "jaylane/gateway/WireFormat.h"
 
+#include <charconv>
+
 namespace jaylane::gateway {
 
 /// @return the header names that the tests use.
@@ -16,6 +18,12 @@
   wire.m_signature = "Response-Signature";
   wire.m_load = "Server-Load";
   wire.m_leaving = "Server-Leaving";
+  wire.m_limit = "Server-Limit";
+  wire.m_parseLimit = [](std::string_view aValue) -> std::optional<double> {
+    double value = 0;
+    const auto parsed = std::from_chars(aValue.data(), aValue.data() + aValue.size(), value);
+    return parsed.ec == std::errc{} ? std::optional{ value } : std::nullopt;
+  };
   wire.m_parseLoad = [](std::string_view) -> std::optional<policy::LoadReport> {
     return std::nullopt;
   };
--- a/packages/policy/include/jaylane/policy/ServiceBalancer.h
+++ b/packages/policy/include/jaylane/policy/ServiceBalancer.h
@@ -3,10 +3,12 @@
 #include "jaylane/base/Clock.h"
 #include "jaylane/policy/CrossRegionPlacement.h"
 #include "jaylane/policy/Fleet.h"
+#include "jaylane/policy/TicketSchedule.h"
 
 #include <cstddef>
 #include <cstdint>
 #include <limits>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -154,7 +156,8 @@
   {
     Decision m_decision = Decision::NoUpstream;
     const Upstream* m_upstream = nullptr;
-    /// Estimated time to the response; the shortest among all candidates if rejected.
+    /// Estimated time to the response; the shortest among all candidates if rejected, or the time
+    /// until the first of them may be used.
     std::chrono::milliseconds m_expectedLatency{ 0 };
     /// Position in the ranking of the key, from 0.
     std::size_t m_rank = 0;
@@ -165,7 +168,8 @@
     std::chrono::milliseconds m_overdueAfter{ 0 };
   };
 
-  ServiceBalancer(BalancerOptions aOptions, std::string aOwnRegion);
+  /// @param aTicketSeed differs between VMs, so that they do not use their tickets together.
+  ServiceBalancer(BalancerOptions aOptions, std::string aOwnRegion, std::uint64_t aTicketSeed = 0);
 
   /// Replaces the set of upstreams. The measurements of those that stay are kept.
   void Update(std::vector<Candidate> aCandidates, base::MonotonicTime aNow);
@@ -189,6 +193,12 @@
   /// the caller disconnected.
   void OnCancelled(const std::string& aUpstream);
 
+  /// Limits this VM's requests to an upstream.
+  /// @param aPerSecond requests per second; empty: no limit.
+  void SetRate(const std::string& aUpstream,
+               std::optional<double> aPerSecond,
+               base::MonotonicTime aNow);
+
   /// Excludes an upstream until the next Update().
   void Withdraw(const std::string& aUpstream);
 
@@ -226,6 +236,8 @@
     base::MonotonicTime m_lastResponseAt;
     /// Set by OnOverdue().
     bool m_isUnresponsive = false;
+    /// Set by SetRate().
+    std::optional<TicketSchedule> m_tickets;
     /// Set by Withdraw().
     bool m_isWithdrawn = false;
     base::MonotonicTime m_lastColdRequestAt;
@@ -267,6 +279,10 @@
   bool IsUsable(const State& aState, const Query& aQuery, base::MonotonicTime aNow) const;
   Tiers SortIntoTiers(const Query& aQuery, base::MonotonicTime aNow) const;
   std::vector<RankedState> Rank(const Query& aQuery, base::MonotonicTime aNow) const;
+  /// @return time until the first upstream that lacks only a ticket may be used; empty if there is
+  ///   none.
+  std::optional<std::chrono::milliseconds> TicketWait(const Query& aQuery,
+                                                      base::MonotonicTime aNow) const;
   bool IsOwnRegion(const State& aState) const;
   bool PrefersOwnRegion(const Query& aQuery) const;
   bool IsPlacedAcrossRegions(const Query& aQuery) const;
@@ -298,6 +314,7 @@
 
   BalancerOptions m_options;
   std::string m_ownRegion;
+  std::uint64_t m_ticketSeed;
   CrossRegionPlacement m_placement;
   /// Mean additional time of a request to another region; zero if no other region has upstreams.
   double m_distanceMs = 0;
--- a/packages/policy/src/ServiceBalancer.cpp
+++ b/packages/policy/src/ServiceBalancer.cpp
@@ -53,9 +53,12 @@
 
 } // namespace
 
-ServiceBalancer::ServiceBalancer(BalancerOptions aOptions, std::string aOwnRegion)
+ServiceBalancer::ServiceBalancer(BalancerOptions aOptions,
+                                 std::string aOwnRegion,
+                                 std::uint64_t aTicketSeed)
   : m_options(aOptions)
   , m_ownRegion(std::move(aOwnRegion))
+  , m_ticketSeed(aTicketSeed)
   , m_placement(m_options.m_placement)
 {
 }
@@ -188,7 +191,7 @@
   Tiers tiers;
   for (std::size_t i = 0; i < m_states.size(); ++i) {
     const State& state = m_states[i];
-    if (!IsUsable(state, aQuery, aNow)) {
+    if (!IsUsable(state, aQuery, aNow) || (state.m_tickets && !state.m_tickets->HasTicket(aNow))) {
       continue;
     }
     const double uniform = PlacementFraction(aQuery.m_key ^ state.m_hash);
@@ -323,6 +326,10 @@
     }
   }
   if (!choice.m_upstream) {
+    if (const auto wait = TicketWait(aQuery, aNow)) {
+      choice.m_decision = Decision::Overloaded;
+      choice.m_expectedLatency = *wait;
+    }
     return choice;
   }
   choice.m_expectedLatency = milliseconds{ static_cast<std::int64_t>(best.Total()) };
@@ -344,6 +351,19 @@
   return choice;
 }
 
+std::optional<milliseconds> ServiceBalancer::TicketWait(const Query& aQuery,
+                                                        base::MonotonicTime aNow) const
+{
+  std::optional<milliseconds> shortest;
+  for (const State& state : m_states) {
+    if (state.m_tickets && IsUsable(state, aQuery, aNow)) {
+      const auto wait = std::chrono::ceil<milliseconds>(state.m_tickets->IssuedAt(aNow) - aNow);
+      shortest = std::min(shortest.value_or(wait), wait);
+    }
+  }
+  return shortest;
+}
+
 double ServiceBalancer::MaxQueueWaitRatio() const
 {
   const double overload =
@@ -367,6 +387,9 @@
     return;
   }
   ++state->m_inFlight;
+  if (state->m_tickets) {
+    state->m_tickets->Take(aNow);
+  }
   if (aNow < state->m_candidate.m_coldUntil) {
     state->m_hasSentColdRequest = true;
     state->m_lastColdRequestAt = aNow;
@@ -467,6 +490,24 @@
   }
 }
 
+void ServiceBalancer::SetRate(const std::string& aUpstream,
+                              std::optional<double> aPerSecond,
+                              base::MonotonicTime aNow)
+{
+  State* state = FindState(aUpstream);
+  if (!state) {
+    return;
+  }
+  if (!aPerSecond) {
+    state->m_tickets.reset();
+  } else if (state->m_tickets) {
+    state->m_tickets->SetRate(*aPerSecond, aNow);
+  } else {
+    const double phase = detail::HashFraction(state->m_hash, m_ticketSeed);
+    state->m_tickets.emplace(*aPerSecond, phase, aNow);
+  }
+}
+
 void ServiceBalancer::Withdraw(const std::string& aUpstream)
 {
   if (State* state = FindState(aUpstream)) {
--- a/packages/policy/tests/ServiceBalancerTest.cpp
+++ b/packages/policy/tests/ServiceBalancerTest.cpp
@@ -489,6 +489,33 @@
 
 // Guards against sending to an upstream whose removal is known and not applied yet, and against
 // excluding it for good if it stays.
+// Guards against requests beyond this VM's part of an upstream's limit, and against holding or
+// losing the requests that others may serve.
+TEST_F(ServiceBalancerChoiceTest, ALimitedUpstreamGetsOneRequestPerTicket)
+{
+  const auto query = MakeQuery(1);
+  const std::string first = Choose(query).m_upstream->m_id;
+  m_balancer.SetRate(first, 2, m_clock.Monotonic());
+  std::map<std::string, int> sent;
+  for (int i = 0; i < 200; ++i) {
+    const std::string chosen = Choose(query).m_upstream->m_id;
+    ++sent[chosen];
+    m_balancer.OnSent(chosen, query, m_clock.Monotonic());
+    m_balancer.OnCancelled(chosen);
+    m_clock.Advance(10ms);
+  }
+  EXPECT_LE(sent[first], 5) << "two a second";
+  EXPECT_GE(sent[first], 3);
+  for (const auto& candidate : m_candidates) {
+    m_balancer.SetRate(candidate.m_upstream.m_id, 0, m_clock.Monotonic());
+  }
+  const auto rejected = Choose(query);
+  EXPECT_EQ(rejected.m_decision, ServiceBalancer::Decision::Overloaded);
+  EXPECT_GT(rejected.m_expectedLatency, 100ms) << "the time until there is a ticket";
+  m_balancer.SetRate(first, std::nullopt, m_clock.Monotonic());
+  EXPECT_EQ(Choose(query).m_upstream->m_id, first) << "its keys return";
+}
+
 TEST_F(ServiceBalancerChoiceTest, AWithdrawnUpstreamIsExcludedUntilTheNextUpdate)
 {
   const std::string first = Choose(MakeQuery(1)).m_upstream->m_id;
