Do not take a late refusal for the response to the next request

Cause: a response without a request id matched any request, and a request without one matched any response. Class: an absence read as a match.

Change: a response without an id counts only on a new connection, where it cannot be another request's; requests without an id use a new one. A connection that carried another request's response is not kept, since more copies may follow. At most 16 responses are skipped.

Tests: ALateRefusalWithoutIdIsNotTheNextResponse and ARequestWithoutIdTakesNoResponseOfAnotherOne failed before (rejected, and the other request's 200) and pass now; ResponsesToOtherRequestsWithoutEndFailTheAttempt is new and relies on the bound. 14 UpstreamAttempt tests pass.

--- a/packages/gateway/src/UpstreamAttempt.cpp
+++ b/packages/gateway/src/UpstreamAttempt.cpp
@@ -26,6 +26,8 @@
 /// runs the request, and for further reads.
 constexpr std::size_t kFirstReadBytes = 2 * 1024;
 constexpr std::size_t kReadBytes = 16 * 1024;
+/// Responses that may be skipped, interim ones and those to other requests.
+constexpr std::uint32_t kMaxSkippedResponses = 16;
 /// Idle timeout of an upstream that does not state one in Keep-Alive.
 constexpr std::chrono::seconds kDefaultIdleTimeout{ 8 };
 
@@ -83,8 +85,10 @@
 void UpstreamAttempt::Start()
 {
   m_startedAt = m_dependencies.m_clock.Monotonic();
-  m_connection = m_dependencies.m_pool.Take(m_upstreamId);
+  // On a new connection, the response to a request without an id cannot be another request's.
+  m_connection = m_request->m_id.empty() ? nullptr : m_dependencies.m_pool.Take(m_upstreamId);
   if (m_connection) {
+    m_isConnectionKept = true;
     Send();
   } else {
     Connect();
@@ -247,6 +251,11 @@
       OnComplete();
       return false;
     }
+    if (++m_skippedResponses > kMaxSkippedResponses) {
+      Fail(AttemptFailure::Lost);
+      return false;
+    }
+    m_hasForeignResponse = m_hasForeignResponse || !isInterim;
     ResetParser();
   }
   return ReserveBodyMemory();
@@ -263,8 +272,10 @@
 
 bool UpstreamAttempt::MatchesRequestId() const
 {
+  // Upstreams may leave the id out where they reject a request unread. On a kept connection, such a
+  // response may as well be a late copy of one to an earlier request.
   const auto id = m_parser->get()[m_dependencies.m_wire.m_requestId];
-  return id.empty() || m_request->m_id.empty() || ToStringView(id) == m_request->m_id;
+  return id.empty() ? !m_isConnectionKept : ToStringView(id) == m_request->m_id;
 }
 
 void UpstreamAttempt::OnComplete()
@@ -311,9 +322,10 @@
 
 void UpstreamAttempt::ReturnToPool(const Parser::value_type& aMessage, bool aIsDelimitedByClose)
 {
-  // Bytes after the response belong to no request, and an upstream that responded before it read
-  // the whole request body still expects the rest of it.
-  if (aIsDelimitedByClose || !m_isRequestWritten || !aMessage.keep_alive() || m_buffer.size() > 0) {
+  // Bytes after the response belong to no request, more copies of a response may follow the first,
+  // and an upstream that responded before it read the whole request body still expects the rest.
+  if (aIsDelimitedByClose || !m_isRequestWritten || !aMessage.keep_alive() || m_buffer.size() > 0 ||
+      m_hasForeignResponse) {
     return;
   }
   const auto stated = KeepAliveTimeout(ToStringView(aMessage[http::field::keep_alive]));
--- a/packages/gateway/src/UpstreamAttempt.h
+++ b/packages/gateway/src/UpstreamAttempt.h
@@ -92,7 +92,6 @@
   /// Reserves memory for the body received so far; fails the attempt if there is none left.
   /// @return whether the memory was reserved.
   bool ReserveBodyMemory();
-  void OnHeader();
   void OnComplete();
   void ResetParser();
   bool MatchesRequestId() const;
@@ -119,6 +118,11 @@
   bool m_isSendStarted = false;
   bool m_isRequestWritten = false;
   bool m_hasResponseBytes = false;
+  /// Whether the connection has carried earlier requests.
+  bool m_isConnectionKept = false;
+  /// Whether a response to another request was skipped.
+  bool m_hasForeignResponse = false;
+  std::uint32_t m_skippedResponses = 0;
   bool m_ended = false;
 };
 
--- a/packages/gateway/tests/UpstreamAttemptTest.cpp
+++ b/packages/gateway/tests/UpstreamAttemptTest.cpp
@@ -115,6 +115,51 @@
   EXPECT_EQ(result.m_response.m_body, "new");
 }
 
+// A faulty upstream writes an earlier refusal once more on a kept connection. Guards against taking
+// it for the response to the next request, which would then be told as not run, or run twice.
+TEST_F(UpstreamAttemptTest, ALateRefusalWithoutIdIsNotTheNextResponse)
+{
+  const std::string refusal = "HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+  ScriptedUpstream upstream([&refusal](const SeenRequest& aRequest) {
+    return aRequest.Header("Request-Id") == "r1" ? Script{ refusal }
+                                                 : Script{ refusal + OkResponse(aRequest, "new") };
+  });
+  EXPECT_EQ(Run(upstream, "r1").m_failure, AttemptFailure::Rejected) << "the only request so far";
+  const AttemptResult second = Run(upstream, "r2");
+  EXPECT_EQ(upstream.Seen().back().m_connection, 0U);
+  EXPECT_FALSE(second.m_failure);
+  EXPECT_EQ(second.m_response.m_body, "new");
+  Run(upstream, "r3");
+  EXPECT_EQ(upstream.Seen().back().m_connection, 1U) << "more copies may follow";
+}
+
+// Guards against reading responses to other requests for as long as an upstream sends them.
+TEST_F(UpstreamAttemptTest, ResponsesToOtherRequestsWithoutEndFailTheAttempt)
+{
+  ScriptedUpstream upstream([](const SeenRequest& aRequest) {
+    std::string responses;
+    for (int i = 0; i < 100; ++i) {
+      responses += "HTTP/1.1 200 OK\r\nRequest-Id: r0\r\nContent-Length: 0\r\n\r\n";
+    }
+    return Script{ responses + OkResponse(aRequest, "new") };
+  });
+  EXPECT_EQ(Run(upstream).m_failure, AttemptFailure::Lost);
+}
+
+// Guards against giving a request without an id the response to another one.
+TEST_F(UpstreamAttemptTest, ARequestWithoutIdTakesNoResponseOfAnotherOne)
+{
+  ScriptedUpstream upstream([](const SeenRequest& aRequest) {
+    const std::string late = "HTTP/1.1 200 OK\r\nRequest-Id: r0\r\nContent-Length: 3\r\n\r\nold";
+    const std::string own = "HTTP/1.1 400 Bad\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+    return Script{ aRequest.Header("Request-Id").empty() ? late + own : OkResponse(aRequest, "a") };
+  });
+  Run(upstream, "r1");
+  const AttemptResult result = Run(upstream, "");
+  EXPECT_EQ(upstream.Seen().back().m_connection, 1U) << "nothing else can come on a new connection";
+  EXPECT_EQ(result.m_response.m_status, 400U);
+}
+
 // Guards against reusing a connection that carried bytes after the response.
 TEST_F(UpstreamAttemptTest, DropsConnectionsWithExtraBytes)
 {
