Show that responses which end early are lost

Callers saw (other operators, not here): a 200 with an empty or short body, framed as whole, after an upstream closed in the middle of the head.

Cause: does not occur here: the parser takes the end of the connection for the end of a response only after a whole head without a length. Change: a test only. ReportsResponsesThatEndEarlyAsLost cuts a response with a length and one in chunks at every byte of head and body, by close and by reset; each is a lost attempt. It passes on the code before. Conclusion: could not be brought about.

--- a/packages/gateway/tests/UpstreamAttemptTest.cpp
+++ b/packages/gateway/tests/UpstreamAttemptTest.cpp
@@ -191,6 +191,31 @@
   EXPECT_FALSE(result.m_closedWithoutResponse);
 }
 
+// Guards against a success with an empty or short body when the upstream closes the connection in
+// the middle of the head, at any byte, or in the middle of the body.
+TEST_F(UpstreamAttemptTest, ReportsResponsesThatEndEarlyAsLost)
+{
+  const std::string start = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResponse-Signature: s\r\n";
+  std::string bytes;
+  bool isReset = false;
+  ScriptedUpstream upstream([&](const SeenRequest&) { return Script{ bytes, true, isReset }; });
+  for (const std::string& framed :
+       { start + "Content-Length: 12\r\nX-Last: 1\r\n\r\nabcdefghijkl",
+         start +
+           "Transfer-Encoding: chunked\r\nX-Last: 1\r\n\r\nc\r\nabcdefghijkl\r\n0\r\n\r\n" }) {
+    for (std::size_t size = 0; size < framed.size(); ++size) {
+      bytes = framed.substr(0, size);
+      isReset = size % 2 == 1;
+      ASSERT_EQ(Run(upstream).m_failure, AttemptFailure::Lost) << bytes;
+      isReset = !isReset;
+      ASSERT_EQ(Run(upstream).m_failure, AttemptFailure::Lost) << bytes;
+    }
+    bytes = framed;
+    isReset = false;
+    EXPECT_EQ(Run(upstream).m_response.m_body, "abcdefghijkl");
+  }
+}
+
 TEST_F(UpstreamAttemptTest, AcceptsBodiesThatEndWithTheConnection)
 {
   ScriptedUpstream upstream([](const SeenRequest&) {
