Reject requests that the end of a planned stop would cut off

Cause: requests were taken until half of the grace time, whatever they might last; with a deadline of 3 s and a grace of 6 s, one taken at 2.9 s was cut at 5.4 s. Class: an end that is known and not compared with what is started before it.

Change: GatewayContext knows when the process exits; a request whose deadline lies beyond it is rejected at once as not run, so that by construction none that is taken after the signal is cut.

Test: AStoppingVmTakesOnlyRequestsThatEndInTime got 200 and two requests upstream before; passes now. Requests taken before the signal whose deadline lies beyond the grace time are still cut at its end.

--- a/packages/gateway/src/Gateway.cpp
+++ b/packages/gateway/src/Gateway.cpp
@@ -28,6 +28,7 @@
 constexpr milliseconds kProbeTimeout{ 500 };
 /// Steps of a graceful shutdown, as parts of the grace time: new connections and requests are
 /// rejected, idle connections are closed, and the process exits even if requests are in flight.
+/// Requests that may last until then are rejected from the start.
 constexpr double kStopAcceptingShare = 0.5;
 constexpr double kCloseIdleShare = 0.55;
 constexpr double kExitShare = 0.9;
@@ -414,13 +415,16 @@
   m_dependencies.m_log.Write(base::LogRecord("stopping").Add("in_flight", m_metrics.m_inFlight));
   m_context.m_phase = LifecyclePhase::Draining;
   m_stopStarted = m_dependencies.m_clock.Monotonic();
+  m_context.m_exitAt = m_stopStarted + std::chrono::duration_cast<milliseconds>(
+                                         m_dependencies.m_settings.m_stopGrace * kExitShare);
   m_controlPlane.AnnounceLeaving();
   ContinueStop();
 }
 
 void Gateway::Impl::ContinueStop()
 {
-  const auto elapsed = m_dependencies.m_clock.Monotonic() - m_stopStarted;
+  const base::MonotonicTime now = m_dependencies.m_clock.Monotonic();
+  const auto elapsed = now - m_stopStarted;
   const auto grace = m_dependencies.m_settings.m_stopGrace;
   if (elapsed >= grace * kStopAcceptingShare) {
     m_callerServer.StopAccepting();
@@ -431,7 +435,7 @@
   }
   const bool isDone =
     m_context.m_phase == LifecyclePhase::Closing && m_callerServer.ConnectionCount() == 0;
-  if (isDone || elapsed >= grace * kExitShare) {
+  if (isDone || now >= m_context.m_exitAt) {
     m_io.stop();
     return;
   }
--- a/packages/gateway/src/GatewayContext.h
+++ b/packages/gateway/src/GatewayContext.h
@@ -8,6 +8,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <functional>
+#include <optional>
 
 namespace jaylane::gateway {
 
@@ -34,6 +35,9 @@
   GatewayMetrics& m_metrics;
   BodyMemoryBudget& m_bodyBudget;
   LifecyclePhase m_phase = LifecyclePhase::Serving;
+  /// When the process exits after a graceful shutdown; set while it lasts. Requests that may take
+  /// longer are rejected.
+  std::optional<base::MonotonicTime> m_exitAt = std::nullopt;
   /// The number of caller connections is close to its limit; responses close their connections.
   bool m_isNearConnectionLimit = false;
   /// Returns whether this VM knows that its view of the upstreams is too old to send requests on
--- a/packages/gateway/src/RequestExchange.cpp
+++ b/packages/gateway/src/RequestExchange.cpp
@@ -58,6 +58,10 @@
   } else if (m_context.m_isViewOutdated()) {
     Reject("view_outdated", kOtherVmRetryDelay);
   } else if (ResolveRoute()) {
+    if (m_context.m_exitAt && m_deadline + kDeadlineGrace > *m_context.m_exitAt) {
+      Reject("stopping", milliseconds{ 0 });
+      return;
+    }
     StartDeadlineTimer();
     TryUpstream();
   }
--- a/packages/gateway/tests/RequestPathTest.cpp
+++ b/packages/gateway/tests/RequestPathTest.cpp
@@ -703,6 +703,30 @@
   EXPECT_EQ(upstream.Seen().size(), kPipelined);
 }
 
+// During a planned stop, requests arrive on open connections until the process is gone. Guards
+// against taking those that the end of the grace time would cut off (LOST).
+TEST_F(RequestPathTest, AStoppingVmTakesOnlyRequestsThatEndInTime)
+{
+  ScriptedUpstream upstream([](const SeenRequest& aRequest) {
+    return Script{ OkResponse(aRequest, "x"), false, false, 400ms };
+  });
+  Start({ upstream.Address() });
+  const auto exitAt = base::SystemClock::Get().Monotonic() + 900ms;
+  OnRequestThread([&] {
+    m_context->m_phase = LifecyclePhase::Draining;
+    m_context->m_exitAt = exitAt;
+  });
+  const std::string taken =
+    Exchange("GET /b/x HTTP/1.1\r\nHost: h\r\nRequest-Id: r1\r\nTimeout-Ms: 700\r\n\r\n");
+  EXPECT_EQ(Status(taken), "HTTP/1.1 200 OK");
+  EXPECT_NE(taken.find("Connection: close"), std::string::npos);
+  const std::string rejected = Exchange(Request("/b/x", "r2"));
+  EXPECT_LT(base::SystemClock::Get().Monotonic(), exitAt) << "rejected at once";
+  EXPECT_EQ(Status(rejected), "HTTP/1.1 503 Service Unavailable");
+  EXPECT_NE(rejected.find("Connection: close"), std::string::npos);
+  EXPECT_EQ(upstream.Seen().size(), 1U);
+}
+
 TEST_F(RequestPathTest, AnswersAtTheRoutesTimeout)
 {
   ScriptedUpstream upstream([](const SeenRequest& aRequest) {
