Answer connections that wait to be accepted at a planned stop

Callers saw (found in the code): connections that the kernel had established, with a request on the way, were reset when a stopping VM closed its listener.

Cause: closing a listener resets what waits in its queue, and a connection whose acceptance was already due was dropped. Class: bytes that the kernel holds are lost with the socket they belong to.

Change: StopAccepting accepts what waits before it closes the listener; such requests are answered as not run, with a closed connection.

Conclusion: could happen here, fixed.

--- a/packages/gateway/src/CallerServer.cpp
+++ b/packages/gateway/src/CallerServer.cpp
@@ -42,11 +42,13 @@
 {
   m_acceptor.async_accept(
     [this](const boost::system::error_code& aError, boost::asio::ip::tcp::socket aSocket) {
+      if (!aError) {
+        AddConnection(std::move(aSocket));
+      }
       if (!m_acceptor.is_open()) {
         return;
       }
       if (!aError) {
-        AddConnection(std::move(aSocket));
         Accept();
         return;
       }
@@ -118,7 +120,19 @@
 
 void CallerServer::StopAccepting()
 {
+  if (!m_acceptor.is_open()) {
+    return;
+  }
+  // Closing the listener resets the connections that the kernel has established for it.
   boost::system::error_code ignored;
+  boost::system::error_code error;
+  m_acceptor.non_blocking(true, ignored);
+  do {
+    boost::asio::ip::tcp::socket socket = m_acceptor.accept(error);
+    if (!error) {
+      AddConnection(std::move(socket));
+    }
+  } while (!error || error == boost::asio::error::connection_aborted);
   m_acceptor.close(ignored);
   m_acceptTimer.cancel();
 }
--- a/packages/gateway/tests/GatewayFixture.h
+++ b/packages/gateway/tests/GatewayFixture.h
@@ -62,9 +62,11 @@
   std::unique_ptr<GatewayContext> m_context;
   std::unique_ptr<CallerServer> m_server;
 
+  /// For the sockets of callers, which block.
+  boost::asio::io_context m_callerIo;
+
 private:
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_work;
-  boost::asio::io_context m_callerIo;
   std::thread m_thread;
 };
 
--- a/packages/gateway/tests/RequestPathTest.cpp
+++ b/packages/gateway/tests/RequestPathTest.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/write.hpp>
 #include <chrono>
 #include <fmt/format.h>
+#include <future>
 #include <malloc.h>
 
 namespace jaylane::gateway {
@@ -727,6 +728,39 @@
   EXPECT_EQ(upstream.Seen().size(), 1U);
 }
 
+// Guards against resetting connections that the kernel has established but nobody has accepted.
+TEST_F(RequestPathTest, ConnectionsThatWaitToBeAcceptedAreAnsweredAtAStop)
+{
+  ScriptedUpstream upstream(
+    [](const SeenRequest& aRequest) { return Script{ OkResponse(aRequest, "x") }; });
+  Start({ upstream.Address() });
+  constexpr int kCallers = 20;
+  std::vector<asio::ip::tcp::socket> callers;
+  callers.push_back(Connect());
+  const auto address = callers.front().remote_endpoint();
+  std::promise<void> isBusy;
+  std::promise<void> areWaiting;
+  asio::post(m_io, [&] {
+    isBusy.set_value();
+    areWaiting.get_future().wait();
+    m_context->m_phase = LifecyclePhase::Closing;
+    m_server->StopAccepting();
+  });
+  isBusy.get_future().wait();
+  for (int i = 0; i < kCallers; ++i) {
+    callers.emplace_back(m_callerIo).connect(address);
+    asio::write(callers.back(), asio::buffer(Request("/b/x", "r" + std::to_string(i))));
+  }
+  areWaiting.set_value();
+  for (std::size_t i = 1; i < callers.size(); ++i) {
+    std::string response(512, '\0');
+    boost::system::error_code error;
+    response.resize(callers[i].read_some(asio::buffer(response), error));
+    EXPECT_EQ(Status(response), "HTTP/1.1 503 Service Unavailable") << i << " " << error.message();
+  }
+  EXPECT_TRUE(upstream.Seen().empty());
+}
+
 TEST_F(RequestPathTest, AnswersAtTheRoutesTimeout)
 {
   ScriptedUpstream upstream([](const SeenRequest& aRequest) {
