Contain unexpected errors to the message that caused them

Cause: no handler of either event loop caught exceptions, so that one would have ended the process, or only its timer or read while the rest went on. Class: the blast radius of an error is the process instead of the message.

Change: RunLoop logs what a handler throws and goes on. The work that must not stop with it contains its errors itself: a caller's input closes that connection, a datagram or store object is dropped, a store call counts as failed, ticks and announcements go on.

--- a/packages/gateway/src/CallerConnection.cpp
+++ b/packages/gateway/src/CallerConnection.cpp
@@ -2,6 +2,7 @@
 
 #include "HeaderLines.h"
 #include "SocketOptions.h"
+#include "jaylane/base/ContainErrors.h"
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
@@ -149,7 +150,9 @@
     Read();
     return;
   }
-  ParseBuffer();
+  if (!ParseContained()) {
+    return;
+  }
   if (m_pipeline.size() < kMaxPipelinedRequests || m_isClosing) {
     Read();
   } else {
@@ -157,6 +160,14 @@
   }
 }
 
+bool CallerConnection::ParseContained()
+{
+  if (!base::ContainErrors(m_context.m_log, "caller_input", [this] { ParseBuffer(); })) {
+    Abort();
+  }
+  return !m_isAborted;
+}
+
 void CallerConnection::ParseBuffer()
 {
   while (m_buffer.size() > 0 && !m_isClosing && !m_hasCallerLeft &&
@@ -419,8 +430,9 @@
     ShutdownSend();
     return;
   }
-  ParseBuffer();
-  Read();
+  if (ParseContained()) {
+    Read();
+  }
 }
 
 void CallerConnection::ShutdownSend()
--- a/packages/gateway/src/CallerConnection.h
+++ b/packages/gateway/src/CallerConnection.h
@@ -52,6 +52,9 @@
   void ResetParser();
   void Read();
   void OnRead(const boost::system::error_code& aError, std::size_t aBytes);
+  /// Parses the bytes that have arrived; an unexpected error closes the connection.
+  /// @return whether the connection is still open.
+  bool ParseContained();
   void ParseBuffer();
   void Dispatch();
   RequestExchange::Hooks MakeExchangeHooks();
--- a/packages/gateway/src/ControlPlane.cpp
+++ b/packages/gateway/src/ControlPlane.cpp
@@ -1,5 +1,8 @@
 #include "ControlPlane.h"
 
+#include "RunLoop.h"
+#include "jaylane/base/ContainErrors.h"
+
 #include <boost/asio/dispatch.hpp>
 
 namespace jaylane::gateway {
@@ -96,7 +99,7 @@
   m_loopMonitor.Start();
   m_storeSync.Start();
   Tick();
-  m_thread = std::thread([this] { m_io.run(); });
+  m_thread = std::thread([this] { RunLoop(m_io, m_log, "control"); });
   return base::Success{};
 }
 
@@ -251,7 +254,7 @@
   m_share = m_demandShare.Share(m_peerLink.KnownZoneVms(), now);
 }
 
-void ControlPlane::Tick()
+void ControlPlane::UpdateState()
 {
   ConfirmView();
   UpdateRole();
@@ -262,6 +265,11 @@
     m_storeSync.SetPeers(m_peerLink.RunningPeers());
     UpdateDemand();
   }
+}
+
+void ControlPlane::Tick()
+{
+  base::ContainErrors(m_log, "control_tick", [this] { UpdateState(); });
   m_tickTimer.expires_after(kTickInterval);
   m_tickTimer.async_wait([this](const boost::system::error_code& aError) {
     if (!aError) {
--- a/packages/gateway/src/ControlPlane.h
+++ b/packages/gateway/src/ControlPlane.h
@@ -96,6 +96,8 @@
   void OnStoreRecovered(std::chrono::milliseconds aAgo);
   /// Another VM announced that it watches the store successfully and has seen these revisions.
   void OnFollower(const StoreRevisions& aRevisions);
+  /// Updates the role, the age of the view and what is announced.
+  void UpdateState();
   void Tick();
   /// Reports that the view is confirmed if it has all that the last follower had seen.
   void ConfirmView();
--- a/packages/gateway/src/Gateway.cpp
+++ b/packages/gateway/src/Gateway.cpp
@@ -6,6 +6,8 @@
 #include "HttpFetch.h"
 #include "InfoServer.h"
 #include "LoopMonitor.h"
+#include "RunLoop.h"
+#include "jaylane/base/ContainErrors.h"
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -46,6 +48,7 @@
 private:
   base::Status Listen();
   ControlPlane::Hooks MakeControlHooks();
+  void OnConfiguration(const StoredObject& aObject);
   void OnConfigurations(const std::vector<StoredObject>& aObjects);
   /// A new, changed or removed registration of an upstream.
   struct UpstreamChange
@@ -69,6 +72,8 @@
   /// Reports the state that the control plane announces.
   void ReportState();
   void Tick();
+  /// Updates expiring state, probes upstreams and looks for new settings.
+  void UpdateState();
   void Probe(const Steering::ProbeTarget& aTarget);
   void AwaitSignal();
   void Reload();
@@ -159,7 +164,7 @@
   if (auto status = m_controlPlane.Start(); !status) {
     return status;
   }
-  m_io.run();
+  RunLoop(m_io, m_dependencies.m_log, "request");
   m_controlPlane.Stop();
   m_dependencies.m_log.Write(base::LogRecord("stop").Add("in_flight", m_metrics.m_inFlight));
   return base::Success{};
@@ -225,20 +230,25 @@
       m_steering.RecentLimits() });
 }
 
+void Gateway::Impl::OnConfiguration(const StoredObject& aObject)
+{
+  auto configuration = m_dependencies.m_dialect.DecodeConfiguration(aObject);
+  if (configuration) {
+    m_steering.ApplyConfiguration(std::move(*configuration));
+  } else {
+    m_dependencies.m_log.Write(base::LogRecord("configuration_rejected")
+                                 .Add("object", aObject.m_name)
+                                 .Add("reason", configuration.GetError().Message()));
+  }
+}
+
 void Gateway::Impl::OnConfigurations(const std::vector<StoredObject>& aObjects)
 {
   for (const StoredObject& object : aObjects) {
     if (object.m_deleted) {
       continue;
     }
-    auto configuration = m_dependencies.m_dialect.DecodeConfiguration(object);
-    if (configuration) {
-      m_steering.ApplyConfiguration(std::move(*configuration));
-    } else {
-      m_dependencies.m_log.Write(base::LogRecord("configuration_rejected")
-                                   .Add("object", object.m_name)
-                                   .Add("reason", configuration.GetError().Message()));
-    }
+    base::ContainErrors(m_dependencies.m_log, "configuration", [&] { OnConfiguration(object); });
   }
   ReportState();
 }
@@ -265,16 +275,20 @@
   std::vector<UpstreamChange> changes;
   std::vector<std::string> leaving;
   for (const StoredObject& object : aObjects) {
-    changes.push_back({ object.m_name,
-                        object.m_revision,
-                        object.m_deleted ? std::nullopt : DecodeUpstream(object) });
+    changes.push_back({ object.m_name, object.m_revision, std::nullopt });
+    if (!object.m_deleted) {
+      base::ContainErrors(m_dependencies.m_log, "upstream_entry", [&] {
+        changes.back().m_upstream = DecodeUpstream(object);
+      });
+    }
     if (changes.back().IsLeaving()) {
       leaving.push_back(object.m_name);
     }
   }
   m_steering.Pending().Add(leaving);
   asio::post(m_io, [this, aHandler, changes = std::move(changes), leaving]() mutable {
-    (this->*aHandler)(std::move(changes));
+    base::ContainErrors(
+      m_dependencies.m_log, "upstream_changes", [&] { (this->*aHandler)(std::move(changes)); });
     m_steering.Pending().Remove(leaving);
   });
 }
@@ -322,6 +336,17 @@
 }
 
 void Gateway::Impl::Tick()
+{
+  base::ContainErrors(m_dependencies.m_log, "tick", [this] { UpdateState(); });
+  m_tickTimer.expires_after(kTickInterval);
+  m_tickTimer.async_wait([this](const boost::system::error_code& aError) {
+    if (!aError) {
+      Tick();
+    }
+  });
+}
+
+void Gateway::Impl::UpdateState()
 {
   m_steering.SetDemandShare(m_controlPlane.DemandShare());
   m_steering.Tick();
@@ -336,12 +361,6 @@
       Reload();
     }
   }
-  m_tickTimer.expires_after(kTickInterval);
-  m_tickTimer.async_wait([this](const boost::system::error_code& aError) {
-    if (!aError) {
-      Tick();
-    }
-  });
 }
 
 void Gateway::Impl::Probe(const Steering::ProbeTarget& aTarget)
--- a/packages/gateway/src/PeerLink.cpp
+++ b/packages/gateway/src/PeerLink.cpp
@@ -1,6 +1,7 @@
 #include "PeerLink.h"
 
 #include "SocketOptions.h"
+#include "jaylane/base/ContainErrors.h"
 #include "jaylane/base/JsonText.h"
 #include "jaylane/gateway/GatewayError.h"
 
@@ -264,7 +265,8 @@
                                   return;
                                 }
                                 if (!aError) {
-                                  OnDatagram(aBytes);
+                                  base::ContainErrors(
+                                    m_log, "datagram", [this, aBytes] { OnDatagram(aBytes); });
                                 }
                                 Receive();
                               });
@@ -422,8 +424,8 @@
 {
   m_timer.expires_after(kAnnounceInterval);
   m_timer.async_wait([this](const boost::system::error_code& aError) {
-    if (!aError) {
-      SendAnnouncements();
+    if (!aError && !base::ContainErrors(m_log, "announcements", [this] { SendAnnouncements(); })) {
+      ScheduleAnnouncements();
     }
   });
 }
--- a/packages/gateway/src/StoreSync.cpp
+++ b/packages/gateway/src/StoreSync.cpp
@@ -1,5 +1,7 @@
 #include "StoreSync.h"
 
+#include "jaylane/base/ContainErrors.h"
+
 #include <algorithm>
 #include <boost/asio/dispatch.hpp>
 #include <charconv>
@@ -131,7 +133,9 @@
   m_fetch->Start(
     { "GET", m_dialect.ListTarget(m_kind, aAfter, Freshness::Current), {}, kListTimeout },
     [this, isFirstPage = aAfter.empty()](const FetchResponse& aResponse) {
-      OnListed(aResponse, isFirstPage);
+      if (!base::ContainErrors(m_log, "list", [&] { OnListed(aResponse, isFirstPage); })) {
+        OnFailure();
+      }
     });
 }
 
@@ -261,7 +265,11 @@
                    m_dialect.WatchTarget(m_kind, m_snapshot.Revision(), aWait),
                    {},
                    aWait + kWatchResponseMargin },
-                 [this](const FetchResponse& aResponse) { OnWatched(aResponse); });
+                 [this](const FetchResponse& aResponse) {
+                   if (!base::ContainErrors(m_log, "watch", [&] { OnWatched(aResponse); })) {
+                     OnFailure();
+                   }
+                 });
 }
 
 void KindWatcher::OnWatched(const FetchResponse& aResponse)
--- a/packages/gateway/tests/PeerLinkTest.cpp
+++ b/packages/gateway/tests/PeerLinkTest.cpp
@@ -36,6 +36,8 @@
     std::vector<policy::LimitObservation> m_receivedLimits;
     std::optional<policy::ZoneDemand> m_zoneDemand;
     std::optional<policy::ZoneDemand> m_receivedDemand;
+    /// Whether the handler of strikes throws.
+    bool m_isFailing = false;
     std::unique_ptr<PeerLink> m_link;
   };
 
@@ -61,6 +63,9 @@
       PeerLink::Hooks{
         [raw] { return raw->m_strikes; },
         [raw](const std::vector<policy::Strike>& aStrikes) {
+          if (raw->m_isFailing) {
+            throw std::out_of_range("strikes");
+          }
           std::ranges::copy(aStrikes, std::back_inserter(raw->m_received));
         },
         [] {},
@@ -151,6 +156,54 @@
   EXPECT_EQ(heard.size(), kLimits);
 }
 
+// Guards against a VM that ends, or hears nothing more, after one message caused an error.
+TEST_F(PeerLinkTest, GoesOnAfterAnUnexpectedError)
+{
+  Vm& first = Add(1, "a", "r", Ip(2) + ":99");
+  Vm& second = Add(2, "a", "r", Ip(1) + ":99");
+  first.m_limits = { { "u", 1.0, base::SystemClock::Get().Monotonic() } };
+  second.m_isFailing = true;
+  RunFor(900ms);
+  second.m_isFailing = false;
+  RunFor(900ms);
+  EXPECT_EQ(second.m_receivedLimits.size(), 1U);
+}
+
+// Guards against a VM that ends because of a malformed datagram.
+TEST_F(PeerLinkTest, MalformedDatagramsAreIgnored)
+{
+  Vm& first = Add(1, "a", "r", Ip(2) + ":99");
+  Vm& second = Add(2, "a", "r", Ip(1) + ":99");
+  first.m_limits = { { "u", 1.0, base::SystemClock::Get().Monotonic() } };
+  first.m_zoneDemand = policy::ZoneDemand{ "a", 120, base::SystemClock::Get().Monotonic() };
+  boost::asio::ip::udp::socket hostile(m_io, { boost::asio::ip::make_address(Ip(3)), 0 });
+  const boost::asio::ip::udp::endpoint target{ boost::asio::ip::make_address(Ip(2)), 28761 };
+  const std::string valid =
+    R"({"jsonrpc":"2.0","method":"announce","params":{"name":"vm9","zone":"a","region":"r",)"
+    R"("caller_address":"1.2.3.4:1","revisions":[1,2,3],"millicores":200,"requests_per_second":4,)"
+    R"("following":true,"recovered_ms":5,"strikes":[["a","b","c","d",500,1]],)"
+    R"("limits":[["u",1.5,20]],"zone_demand":["a",10,100]}})";
+  const std::vector<std::string> pieces{
+    "null", "-1",      "1e400", "[]", "{}", "\"", "18446744073709551616",
+    "true", "\\u0000", "[[[[",  "}",  ""
+  };
+  std::minstd_rand random{ 5 };
+  for (int i = 0; i < 3000; ++i) {
+    std::string text = valid;
+    for (std::size_t n = 1 + random() % 3; n > 0; --n) {
+      const std::size_t at = random() % text.size();
+      text.replace(at, random() % 12, pieces[random() % pieces.size()]);
+    }
+    boost::system::error_code ignored;
+    hostile.send_to(boost::asio::buffer(text), target, 0, ignored);
+    m_io.poll();
+    m_io.restart();
+  }
+  RunFor(900ms);
+  EXPECT_EQ(second.m_receivedLimits.size(), 1U);
+  EXPECT_GE(second.m_link->KnownZoneVms().at("a"), 3U) << "some were well formed";
+}
+
 TEST_F(PeerLinkTest, LeavingAndSilentVmsAreLeftOut)
 {
   Vm& first = Add(1, "a", "r", Ip(1) + ":99");
--- a/packages/gateway/tests/RequestPathTest.cpp
+++ b/packages/gateway/tests/RequestPathTest.cpp
@@ -627,6 +627,26 @@
   EXPECT_EQ(Send(10, "s"), "");
 }
 
+// Guards against a process that ends because one request caused an unexpected error.
+TEST_F(RequestPathTest, AnUnexpectedErrorEndsOnlyItsConnection)
+{
+  ScriptedUpstream upstream(
+    [](const SeenRequest& aRequest) { return Script{ OkResponse(aRequest, "x") }; });
+  Start({ upstream.Address() });
+  auto other = Connect();
+  OnRequestThread(
+    [this] { m_context->m_isViewOutdated = []() -> bool { throw std::out_of_range("view"); }; });
+  EXPECT_EQ(Exchange(Request("/a/x", "r1")), "") << "closed";
+  OnRequestThread([this] {
+    m_context->m_isViewOutdated = [] { return false; };
+    EXPECT_EQ(m_metrics.m_callerConnections, 1U);
+  });
+  asio::write(other, asio::buffer(Request("/a/x", "r2")));
+  std::string response(512, '\0');
+  response.resize(other.read_some(asio::buffer(response)));
+  EXPECT_EQ(Status(response), "HTTP/1.1 200 OK");
+}
+
 // Guards against upstreams that keep working for a caller that has disconnected.
 TEST_F(RequestPathTest, CallerDisconnectClosesTheUpstreamConnection)
 {
--- a/packages/gateway/tests/StoreSyncTest.cpp
+++ b/packages/gateway/tests/StoreSyncTest.cpp
@@ -46,6 +46,9 @@
   }
   base::Result<ObjectBatch> ParseWatch(std::string_view aBody) const override
   {
+    if (aBody == "unexpected") {
+      throw std::out_of_range("watch");
+    }
     return ParseList(aBody);
   }
   base::Result<policy::Upstream> DecodeUpstream(const StoredObject&) const override
@@ -220,6 +223,29 @@
   EXPECT_EQ(objects[0].m_value["a"].asInt(), 1);
 }
 
+// Guards against a VM that ends, or watches no more, after one response caused an error.
+TEST(StoreSyncTest, GoesOnAfterAnUnexpectedError)
+{
+  std::atomic<bool> hasFailed{ false };
+  ScriptedUpstream store([&hasFailed](const SeenRequest& aRequest) {
+    if (aRequest.m_head.find("/watch/9/0") != std::string::npos) {
+      hasFailed = true;
+      return Text("200 OK", "unexpected");
+    }
+    const bool isConfiguration = aRequest.m_head.find("/list/0") != std::string::npos;
+    const std::uint64_t revision = isConfiguration && hasFailed ? 10 : 9;
+    const std::string objects =
+      isConfiguration ? fmt::format(R"([{{"name":"main","revision":{},"value":1}}])", revision)
+                      : "[]";
+    const bool isWatch = aRequest.m_head.find("/watch/") != std::string::npos;
+    return Text("200 OK",
+                fmt::format(R"({{"revision":{},"objects":{}}})", revision, objects),
+                isWatch ? 2000ms : 0ms);
+  });
+  RecordingSync vm(store.Address(), FreeAddress());
+  EXPECT_TRUE(vm.WaitForRevision(10, 8s));
+}
+
 /// A store with one configuration object.
 /// @param aObject revision of the object; the store's own is three higher.
 /// @param aWatch delay before a watch returns a change with revision 8.
