Let bodies without end make room for others

Cause: a body kept what it had taken until its end, its limit of 64 MiB or the deadline, and the newcomer failed; two or three such bodies filled the budget of a small VM. A buffer without a stated length also grows ahead of its bytes, which were counted alone. Class: a shared limit that one participant can exhaust.

Change: a body that does not fit evicts the largest response that is being read, if that is larger; the evicted attempt counts as lost. A body without a stated length counts by the capacity of its buffer.

Tests: ABodyWithoutEndMakesRoomForOthers failed before (502 and 503 for the others, 504 for the endless one). Conclusion: could happen here, fixed.

--- a/packages/gateway/src/BodyMemoryBudget.h
+++ b/packages/gateway/src/BodyMemoryBudget.h
@@ -1,14 +1,17 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <memory>
+#include <unordered_set>
 
 namespace jaylane::gateway {
 
 /// Limits the bytes of request and response bodies that the process buffers at the same time.
 /// Bodies are buffered whole, so that a request can be retried and a truncated response is never
-/// passed on; without the limit many large bodies would exhaust the memory. Used by the request
-/// thread only.
+/// passed on; without the limit many large bodies would exhaust the memory. A body that does not
+/// fit takes the place of the largest one that may be evicted and is larger, because that one may
+/// have no end. Used by the request thread only.
 class BodyMemoryBudget
 {
 public:
@@ -20,7 +23,7 @@
       : m_budget(aBudget)
     {
     }
-    ~Reservation() { m_budget.m_used -= m_bytes; }
+    ~Reservation();
     Reservation(const Reservation&) = delete;
     Reservation& operator=(const Reservation&) = delete;
 
@@ -28,12 +31,19 @@
     /// @return whether the budget allows it; if not, the reservation is unchanged.
     bool GrowTo(std::uint64_t aBytes);
 
-    /// @return whether GrowTo() would succeed now.
+    /// @return whether a body of that size would fit now without evicting others.
     bool Fits(std::uint64_t aBytes) const;
 
+    /// Allows to evict the body. Its bytes are released before the call.
+    /// @param aOnEvicted releases the memory; empty: the body may no longer be evicted.
+    void SetEvictable(std::function<void()> aOnEvicted);
+
   private:
+    friend class BodyMemoryBudget;
+
     BodyMemoryBudget& m_budget;
     std::uint64_t m_bytes = 0;
+    std::function<void()> m_onEvicted;
   };
 
   /// @param aLimit bytes of all bodies together.
@@ -46,25 +56,13 @@
   std::uint64_t Used() const { return m_used; }
 
 private:
+  /// Evicts the largest body that has more than a number of bytes.
+  /// @return whether there was one.
+  bool EvictLargerThan(std::uint64_t aBytes);
+
   std::uint64_t m_limit;
   std::uint64_t m_used = 0;
+  std::unordered_set<Reservation*> m_evictable;
 };
 
-inline bool BodyMemoryBudget::Reservation::Fits(std::uint64_t aBytes) const
-{
-  return aBytes <= m_bytes || aBytes - m_bytes <= m_budget.m_limit - m_budget.m_used;
-}
-
-inline bool BodyMemoryBudget::Reservation::GrowTo(std::uint64_t aBytes)
-{
-  if (!Fits(aBytes)) {
-    return false;
-  }
-  if (aBytes > m_bytes) {
-    m_budget.m_used += aBytes - m_bytes;
-    m_bytes = aBytes;
-  }
-  return true;
-}
-
 } // namespace jaylane::gateway
--- a/packages/gateway/src/UpstreamAttempt.cpp
+++ b/packages/gateway/src/UpstreamAttempt.cpp
@@ -189,6 +189,7 @@
   m_parser->header_limit(kMaxResponseHeaderBytes);
   m_parser->body_limit(kMaxResponseBytes);
   m_bodyReservation = m_dependencies.m_bodyBudget.MakeReservation();
+  m_bodyReservation->SetEvictable([this] { OnEvicted(); });
   if (m_request->m_method == "HEAD") {
     m_parser->skip(true);
   }
@@ -205,8 +206,8 @@
 
 void UpstreamAttempt::OnRead(const boost::system::error_code& aError, std::size_t aBytes)
 {
-  if (m_ended) {
-    return;
+  if (m_ended || !m_parser) {
+    return; // Without a parser, the response was evicted and the attempt fails soon.
   }
   if (aError) {
     boost::system::error_code error;
@@ -263,13 +264,27 @@
 
 bool UpstreamAttempt::ReserveBodyMemory()
 {
-  if (m_bodyReservation->GrowTo(m_parser->get().body().size())) {
+  if (!m_parser->is_header_done()) {
+    return true;
+  }
+  // A body without a stated length is stored in a buffer that grows ahead of it.
+  const std::string& body = m_parser->get().body();
+  const bool isLengthStated = m_parser->content_length().has_value();
+  if (m_bodyReservation->GrowTo(isLengthStated ? body.size() : body.capacity())) {
     return true;
   }
   Fail(AttemptFailure::Lost);
   return false;
 }
 
+void UpstreamAttempt::OnEvicted()
+{
+  m_parser.reset();
+  // Another attempt, whose body needs the memory, is running now.
+  asio::post(m_dependencies.m_io,
+             [self = shared_from_this()] { self->Fail(AttemptFailure::Lost); });
+}
+
 bool UpstreamAttempt::MatchesRequestId() const
 {
   // Upstreams may leave the id out where they reject a request unread. On a kept connection, such a
@@ -281,6 +296,7 @@
 void UpstreamAttempt::OnComplete()
 {
   const bool isDelimitedByClose = m_parser->need_eof();
+  m_bodyReservation->SetEvictable({});
   AttemptResult result = TakeResponse();
   ReturnToPool(m_parser->get(), isDelimitedByClose);
   Finish(std::move(result));
--- a/packages/gateway/src/UpstreamAttempt.h
+++ b/packages/gateway/src/UpstreamAttempt.h
@@ -92,6 +92,8 @@
   /// Reserves memory for the body received so far; fails the attempt if there is none left.
   /// @return whether the memory was reserved.
   bool ReserveBodyMemory();
+  /// Another body takes the memory of this response.
+  void OnEvicted();
   void OnComplete();
   void ResetParser();
   bool MatchesRequestId() const;
--- a/packages/gateway/tests/RequestPathTest.cpp
+++ b/packages/gateway/tests/RequestPathTest.cpp
@@ -120,6 +120,110 @@
   OnRequestThread([this] { EXPECT_EQ(m_bodyBudget.Used(), 0U); });
 }
 
+/// @return latencies of requests sent one after the other on one connection, sorted.
+std::vector<std::chrono::microseconds> Latencies(asio::ip::tcp::socket& aCaller, int aCount)
+{
+  std::vector<std::chrono::microseconds> latencies;
+  std::string response(512, '\0');
+  for (int i = 0; i < aCount; ++i) {
+    const auto start = std::chrono::steady_clock::now();
+    asio::write(aCaller,
+                asio::buffer("GET /a/x HTTP/1.1\r\nHost: h\r\nRequest-Id: r" + std::to_string(i) +
+                             "\r\n\r\n"));
+    const std::size_t bytes = aCaller.read_some(asio::buffer(response));
+    EXPECT_EQ(Status(response.substr(0, bytes)), "HTTP/1.1 200 OK");
+    latencies.push_back(std::chrono::duration_cast<std::chrono::microseconds>(
+      std::chrono::steady_clock::now() - start));
+  }
+  std::ranges::sort(latencies);
+  return latencies;
+}
+
+/// @return the registration of an upstream of the fixture's service.
+policy::Upstream MakeUpstream(const std::string& aId,
+                              const std::string& aAddress,
+                              std::uint64_t aRevision)
+{
+  policy::Upstream upstream;
+  upstream.m_id = aId;
+  upstream.m_service = "s";
+  upstream.m_address = aAddress;
+  upstream.m_zone = "z";
+  upstream.m_region = "r";
+  upstream.m_slots = 4;
+  upstream.m_revision = aRevision;
+  return upstream;
+}
+
+// A faulty upstream sends bodies that do not end. Guards against failing the responses of others
+// because such a body holds the memory.
+TEST_F(RequestPathTest, ABodyWithoutEndMakesRoomForOthers)
+{
+  ScriptedUpstream upstream([](const SeenRequest& aRequest) {
+    const std::string id = aRequest.Header("Request-Id");
+    if (id != "endless") {
+      return Script{ OkResponse(aRequest, std::string(900, 'y')) };
+    }
+    return Script{ "HTTP/1.1 200 OK\r\nRequest-Id: " + id +
+                   "\r\nTransfer-Encoding: chunked\r\n\r\n400\r\n" + std::string(1024, 'z') };
+  });
+  Start({ upstream.Address() });
+  auto endless = Connect();
+  asio::write(endless, asio::buffer(Request("/b/x", "endless")));
+  std::this_thread::sleep_for(100ms);
+  OnRequestThread([this] { ASSERT_GE(m_bodyBudget.Used(), 1024U); });
+  EXPECT_EQ(Status(Exchange(Request("/b/x", "r1", "Connection: close\r\n"))), "HTTP/1.1 200 OK");
+  std::string response(512, '\0');
+  response.resize(endless.read_some(asio::buffer(response)));
+  EXPECT_EQ(Status(response), "HTTP/1.1 502 Bad Gateway") << "it may have run";
+  EXPECT_EQ(Status(Exchange(Post("r2", 100))), "HTTP/1.1 200 OK");
+  OnRequestThread([this] { EXPECT_EQ(m_bodyBudget.Used(), 0U); });
+}
+
+// Guards against memory, or waiting by others, that grows with the responses which do not end.
+TEST_F(RequestPathTest, ManyResponsesWithoutEndLeaveOthersAlone)
+{
+  const std::string chunk = "400\r\n" + std::string(1024, 'z') + "\r\n";
+  std::string body;
+  std::string headers;
+  for (int i = 0; i < 1024; ++i) {
+    body += chunk;
+    headers += "X-" + std::to_string(i) + ": " + std::string(1024, 'z') + "\r\n";
+  }
+  ScriptedUpstream upstream([&](const SeenRequest& aRequest) {
+    const std::string id = aRequest.Header("Request-Id");
+    const std::string start = "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\n";
+    if (id.starts_with("head")) {
+      return Script{ start + headers };
+    }
+    return id.starts_with("body") ? Script{ start + "Transfer-Encoding: chunked\r\n\r\n" + body }
+                                  : Script{ OkResponse(aRequest, "x") };
+  });
+  Start({ upstream.Address() });
+  policy::Upstream roomy = MakeUpstream("i-0", upstream.Address(), 5);
+  roomy.m_slots = 200;
+  OnRequestThread([&] {
+    m_steering->PutUpstream(roomy);
+    m_steering->Tick();
+  });
+  std::vector<asio::ip::tcp::socket> endless;
+  for (int i = 0; i < 50; ++i) {
+    endless.push_back(Connect());
+    const std::string id = (i % 2 == 0 ? "body" : "head") + std::to_string(i);
+    asio::write(endless.back(), asio::buffer(Request("/b/x", id)));
+  }
+  auto caller = Connect();
+  const auto latencies = Latencies(caller, 100);
+  fmt::print("p99 beside 50 responses without end {} us\n", latencies[98].count());
+  EXPECT_LT(latencies.back(), 1s);
+  for (auto& socket : endless) {
+    std::string response(512, '\0');
+    response.resize(socket.read_some(asio::buffer(response)));
+    EXPECT_EQ(Status(response), "HTTP/1.1 502 Bad Gateway");
+  }
+  OnRequestThread([this] { EXPECT_EQ(m_bodyBudget.Used(), 0U); });
+}
+
 // Under lasting overload, rejected callers retry on new connections and leave the old ones idle.
 // Guards against refusing connections while idle ones hold the descriptors.
 TEST_F(RequestPathTest, IdleConnectionsMakeRoomForNewOnes)
@@ -175,25 +279,6 @@
   EXPECT_LT((after - before) / kCallers, kMaxBytesPerConnection);
 }
 
-/// @return latencies of requests sent one after the other on one connection, sorted.
-std::vector<std::chrono::microseconds> Latencies(asio::ip::tcp::socket& aCaller, int aCount)
-{
-  std::vector<std::chrono::microseconds> latencies;
-  std::string response(512, '\0');
-  for (int i = 0; i < aCount; ++i) {
-    const auto start = std::chrono::steady_clock::now();
-    asio::write(aCaller,
-                asio::buffer("GET /a/x HTTP/1.1\r\nHost: h\r\nRequest-Id: r" + std::to_string(i) +
-                             "\r\n\r\n"));
-    const std::size_t bytes = aCaller.read_some(asio::buffer(response));
-    EXPECT_EQ(Status(response.substr(0, bytes)), "HTTP/1.1 200 OK");
-    latencies.push_back(std::chrono::duration_cast<std::chrono::microseconds>(
-      std::chrono::steady_clock::now() - start));
-  }
-  std::ranges::sort(latencies);
-  return latencies;
-}
-
 // Guards against requests that block on the log while nobody reads standard output.
 TEST_F(RequestPathTest, RequestsDoNotWaitForTheLog)
 {
@@ -398,22 +483,6 @@
   });
 }
 
-/// @return the registration of an upstream of the fixture's service.
-policy::Upstream MakeUpstream(const std::string& aId,
-                              const std::string& aAddress,
-                              std::uint64_t aRevision)
-{
-  policy::Upstream upstream;
-  upstream.m_id = aId;
-  upstream.m_service = "s";
-  upstream.m_address = aAddress;
-  upstream.m_zone = "z";
-  upstream.m_region = "r";
-  upstream.m_slots = 4;
-  upstream.m_revision = aRevision;
-  return upstream;
-}
-
 /// @return a response whose headers include the given lines.
 std::string ResponseWith(const SeenRequest& aRequest, const std::string& aLines)
 {
