Fix two findings of the linter

Cause: a move from a constant capture and a vector grown in a loop, in the control thread's code. Change: the capture is mutable, the vector reserves its size. Conclusion: no change of behaviour.

--- a/packages/gateway/src/ControlPlane.cpp
+++ b/packages/gateway/src/ControlPlane.cpp
@@ -147,6 +147,7 @@
   };
   hooks.m_onMembers = [this](const std::vector<StoredObject>& aObjects) {
     std::vector<Json::Value> members;
+    members.reserve(aObjects.size());
     for (const StoredObject& object : aObjects) {
       members.push_back(object.m_value);
     }
--- a/packages/gateway/src/Gateway.cpp
+++ b/packages/gateway/src/Gateway.cpp
@@ -190,8 +190,9 @@
   hooks.m_onEvacuationList = posted(&Impl::OnEvacuationList);
   hooks.m_onEvacuationChanges = posted(&Impl::OnEvacuationChanges);
   hooks.m_onMembers = [this](std::set<std::string> aNames) {
-    asio::post(m_io,
-               [this, names = std::move(aNames)] { m_steering.SetMembers(std::move(names)); });
+    asio::post(m_io, [this, names = std::move(aNames)]() mutable {
+      m_steering.SetMembers(std::move(names));
+    });
   };
   hooks.m_onStrikes = [this](std::vector<policy::Strike> aStrikes) {
     asio::post(m_io, [this, strikes = std::move(aStrikes)] {
