Tell a starting VM the limits of upstreams before its first request

Callers saw: nothing; a VM that has just started knows no limit and would send to the upstreams in need until it has met each, or heard of it in turn.

Cause: announcements carry four limits each, and a limit that was told before the upstream's registration was read was dropped.

AnnouncesManyLimitsInTurn now has VMs that are ready, its bound is unchanged.

--- a/packages/gateway/src/PeerLink.cpp
+++ b/packages/gateway/src/PeerLink.cpp
@@ -43,8 +43,9 @@
 constexpr double kMaxAnnouncedNumber = 1e9;
 /// Announced instead of a limit for an upstream that no longer has one.
 constexpr double kNoLimit = -1;
-/// Limits of upstreams in one announcement.
+/// Limits of upstreams in one announcement, and in one to a VM that is starting.
 constexpr std::size_t kMaxLimitsPerMessage = 4;
+constexpr std::size_t kMaxLimitsForStartingVm = 64;
 /// Strikes in one announcement; more would not fit into a datagram.
 constexpr std::size_t kMaxStrikesPerMessage = 24;
 
@@ -283,6 +284,11 @@
   UpdatePeer(params, m_sender, true);
   m_hooks.m_onStrikes(StrikesFrom(params["strikes"]));
   ReadLimits(params);
+  if (params["ready"].isBool() && !params["ready"].asBool() && !params["leaving"].isBool() &&
+      !m_hooks.m_limits().empty()) {
+    // A VM that is starting must know the limits before its first request.
+    SendTo(BuildAnnouncement(kMaxLimitsForStartingVm), m_sender);
+  }
   // The recovery goes first: it tells how to apply the removals that the revisions lead to.
   if (params["recovered_ms"].isUInt()) {
     m_hooks.m_onStoreRecovered(milliseconds{ params["recovered_ms"].asUInt() });
@@ -298,7 +304,7 @@
   }
 }
 
-std::string PeerLink::BuildAnnouncement()
+std::string PeerLink::BuildAnnouncement(std::size_t aMaxLimits)
 {
   Json::Value message(Json::objectValue);
   message["jsonrpc"] = "2.0";
@@ -330,19 +336,19 @@
       params["strikes"].append(ToJson(strike));
     }
   }
-  AddLimits(params);
+  AddLimits(params, aMaxLimits);
   message["params"] = params;
   return base::WriteJson(message);
 }
 
-void PeerLink::AddLimits(Json::Value& aParams)
+void PeerLink::AddLimits(Json::Value& aParams, std::size_t aMaxLimits)
 {
   const base::MonotonicTime now = m_clock.Monotonic();
   const std::vector<policy::LimitObservation> limits = m_hooks.m_limits();
   if (limits.empty()) {
     return;
   }
-  const std::size_t count = std::min(limits.size(), kMaxLimitsPerMessage);
+  const std::size_t count = std::min(limits.size(), aMaxLimits);
   for (std::size_t i = 0; i < count; ++i) {
     const policy::LimitObservation& limit = limits[m_nextLimit++ % limits.size()];
     Json::Value entry(Json::arrayValue);
@@ -394,7 +400,7 @@
 
 void PeerLink::SendAnnouncements()
 {
-  const std::string message = BuildAnnouncement();
+  const std::string message = BuildAnnouncement(kMaxLimitsPerMessage);
   const std::vector<const Peer*> zone = NextZonePeers();
   std::vector<const Peer*> region;
   std::vector<const Peer*> others;
@@ -432,7 +438,7 @@
 
 void PeerLink::AnnounceToZone()
 {
-  const std::string message = BuildAnnouncement();
+  const std::string message = BuildAnnouncement(kMaxLimitsPerMessage);
   for (const Peer* peer : ZonePeers()) {
     SendTo(message, peer->m_endpoint);
   }
--- a/packages/gateway/src/PeerLink.h
+++ b/packages/gateway/src/PeerLink.h
@@ -147,9 +147,9 @@
                   bool aIsAnnouncement);
   void ScheduleAnnouncements();
   void SendAnnouncements();
-  std::string BuildAnnouncement();
+  std::string BuildAnnouncement(std::size_t aMaxLimits);
   /// Adds the limits whose turn it is, and the demand by which they are divided.
-  void AddLimits(Json::Value& aParams);
+  void AddLimits(Json::Value& aParams, std::size_t aMaxLimits);
   void ReadLimits(const Json::Value& aParams);
   void SendTo(const std::string& aMessage, const boost::asio::ip::udp::endpoint& aEndpoint);
   bool IsRunning(const Peer& aPeer) const;
--- a/packages/gateway/src/Steering.cpp
+++ b/packages/gateway/src/Steering.cpp
@@ -311,9 +311,7 @@
 void Steering::OnPeerLimits(const std::vector<policy::LimitObservation>& aObservations)
 {
   for (const policy::LimitObservation& observation : aObservations) {
-    if (m_registry.Records().contains(observation.m_upstream)) {
-      Observe(observation);
-    }
+    Observe(observation);
   }
 }
 
@@ -335,7 +333,9 @@
 
 std::vector<policy::LimitObservation> Steering::RecentLimits()
 {
-  m_limits.RemoveExpired(m_clock.Monotonic());
+  m_limits.RemoveExpired(
+    [this](const std::string& aId) { return m_registry.Records().contains(aId); },
+    m_clock.Monotonic());
   return m_limits.Recent(m_clock.Monotonic());
 }
 
@@ -364,11 +364,7 @@
 void Steering::ApplyLimits()
 {
   for (const std::string& id : m_limits.Limited()) {
-    if (m_registry.Records().contains(id)) {
-      ApplyLimit(id);
-    } else {
-      m_limits.Remove(id);
-    }
+    ApplyLimit(id);
   }
 }
 
--- a/packages/gateway/tests/PeerLinkTest.cpp
+++ b/packages/gateway/tests/PeerLinkTest.cpp
@@ -140,6 +140,9 @@
 {
   Vm& first = Add(1, "a", "r", Ip(2) + ":99");
   Vm& second = Add(2, "a", "r", Ip(1) + ":99");
+  first.m_link->SetLoad(true, 10);
+  second.m_link->SetLoad(true, 10);
+  RunFor(900ms);
   constexpr std::size_t kLimits = 10;
   for (std::size_t i = 0; i < kLimits; ++i) {
     first.m_limits.push_back(
@@ -156,6 +159,23 @@
   EXPECT_EQ(heard.size(), kLimits);
 }
 
+// Guards against a VM that exceeds the limits of upstreams after its start because it has not heard
+// of all of them.
+TEST_F(PeerLinkTest, AStartingVmHearsAllLimitsAtOnce)
+{
+  Vm& first = Add(1, "a", "r", Ip(2) + ":99");
+  first.m_link->SetLoad(true, 10);
+  constexpr std::size_t kLimits = 40;
+  for (std::size_t i = 0; i < kLimits; ++i) {
+    first.m_limits.push_back(
+      { "u" + std::to_string(i), 1.0, base::SystemClock::Get().Monotonic() });
+  }
+  RunFor(100ms);
+  Vm& starting = Add(2, "a", "r", Ip(1) + ":99");
+  RunFor(100ms);
+  EXPECT_EQ(starting.m_receivedLimits.size(), kLimits);
+}
+
 // Guards against a VM that ends, or hears nothing more, after one message caused an error.
 TEST_F(PeerLinkTest, GoesOnAfterAnUnexpectedError)
 {
--- a/packages/gateway/tests/RequestPathTest.cpp
+++ b/packages/gateway/tests/RequestPathTest.cpp
@@ -680,6 +680,20 @@
   EXPECT_LE(limited.Seen().size(), Allowed(kLimit / 2)) << "half is the other VM's";
 }
 
+// Guards against forgetting a limit that another VM tells before the registration arrives.
+TEST_F(LimitedUpstreamPathTest, KnowsTheLimitBeforeTheRegistration)
+{
+  ScriptedUpstream limited([this](const SeenRequest& aRequest) { return Respond(aRequest); });
+  Start({});
+  OnRequestThread([&] {
+    m_steering->OnPeerLimits({ { "i-0", 0.0, base::SystemClock::Get().Monotonic() } });
+    m_steering->PutUpstream(MakeUpstream("i-0", limited.Address(), 5));
+    m_steering->Tick();
+  });
+  Send(20, "r");
+  EXPECT_LE(limited.Seen().size(), 1U);
+}
+
 // Guards against keeping away for good from an upstream that takes nothing for a while.
 TEST_F(LimitedUpstreamPathTest, NoticesTheEndOfALimitOfZero)
 {
--- a/packages/policy/include/jaylane/policy/UpstreamLimits.h
+++ b/packages/policy/include/jaylane/policy/UpstreamLimits.h
@@ -2,6 +2,7 @@
 
 #include "jaylane/base/Clock.h"
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -39,11 +40,10 @@
   /// @return recent observations, which other VMs may lack.
   std::vector<LimitObservation> Recent(base::MonotonicTime aNow) const;
 
-  /// Forgets old observations, apart from limits that last.
-  void RemoveExpired(base::MonotonicTime aNow);
-
-  /// Forgets an upstream that has left.
-  void Remove(const std::string& aUpstream) { m_observations.erase(aUpstream); }
+  /// Forgets old observations, apart from the limits of upstreams that exist.
+  /// @param aExists returns whether an upstream is registered.
+  void RemoveExpired(const std::function<bool(const std::string& aUpstream)>& aExists,
+                     base::MonotonicTime aNow);
 
 private:
   std::map<std::string, LimitObservation> m_observations;
--- a/packages/policy/src/UpstreamLimits.cpp
+++ b/packages/policy/src/UpstreamLimits.cpp
@@ -56,10 +56,12 @@
   return recent;
 }
 
-void UpstreamLimits::RemoveExpired(base::MonotonicTime aNow)
+void UpstreamLimits::RemoveExpired(const std::function<bool(const std::string& aUpstream)>& aExists,
+                                   base::MonotonicTime aNow)
 {
-  std::erase_if(m_observations, [aNow](const auto& aEntry) {
-    return !aEntry.second.m_perSecond && aNow - aEntry.second.m_seenAt > kTellAge;
+  std::erase_if(m_observations, [&aExists, aNow](const auto& aEntry) {
+    const bool lasts = aEntry.second.m_perSecond && aExists(aEntry.first);
+    return !lasts && aNow - aEntry.second.m_seenAt > kTellAge;
   });
 }
 
