--- a/packages/gateway/tests/GatewayFixture.cpp
+++ b/packages/gateway/tests/GatewayFixture.cpp
@@ -133,4 +133,24 @@
          "\r\nTimeout-Ms: 2000\r\n" + aExtra + "\r\n";
 }
 
+std::string Status(const std::string& aResponse)
+{
+  return aResponse.substr(0, aResponse.find("\r\n"));
+}
+
+policy::Upstream MakeUpstream(const std::string& aId,
+                              const std::string& aAddress,
+                              std::uint64_t aRevision)
+{
+  policy::Upstream upstream;
+  upstream.m_id = aId;
+  upstream.m_service = "s";
+  upstream.m_address = aAddress;
+  upstream.m_zone = "z";
+  upstream.m_region = "r";
+  upstream.m_slots = 4;
+  upstream.m_revision = aRevision;
+  return upstream;
+}
+
 } // namespace jaylane::gateway
--- a/packages/gateway/tests/GatewayFixture.h
+++ b/packages/gateway/tests/GatewayFixture.h
@@ -70,4 +70,12 @@
   std::thread m_thread;
 };
 
+/// @return the first line of a response.
+std::string Status(const std::string& aResponse);
+
+/// @return the registration of an upstream of the fixture's service.
+policy::Upstream MakeUpstream(const std::string& aId,
+                              const std::string& aAddress,
+                              std::uint64_t aRevision);
+
 } // namespace jaylane::gateway
--- a/packages/gateway/tests/ScriptedUpstream.cpp
+++ b/packages/gateway/tests/ScriptedUpstream.cpp
@@ -130,4 +130,11 @@
     aBody);
 }
 
+std::string ResponseWith(const SeenRequest& aRequest, const std::string& aLines)
+{
+  std::string response = OkResponse(aRequest, "x");
+  response.insert(response.find("\r\n") + 2, aLines);
+  return response;
+}
+
 } // namespace jaylane::gateway
--- a/packages/gateway/tests/ScriptedUpstream.h
+++ b/packages/gateway/tests/ScriptedUpstream.h
@@ -65,4 +65,7 @@
 /// @return "HTTP/1.1 200 OK" with a request id, a signature and a length.
 std::string OkResponse(const SeenRequest& aRequest, const std::string& aBody);
 
+/// @return the same whose headers include the given lines.
+std::string ResponseWith(const SeenRequest& aRequest, const std::string& aLines);
+
 } // namespace jaylane::gateway
