Log which requests were lost with a crashed upstream

The log of the incident could not tell why no request was quarantined: it had neither the fingerprint of a loss, nor how many of its crashes count, nor what other VMs had told.

crash_strike names the fingerprint, the upstream, and the crashes counted of all that the request was present at; peer_strikes says how many strikes an announcement added; request has the fingerprint where an upstream was lost or the request is quarantined. No decision changed; the tests of gateway and QuarantineList pass.

--- a/packages/gateway/src/Gateway.cpp
+++ b/packages/gateway/src/Gateway.cpp
@@ -195,9 +195,7 @@
     });
   };
   hooks.m_onStrikes = [this](std::vector<policy::Strike> aStrikes) {
-    asio::post(m_io, [this, strikes = std::move(aStrikes)] {
-      m_steering.Quarantine().Merge(strikes, m_dependencies.m_clock.Monotonic());
-    });
+    asio::post(m_io, [this, strikes = std::move(aStrikes)] { m_steering.OnPeerStrikes(strikes); });
   };
   hooks.m_onLimits = [this](std::vector<policy::LimitObservation> aLimits) {
     asio::post(m_io, [this, limits = std::move(aLimits)] { m_steering.OnPeerLimits(limits); });
--- a/packages/gateway/src/RequestExchange.cpp
+++ b/packages/gateway/src/RequestExchange.cpp
@@ -24,6 +24,9 @@
 constexpr milliseconds kStartupRetryDelay{ 500 };
 /// The same when another VM can serve the request at once.
 constexpr milliseconds kOtherVmRetryDelay{ 50 };
+/// Outcomes whose log records name the request's fingerprint.
+constexpr std::string_view kOutcomeLost = "upstream_lost";
+constexpr std::string_view kOutcomeQuarantined = "quarantined";
 
 std::uint64_t HashOf(std::string_view aText)
 {
@@ -86,7 +89,7 @@
     m_request->m_receivedAt + std::min(routeLimit, m_request->m_timeout.value_or(routeLimit));
   if (m_context.m_steering.Quarantine().IsQuarantined(Fingerprint(),
                                                       m_context.m_clock.Monotonic())) {
-    Reject("quarantined", kMaxTimeout);
+    Reject(kOutcomeQuarantined, kMaxTimeout);
     return false;
   }
   m_context.m_steering.RetryBudget(m_service->m_name).OnRequest(m_context.m_clock.Monotonic());
@@ -166,7 +169,7 @@
   } else if (m_failureResponse) {
     Finish(std::move(*m_failureResponse), "upstream_failure");
   } else if (m_mayHaveRun) {
-    Respond(502, "upstream_lost");
+    Respond(502, kOutcomeLost);
   } else {
     const bool hasUpstream = choice.m_decision == ServiceBalancer::Decision::Overloaded;
     const milliseconds pause = m_context.m_steering.ShortestPause(m_service->m_name);
@@ -389,7 +392,7 @@
   } else if (m_failureResponse) {
     Finish(std::move(*m_failureResponse), "upstream_failure");
   } else if (m_mayHaveRun) {
-    Respond(502, "upstream_lost");
+    Respond(502, kOutcomeLost);
   } else if (aResult.m_failure == AttemptFailure::Rejected) {
     const bool hadFreeSlots =
       aResult.m_load &&
@@ -489,6 +492,9 @@
   if (m_service) {
     record.Add("service", m_service->m_name);
   }
+  if (aOutcome == kOutcomeLost || aOutcome == kOutcomeQuarantined) {
+    record.Add("fingerprint", Fingerprint().ToString());
+  }
   m_context.m_log.Write(record);
 }
 
--- a/packages/gateway/src/Steering.cpp
+++ b/packages/gateway/src/Steering.cpp
@@ -25,18 +25,6 @@
 constexpr double kAllocatedConnectionShare = 0.7;
 constexpr std::uint32_t kMinConnections = 2;
 
-policy::QuarantineOptions MakeQuarantineOptions()
-{
-  policy::QuarantineOptions options;
-  options.m_lifetime = std::chrono::seconds{ 60 };
-  // A path that many callers use may lose responses at several flaky upstreams although it
-  // completes at others. Only a request that never completes is quarantined, after its third
-  // upstream.
-  options.m_crashThreshold = 3;
-  options.m_totalCrashThreshold = 64;
-  return options;
-}
-
 /// Requests per second that all VMs together send whatever the limit is, to notice when it ends.
 constexpr double kMinLimit = 0.1;
 /// Time for which an upstream that said that it leaves is remembered after its registration has
@@ -67,7 +55,7 @@
   , m_log(aLog)
   , m_registry({})
   , m_regions({})
-  , m_quarantine(MakeQuarantineOptions(), std::random_device{}())
+  , m_quarantine(policy::QuarantineOptions::MakeForSharedPaths(), std::random_device{}())
 {
 }
 
@@ -246,14 +234,39 @@
                 .Add("upstream", aId)
                 .Add("requests", requests.size()));
   if (!aIsAlive) {
-    const std::uint64_t upstream = policy::QuarantineList::HashUpstream(aId, {});
     for (const policy::RequestFingerprint& request : requests) {
-      m_quarantine.RecordLoss(request, upstream, m_clock.Monotonic());
+      RecordCrash(aId, request);
     }
   }
   m_suspectedCrashes.erase(suspected);
 }
 
+void Steering::RecordCrash(const std::string& aId, const policy::RequestFingerprint& aRequest)
+{
+  const auto now = m_clock.Monotonic();
+  m_quarantine.RecordLoss(aRequest, policy::QuarantineList::HashUpstream(aId, {}), now);
+  const policy::CrashCounts crashes = m_quarantine.Crashes(aRequest, now);
+  m_log.Write(
+    base::LogRecord("crash_strike")
+      .Add("fingerprint", aRequest.ToString())
+      .Add("upstream", aId)
+      .Add("crashes", crashes.m_total)
+      .Add("counted", crashes.m_counted)
+      .Add("outcome", m_quarantine.IsQuarantined(aRequest, now) ? "quarantined" : "kept"));
+}
+
+void Steering::OnPeerStrikes(const std::vector<policy::Strike>& aStrikes)
+{
+  const std::size_t held = m_quarantine.size();
+  m_quarantine.Merge(aStrikes, m_clock.Monotonic());
+  if (m_quarantine.size() > held) {
+    m_log.Write(base::LogRecord("peer_strikes")
+                  .Add("told", aStrikes.size())
+                  .Add("new", m_quarantine.size() - held)
+                  .Add("held", m_quarantine.size()));
+  }
+}
+
 void Steering::AddCrashProbes(std::vector<ProbeTarget>& aDue)
 {
   // A crashed upstream keeps its registry entry for a while. One without an entry had deregistered
--- a/packages/gateway/src/Steering.h
+++ b/packages/gateway/src/Steering.h
@@ -107,6 +107,8 @@
   policy::ServiceBalancer& Balancer(const std::string& aService);
   policy::RetryBudget& RetryBudget(const std::string& aService);
   policy::QuarantineList& Quarantine() { return m_quarantine; }
+  /// Adds the strikes that a peer announced.
+  void OnPeerStrikes(const std::vector<policy::Strike>& aStrikes);
 
   /// @return whether requests can be served: a configuration and a list of upstreams are known.
   bool IsReady() const { return m_routes && m_hasUpstreams; }
@@ -136,6 +138,7 @@
   std::string RegionOf(const std::string& aId) const;
   void OnRegionFailure(const std::string& aId);
   void OnRegionResponse(const std::string& aId);
+  void RecordCrash(const std::string& aId, const policy::RequestFingerprint& aRequest);
   void AddCrashProbes(std::vector<ProbeTarget>& aDue);
   void AddDueProbes(ProbedUpstreams& aUpstreams, std::vector<ProbeTarget>& aDue);
   std::string HealthPath(const policy::Upstream& aUpstream) const;
--- a/packages/policy/include/jaylane/policy/QuarantineList.h
+++ b/packages/policy/include/jaylane/policy/QuarantineList.h
@@ -48,6 +48,18 @@
   std::size_t m_totalCrashThreshold = 4;
   /// Strikes kept at most. If there are more, the one that expires first is dropped.
   std::size_t m_maxStrikes = 4096;
+
+  /// @return options for requests whose path many callers share, so that a wrong quarantine costs
+  ///         many requests.
+  static QuarantineOptions MakeForSharedPaths();
+};
+
+/// Crashes during which requests with one fingerprint were in flight.
+struct CrashCounts
+{
+  /// Without discounted strikes, see QuarantineOptions::m_crashThreshold.
+  std::size_t m_counted = 0;
+  std::size_t m_total = 0;
 };
 
 /// Detects requests that crash upstreams. A fingerprint is quarantined while it has strikes from
@@ -87,6 +99,9 @@
   ///         crash caused it.
   bool IsSuspect(const RequestFingerprint& aFingerprint, base::MonotonicTime aNow) const;
 
+  /// @return crashes of the strikes that have not expired.
+  CrashCounts Crashes(const RequestFingerprint& aFingerprint, base::MonotonicTime aNow) const;
+
   /// @return all strikes that have not expired, to be sent to peers.
   std::vector<Strike> Strikes(base::MonotonicTime aNow) const;
 
--- a/packages/policy/include/jaylane/policy/RequestFingerprint.h
+++ b/packages/policy/include/jaylane/policy/RequestFingerprint.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <memory>
 #include <span>
+#include <string>
 #include <string_view>
 
 struct XXH3_state_s;
@@ -46,6 +47,9 @@
                                std::string_view aMethod,
                                std::string_view aPath,
                                std::uint64_t aBodyHash);
+
+  /// @return 32 hexadecimal digits, for logs.
+  std::string ToString() const;
 };
 
 } // namespace jaylane::policy
--- a/packages/policy/src/QuarantineList.cpp
+++ b/packages/policy/src/QuarantineList.cpp
@@ -10,6 +10,18 @@
 
 using base::MonotonicTime;
 
+QuarantineOptions QuarantineOptions::MakeForSharedPaths()
+{
+  QuarantineOptions options;
+  options.m_lifetime = std::chrono::seconds{ 60 };
+  // A path that many callers use may lose responses at several flaky upstreams although it
+  // completes at others. Only a request that never completes is quarantined, after its third
+  // upstream.
+  options.m_crashThreshold = 3;
+  options.m_totalCrashThreshold = 64;
+  return options;
+}
+
 QuarantineList::QuarantineList(const QuarantineOptions& aOptions, std::uint64_t aObserverId)
   : m_options(aOptions)
   , m_observerId(aObserverId)
@@ -175,18 +187,26 @@
   return crashes;
 }
 
-bool QuarantineList::IsQuarantined(const RequestFingerprint& aFingerprint, MonotonicTime aNow) const
+CrashCounts QuarantineList::Crashes(const RequestFingerprint& aFingerprint,
+                                    MonotonicTime aNow) const
 {
   const auto found = m_entries.find(aFingerprint);
-  return found != m_entries.end() &&
-         (CountCrashes(found->second, false, aNow) >= m_options.m_crashThreshold ||
-          CountCrashes(found->second, true, aNow) >= m_options.m_totalCrashThreshold);
+  if (found == m_entries.end()) {
+    return {};
+  }
+  return { CountCrashes(found->second, false, aNow), CountCrashes(found->second, true, aNow) };
+}
+
+bool QuarantineList::IsQuarantined(const RequestFingerprint& aFingerprint, MonotonicTime aNow) const
+{
+  const CrashCounts crashes = Crashes(aFingerprint, aNow);
+  return crashes.m_counted >= m_options.m_crashThreshold ||
+         crashes.m_total >= m_options.m_totalCrashThreshold;
 }
 
 bool QuarantineList::IsSuspect(const RequestFingerprint& aFingerprint, MonotonicTime aNow) const
 {
-  const auto found = m_entries.find(aFingerprint);
-  return found != m_entries.end() && CountCrashes(found->second, true, aNow) > 0;
+  return Crashes(aFingerprint, aNow).m_total > 0;
 }
 
 std::vector<Strike> QuarantineList::Strikes(MonotonicTime aNow) const
--- a/packages/policy/src/RequestFingerprint.cpp
+++ b/packages/policy/src/RequestFingerprint.cpp
@@ -1,5 +1,8 @@
 #include "jaylane/policy/RequestFingerprint.h"
 
+#include <array>
+#include <cinttypes>
+#include <cstdio>
 #include <new>
 #include <string>
 #include <xxhash.h>
@@ -45,4 +48,11 @@
   return { hash.high64, hash.low64 };
 }
 
+std::string RequestFingerprint::ToString() const
+{
+  std::array<char, 33> text{};
+  std::snprintf(text.data(), text.size(), "%016" PRIx64 "%016" PRIx64, m_high, m_low);
+  return text.data();
+}
+
 } // namespace jaylane::policy
