Show that a crashing request costs upstreams without end

Replays one request that ends each upstream which runs it against one QuarantineList per VM, with other requests in flight, upstreams that lose power, completions of a request that looks the same, and 301 VMs. One path that all callers use is rejected instead of the crashing one.

--- /dev/null
+++ b/packages/policy/tests/CrashReplay.cpp
@@ -0,0 +1,287 @@
+#include "CrashReplay.h"
+
+#include "jaylane/policy/QuarantineList.h"
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <optional>
+#include <queue>
+#include <random>
+#include <tuple>
+#include <utility>
+#include <vector>
+
+namespace jaylane::policy {
+
+namespace {
+
+using namespace std::chrono_literals;
+using base::MonotonicTime;
+using std::chrono::milliseconds;
+
+constexpr milliseconds kRunTime{ 150 };
+constexpr milliseconds kTimeToCrash{ 80 };
+/// Time until a probe tells that an upstream which closed its connections has crashed.
+constexpr milliseconds kProbeTime{ 100 };
+constexpr milliseconds kMinRestartTime{ 1500 };
+constexpr milliseconds kMaxRestartTime{ 4000 };
+constexpr milliseconds kAnnounceInterval{ 400 };
+constexpr std::size_t kZonePeers = 8;
+constexpr std::size_t kOtherPeers = 4;
+constexpr std::size_t kStrikesPerMessage = 24;
+constexpr std::size_t kAttempts = 2;
+
+class Replay
+{
+public:
+  explicit Replay(const CrashLoad& aLoad)
+    : m_load(aLoad)
+    , m_random(aLoad.m_seed)
+    , m_upstreams(aLoad.m_upstreams)
+  {
+    for (std::size_t vm = 0; vm < aLoad.m_vms; ++vm) {
+      m_vms.emplace_back(QuarantineOptions::MakeForSharedPaths(), vm);
+      m_nextPeer.push_back(Pick(aLoad.m_vms));
+      After(milliseconds{ Pick(kAnnounceInterval.count()) }, [this, vm] { Announce(vm); });
+    }
+    for (Upstream& upstream : m_upstreams) {
+      upstream.m_id = m_nextId++;
+    }
+  }
+
+  CrashCost Run()
+  {
+    if (m_load.m_crashes) {
+      Repeat(m_load.m_interval, [this] { Start({ m_crashing, Kind::Crashing }); });
+    }
+    if (m_load.m_sameFingerprintInterval > 0ms) {
+      Repeat(m_load.m_sameFingerprintInterval, [this] { Start({ m_crashing, Kind::Harmless }); });
+    }
+    if (m_load.m_bystanders > 0) {
+      const auto perSecond = static_cast<std::int64_t>(m_load.m_bystanders * m_upstreams.size()) *
+                             1000 / kRunTime.count();
+      Repeat(std::chrono::nanoseconds{ 1s } / perSecond, [this] { StartHarmless(); });
+    }
+    if (m_load.m_powerLossInterval > 0ms) {
+      Repeat(m_load.m_powerLossInterval, [this] { LosePower(); });
+    }
+    const MonotonicTime end = m_now + m_load.m_duration;
+    while (!m_events.empty() && m_events.top().m_at < end) {
+      const Event event = m_events.top();
+      m_events.pop();
+      m_now = event.m_at;
+      event.m_action();
+    }
+    return m_cost;
+  }
+
+private:
+  enum class Kind
+  {
+    Crashing,
+    Harmless,
+  };
+  struct Request
+  {
+    RequestFingerprint m_fingerprint;
+    Kind m_kind = Kind::Harmless;
+    std::size_t m_vm = 0;
+    std::size_t m_attempts = 0;
+  };
+  struct Upstream
+  {
+    /// Differs between incarnations.
+    std::uint64_t m_id = 0;
+    bool m_isUp = true;
+    std::map<std::uint64_t, Request> m_running;
+  };
+  struct Event
+  {
+    MonotonicTime m_at;
+    std::uint64_t m_order = 0;
+    std::function<void()> m_action;
+
+    bool operator<(const Event& aOther) const
+    {
+      return std::tie(aOther.m_at, aOther.m_order) < std::tie(m_at, m_order);
+    }
+  };
+
+  std::size_t Pick(std::size_t aCount) { return m_random() % aCount; }
+
+  bool Happens(double aProbability)
+  {
+    return std::uniform_real_distribution<>{}(m_random) < aProbability;
+  }
+
+  void After(std::chrono::nanoseconds aDelay, std::function<void()> aAction)
+  {
+    m_events.push({ m_now + aDelay, m_eventCount++, std::move(aAction) });
+  }
+
+  void Repeat(std::chrono::nanoseconds aInterval, std::function<void()> aAction)
+  {
+    After(aInterval, [this, aInterval, action = std::move(aAction)] {
+      action();
+      Repeat(aInterval, action);
+    });
+  }
+
+  static RequestFingerprint MakeFingerprint(std::uint64_t aNumber)
+  {
+    return RequestFingerprint::Of("s", "GET", "/" + std::to_string(aNumber), 0);
+  }
+
+  void StartHarmless()
+  {
+    const std::uint64_t path =
+      1 + (m_load.m_harmlessPaths == 0 ? m_cost.m_harmless : Pick(m_load.m_harmlessPaths));
+    Start({ MakeFingerprint(path), Kind::Harmless });
+  }
+
+  void Start(Request aRequest)
+  {
+    aRequest.m_vm = Pick(m_vms.size());
+    m_cost.m_harmless += aRequest.m_kind == Kind::Harmless ? 1 : 0;
+    if (m_vms[aRequest.m_vm].IsQuarantined(aRequest.m_fingerprint, m_now)) {
+      m_cost.m_harmlessRejected += aRequest.m_kind == Kind::Harmless ? 1 : 0;
+      return;
+    }
+    Send(aRequest);
+  }
+
+  void Send(Request aRequest)
+  {
+    std::vector<Upstream*> usable;
+    for (Upstream& upstream : m_upstreams) {
+      if (upstream.m_isUp) {
+        usable.push_back(&upstream);
+      }
+    }
+    if (usable.empty()) {
+      return;
+    }
+    Upstream& upstream = *usable[Pick(usable.size())];
+    const std::uint64_t run = m_nextRun++;
+    const std::uint64_t incarnation = upstream.m_id;
+    ++aRequest.m_attempts;
+    upstream.m_running.emplace(run, aRequest);
+    const bool isLate = m_thirdCrash && m_now > *m_thirdCrash + kStableWindow;
+    m_cost.m_lateCopies += aRequest.m_kind == Kind::Crashing && isLate ? 1 : 0;
+    const bool crashes = aRequest.m_kind == Kind::Crashing && IsVulnerable(upstream);
+    After(crashes ? kTimeToCrash : kRunTime, [this, &upstream, run, incarnation, crashes] {
+      if (!upstream.m_isUp || upstream.m_id != incarnation) {
+        return; // Ended before.
+      }
+      if (crashes) {
+        ++m_cost.m_ends;
+        if (m_cost.m_ends == 3) {
+          m_thirdCrash = m_now;
+        }
+        End(upstream);
+      } else {
+        OnCompleted(upstream, run);
+      }
+    });
+  }
+
+  bool IsVulnerable(const Upstream& aUpstream) const
+  {
+    const auto index = static_cast<double>(&aUpstream - m_upstreams.data());
+    return index < m_load.m_vulnerableShare * static_cast<double>(m_upstreams.size());
+  }
+
+  void OnCompleted(Upstream& aUpstream, std::uint64_t aRun)
+  {
+    const Request request = aUpstream.m_running.at(aRun);
+    aUpstream.m_running.erase(aRun);
+    m_vms[request.m_vm].RecordCompleted(request.m_fingerprint, m_now);
+  }
+
+  /// An upstream ends and starts again as another incarnation.
+  void End(Upstream& aUpstream)
+  {
+    const auto lost = std::exchange(aUpstream.m_running, {});
+    const std::uint64_t id = aUpstream.m_id;
+    aUpstream.m_isUp = false;
+    const auto spread = static_cast<std::size_t>((kMaxRestartTime - kMinRestartTime).count());
+    After(kMinRestartTime + milliseconds{ Pick(spread) }, [this, &aUpstream] {
+      aUpstream.m_id = m_nextId++;
+      aUpstream.m_isUp = true;
+    });
+    for (const auto& [run, request] : lost) {
+      OnLost(request, id);
+    }
+  }
+
+  void OnLost(const Request& aRequest, std::uint64_t aUpstream)
+  {
+    After(kProbeTime, [this, aRequest, aUpstream] {
+      m_vms[aRequest.m_vm].RecordLoss(aRequest.m_fingerprint, aUpstream, m_now);
+    });
+    if (aRequest.m_attempts < kAttempts) {
+      Send(aRequest);
+    }
+  }
+
+  void LosePower()
+  {
+    for (std::size_t i = 0; i < m_upstreams.size(); i += 2) {
+      After(milliseconds{ Pick(1000) }, [this, &upstream = m_upstreams[i]] {
+        if (upstream.m_isUp) {
+          End(upstream);
+        }
+      });
+    }
+  }
+
+  void Announce(std::size_t aVm)
+  {
+    After(kAnnounceInterval, [this, aVm] { Announce(aVm); });
+    std::vector<Strike> strikes = m_vms[aVm].Strikes(m_now);
+    strikes.resize(std::min(strikes.size(), kStrikesPerMessage));
+    if (strikes.empty()) {
+      return;
+    }
+    const std::size_t inZone = m_vms.size() / m_load.m_zones;
+    for (std::size_t i = 0; i < std::min(kZonePeers, inZone); ++i) {
+      // VMs of one zone have numbers that differ by a multiple of the number of zones.
+      const std::size_t peer = aVm + m_load.m_zones * (1 + m_nextPeer[aVm]++ % inZone);
+      Tell(peer % m_vms.size(), strikes);
+    }
+    for (std::size_t i = 0; i < kOtherPeers; ++i) {
+      Tell(Pick(m_vms.size()), strikes);
+    }
+  }
+
+  void Tell(std::size_t aVm, const std::vector<Strike>& aStrikes)
+  {
+    if (!Happens(m_load.m_announcementLoss)) {
+      m_vms[aVm].Merge(aStrikes, m_now);
+    }
+  }
+
+  const CrashLoad m_load;
+  std::minstd_rand m_random;
+  MonotonicTime m_now{ 1h };
+  std::priority_queue<Event> m_events;
+  std::uint64_t m_eventCount = 0;
+  std::uint64_t m_nextId = 0;
+  std::uint64_t m_nextRun = 0;
+  std::vector<Upstream> m_upstreams;
+  std::vector<QuarantineList> m_vms;
+  std::vector<std::size_t> m_nextPeer;
+  const RequestFingerprint m_crashing = MakeFingerprint(0);
+  std::optional<MonotonicTime> m_thirdCrash;
+  CrashCost m_cost;
+};
+
+} // namespace
+
+CrashCost ReplayCrashes(const CrashLoad& aLoad)
+{
+  return Replay(aLoad).Run();
+}
+
+} // namespace jaylane::policy
