Contain requests that crash upstreams

Cause: what happens at the same time decided what is to blame. Three ends with eight requests among them within two seconds were a mass failure, and the crashing request itself makes just that: each end takes the other requests in flight with it. All its strikes were discounted, up to a second limit of 64. Beside it: a copy was retried at the next upstream before anything was known, copies ran at many upstreams together, any 24 strikes were told, the same ones each time, a crash was noticed at the next tick only, and strikes counted against one service, so that a moved route began anew.

Change: what a request was present at decides. A request that was lost is a suspect until one like it completes: it runs once at a time at a VM, without a hedge, at the upstream that all VMs choose for it, and is not sent again when it is lost. Two crashes of a suspect convict it whatever else fails; crashes that a convicted request explains count against no other; eight convicted at once are none, since they have nothing in common; six different upstreams convict whatever completes, unless it completes eight times for each. A path that has just completed often is no suspect. Strikes of the requests that were present at most crashes are told first, and at once; upstreams that close a connection are probed at once; the fingerprint has the host in place of the service. A quarantine lasts five minutes instead of one, because a repeat costs another upstream.

IsSuspect no longer counts strikes from before a completion, so that a popular path of jaylane-entry does not run once at a time for ten minutes.

--- a/packages/entry/src/RequestQuarantine.cpp
+++ b/packages/entry/src/RequestQuarantine.cpp
@@ -27,13 +27,14 @@
 }
 
 void RequestQuarantine::RecordLoss(const policy::RequestFingerprint& aFingerprint,
-                                   std::uint64_t aUpstream)
+                                   std::uint64_t aUpstream,
+                                   bool aIsRepeat)
 {
   bool quarantined = false;
   {
     std::lock_guard lock(m_mutex);
     const auto now = m_context.m_clock.Monotonic();
-    m_list.RecordLoss(aFingerprint, aUpstream, now);
+    m_list.RecordLoss(aFingerprint, aUpstream, now, aIsRepeat);
     quarantined = m_list.IsQuarantined(aFingerprint, now);
   }
   if (quarantined) {
--- a/packages/entry/src/RequestQuarantine.h
+++ b/packages/entry/src/RequestQuarantine.h
@@ -22,7 +22,10 @@
   bool IsSuspect(const policy::RequestFingerprint& aFingerprint) const;
   /// Records that an upstream closed the request's connection without a response.
   /// @param aUpstream QuarantineList::HashUpstream() of the upstream.
-  void RecordLoss(const policy::RequestFingerprint& aFingerprint, std::uint64_t aUpstream);
+  /// @param aIsRepeat whether the request was a suspect when it was sent.
+  void RecordLoss(const policy::RequestFingerprint& aFingerprint,
+                  std::uint64_t aUpstream,
+                  bool aIsRepeat);
   void RecordCompleted(const policy::RequestFingerprint& aFingerprint);
   /// @return all live strikes, for peers.
   std::vector<policy::Strike> Strikes() const;
--- a/packages/entry/src/ServiceDispatcher.cpp
+++ b/packages/entry/src/ServiceDispatcher.cpp
@@ -288,7 +288,8 @@
   ++job.m_attempts;
   job.m_triedUpstreams.push_back(aChoice.m_id);
   ++info.m_inFlight;
-  if (m_quarantine.IsSuspect(job.m_request.m_fingerprint)) {
+  const bool isSuspect = m_quarantine.IsSuspect(job.m_request.m_fingerprint);
+  if (isSuspect) {
     m_runningSuspects[job.m_request.m_fingerprint] = aChoice.m_id;
   }
   m_selector.Dispatched(aChoice);
@@ -299,7 +300,8 @@
              fmt::format("{}-{}", m_context.m_incarnationText.substr(0, 12), m_nextAttempt++),
              *ticket,
              now,
-             std::min(job.m_request.m_deadline, ticket->m_deadline) });
+             std::min(job.m_request.m_deadline, ticket->m_deadline),
+             isSuspect });
   const bool started =
     m_transport.Start(job.m_request.m_exchange,
                       MakeAttemptSpecLocked(job, info, attempt),
@@ -400,7 +402,8 @@
   if (aOutcome.m_result == proxy::AttemptResult::ConnectionLost) {
     m_quarantine.RecordLoss(
       aFingerprint,
-      policy::QuarantineList::HashUpstream(aAttempt.m_choice.m_id, aAttempt.m_incarnation));
+      policy::QuarantineList::HashUpstream(aAttempt.m_choice.m_id, aAttempt.m_incarnation),
+      aAttempt.m_isSuspect);
   } else if (aOutcome.m_result == proxy::AttemptResult::Completed) {
     m_quarantine.RecordCompleted(aFingerprint);
   }
--- a/packages/entry/src/ServiceDispatcher.h
+++ b/packages/entry/src/ServiceDispatcher.h
@@ -109,6 +109,8 @@
     policy::SlotTicket m_ticket;
     base::MonotonicTime m_startedAt;
     base::MonotonicTime m_deadline;
+    /// See QuarantineList::IsSuspect().
+    bool m_isSuspect = false;
   };
 
   struct UpstreamInfo
--- a/packages/gateway/src/ControlPlane.cpp
+++ b/packages/gateway/src/ControlPlane.cpp
@@ -290,6 +290,11 @@
   boost::asio::dispatch(m_io, [this, aLifetime] { m_lookupLifetime = aLifetime; });
 }
 
+void ControlPlane::AnnounceSoon()
+{
+  boost::asio::dispatch(m_io, [this] { m_peerLink.AnnounceSoon(); });
+}
+
 void ControlPlane::AnnounceLeaving()
 {
   boost::asio::dispatch(m_io, [this] {
--- a/packages/gateway/src/ControlPlane.h
+++ b/packages/gateway/src/ControlPlane.h
@@ -74,6 +74,10 @@
   /// thread.
   void SetLookupLifetime(std::chrono::milliseconds aLifetime);
 
+  /// Announces the state of the request thread before the next regular announcement. May be called
+  /// on any thread.
+  void AnnounceSoon();
+
   /// Announces that this VM is stopping, and leaves lookups. May be called on any thread.
   void AnnounceLeaving();
 
--- a/packages/gateway/src/Gateway.cpp
+++ b/packages/gateway/src/Gateway.cpp
@@ -71,9 +71,12 @@
   void UpdateRequestRate();
   /// Reports the state that the control plane announces.
   void ReportState();
+  /// Tells other VMs of crashes that they should know at once.
+  void AnnounceNews();
   void Tick();
   /// Updates expiring state, probes upstreams and looks for new settings.
   void UpdateState();
+  void ProbeDueUpstreams();
   void Probe(const Steering::ProbeTarget& aTarget);
   void AwaitSignal();
   void Reload();
@@ -134,6 +137,7 @@
                    MakeControlHooks())
 {
   m_context.m_isViewOutdated = [this] { return m_controlPlane.IsViewOutdated(); };
+  m_steering.SetOnProbeDue([this] { asio::post(m_io, [this] { ProbeDueUpstreams(); }); });
 }
 
 base::Status Gateway::Impl::Listen()
@@ -195,7 +199,10 @@
     });
   };
   hooks.m_onStrikes = [this](std::vector<policy::Strike> aStrikes) {
-    asio::post(m_io, [this, strikes = std::move(aStrikes)] { m_steering.OnPeerStrikes(strikes); });
+    asio::post(m_io, [this, strikes = std::move(aStrikes)] {
+      m_steering.OnPeerStrikes(strikes);
+      AnnounceNews();
+    });
   };
   hooks.m_onLimits = [this](std::vector<policy::LimitObservation> aLimits) {
     asio::post(m_io, [this, limits = std::move(aLimits)] { m_steering.OnPeerLimits(limits); });
@@ -225,10 +232,19 @@
   m_controlPlane.SetRequestState(
     { m_context.m_phase == LifecyclePhase::Serving && m_steering.IsReady(),
       m_requestsPerSecond,
-      m_steering.Quarantine().Strikes(m_dependencies.m_clock.Monotonic()),
+      m_steering.Containment().List().StrikesToAnnounce(PeerLink::kMaxStrikesPerMessage,
+                                                        m_dependencies.m_clock.Monotonic()),
       m_steering.RecentLimits() });
 }
 
+void Gateway::Impl::AnnounceNews()
+{
+  if (m_steering.Containment().TakeNews()) {
+    ReportState();
+    m_controlPlane.AnnounceSoon();
+  }
+}
+
 void Gateway::Impl::OnConfiguration(const StoredObject& aObject)
 {
   auto configuration = m_dependencies.m_dialect.DecodeConfiguration(aObject);
@@ -349,9 +365,7 @@
 {
   m_steering.SetDemandShare(m_controlPlane.DemandShare());
   m_steering.Tick();
-  for (const Steering::ProbeTarget& target : m_steering.TakeDueProbes()) {
-    Probe(target);
-  }
+  ProbeDueUpstreams();
   ReportState();
   if (++m_tickCount % kMaintenanceTicks == 0) {
     UpdateRequestRate();
@@ -362,10 +376,18 @@
   }
 }
 
+void Gateway::Impl::ProbeDueUpstreams()
+{
+  for (const Steering::ProbeTarget& target : m_steering.TakeDueProbes()) {
+    Probe(target);
+  }
+}
+
 void Gateway::Impl::Probe(const Steering::ProbeTarget& aTarget)
 {
   if (aTarget.m_healthPath.empty()) {
     m_steering.OnProbeEnded(aTarget.m_id, false); // The upstream cannot be probed.
+    AnnounceNews();
     return;
   }
   const auto fetch = std::make_shared<HttpFetch>(m_io, aTarget.m_address);
@@ -378,6 +400,7 @@
                  const bool isAlive =
                    aResponse.m_status != 0 && (!health || health->m_upstream == id);
                  m_steering.OnProbeEnded(id, isAlive);
+                 AnnounceNews();
                  if (isAlive && aResponse.m_fields.count(m_dependencies.m_wire.m_leaving) > 0) {
                    m_steering.OnLeaving(id);
                  }
--- a/packages/gateway/src/PeerLink.cpp
+++ b/packages/gateway/src/PeerLink.cpp
@@ -22,6 +22,8 @@
 /// lookups. Three announcements in a row may be lost.
 constexpr milliseconds kAnnounceInterval{ 400 };
 constexpr milliseconds kPeerTimeout{ 1800 };
+/// Shortest time between two announcements to the VMs whose turn it is.
+constexpr milliseconds kMinAnnounceInterval{ 100 };
 /// VMs that an announcement is sent to: in the own zone, in the rest of the region and in other
 /// regions. With 205 bytes an announcement this is below 7 kB/s.
 constexpr std::size_t kMaxZonePeers = 8;
@@ -46,8 +48,12 @@
 /// Limits of upstreams in one announcement, and in one to a VM that is starting.
 constexpr std::size_t kMaxLimitsPerMessage = 4;
 constexpr std::size_t kMaxLimitsForStartingVm = 64;
-/// Strikes in one announcement; more would not fit into a datagram.
-constexpr std::size_t kMaxStrikesPerMessage = 24;
+
+/// Last field of an announced strike. VMs of older versions read the first two bits.
+constexpr unsigned kCorrelatedBit = 1;
+constexpr unsigned kCompletedBit = 2;
+constexpr unsigned kRepeatBit = 4;
+constexpr unsigned kCompletionsShift = 3;
 
 std::string ToHex(std::uint64_t aValue)
 {
@@ -72,7 +78,9 @@
   json.append(ToHex(aStrike.m_id));
   json.append(ToHex(aStrike.m_upstream));
   json.append(Json::Int64{ aStrike.m_remaining.count() });
-  json.append((aStrike.m_correlated ? 1 : 0) + (aStrike.m_cleared ? 2 : 0));
+  json.append(static_cast<int>(
+    (aStrike.m_correlated ? kCorrelatedBit : 0) | (aStrike.m_completions > 0 ? kCompletedBit : 0) |
+    (aStrike.m_isRepeat ? kRepeatBit : 0) | aStrike.m_completions << kCompletionsShift));
   return json;
 }
 
@@ -98,8 +106,11 @@
     strike.m_id = FromHex(entry[2]);
     strike.m_upstream = FromHex(entry[3]);
     strike.m_remaining = milliseconds{ entry[4].asInt64() };
-    strike.m_correlated = (entry[5].asInt() & 1) != 0;
-    strike.m_cleared = (entry[5].asInt() & 2) != 0;
+    const auto flags = static_cast<unsigned>(entry[5].asInt());
+    strike.m_correlated = (flags & kCorrelatedBit) != 0;
+    strike.m_isRepeat = (flags & kRepeatBit) != 0;
+    strike.m_completions =
+      std::max(flags >> kCompletionsShift, (flags & kCompletedBit) != 0 ? 1U : 0U);
     strikes.push_back(strike);
   }
   return strikes;
@@ -285,9 +296,10 @@
   m_hooks.m_onStrikes(StrikesFrom(params["strikes"]));
   ReadLimits(params);
   if (m_isReady && params["ready"].isBool() && !params["ready"].asBool() &&
-      !params["leaving"].isBool() && !m_hooks.m_limits().empty()) {
-    // A VM that is starting must know the limits before its first request. Only VMs that are ready
-    // answer, so that those that start together do not answer each other without end.
+      !params["leaving"].isBool() && !(m_hooks.m_limits().empty() && m_hooks.m_strikes().empty())) {
+    // A VM that is starting must know the limits, and the requests that crash upstreams, before its
+    // first request. Only VMs that are ready answer, so that those that start together do not
+    // answer each other without end.
     SendTo(BuildAnnouncement(kMaxLimitsForStartingVm), m_sender);
   }
   // The recovery goes first: it tells how to apply the removals that the revisions lead to.
@@ -424,19 +436,27 @@
       SendTo(message, seed);
     }
   }
-  ScheduleAnnouncements();
+  m_announcedAt = m_clock.Monotonic();
+  ScheduleAnnouncements(kAnnounceInterval);
 }
 
-void PeerLink::ScheduleAnnouncements()
+void PeerLink::ScheduleAnnouncements(milliseconds aDelay)
 {
-  m_timer.expires_after(kAnnounceInterval);
+  m_timer.expires_after(aDelay);
   m_timer.async_wait([this](const boost::system::error_code& aError) {
     if (!aError && !base::ContainErrors(m_log, "announcements", [this] { SendAnnouncements(); })) {
-      ScheduleAnnouncements();
+      ScheduleAnnouncements(kAnnounceInterval);
     }
   });
 }
 
+void PeerLink::AnnounceSoon()
+{
+  const auto due =
+    std::chrono::ceil<milliseconds>(m_announcedAt + kMinAnnounceInterval - m_clock.Monotonic());
+  ScheduleAnnouncements(std::clamp(due, milliseconds{ 0 }, kMinAnnounceInterval));
+}
+
 void PeerLink::AnnounceToZone()
 {
   const std::string message = BuildAnnouncement(kMaxLimitsPerMessage);
--- a/packages/gateway/src/PeerLink.h
+++ b/packages/gateway/src/PeerLink.h
@@ -34,9 +34,12 @@
 class PeerLink
 {
 public:
+  /// Strikes in one announcement; more would not fit into a datagram.
+  static constexpr std::size_t kMaxStrikesPerMessage = 24;
+
   struct Hooks
   {
-    /// Returns the strikes (see policy::QuarantineList) to announce.
+    /// Returns up to kMaxStrikesPerMessage strikes (see policy::QuarantineList) to announce.
     std::function<std::vector<policy::Strike>()> m_strikes;
     /// Receives the strikes that a peer announced.
     std::function<void(const std::vector<policy::Strike>&)> m_onStrikes;
@@ -105,6 +108,9 @@
   /// @return names of the running VMs in this VM's zone, without this VM.
   std::vector<std::string> RunningZoneVms() const;
 
+  /// Announces before the next regular announcement, but some time after the last one.
+  void AnnounceSoon();
+
   /// Announces at once that this VM is stopping.
   void AnnounceLeaving();
 
@@ -145,7 +151,7 @@
   void UpdatePeer(const Json::Value& aDescription,
                   const boost::asio::ip::udp::endpoint& aEndpoint,
                   bool aIsAnnouncement);
-  void ScheduleAnnouncements();
+  void ScheduleAnnouncements(std::chrono::milliseconds aDelay);
   void SendAnnouncements();
   std::string BuildAnnouncement(std::size_t aMaxLimits);
   /// Adds the limits whose turn it is, and the demand by which they are divided.
@@ -187,6 +193,7 @@
   boost::asio::ip::udp::endpoint m_sender;
   std::minstd_rand m_random;
   std::uint32_t m_announcements = 0;
+  base::MonotonicTime m_announcedAt;
   /// Position of the next recipient among ZonePeers(). Starts anywhere, so that a VM does not hear
   /// all VMs of the zone at once and then none for a whole turn.
   std::size_t m_nextZonePeer;
--- a/packages/gateway/src/RequestExchange.cpp
+++ b/packages/gateway/src/RequestExchange.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <utility>
 #include <xxhash.h>
 
 namespace jaylane::gateway {
@@ -87,11 +88,9 @@
   const milliseconds routeLimit = m_route->m_timeout.count() > 0 ? m_route->m_timeout : kMaxTimeout;
   m_deadline =
     m_request->m_receivedAt + std::min(routeLimit, m_request->m_timeout.value_or(routeLimit));
-  if (m_context.m_steering.Quarantine().IsQuarantined(Fingerprint(),
-                                                      m_context.m_clock.Monotonic())) {
-    Reject(kOutcomeQuarantined, kMaxTimeout);
-    return false;
-  }
+  // By host rather than service: a request that crashes upstreams does so wherever its route leads.
+  m_fingerprint = policy::RequestFingerprint::Of(
+    m_request->m_host, m_request->m_method, m_request->m_target, HashOf(m_request->m_body));
   m_context.m_steering.RetryBudget(m_service->m_name).OnRequest(m_context.m_clock.Monotonic());
   return true;
 }
@@ -111,16 +110,38 @@
   return std::chrono::duration_cast<milliseconds>(m_deadline - m_context.m_clock.Monotonic());
 }
 
-policy::RequestFingerprint RequestExchange::Fingerprint() const
+bool RequestExchange::AdmitAttempt()
+{
+  using Admission = policy::CrashContainment::Admission;
+  const Admission admission = m_context.m_steering.Containment().Admit(
+    m_fingerprint, m_wasLost, m_context.m_clock.Monotonic());
+  m_isSuspect = admission == Admission::Suspect;
+  if (admission != Admission::Quarantined && admission != Admission::Busy) {
+    return true;
+  }
+  if (m_mayHaveRun) {
+    Respond(502, kOutcomeLost);
+  } else if (admission == Admission::Quarantined) {
+    Reject(kOutcomeQuarantined, kMaxTimeout);
+  } else {
+    Reject("suspect_busy",
+           RetryDelayFor(policy::RejectionCause::NoCapacity, m_route->m_targetLatency));
+  }
+  return false;
+}
+
+void RequestExchange::EndSuspect()
 {
-  return policy::RequestFingerprint::Of(
-    m_service->m_name, m_request->m_method, m_request->m_target, HashOf(m_request->m_body));
+  if (std::exchange(m_isSuspectRunning, false)) {
+    m_context.m_steering.Containment().OnSuspectEnded(m_fingerprint);
+  }
 }
 
 ServiceBalancer::Query RequestExchange::MakeQuery() const
 {
   ServiceBalancer::Query query;
-  query.m_key = m_key;
+  // All VMs choose the same upstream for a suspect, so that its copies end few of them.
+  query.m_key = m_isSuspect && !m_route->m_sticky ? m_fingerprint.m_low : m_key;
   query.m_hasAffinity = m_route->m_sticky && !m_request->m_affinityKey.empty();
   query.m_allowedRegions = &m_route->m_allowedRegions;
   query.m_triedUpstreams = &m_tried;
@@ -159,7 +180,7 @@
 
 void RequestExchange::TryUpstream()
 {
-  if (CancelIfCallerLeft()) {
+  if (CancelIfCallerLeft() || !AdmitAttempt()) {
     return;
   }
   const ServiceBalancer::Choice choice = ChooseUpstream(MakeQuery());
@@ -200,7 +221,8 @@
                           .Add("expected_ms", aChoice.m_expectedLatency)
                           .Add("remaining_ms", Remaining())
                           .Add("config", m_routes->Config().m_version)
-                          .Add("entry_revision", aChoice.m_upstream->m_revision));
+                          .Add("entry_revision", aChoice.m_upstream->m_revision)
+                          .Add("suspect", m_isSuspect ? 1 : 0));
   m_context.m_steering.Balancer(m_service->m_name)
     .OnSent(upstream, query, m_context.m_clock.Monotonic());
   auto attempt = std::make_shared<UpstreamAttempt>(
@@ -220,6 +242,10 @@
       self->OnAttemptEnd(upstream, query, std::move(aResult));
     });
   m_attempts.push_back(attempt);
+  if (m_isSuspect) {
+    m_isSuspectRunning = true;
+    m_context.m_steering.Containment().OnSuspectSent(m_fingerprint);
+  }
   attempt->Start();
   StartOverdueTimer(aChoice.m_overdueAfter);
 }
@@ -267,6 +293,10 @@
     return false;
   }
   const auto now = m_context.m_clock.Monotonic();
+  if (m_isSuspect || m_context.m_steering.Containment().Admit(m_fingerprint, m_wasLost, now) !=
+                       policy::CrashContainment::Admission::Ordinary) {
+    return false;
+  }
   ServiceBalancer::Query query = MakeQuery();
   query.m_isHedge = true;
   const ServiceBalancer::Choice choice = ChooseUpstream(query);
@@ -308,6 +338,7 @@
   const auto now = m_context.m_clock.Monotonic();
   ServiceBalancer& balancer = m_context.m_steering.Balancer(m_service->m_name);
   const auto attempt = TakeAttempt(aUpstream);
+  EndSuspect();
   m_sentAttempts += attempt->WasSent() ? 1 : 0;
   m_context.m_metrics.m_upstreamLatency.Record(aResult.m_latency);
   if (aResult.m_connectTime) {
@@ -343,11 +374,14 @@
       m_context.m_steering.OnUnreachable(aUpstream);
     }
     if (aResult.m_closedWithoutResponse) {
-      m_context.m_steering.OnSuspectedCrash(aUpstream, Fingerprint());
+      m_wasLost = true;
+      m_context.m_steering.OnSuspectedCrash(aUpstream, m_fingerprint, m_isSuspect);
     }
     OnAttemptFailure(std::move(aResult));
     return;
   }
+  // A response that reports a failure shows as well that the request does not crash the upstream.
+  m_context.m_steering.Containment().OnCompleted(m_fingerprint, now);
   if (IsServerFailure(aResult.m_response.m_status)) {
     balancer.OnFailure(aUpstream, AttemptFailure::Error, aResult.m_load, now);
     m_mayHaveRun = true;
@@ -357,7 +391,6 @@
     return;
   }
   balancer.OnResponse(aUpstream, aQuery, aResult.m_latency, aResult.m_load, now);
-  m_context.m_steering.Quarantine().RecordCompleted(Fingerprint(), now);
   CancelAttempts();
   Finish(std::move(aResult.m_response), "completed");
 }
@@ -367,7 +400,9 @@
   const bool isSafe = m_route->m_kind == RequestKind::Idempotent || !m_mayHaveRun;
   const bool hasAttemptsLeft =
     m_sentAttempts < m_route->m_attempts && m_connectFailures < kMaxConnectFailures;
-  if (!isSafe || !hasAttemptsLeft || Remaining().count() <= 0) {
+  // A suspect that is lost again may have ended a second upstream.
+  const bool isLostSuspect = m_isSuspect && aResult.m_closedWithoutResponse;
+  if (!isSafe || !hasAttemptsLeft || isLostSuspect || Remaining().count() <= 0) {
     return false;
   }
   if (aResult.m_failure == AttemptFailure::Unreachable ||
@@ -458,6 +493,7 @@
   m_isDone = true;
   m_deadlineTimer.cancel();
   m_overdueTimer.cancel();
+  EndSuspect();
   m_response = std::move(aResponse);
   if (m_response.m_headerLines.find(m_context.m_wire.m_requestId) == std::string::npos &&
       !m_request->m_id.empty()) {
@@ -493,7 +529,7 @@
     record.Add("service", m_service->m_name);
   }
   if (aOutcome == kOutcomeLost || aOutcome == kOutcomeQuarantined) {
-    record.Add("fingerprint", Fingerprint().ToString());
+    record.Add("fingerprint", m_fingerprint.ToString());
   }
   m_context.m_log.Write(record);
 }
@@ -507,6 +543,7 @@
   m_hooks.m_onResponse = nullptr;
   m_deadlineTimer.cancel();
   CancelAttempts();
+  EndSuspect();
   --m_context.m_metrics.m_inFlight;
   LogOutcome("caller_left");
 }
--- a/packages/gateway/src/RequestExchange.h
+++ b/packages/gateway/src/RequestExchange.h
@@ -77,7 +77,11 @@
   std::chrono::milliseconds Remaining() const;
   std::chrono::milliseconds RetryDelayFor(policy::RejectionCause aCause,
                                           std::chrono::milliseconds aExpected) const;
-  policy::RequestFingerprint Fingerprint() const;
+  /// Asks whether and how the request may be sent, given the crashes that it was present at.
+  /// @return whether it may; if not, the caller has got its response.
+  bool AdmitAttempt();
+  /// The attempt as a suspect, if there is one, has ended.
+  void EndSuspect();
 
   GatewayContext& m_context;
   std::shared_ptr<CallerRequest> m_request;
@@ -87,6 +91,12 @@
   const policy::Route* m_route = nullptr;
   const policy::Service* m_service = nullptr;
   std::uint64_t m_key = 0;
+  policy::RequestFingerprint m_fingerprint;
+  /// Whether the next or present attempt is one of a suspect, see policy::CrashContainment.
+  bool m_isSuspect = false;
+  bool m_isSuspectRunning = false;
+  /// An upstream closed the connection of an attempt without a response.
+  bool m_wasLost = false;
   base::MonotonicTime m_deadline;
   boost::asio::steady_timer m_deadlineTimer;
   boost::asio::steady_timer m_overdueTimer;
--- a/packages/gateway/src/Steering.cpp
+++ b/packages/gateway/src/Steering.cpp
@@ -55,7 +55,7 @@
   , m_log(aLog)
   , m_registry({})
   , m_regions({})
-  , m_quarantine(policy::QuarantineOptions::MakeForSharedPaths(), std::random_device{}())
+  , m_containment(policy::QuarantineOptions::MakeForSharedPaths(), std::random_device{}())
 {
 }
 
@@ -215,11 +215,16 @@
   }
 }
 
-void Steering::OnSuspectedCrash(const std::string& aId, const policy::RequestFingerprint& aRequest)
+void Steering::OnSuspectedCrash(const std::string& aId,
+                                const policy::RequestFingerprint& aRequest,
+                                bool aWasSuspect)
 {
   auto& requests = m_suspectedCrashes[aId].m_requests;
   if (requests.size() < kMaxSuspectedRequests) {
-    requests.push_back(aRequest);
+    requests.push_back({ aRequest, aWasSuspect });
+  }
+  if (m_onProbeDue) {
+    m_onProbeDue();
   }
 }
 
@@ -234,36 +239,39 @@
                 .Add("upstream", aId)
                 .Add("requests", requests.size()));
   if (!aIsAlive) {
-    for (const policy::RequestFingerprint& request : requests) {
+    for (const LostRequest& request : requests) {
       RecordCrash(aId, request);
     }
   }
   m_suspectedCrashes.erase(suspected);
 }
 
-void Steering::RecordCrash(const std::string& aId, const policy::RequestFingerprint& aRequest)
+void Steering::RecordCrash(const std::string& aId, const LostRequest& aRequest)
 {
   const auto now = m_clock.Monotonic();
-  m_quarantine.RecordLoss(aRequest, policy::QuarantineList::HashUpstream(aId, {}), now);
-  const policy::CrashCounts crashes = m_quarantine.Crashes(aRequest, now);
-  m_log.Write(
-    base::LogRecord("crash_strike")
-      .Add("fingerprint", aRequest.ToString())
-      .Add("upstream", aId)
-      .Add("crashes", crashes.m_total)
-      .Add("counted", crashes.m_counted)
-      .Add("outcome", m_quarantine.IsQuarantined(aRequest, now) ? "quarantined" : "kept"));
+  const policy::RequestFingerprint& fingerprint = aRequest.m_fingerprint;
+  m_containment.OnCrash(
+    fingerprint, policy::QuarantineList::HashUpstream(aId, {}), aRequest.m_wasSuspect, now);
+  const policy::CrashCounts crashes = m_containment.List().Crashes(fingerprint, now);
+  const bool isQuarantined = m_containment.List().IsQuarantined(fingerprint, now);
+  m_log.Write(base::LogRecord("crash_strike")
+                .Add("fingerprint", fingerprint.ToString())
+                .Add("upstream", aId)
+                .Add("crashes", crashes.m_total)
+                .Add("counted", crashes.m_counted)
+                .Add("repeats", crashes.m_repeats)
+                .Add("outcome", isQuarantined ? "quarantined" : "kept"));
 }
 
 void Steering::OnPeerStrikes(const std::vector<policy::Strike>& aStrikes)
 {
-  const std::size_t held = m_quarantine.size();
-  m_quarantine.Merge(aStrikes, m_clock.Monotonic());
-  if (m_quarantine.size() > held) {
+  const std::size_t held = m_containment.List().size();
+  m_containment.OnPeerStrikes(aStrikes, m_clock.Monotonic());
+  if (m_containment.List().size() > held) {
     m_log.Write(base::LogRecord("peer_strikes")
                   .Add("told", aStrikes.size())
-                  .Add("new", m_quarantine.size() - held)
-                  .Add("held", m_quarantine.size()));
+                  .Add("new", m_containment.List().size() - held)
+                  .Add("held", m_containment.List().size()));
   }
 }
 
--- a/packages/gateway/src/Steering.h
+++ b/packages/gateway/src/Steering.h
@@ -4,7 +4,7 @@
 #include "jaylane/base/AsyncLog.h"
 #include "jaylane/base/Clock.h"
 #include "jaylane/gateway/GatewaySettings.h"
-#include "jaylane/policy/QuarantineList.h"
+#include "jaylane/policy/CrashContainment.h"
 #include "jaylane/policy/RegionReachability.h"
 #include "jaylane/policy/RequestedPauses.h"
 #include "jaylane/policy/RetryBudget.h"
@@ -14,6 +14,7 @@
 #include "jaylane/policy/UpstreamLimits.h"
 #include "jaylane/policy/UpstreamRegistry.h"
 
+#include <functional>
 #include <memory>
 #include <set>
 #include <string>
@@ -59,7 +60,10 @@
   /// An upstream closed a request's connection without a response: it crashed, or it lost the
   /// response. A health probe tells these apart; the request counts as the cause of a crash only if
   /// the probe fails.
-  void OnSuspectedCrash(const std::string& aId, const policy::RequestFingerprint& aRequest);
+  /// @param aWasSuspect whether the request was sent as a suspect, see policy::CrashContainment.
+  void OnSuspectedCrash(const std::string& aId,
+                        const policy::RequestFingerprint& aRequest,
+                        bool aWasSuspect = false);
   /// A health probe has ended.
   /// @param aIsAlive whether the upstream answered it.
   void OnProbeEnded(const std::string& aId, bool aIsAlive);
@@ -106,9 +110,11 @@
   std::shared_ptr<policy::RouteTable> Routes() const { return m_routes; }
   policy::ServiceBalancer& Balancer(const std::string& aService);
   policy::RetryBudget& RetryBudget(const std::string& aService);
-  policy::QuarantineList& Quarantine() { return m_quarantine; }
+  policy::CrashContainment& Containment() { return m_containment; }
   /// Adds the strikes that a peer announced.
   void OnPeerStrikes(const std::vector<policy::Strike>& aStrikes);
+  /// @param aHook called when a probe has become due that must not wait for the next tick.
+  void SetOnProbeDue(std::function<void()> aHook) { m_onProbeDue = std::move(aHook); }
 
   /// @return whether requests can be served: a configuration and a list of upstreams are known.
   bool IsReady() const { return m_routes && m_hasUpstreams; }
@@ -138,7 +144,12 @@
   std::string RegionOf(const std::string& aId) const;
   void OnRegionFailure(const std::string& aId);
   void OnRegionResponse(const std::string& aId);
-  void RecordCrash(const std::string& aId, const policy::RequestFingerprint& aRequest);
+  struct LostRequest
+  {
+    policy::RequestFingerprint m_fingerprint;
+    bool m_wasSuspect = false;
+  };
+  void RecordCrash(const std::string& aId, const LostRequest& aRequest);
   void AddCrashProbes(std::vector<ProbeTarget>& aDue);
   void AddDueProbes(ProbedUpstreams& aUpstreams, std::vector<ProbeTarget>& aDue);
   std::string HealthPath(const policy::Upstream& aUpstream) const;
@@ -171,7 +182,7 @@
   /// whether it crashed.
   struct SuspectedCrash
   {
-    std::vector<policy::RequestFingerprint> m_requests;
+    std::vector<LostRequest> m_requests;
     bool m_isProbed = false;
   };
   std::unordered_map<std::string, SuspectedCrash> m_suspectedCrashes;
@@ -193,7 +204,8 @@
   std::set<std::string> m_replaced;
   std::unordered_map<std::string, policy::ServiceBalancer> m_balancers;
   std::unordered_map<std::string, policy::RetryBudget> m_retries;
-  policy::QuarantineList m_quarantine;
+  policy::CrashContainment m_containment;
+  std::function<void()> m_onProbeDue;
 };
 
 } // namespace jaylane::gateway
--- a/packages/gateway/tests/PeerLinkTest.cpp
+++ b/packages/gateway/tests/PeerLinkTest.cpp
@@ -179,6 +179,41 @@
   EXPECT_EQ(starting.m_receivedLimits.size(), kLimits);
 }
 
+// Guards against a VM that costs another upstream because it has just started.
+TEST_F(PeerLinkTest, AStartingVmHearsOfCrashingRequestsAtOnce)
+{
+  Vm& first = Add(1, "a", "r", Ip(2) + ":99");
+  first.m_link->SetLoad(true, 10);
+  policy::Strike strike;
+  strike.m_id = 3;
+  strike.m_remaining = 5000ms;
+  first.m_strikes = { strike };
+  RunFor(100ms);
+  Vm& starting = Add(2, "a", "r", Ip(1) + ":99");
+  RunFor(100ms);
+  EXPECT_EQ(starting.m_received.size(), 1U);
+}
+
+// Guards against VMs that go on sending a crashing request until the next regular announcement, and
+// against many announcements in a row.
+TEST_F(PeerLinkTest, AnnouncesSoonButNotInARow)
+{
+  Vm& first = Add(1, "a", "r", Ip(2) + ":99");
+  Vm& second = Add(2, "a", "r", Ip(1) + ":99");
+  RunFor(450ms);
+  policy::Strike strike;
+  strike.m_id = 3;
+  strike.m_remaining = 5000ms;
+  first.m_strikes = { strike };
+  for (int i = 0; i < 20; ++i) {
+    first.m_link->AnnounceSoon();
+    RunFor(10ms);
+  }
+  // Three announcements at most in the 200 ms, each to the peer of the zone and to the seed.
+  EXPECT_GE(second.m_received.size(), 1U);
+  EXPECT_LE(second.m_received.size(), 6U);
+}
+
 // Guards against VMs that answer each other without end while none of them is ready.
 TEST_F(PeerLinkTest, StartingVmsDoNotAnswerEachOther)
 {
@@ -374,6 +409,8 @@
   strike.m_upstream = 4;
   strike.m_remaining = 5000ms;
   strike.m_correlated = true;
+  strike.m_isRepeat = true;
+  strike.m_completions = 7;
   first.m_strikes = { strike };
   RunFor(900ms);
   ASSERT_FALSE(second.m_received.empty());
--- a/packages/peer/src/FieldReader.h
+++ b/packages/peer/src/FieldReader.h
@@ -22,6 +22,9 @@
   {
   }
 
+  /// @return whether the field is there; VMs of older versions lack some.
+  bool Has(const char* aName) const { return m_ok && m_json.isMember(aName); }
+
   std::string Text(const char* aName)
   {
     const Json::Value& value = Field(aName);
--- a/packages/peer/src/MessageCodec.cpp
+++ b/packages/peer/src/MessageCodec.cpp
@@ -3,6 +3,7 @@
 #include "FieldReader.h"
 #include "MemberCodec.h"
 
+#include <algorithm>
 #include <fmt/format.h>
 
 namespace jaylane::peer {
@@ -37,7 +38,10 @@
   json["upstream"] = ToHex(aStrike.m_upstream);
   json["remaining_ms"] = Json::UInt64(aStrike.m_remaining.count());
   json["correlated"] = aStrike.m_correlated;
-  json["cleared"] = aStrike.m_cleared;
+  json["repeat"] = aStrike.m_isRepeat;
+  // VMs of older versions read only whether there are any.
+  json["cleared"] = aStrike.m_completions > 0;
+  json["completions"] = Json::UInt64(aStrike.m_completions);
   return json;
 }
 
@@ -50,7 +54,11 @@
   strike.m_upstream = aReader.Hex("upstream");
   strike.m_remaining = std::chrono::milliseconds{ aReader.Number("remaining_ms") };
   strike.m_correlated = aReader.Flag("correlated");
-  strike.m_cleared = aReader.Flag("cleared");
+  strike.m_isRepeat = aReader.Has("repeat") && aReader.Flag("repeat");
+  const std::uint64_t cleared = aReader.Flag("cleared") ? 1 : 0;
+  strike.m_completions = static_cast<std::uint32_t>(
+    std::min<std::uint64_t>(aReader.Has("completions") ? aReader.Number("completions") : cleared,
+                            policy::QuarantineList::kMaxCompletions));
   return strike;
 }
 
--- a/packages/policy/src/QuarantineList.cpp
+++ b/packages/policy/src/QuarantineList.cpp
@@ -3,21 +3,30 @@
 #include <algorithm>
 #include <array>
 #include <map>
+#include <optional>
 #include <string>
+#include <tuple>
 #include <xxhash.h>
 
 namespace jaylane::policy {
 
 using base::MonotonicTime;
 
+namespace {
+
+/// Strikes of one fingerprint in one announcement: as many as convict it.
+constexpr std::size_t kAnnouncedPerFingerprint = 6;
+
+} // namespace
+
 QuarantineOptions QuarantineOptions::MakeForSharedPaths()
 {
   QuarantineOptions options;
-  options.m_lifetime = std::chrono::seconds{ 60 };
-  // A path that many callers use may lose responses at several flaky upstreams although it
-  // completes at others. Only a request that never completes is quarantined, after its third
-  // upstream.
+  options.m_lifetime = std::chrono::minutes{ 5 };
+  // A path that many callers use is present at the crashes of a few flaky upstreams although it
+  // completes at others. Only a request that never completes is quarantined soon.
   options.m_crashThreshold = 3;
+  options.m_totalUpstreamThreshold = 6;
   options.m_totalCrashThreshold = 64;
   return options;
 }
@@ -37,19 +46,27 @@
 
 void QuarantineList::RecordLoss(const RequestFingerprint& aFingerprint,
                                 std::uint64_t aUpstream,
-                                MonotonicTime aNow)
+                                MonotonicTime aNow,
+                                bool aIsRepeat)
 {
   RemoveExpired(aNow);
   const std::array<std::uint64_t, 2> idParts{ m_observerId, m_nextStrike++ };
   const std::uint64_t id = XXH3_64bits(idParts.data(), sizeof(idParts));
   const auto expiry = aNow + m_options.m_lifetime;
-  Add(aFingerprint, Entry{ id, aUpstream, expiry, false, false });
-  // Windows that end earlier were checked when their last strikes were recorded.
-  MarkMassFailures(expiry - m_options.m_massFailureWindow);
+  const std::uint32_t completions = m_completed.Count(aFingerprint, aNow);
+  Add(aFingerprint,
+      Entry{ id,
+             aUpstream,
+             expiry,
+             false,
+             aIsRepeat,
+             completions < m_options.m_completionsPerCrash ? 0 : completions });
+  MarkMassFailures(expiry, expiry);
 }
 
 void QuarantineList::RecordCompleted(const RequestFingerprint& aFingerprint, MonotonicTime aNow)
 {
+  m_completed.Record(aFingerprint, aNow);
   const auto found = m_entries.find(aFingerprint);
   if (found == m_entries.end()) {
     return;
@@ -57,27 +74,39 @@
   // Strikes are flagged instead of removed, so that an older message of a peer does not bring them
   // back.
   for (Entry& entry : found->second) {
-    entry.m_cleared = true;
+    m_hasChanged |=
+      entry.m_completions == 0 || (entry.m_completions + 1) % m_options.m_completionsPerCrash == 0;
+    entry.m_completions = std::min(entry.m_completions + 1, kMaxCompletions);
   }
   RemoveExpired(aNow);
 }
 
-void QuarantineList::Add(const RequestFingerprint& aFingerprint, const Entry& aEntry)
+bool QuarantineList::Add(const RequestFingerprint& aFingerprint, const Entry& aEntry)
 {
   auto& entries = m_entries[aFingerprint];
   for (Entry& existing : entries) {
     if (existing.m_id == aEntry.m_id) {
-      // The earliest expiry wins, so that passing a strike between peers does not prolong its life.
-      existing.m_expiry = std::min(existing.m_expiry, aEntry.m_expiry);
-      existing.m_correlated |= aEntry.m_correlated;
-      existing.m_cleared |= aEntry.m_cleared;
-      return;
+      Combine(existing, aEntry);
+      return false;
     }
   }
+  m_hasChanged = true;
   entries.push_back(aEntry);
   if (++m_size > m_options.m_maxStrikes) {
     EvictFirstToExpire();
   }
+  return true;
+}
+
+void QuarantineList::Combine(Entry& aEntry, const Entry& aOther)
+{
+  const Entry before = aEntry;
+  // The earliest expiry wins, so that passing a strike between peers does not prolong its life.
+  aEntry.m_expiry = std::min(aEntry.m_expiry, aOther.m_expiry);
+  aEntry.m_correlated |= aOther.m_correlated;
+  aEntry.m_isRepeat |= aOther.m_isRepeat;
+  aEntry.m_completions = std::max(aEntry.m_completions, aOther.m_completions);
+  m_hasChanged |= aEntry != before;
 }
 
 void QuarantineList::EvictFirstToExpire()
@@ -113,7 +142,7 @@
   }
 }
 
-void QuarantineList::MarkMassFailures(MonotonicTime aFirstExpiry)
+void QuarantineList::MarkMassFailures(MonotonicTime aFirstExpiry, MonotonicTime aLastExpiry)
 {
   struct RecentStrike
   {
@@ -125,7 +154,8 @@
   std::vector<RecentStrike> recent;
   for (auto& [fingerprint, entries] : m_entries) {
     for (Entry& entry : entries) {
-      if (entry.m_expiry >= aFirstExpiry) {
+      if (entry.m_expiry >= aFirstExpiry - m_options.m_massFailureWindow &&
+          entry.m_expiry <= aLastExpiry + m_options.m_massFailureWindow) {
         recent.push_back({ entry.m_expiry, entry.m_upstream, fingerprint, &entry });
       }
     }
@@ -162,51 +192,165 @@
   }
 }
 
-std::size_t QuarantineList::CountCrashes(const std::vector<Entry>& aEntries,
-                                         bool aIncludeDiscounted,
-                                         MonotonicTime aNow) const
+QuarantineList::Evidence QuarantineList::Weigh(const RequestFingerprint& aFingerprint,
+                                               const std::vector<Entry>& aEntries,
+                                               MonotonicTime aNow) const
 {
-  std::vector<std::pair<std::uint64_t, MonotonicTime>> losses;
+  std::vector<const Entry*> entries;
   for (const Entry& entry : aEntries) {
-    const bool isDiscounted = entry.m_cleared || entry.m_correlated;
-    if (entry.m_expiry > aNow && (aIncludeDiscounted || !isDiscounted)) {
-      losses.emplace_back(entry.m_upstream, entry.m_expiry);
+    if (entry.m_expiry > aNow) {
+      entries.push_back(&entry);
+    }
+  }
+  std::ranges::sort(entries, {}, [](const Entry* aEntry) {
+    return std::make_pair(aEntry->m_upstream, aEntry->m_expiry);
+  });
+  Evidence evidence;
+  evidence.m_fingerprint = aFingerprint;
+  for (const Entry* entry : entries) {
+    const bool isSameUpstream =
+      !evidence.m_crashes.empty() && evidence.m_crashes.back().m_upstream == entry->m_upstream;
+    // Copies of a request at the same upstream are lost in the same crash.
+    if (!isSameUpstream ||
+        entry->m_expiry - evidence.m_crashes.back().m_firstExpiry > m_options.m_sameCrashWindow) {
+      evidence.m_crashes.push_back({ entry->m_upstream, entry->m_expiry });
+    }
+    Crash& crash = evidence.m_crashes.back();
+    const bool isOpen = entry->m_completions == 0;
+    const bool isCounted = isOpen && (entry->m_isRepeat || !entry->m_correlated);
+    crash.m_isOpen |= isOpen;
+    crash.m_isCounted |= isCounted;
+    crash.m_isRepeat |= isCounted && entry->m_isRepeat;
+    evidence.m_completions = std::max(evidence.m_completions, entry->m_completions);
+  }
+  evidence.m_strikes = entries.size();
+  evidence.m_open = std::ranges::count_if(evidence.m_crashes, &Crash::m_isOpen);
+  evidence.m_counts = CountsWithout(evidence, {});
+  return evidence;
+}
+
+CrashCounts QuarantineList::CountsWithout(const Evidence& aEvidence,
+                                          const std::vector<Crash>& aExplained) const
+{
+  CrashCounts counts;
+  counts.m_total = aEvidence.m_crashes.size();
+  std::optional<std::uint64_t> lastUpstream;
+  for (const Crash& crash : aEvidence.m_crashes) {
+    const bool isExplained = std::ranges::any_of(aExplained, [&](const Crash& aOther) {
+      return aOther.m_upstream == crash.m_upstream &&
+             std::chrono::abs(aOther.m_firstExpiry - crash.m_firstExpiry) <=
+               m_options.m_sameCrashWindow;
+    });
+    if (isExplained) {
+      continue;
+    }
+    counts.m_upstreams += lastUpstream != crash.m_upstream ? 1 : 0;
+    counts.m_counted += crash.m_isCounted ? 1 : 0;
+    counts.m_repeats += crash.m_isRepeat ? 1 : 0;
+    lastUpstream = crash.m_upstream;
+  }
+  return counts;
+}
+
+bool QuarantineList::ReachesThreshold(const CrashCounts& aCounts) const
+{
+  return aCounts.m_counted >= m_options.m_crashThreshold ||
+         aCounts.m_repeats >= m_options.m_repeatThreshold;
+}
+
+std::size_t QuarantineList::OffsetBy(const Evidence& aEvidence) const
+{
+  return aEvidence.m_completions / m_options.m_completionsPerCrash;
+}
+
+std::vector<QuarantineList::Evidence> QuarantineList::WeighAll(MonotonicTime aNow) const
+{
+  std::vector<Evidence> all;
+  all.reserve(m_entries.size());
+  for (const auto& [fingerprint, entries] : m_entries) {
+    all.push_back(Weigh(fingerprint, entries, aNow));
+  }
+  std::ranges::sort(all, std::ranges::greater{}, [](const Evidence& aEvidence) {
+    // Of two that were present at the same crashes, the one that was sent less often explains more.
+    return std::make_tuple(
+      aEvidence.m_open, -static_cast<std::int64_t>(aEvidence.m_strikes), aEvidence.m_fingerprint);
+  });
+  return all;
+}
+
+void QuarantineList::UpdateQuarantined(MonotonicTime aNow) const
+{
+  if (!m_hasChanged && aNow < m_validUntil) {
+    return;
+  }
+  m_hasChanged = false;
+  m_validUntil = MonotonicTime::max();
+  for (const auto& [fingerprint, entries] : m_entries) {
+    for (const Entry& entry : entries) {
+      if (entry.m_expiry > aNow) {
+        m_validUntil = std::min(m_validUntil, entry.m_expiry);
+      }
     }
   }
-  // Copies of a request at the same upstream are lost in the same crash.
-  std::sort(losses.begin(), losses.end());
-  std::size_t crashes = 0;
-  const std::pair<std::uint64_t, MonotonicTime>* crash = nullptr;
-  for (const auto& loss : losses) {
-    if (crash == nullptr || crash->first != loss.first ||
-        loss.second - crash->second > m_options.m_sameCrashWindow) {
-      crash = &loss;
-      ++crashes;
+  m_quarantined.clear();
+  std::vector<RequestFingerprint> culprits;
+  std::vector<Crash> explained;
+  for (const Evidence& evidence : WeighAll(aNow)) {
+    const CrashCounts counts = CountsWithout(evidence, explained);
+    const std::size_t offset = OffsetBy(evidence);
+    const bool isCulprit = ReachesThreshold(counts);
+    if (isCulprit) {
+      culprits.push_back(evidence.m_fingerprint);
+    }
+    const bool isOfTooMany = counts.m_upstreams >= m_options.m_totalUpstreamThreshold + offset;
+    if (isOfTooMany || counts.m_total >= m_options.m_totalCrashThreshold + offset) {
+      m_quarantined.insert(evidence.m_fingerprint);
+    }
+    if (isCulprit || isOfTooMany) {
+      explained.insert(explained.end(), evidence.m_crashes.begin(), evidence.m_crashes.end());
     }
   }
-  return crashes;
+  if (culprits.size() < m_options.m_maxCulprits) {
+    m_quarantined.insert(culprits.begin(), culprits.end());
+  }
 }
 
 CrashCounts QuarantineList::Crashes(const RequestFingerprint& aFingerprint,
                                     MonotonicTime aNow) const
 {
   const auto found = m_entries.find(aFingerprint);
-  if (found == m_entries.end()) {
-    return {};
-  }
-  return { CountCrashes(found->second, false, aNow), CountCrashes(found->second, true, aNow) };
+  return found == m_entries.end() ? CrashCounts{}
+                                  : Weigh(aFingerprint, found->second, aNow).m_counts;
 }
 
 bool QuarantineList::IsQuarantined(const RequestFingerprint& aFingerprint, MonotonicTime aNow) const
 {
-  const CrashCounts crashes = Crashes(aFingerprint, aNow);
-  return crashes.m_counted >= m_options.m_crashThreshold ||
-         crashes.m_total >= m_options.m_totalCrashThreshold;
+  if (!m_entries.contains(aFingerprint)) {
+    return false;
+  }
+  UpdateQuarantined(aNow);
+  return m_quarantined.contains(aFingerprint);
 }
 
 bool QuarantineList::IsSuspect(const RequestFingerprint& aFingerprint, MonotonicTime aNow) const
 {
-  return Crashes(aFingerprint, aNow).m_total > 0;
+  const auto found = m_entries.find(aFingerprint);
+  return found != m_entries.end() &&
+         std::ranges::any_of(found->second, [aNow](const Entry& aEntry) {
+           return aEntry.m_expiry > aNow && aEntry.m_completions == 0;
+         });
+}
+
+Strike QuarantineList::ToStrike(const RequestFingerprint& aFingerprint,
+                                const Entry& aEntry,
+                                MonotonicTime aNow) const
+{
+  return {
+    aFingerprint,        aEntry.m_id,
+    aEntry.m_upstream,   std::chrono::floor<std::chrono::milliseconds>(aEntry.m_expiry - aNow),
+    aEntry.m_correlated, aEntry.m_isRepeat,
+    aEntry.m_completions
+  };
 }
 
 std::vector<Strike> QuarantineList::Strikes(MonotonicTime aNow) const
@@ -215,26 +359,75 @@
   for (const auto& [fingerprint, entries] : m_entries) {
     for (const Entry& entry : entries) {
       if (entry.m_expiry > aNow) {
-        const auto left = std::chrono::floor<std::chrono::milliseconds>(entry.m_expiry - aNow);
-        strikes.push_back(
-          { fingerprint, entry.m_id, entry.m_upstream, left, entry.m_correlated, entry.m_cleared });
+        strikes.push_back(ToStrike(fingerprint, entry, aNow));
+      }
+    }
+  }
+  return strikes;
+}
+
+std::vector<Strike> QuarantineList::StrikesToAnnounce(std::size_t aMaxCount,
+                                                      MonotonicTime aNow) const
+{
+  struct Ranked
+  {
+    std::tuple<std::size_t, std::size_t, MonotonicTime> m_rank;
+    Strike m_strike;
+  };
+  std::vector<Ranked> ranked;
+  for (const auto& [fingerprint, entries] : m_entries) {
+    const CrashCounts counts = Weigh(fingerprint, entries, aNow).m_counts;
+    // A request that was present at one crash is one of many.
+    const std::size_t crashes = counts.m_total > 1 ? counts.m_total : 0;
+    std::vector<const Entry*> newest;
+    for (const Entry& entry : entries) {
+      if (entry.m_expiry > aNow) {
+        newest.push_back(&entry);
       }
     }
+    std::ranges::sort(newest, std::ranges::greater{}, [](const Entry* aEntry) {
+      return std::make_pair(aEntry->m_isRepeat, aEntry->m_expiry);
+    });
+    newest.resize(std::min(newest.size(), kAnnouncedPerFingerprint));
+    for (const Entry* entry : newest) {
+      ranked.push_back(
+        { { counts.m_repeats, crashes, entry->m_expiry }, ToStrike(fingerprint, *entry, aNow) });
+    }
+  }
+  std::ranges::sort(ranked, std::ranges::greater{}, &Ranked::m_rank);
+  std::vector<Strike> strikes;
+  for (const Ranked& entry : ranked) {
+    if (strikes.size() < aMaxCount) {
+      strikes.push_back(entry.m_strike);
+    }
   }
   return strikes;
 }
 
-void QuarantineList::Merge(const std::vector<Strike>& aStrikes, MonotonicTime aNow)
+bool QuarantineList::Merge(const std::vector<Strike>& aStrikes, MonotonicTime aNow)
 {
   RemoveExpired(aNow);
+  bool hasNewRepeat = false;
+  MonotonicTime firstExpiry = MonotonicTime::max();
+  MonotonicTime lastExpiry = MonotonicTime::min();
   for (const Strike& strike : aStrikes) {
     const auto left = std::min(strike.m_remaining, m_options.m_lifetime);
-    if (left > std::chrono::milliseconds::zero()) {
-      Add(strike.m_fingerprint,
-          { strike.m_id, strike.m_upstream, aNow + left, strike.m_correlated, strike.m_cleared });
+    if (left <= std::chrono::milliseconds::zero()) {
+      continue;
     }
+    const Entry entry{ strike.m_id,       strike.m_upstream,
+                       aNow + left,       strike.m_correlated,
+                       strike.m_isRepeat, std::min(strike.m_completions, kMaxCompletions) };
+    if (Add(strike.m_fingerprint, entry)) {
+      firstExpiry = std::min(firstExpiry, entry.m_expiry);
+      lastExpiry = std::max(lastExpiry, entry.m_expiry);
+      hasNewRepeat |= entry.m_isRepeat;
+    }
+  }
+  if (firstExpiry <= lastExpiry) {
+    MarkMassFailures(firstExpiry, lastExpiry);
   }
-  MarkMassFailures(aNow + std::chrono::nanoseconds{ 1 });
+  return hasNewRepeat;
 }
 
 } // namespace jaylane::policy
