Let an odd entry of the store cost only itself

Other operators: another writer left one odd entry among those of the servers, and the machines that read the list stopped following it. Here, too: a body was one JSON document, so that an entry nested deeply, a number beyond a double, a repeated member or a lone surrogate made the whole list or watch an error, and KindWatcher listed again, and failed again, for as long as the entry was there.

ParseJsonElements separates the entries by their brackets, without recursion, and the library parses each on its own; the limit on depth stays. Of an entry that cannot be read, its metadata and its spec are read apart, so that its name is known: it counts as left, also if it was sound before, since it names no upstream to use. An address that names no host and port (a port of 0 or beyond 65535) rejects the entry when it is read, not each request that chooses it. Rejected entries are counted in jaylane_upstream_entries_rejected_total.

--- a/packages/gateway/src/Gateway.cpp
+++ b/packages/gateway/src/Gateway.cpp
@@ -7,8 +7,10 @@
 #include "InfoServer.h"
 #include "LoopMonitor.h"
 #include "RunLoop.h"
+#include "SocketOptions.h"
 #include "jaylane/base/ContainErrors.h"
 
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
@@ -57,6 +59,7 @@
     std::uint64_t m_revision = 0;
     /// Empty if the registration was removed or cannot be used.
     std::optional<policy::Upstream> m_upstream;
+    bool m_isRejected = false;
 
     bool IsLeaving() const { return !m_upstream || m_upstream->m_draining; }
   };
@@ -271,6 +274,10 @@
 std::optional<policy::Upstream> Gateway::Impl::DecodeUpstream(const StoredObject& aObject)
 {
   auto upstream = m_dependencies.m_dialect.DecodeUpstream(aObject);
+  if (upstream && !IsHostAddress(upstream->m_address)) {
+    upstream = base::Error{ make_error_code(base::BaseErrc::InvalidValue),
+                            "address is not a host and port" };
+  }
   if (!upstream) {
     m_dependencies.m_log.Write(base::LogRecord("upstream_entry_rejected")
                                  .Add("upstream", aObject.m_name)
@@ -290,18 +297,20 @@
   std::vector<UpstreamChange> changes;
   std::vector<std::string> leaving;
   for (const StoredObject& object : aObjects) {
-    changes.push_back({ object.m_name, object.m_revision, std::nullopt });
+    changes.push_back({ object.m_name, object.m_revision, std::nullopt, false });
     if (!object.m_deleted) {
       base::ContainErrors(m_dependencies.m_log, "upstream_entry", [&] {
         changes.back().m_upstream = DecodeUpstream(object);
       });
     }
+    changes.back().m_isRejected = !object.m_deleted && !changes.back().m_upstream;
     if (changes.back().IsLeaving()) {
       leaving.push_back(object.m_name);
     }
   }
   m_steering.Pending().Add(leaving);
   asio::post(m_io, [this, aHandler, changes = std::move(changes), leaving]() mutable {
+    m_metrics.m_rejectedEntries += std::ranges::count_if(changes, &UpstreamChange::m_isRejected);
     base::ContainErrors(
       m_dependencies.m_log, "upstream_changes", [&] { (this->*aHandler)(std::move(changes)); });
     m_steering.Pending().Remove(leaving);
--- a/packages/gateway/src/GatewayMetrics.cpp
+++ b/packages/gateway/src/GatewayMetrics.cpp
@@ -34,6 +34,7 @@
   fmt::format_to(out, "jaylane_requests_in_flight {}\n", m_inFlight);
   fmt::format_to(out, "jaylane_store_batches_total {}\n", m_storeBatches);
   fmt::format_to(out, "jaylane_store_failures_total {}\n", m_storeFailures);
+  fmt::format_to(out, "jaylane_upstream_entries_rejected_total {}\n", m_rejectedEntries);
   AddHistogram(text, "jaylane_request_seconds", m_requestLatency);
   AddHistogram(text, "jaylane_upstream_seconds", m_upstreamLatency);
   return text;
--- a/packages/gateway/src/GatewayMetrics.h
+++ b/packages/gateway/src/GatewayMetrics.h
@@ -23,6 +23,8 @@
   std::uint64_t m_inFlight = 0;
   std::uint64_t m_storeBatches = 0;
   std::uint64_t m_storeFailures = 0;
+  /// Registrations of upstreams that could not be used, each time that one was read.
+  std::uint64_t m_rejectedEntries = 0;
   base::LatencyHistogram m_requestLatency;
   base::LatencyHistogram m_upstreamLatency;
 
--- a/packages/gateway/src/SocketOptions.cpp
+++ b/packages/gateway/src/SocketOptions.cpp
@@ -47,6 +47,13 @@
   return boost::asio::ip::tcp::endpoint{ address, port };
 }
 
+bool IsHostAddress(std::string_view aText)
+{
+  const auto endpoint = ParseEndpoint(aText);
+  return endpoint && endpoint->port() != 0 && !endpoint->address().is_unspecified() &&
+         !endpoint->address().is_multicast();
+}
+
 bool IsIdleAndOpen(boost::asio::ip::tcp::socket& aSocket)
 {
   char byte = 0;
--- a/packages/gateway/src/SocketOptions.h
+++ b/packages/gateway/src/SocketOptions.h
@@ -27,6 +27,10 @@
 /// @return the endpoint, or nothing if the text is malformed.
 std::optional<boost::asio::ip::tcp::endpoint> ParseEndpoint(std::string_view aText);
 
+/// @param aText "ip:port".
+/// @return whether the text names a host and port to connect to.
+bool IsHostAddress(std::string_view aText);
+
 /// @return whether an idle connection can carry another request: it is open and has no unread bytes
 ///         (which would belong to no request).
 bool IsIdleAndOpen(boost::asio::ip::tcp::socket& aSocket);
--- a/packages/gateway/src/StoreSnapshot.cpp
+++ b/packages/gateway/src/StoreSnapshot.cpp
@@ -1,5 +1,6 @@
 #include "StoreSnapshot.h"
 
+#include "jaylane/base/JsonElements.h"
 #include "jaylane/base/JsonText.h"
 #include "jaylane/gateway/GatewayError.h"
 
@@ -148,27 +149,37 @@
   return array;
 }
 
-base::Result<std::vector<StoredObject>> ObjectsFrom(const Json::Value& aArray)
+/// @param aTexts JSON texts of the objects. Each value is parsed on its own, as it was when it came
+///   from the store, so that one which cannot be read costs no other.
+base::Result<std::vector<StoredObject>> ObjectsFrom(const std::vector<std::string_view>& aTexts)
 {
   std::vector<StoredObject> objects;
-  for (const Json::Value& entry : aArray) {
-    if (!entry.isObject() || !entry["name"].isString() || !entry["revision"].isUInt64()) {
+  for (const std::string_view text : aTexts) {
+    const auto name = base::ParseJson(base::JsonMemberText(text, "name"));
+    const auto revision = base::ParseJson(base::JsonMemberText(text, "revision"));
+    if (!name || !name->isString() || !revision || !revision->isUInt64()) {
       return InvalidSnapshot("peer snapshot: object without name or revision");
     }
     StoredObject object;
-    object.m_name = entry["name"].asString();
-    object.m_revision = entry["revision"].asUInt64();
-    object.m_deleted = entry["removed"].isBool() && entry["removed"].asBool();
-    object.m_value = entry["value"];
+    object.m_name = name->asString();
+    object.m_revision = revision->asUInt64();
+    object.m_deleted = base::JsonMemberText(text, "removed") == "true";
+    if (auto value = base::ParseJson(base::JsonMemberText(text, "value"))) {
+      object.m_value = std::move(*value);
+    }
     objects.push_back(std::move(object));
   }
   return objects;
 }
 
-/// @return whether the JSON has a revision and an array of objects.
-bool HasRevisionAndObjects(const Json::Value& aJson)
+/// @return the text's objects, and what else it has.
+base::Result<base::JsonElements> ParseObjects(std::string_view aText)
 {
-  return aJson.isObject() && aJson["revision"].isUInt64() && aJson["objects"].isArray();
+  auto parsed = base::ParseJsonElements(aText, "objects");
+  if (parsed && !parsed->m_object["revision"].isUInt64()) {
+    return InvalidSnapshot("peer snapshot: revision is missing");
+  }
+  return parsed;
 }
 
 } // namespace
@@ -183,19 +194,16 @@
 
 base::Result<StoreSnapshot> StoreSnapshot::FromJson(std::string_view aText)
 {
-  const auto json = base::ParseJson(aText);
-  if (!json) {
-    return json.GetError();
-  }
-  if (!HasRevisionAndObjects(*json)) {
-    return InvalidSnapshot("peer snapshot: revision or objects are missing");
+  const auto parsed = ParseObjects(aText);
+  if (!parsed) {
+    return parsed.GetError();
   }
-  const auto objects = ObjectsFrom((*json)["objects"]);
+  const auto objects = ObjectsFrom(parsed->m_elements);
   if (!objects) {
     return objects.GetError();
   }
   StoreSnapshot snapshot;
-  snapshot.Replace(*objects, (*json)["revision"].asUInt64());
+  snapshot.Replace(*objects, parsed->m_object["revision"].asUInt64());
   return snapshot;
 }
 
@@ -216,21 +224,22 @@
 
 base::Result<StoreChanges> StoreChanges::FromJson(std::string_view aText)
 {
-  const auto json = base::ParseJson(aText);
-  if (!json) {
-    return json.GetError();
+  const auto parsed = ParseObjects(aText);
+  if (!parsed) {
+    return parsed.GetError();
   }
-  if (!HasRevisionAndObjects(*json) || !(*json)["since"].isUInt64()) {
-    return InvalidSnapshot("peer changes: since, revision or objects are missing");
+  const Json::Value& json = parsed->m_object;
+  if (!json["since"].isUInt64()) {
+    return InvalidSnapshot("peer changes: since is missing");
   }
-  auto objects = ObjectsFrom((*json)["objects"]);
+  auto objects = ObjectsFrom(parsed->m_elements);
   if (!objects) {
     return objects.GetError();
   }
   StoreChanges changes{
-    (*json)["since"].asUInt64(), (*json)["revision"].asUInt64(), std::move(*objects), std::nullopt
+    json["since"].asUInt64(), json["revision"].asUInt64(), std::move(*objects), std::nullopt
   };
-  const Json::Value& names = (*json)["names"];
+  const Json::Value& names = json["names"];
   if (names.isArray()) {
     changes.m_allNames.emplace();
     for (const Json::Value& name : names) {
--- a/packages/gateway/src/StoreSync.cpp
+++ b/packages/gateway/src/StoreSync.cpp
@@ -132,14 +132,14 @@
   m_peerRevisionAtCall = m_peerRevision;
   m_fetch->Start(
     { "GET", m_dialect.ListTarget(m_kind, aAfter, Freshness::Current), {}, kListTimeout },
-    [this, isFirstPage = aAfter.empty()](const FetchResponse& aResponse) {
-      if (!base::ContainErrors(m_log, "list", [&] { OnListed(aResponse, isFirstPage); })) {
+    [this, after = aAfter](const FetchResponse& aResponse) {
+      if (!base::ContainErrors(m_log, "list", [&] { OnListed(aResponse, after); })) {
         OnFailure();
       }
     });
 }
 
-void KindWatcher::OnListed(const FetchResponse& aResponse, bool aIsFirstPage)
+void KindWatcher::OnListed(const FetchResponse& aResponse, const std::string& aAfter)
 {
   base::Result<ObjectBatch> batch =
     aResponse.m_status == 200
@@ -150,12 +150,18 @@
     return;
   }
   LogUnreadable(batch->m_unreadable);
-  if (aIsFirstPage) {
+  if (aAfter.empty()) {
     m_listRevision = batch->m_revision;
   }
   std::ranges::move(batch->m_objects, std::back_inserter(m_listedObjects));
-  if (batch->m_hasMore && !m_listedObjects.empty()) {
-    List(m_listedObjects.back().m_name);
+  if (batch->m_hasMore) {
+    const std::string last =
+      m_listedObjects.empty() ? std::string{} : m_listedObjects.back().m_name;
+    if (last == aAfter) {
+      OnFailure(); // No object of the page has a readable name to go on from.
+    } else {
+      List(last);
+    }
     return;
   }
   OnSuccess();
--- a/packages/gateway/src/StoreSync.h
+++ b/packages/gateway/src/StoreSync.h
@@ -94,7 +94,8 @@
 
 private:
   void List(const std::string& aAfter);
-  void OnListed(const FetchResponse& aResponse, bool aIsFirstPage);
+  /// @param aAfter name that the page begins after; empty for the first page.
+  void OnListed(const FetchResponse& aResponse, const std::string& aAfter);
   std::chrono::milliseconds FirstWatchDelay() const;
   /// Time limit of one exchange with a peer.
   std::chrono::milliseconds PeerTimeout() const;
--- a/packages/gateway/tests/StoreSyncTest.cpp
+++ b/packages/gateway/tests/StoreSyncTest.cpp
@@ -339,6 +339,24 @@
 
 // Guards against peers that take the changes of a VM for complete, although its list misses those
 // between its pages.
+// The last page of a list says that there is more, but no object of it can be read. Guards against
+// asking for the same page without a pause, and against taking the list for complete.
+TEST(StoreSyncTest, APageWithoutAReadableObjectIsAFailure)
+{
+  std::atomic<int> lists{ 0 };
+  ScriptedUpstream store([&](const SeenRequest& aRequest) {
+    if (aRequest.m_head.find("/list") == std::string::npos) {
+      return RefuseAll(aRequest);
+    }
+    lists += aRequest.m_head.find("/0 ") != std::string::npos ? 1 : 0;
+    return Text("200 OK", R"({"revision":5,"objects":[],"more":true})");
+  });
+  RecordingSync vm(store.Address(), FreeAddress());
+  EXPECT_FALSE(vm.WaitForConfiguration(1000ms));
+  EXPECT_GT(lists, 1);
+  EXPECT_LT(lists, 20);
+}
+
 TEST(StoreSyncTest, ServesNoPeerARevisionThatItHasNotSeenWhole)
 {
   ScriptedUpstream store([](const SeenRequest& aRequest) {
@@ -569,6 +587,33 @@
   EXPECT_FALSE(StoreChanges::FromJson(snapshot.ToJson()));
 }
 
+// Guards against a peer's snapshot that is lost because one of its objects can just be read when it
+// comes from the store, but not inside a snapshot.
+TEST(StoreSnapshotTest, AnOddObjectCostsNoOther)
+{
+  Json::Value nested = 1;
+  for (int i = 0; i < 31; ++i) {
+    Json::Value outer(Json::arrayValue);
+    outer.append(std::move(nested));
+    nested = std::move(outer);
+  }
+  StoreSnapshot snapshot;
+  snapshot.Replace({ { "a", 1, false, 1 }, { "b", 2, false, nested }, { "c", 3, false, 3 } }, 5);
+  const auto copy = StoreSnapshot::FromJson(snapshot.ToJson());
+  ASSERT_TRUE(copy);
+  ASSERT_EQ(copy->Objects().size(), 3U);
+  EXPECT_EQ(copy->Objects()[1].m_value, nested);
+  EXPECT_EQ(copy->Objects()[2].m_value.asInt(), 3);
+  const auto changes = StoreChanges::FromJson(snapshot.MakeChanges(5).ToJson());
+  ASSERT_TRUE(changes);
+  const auto odd =
+    StoreSnapshot::FromJson(R"({"revision":5,"objects":[{"name":"a","revision":1,"value":1e999},)"
+                            R"({"name":"b","revision":2,"value":2}]})");
+  ASSERT_TRUE(odd);
+  ASSERT_EQ(odd->Objects().size(), 2U);
+  EXPECT_TRUE(odd->Objects()[0].m_value.isNull());
+}
+
 // Guards against malformed responses to snapshot requests.
 TEST(StoreSnapshotTest, RejectsMalformedSnapshots)
 {
