--- a/packages/peer/tests/MessageCodecTest.cpp
+++ b/packages/peer/tests/MessageCodecTest.cpp
@@ -16,7 +16,8 @@
   message.m_shares = { 7, "table" };
   message.m_members.push_back(
     { "vm", "inc", "r", "z", "127.0.0.1:1", "scope", 9, true, { "old" }, "load" });
-  message.m_strikes.push_back({ { ~0ull, 1 }, 2, 3, std::chrono::milliseconds{ 4 }, true, true, 5 });
+  message.m_strikes.push_back(
+    { { ~0ull, 1 }, 2, 3, std::chrono::milliseconds{ 4 }, true, true, 5 });
   return message;
 }
 
