Suspect requests whose upstream ends within a response

A request that ended its upstream after the first byte of the response was never suspected: only connections that closed without any byte were.

AnUpstreamThatEndsWithinItsResponseIsProbed: no probe was due before. A response that cannot be parsed on an open connection still counts for nothing.

--- a/packages/gateway/src/RequestExchange.cpp
+++ b/packages/gateway/src/RequestExchange.cpp
@@ -373,7 +373,7 @@
       ++m_connectFailures;
       m_context.m_steering.OnUnreachable(aUpstream);
     }
-    if (aResult.m_closedWithoutResponse) {
+    if (aResult.m_connectionEnded) {
       m_wasLost = true;
       m_context.m_steering.OnSuspectedCrash(aUpstream, m_fingerprint, m_isSuspect);
     }
@@ -401,7 +401,7 @@
   const bool hasAttemptsLeft =
     m_sentAttempts < m_route->m_attempts && m_connectFailures < kMaxConnectFailures;
   // A suspect that is lost again may have ended a second upstream.
-  const bool isLostSuspect = m_isSuspect && aResult.m_closedWithoutResponse;
+  const bool isLostSuspect = m_isSuspect && aResult.m_connectionEnded;
   if (!isSafe || !hasAttemptsLeft || isLostSuspect || Remaining().count() <= 0) {
     return false;
   }
--- a/packages/gateway/src/RequestExchange.h
+++ b/packages/gateway/src/RequestExchange.h
@@ -95,7 +95,7 @@
   /// Whether the next or present attempt is one of a suspect, see policy::CrashContainment.
   bool m_isSuspect = false;
   bool m_isSuspectRunning = false;
-  /// An upstream closed the connection of an attempt without a response.
+  /// The connection of an attempt ended before the response was complete.
   bool m_wasLost = false;
   base::MonotonicTime m_deadline;
   boost::asio::steady_timer m_deadlineTimer;
--- a/packages/gateway/src/Steering.h
+++ b/packages/gateway/src/Steering.h
@@ -57,9 +57,9 @@
   /// A connection to an upstream was established.
   /// @param aTime time that it took, about a network round trip.
   void OnConnected(const std::string& aId, std::chrono::nanoseconds aTime);
-  /// An upstream closed a request's connection without a response: it crashed, or it lost the
-  /// response. A health probe tells these apart; the request counts as the cause of a crash only if
-  /// the probe fails.
+  /// A request's connection ended before the response was complete: the upstream crashed, or it
+  /// lost the response. A health probe tells these apart; the request counts as the cause of a
+  /// crash only if the probe fails.
   /// @param aWasSuspect whether the request was sent as a suspect, see policy::CrashContainment.
   void OnSuspectedCrash(const std::string& aId,
                         const policy::RequestFingerprint& aRequest,
@@ -178,8 +178,8 @@
   /// Unlike unreachable upstreams, these stay candidates of their balancer, so that it keeps their
   /// statistics.
   ProbedUpstreams m_unresponsive;
-  /// Requests whose connections an upstream closed without a response, kept until a probe tells
-  /// whether it crashed.
+  /// Requests whose connections to an upstream ended before the response was complete, kept until a
+  /// probe tells whether it crashed.
   struct SuspectedCrash
   {
     std::vector<LostRequest> m_requests;
--- a/packages/gateway/src/UpstreamAttempt.cpp
+++ b/packages/gateway/src/UpstreamAttempt.cpp
@@ -218,6 +218,7 @@
         return;
       }
     }
+    m_hasConnectionEnded = true;
     Fail(AttemptFailure::Lost);
     return;
   }
@@ -353,7 +354,7 @@
 {
   AttemptResult result;
   result.m_failure = aFailure;
-  result.m_closedWithoutResponse = aFailure == AttemptFailure::Lost && !m_hasResponseBytes;
+  result.m_connectionEnded = m_hasConnectionEnded;
   result.m_latency = m_dependencies.m_clock.Monotonic() - m_startedAt;
   Finish(std::move(result));
 }
--- a/packages/gateway/src/UpstreamAttempt.h
+++ b/packages/gateway/src/UpstreamAttempt.h
@@ -20,9 +20,9 @@
 {
   /// Empty if the upstream responded.
   std::optional<policy::AttemptFailure> m_failure;
-  /// The connection closed after the request was sent and before any byte of a response arrived;
-  /// the upstream may have crashed.
-  bool m_closedWithoutResponse = false;
+  /// The connection ended after the request was sent and before the response was complete; the
+  /// upstream may have crashed.
+  bool m_connectionEnded = false;
   /// The upstream's response, also if it rejects the request; status 0 if there was none.
   CallerResponse m_response;
   bool m_isSigned = false;
@@ -120,6 +120,7 @@
   bool m_isSendStarted = false;
   bool m_isRequestWritten = false;
   bool m_hasResponseBytes = false;
+  bool m_hasConnectionEnded = false;
   /// Whether the connection has carried earlier requests.
   bool m_isConnectionKept = false;
   /// Whether a response to another request was skipped.
--- a/packages/gateway/tests/CrashedUpstreamsTest.cpp
+++ b/packages/gateway/tests/CrashedUpstreamsTest.cpp
@@ -78,6 +78,22 @@
   EXPECT_EQ(Status(Exchange(Request(kTarget, "r3"))), "HTTP/1.1 200 OK");
 }
 
+// Guards against a request that crashes upstreams while they respond, and so is never suspected.
+TEST_F(CrashedUpstreamsTest, AnUpstreamThatEndsWithinItsResponseIsProbed)
+{
+  ScriptedUpstream upstream([](const SeenRequest& aRequest) {
+    const std::string response = OkResponse(aRequest, "abcdef");
+    return Script{ response.substr(0, response.size() - 3), true };
+  });
+  Start({ upstream.Address() });
+  Exchange(Request(kTarget, "r1"));
+  OnRequestThread([&] {
+    EXPECT_EQ(m_steering->TakeDueProbes().size(), 1U);
+    m_steering->OnProbeEnded("i-0", false);
+  });
+  EXPECT_TRUE(IsSuspect(kTarget));
+}
+
 // A response that reports a failure shows that the request does not end the upstream.
 TEST_F(CrashedUpstreamsTest, AFailureResponseClearsASuspect)
 {
