Weigh only fingerprints that can be convicted

A VM that had seen many crashes weighed each of up to 4,096 strikes, most of which are the only one of their request, at each announcement. A request that may not be sent again after a failure response of an upstream returns that response.

--- a/packages/gateway/src/RequestExchange.cpp
+++ b/packages/gateway/src/RequestExchange.cpp
@@ -119,7 +119,9 @@
   if (admission != Admission::Quarantined && admission != Admission::Busy) {
     return true;
   }
-  if (m_mayHaveRun) {
+  if (m_failureResponse) {
+    Finish(std::move(*m_failureResponse), "upstream_failure");
+  } else if (m_mayHaveRun) {
     Respond(502, kOutcomeLost);
   } else if (admission == Admission::Quarantined) {
     Reject(kOutcomeQuarantined, kMaxTimeout);
--- a/packages/policy/bench/QuarantineListBench.cpp
+++ b/packages/policy/bench/QuarantineListBench.cpp
@@ -40,6 +40,16 @@
 }
 BENCHMARK(IsQuarantined)->Arg(64)->Arg(512)->Arg(4096);
 
+void StrikesToAnnounce(benchmark::State& aState)
+{
+  const base::MonotonicTime now{ 1h };
+  const auto list = MakeFilledList(static_cast<std::size_t>(aState.range(0)), now);
+  for (auto _ : aState) {
+    benchmark::DoNotOptimize(list.StrikesToAnnounce(24, now));
+  }
+}
+BENCHMARK(StrikesToAnnounce)->Arg(64)->Arg(512)->Arg(4096);
+
 void RecordLoss(benchmark::State& aState)
 {
   const base::MonotonicTime now{ 1h };
--- a/packages/policy/include/jaylane/policy/QuarantineList.h
+++ b/packages/policy/include/jaylane/policy/QuarantineList.h
@@ -199,10 +199,14 @@
   std::size_t OffsetBy(const Evidence& aEvidence) const;
   /// @return the counts without crashes that the other request was present at.
   CrashCounts CountsWithout(const Evidence& aEvidence, const std::vector<Crash>& aExplained) const;
-  /// @return the evidence against all fingerprints, those that explain most crashes first.
+  /// @return the evidence against all fingerprints that it may convict, those that explain most
+  ///         crashes first.
   std::vector<Evidence> WeighAll(base::MonotonicTime aNow) const;
   /// Decides which fingerprints are quarantined, if anything has changed.
   void UpdateQuarantined(base::MonotonicTime aNow) const;
+  /// @return the newest strikes, repeats first, that are announced of one fingerprint.
+  static std::vector<const Entry*> NewestEntries(const std::vector<Entry>& aEntries,
+                                                 base::MonotonicTime aNow);
   Strike ToStrike(const RequestFingerprint& aFingerprint,
                   const Entry& aEntry,
                   base::MonotonicTime aNow) const;
--- a/packages/policy/src/QuarantineList.cpp
+++ b/packages/policy/src/QuarantineList.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <iterator>
 #include <map>
 #include <optional>
 #include <string>
@@ -265,10 +266,15 @@
 
 std::vector<QuarantineList::Evidence> QuarantineList::WeighAll(MonotonicTime aNow) const
 {
+  const std::size_t fewestCrashes = std::min({ m_options.m_crashThreshold,
+                                               m_options.m_repeatThreshold,
+                                               m_options.m_totalUpstreamThreshold,
+                                               m_options.m_totalCrashThreshold });
   std::vector<Evidence> all;
-  all.reserve(m_entries.size());
   for (const auto& [fingerprint, entries] : m_entries) {
-    all.push_back(Weigh(fingerprint, entries, aNow));
+    if (entries.size() >= fewestCrashes) {
+      all.push_back(Weigh(fingerprint, entries, aNow));
+    }
   }
   std::ranges::sort(all, std::ranges::greater{}, [](const Evidence& aEvidence) {
     // Of two that were present at the same crashes, the one that was sent less often explains more.
@@ -302,11 +308,12 @@
     if (isCulprit) {
       culprits.push_back(evidence.m_fingerprint);
     }
-    const bool isOfTooMany = counts.m_upstreams >= m_options.m_totalUpstreamThreshold + offset;
-    if (isOfTooMany || counts.m_total >= m_options.m_totalCrashThreshold + offset) {
+    const bool isAtTooManyUpstreams =
+      counts.m_upstreams >= m_options.m_totalUpstreamThreshold + offset;
+    if (isAtTooManyUpstreams || counts.m_total >= m_options.m_totalCrashThreshold + offset) {
       m_quarantined.insert(evidence.m_fingerprint);
     }
-    if (isCulprit || isOfTooMany) {
+    if (isCulprit || isAtTooManyUpstreams) {
       explained.insert(explained.end(), evidence.m_crashes.begin(), evidence.m_crashes.end());
     }
   }
@@ -371,37 +378,47 @@
 {
   struct Ranked
   {
+    /// Repeats and crashes of the fingerprint, and expiry of the strike.
     std::tuple<std::size_t, std::size_t, MonotonicTime> m_rank;
-    Strike m_strike;
+    const RequestFingerprint* m_fingerprint = nullptr;
+    const Entry* m_entry = nullptr;
   };
   std::vector<Ranked> ranked;
   for (const auto& [fingerprint, entries] : m_entries) {
-    const CrashCounts counts = Weigh(fingerprint, entries, aNow).m_counts;
     // A request that was present at one crash is one of many.
-    const std::size_t crashes = counts.m_total > 1 ? counts.m_total : 0;
-    std::vector<const Entry*> newest;
-    for (const Entry& entry : entries) {
-      if (entry.m_expiry > aNow) {
-        newest.push_back(&entry);
-      }
+    CrashCounts counts;
+    if (entries.size() > 1) {
+      counts = Weigh(fingerprint, entries, aNow).m_counts;
     }
-    std::ranges::sort(newest, std::ranges::greater{}, [](const Entry* aEntry) {
-      return std::make_pair(aEntry->m_isRepeat, aEntry->m_expiry);
-    });
-    newest.resize(std::min(newest.size(), kAnnouncedPerFingerprint));
-    for (const Entry* entry : newest) {
-      ranked.push_back(
-        { { counts.m_repeats, crashes, entry->m_expiry }, ToStrike(fingerprint, *entry, aNow) });
+    const std::size_t crashes = counts.m_total > 1 ? counts.m_total : 0;
+    for (const Entry* entry : NewestEntries(entries, aNow)) {
+      ranked.push_back({ { counts.m_repeats, crashes, entry->m_expiry }, &fingerprint, entry });
     }
   }
-  std::ranges::sort(ranked, std::ranges::greater{}, &Ranked::m_rank);
+  const auto last = ranked.begin() + std::min(aMaxCount, ranked.size());
+  std::ranges::partial_sort(ranked, last, std::ranges::greater{}, &Ranked::m_rank);
   std::vector<Strike> strikes;
-  for (const Ranked& entry : ranked) {
-    if (strikes.size() < aMaxCount) {
-      strikes.push_back(entry.m_strike);
+  std::transform(ranked.begin(), last, std::back_inserter(strikes), [&](const Ranked& aRanked) {
+    return ToStrike(*aRanked.m_fingerprint, *aRanked.m_entry, aNow);
+  });
+  return strikes;
+}
+
+std::vector<const QuarantineList::Entry*> QuarantineList::NewestEntries(
+  const std::vector<Entry>& aEntries,
+  MonotonicTime aNow)
+{
+  std::vector<const Entry*> newest;
+  for (const Entry& entry : aEntries) {
+    if (entry.m_expiry > aNow) {
+      newest.push_back(&entry);
     }
   }
-  return strikes;
+  std::ranges::sort(newest, std::ranges::greater{}, [](const Entry* aEntry) {
+    return std::make_pair(aEntry->m_isRepeat, aEntry->m_expiry);
+  });
+  newest.resize(std::min(newest.size(), kAnnouncedPerFingerprint));
+  return newest;
 }
 
 bool QuarantineList::Merge(const std::vector<Strike>& aStrikes, MonotonicTime aNow)
