--- a/review/common/standins.h
+++ b/review/common/standins.h
@@ -14,6 +14,7 @@
 #include <cstdlib>
 #include <cstring>
 #include <fcntl.h>
+#include <filesystem>
 #include <fstream>
 #include <functional>
 #include <map>
@@ -21,6 +22,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <set>
 #include <string>
 #include <sys/prctl.h>
 #include <sys/socket.h>
@@ -424,7 +426,7 @@
   Listener m_listener;
 };
 
-inline int FreePort(const std::string& aIp)
+inline int TryFreePort(const std::string& aIp)
 {
   const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   sockaddr_in address{};
@@ -439,6 +441,24 @@
   return ntohs(address.sin_port);
 }
 
+/// @return a loopback address of this process alone, so that nothing else takes its ports.
+inline std::string OwnIp()
+{
+  const int pid = getpid();
+  return "127." + std::to_string(20 + pid % 200) + "." + std::to_string(pid / 200 % 250) + "." +
+         std::to_string(1 + pid / 50'000 % 250);
+}
+
+inline int FreePort(const std::string& aIp)
+{
+  static std::set<int> used;
+  int port = 0;
+  do {
+    port = TryFreePort(aIp);
+  } while (!used.insert(port).second);
+  return port;
+}
+
 /// One process of the system, started with the command of the deploy file.
 class Gateway
 {
@@ -447,7 +467,7 @@
   Gateway(const std::string& aName,
           const std::string& aDirectory,
           const std::string& aStoreAddress,
-          const std::string& aIp = "127.0.0.1",
+          const std::string& aIp = OwnIp(),
           int aGraceS = 6)
     : m_ip(aIp)
     , m_callerPort(FreePort(aIp))
@@ -581,20 +601,25 @@
          "\"warmupS\":3.0,\"coldPerS\":10.0}";
 }
 
+inline const std::string& TemporaryDirectory()
+{
+  static const std::string directory = [] {
+    char path[] = "/tmp/jaylane-review-XXXXXX";
+    return std::string(mkdtemp(path));
+  }();
+  return directory;
+}
+
 /// Ends this process without running destructors, since the stand-ins' threads still use their
 /// objects. The gateways end by their parent-death signal at the latest.
 [[noreturn]] inline void Finish(int aStatus)
 {
   fflush(nullptr);
+  std::error_code ignored;
+  std::filesystem::remove_all(TemporaryDirectory(), ignored);
   _exit(aStatus);
 }
 
-inline std::string TemporaryDirectory()
-{
-  char path[] = "/tmp/jaylane-review-XXXXXX";
-  return mkdtemp(path);
-}
-
 inline bool HasTrouble()
 {
   const char* value = getenv("TROUBLE");
