--- a/review/common/standins.h
+++ b/review/common/standins.h
@@ -468,7 +468,8 @@
           const std::string& aDirectory,
           const std::string& aStoreAddress,
           const std::string& aIp = OwnIp(),
-          int aGraceS = 6)
+          int aGraceS = 6,
+          int aPeerPort = 0)
     : m_ip(aIp)
     , m_callerPort(FreePort(aIp))
     , m_readyPort(FreePort(aIp))
@@ -482,7 +483,8 @@
       << "ready_address: \"" << aIp << ":" << m_readyPort << "\"\n"
       << "lookup_address: \"" << aIp << ":" << FreePort(aIp) << "\"\n"
       << "metrics_address: \"" << aIp << ":" << FreePort(aIp) << "\"\n"
-      << "peer_address: \"" << aIp << ":" << FreePort(aIp) << "\"\nseeds: []\n"
+      << "peer_address: \"" << aIp << ":" << (aPeerPort ? aPeerPort : FreePort(aIp))
+      << "\"\nseeds: []\n"
       << "store_address: \"" << aStoreAddress << "\"\n"
       << "cores: 1\ncore_share: 0.2\nmax_descriptors: 4100\nmemory_mb: 260\n"
       << "stop_grace_seconds: " << aGraceS << "\nlookup_lifetime_seconds: 1\ndrain_ms: 2500\n"
