--- a/packages/testing/include/jaylane/testing/LinkRelay.h
+++ b/packages/testing/include/jaylane/testing/LinkRelay.h
@@ -22,6 +22,8 @@
   /// Cuts of one direction only: from the connecting client to the target, or back.
   bool m_cutTowardsTarget = false;
   bool m_cutTowardsClient = false;
+  /// Loses what targets send. A connection on which something was lost stays silent for good.
+  bool m_losesResponses = false;
 };
 
 struct LinkStats
@@ -55,6 +57,10 @@
   /// Aborts all connections with a TCP reset.
   void ResetConnections();
 
+  /// Makes all connections silent for good: they stay open, the relay acknowledges what arrives on
+  /// them, and nothing passes. New connections work.
+  void SilenceConnections();
+
   LinkStats Stats() const;
 
 private:
--- a/packages/testing/src/LinkRelay.cpp
+++ b/packages/testing/src/LinkRelay.cpp
@@ -124,6 +124,8 @@
   tcp::socket m_targetSocket;
   Stream m_toTarget;
   Stream m_toClient;
+  /// Nothing passes any more.
+  bool m_isSilent = false;
 };
 
 } // namespace
@@ -189,6 +191,17 @@
     });
   }
 
+  void SilenceConnections()
+  {
+    asio::post(m_context, [this] {
+      for (const auto& weak : m_sessions) {
+        if (const auto session = weak.lock()) {
+          session->m_isSilent = true;
+        }
+      }
+    });
+  }
+
   LinkStats Stats() const { return { m_accepted.load(), m_forwardedBytes.load() }; }
 
 private:
@@ -228,6 +241,15 @@
     while (!aStream.m_ended) {
       std::vector<char> data(kChunkBytes);
       auto [error, bytes] = co_await aStream.m_from.async_read_some(asio::buffer(data), kAwait);
+      if (aSession->m_isSilent) {
+        if (error && &aStream == &aSession->m_toTarget) {
+          aSession->Reset(); // The client has given the connection up.
+        }
+        if (error) {
+          co_return;
+        }
+        continue;
+      }
       if (error == asio::error::connection_reset) {
         aSession->Reset();
       }
@@ -261,6 +283,12 @@
       co_await SleepUntil(
         std::max(chunk.m_due, ReserveTransmission(direction, chunk.m_data.size())));
       co_await WaitWhileCut(direction);
+      if (direction == kTowardsClient && Conditions().m_losesResponses) {
+        aSession->m_isSilent = true;
+      }
+      if (aSession->m_isSilent) {
+        co_return;
+      }
       auto [error, bytes] =
         co_await asio::async_write(aStream.m_to, asio::buffer(chunk.m_data), kAwait);
       aStream.m_queuedBytes -= chunk.m_data.size();
@@ -272,6 +300,9 @@
       }
     }
     co_await WaitWhileCut(direction);
+    if (aSession->m_isSilent) {
+      co_return;
+    }
     boost::system::error_code ignored;
     aStream.m_to.shutdown(tcp::socket::shutdown_send, ignored);
   }
@@ -362,6 +393,11 @@
   m_internals->ResetConnections();
 }
 
+void LinkRelay::SilenceConnections()
+{
+  m_internals->SilenceConnections();
+}
+
 LinkStats LinkRelay::Stats() const
 {
   return m_internals->Stats();
--- a/packages/testing/tests/LinkRelayTest.cpp
+++ b/packages/testing/tests/LinkRelayTest.cpp
@@ -4,6 +4,9 @@
 #include "jaylane/testing/HttpServer.h"
 #include "jaylane/testing/WaitFor.h"
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
 #include <thread>
 
@@ -133,5 +136,72 @@
   EXPECT_FALSE(HttpGet(m_url, kTimeout));
 }
 
+/// A connection on which one request after the other is sent.
+class KeptConnection
+{
+public:
+  explicit KeptConnection(const std::string& aUrl)
+  {
+    const std::string address = aUrl.substr(7, aUrl.size() - 8);
+    const std::size_t colon = address.rfind(':');
+    m_socket.connect({ boost::asio::ip::make_address(address.substr(0, colon)),
+                       static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1))) });
+    const timeval timeout{ 0, 300'000 };
+    ::setsockopt(m_socket.native_handle(), SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof timeout);
+  }
+
+  /// @return whether the request was sent without an error.
+  bool Send()
+  {
+    boost::system::error_code error;
+    boost::asio::write(
+      m_socket, boost::asio::buffer(std::string("GET / HTTP/1.1\r\nHost: h\r\n\r\n")), error);
+    return !error;
+  }
+
+  /// @return bytes received within a short time; 0 at the end, and -1 if there are none.
+  ssize_t Receive()
+  {
+    char data[1024];
+    return ::recv(m_socket.native_handle(), data, sizeof data, 0);
+  }
+
+private:
+  boost::asio::io_context m_io;
+  boost::asio::ip::tcp::socket m_socket{ m_io };
+};
+
+// Guards against a silence that ends, closes connections, or affects new ones.
+TEST_F(LinkRelayTest, SilenceIsForGoodAndForOpenConnectionsOnly)
+{
+  KeptConnection kept(m_url);
+  ASSERT_TRUE(kept.Send());
+  EXPECT_GT(kept.Receive(), 0);
+  m_relay->SilenceConnections();
+  EXPECT_TRUE(WaitFor([&] { return kept.Send() && kept.Receive() < 0; }, kTimeout));
+  EXPECT_TRUE(HttpGet(m_url, kTimeout));
+  const unsigned requests = m_requests;
+  EXPECT_TRUE(kept.Send());
+  EXPECT_EQ(kept.Receive(), -1);
+  EXPECT_EQ(m_requests, requests);
+}
+
+// Guards against responses that arrive late instead of never, and against losses that go on.
+TEST_F(LinkRelayTest, AConnectionWhoseResponseIsLostStaysSilent)
+{
+  KeptConnection kept(m_url);
+  LinkConditions conditions;
+  conditions.m_losesResponses = true;
+  m_relay->SetConditions(conditions);
+  EXPECT_FALSE(HttpGet(m_url, milliseconds{ 200 }));
+  EXPECT_EQ(m_requests, 1u) << "the request arrives";
+  ASSERT_TRUE(kept.Send());
+  EXPECT_EQ(kept.Receive(), -1);
+  m_relay->SetConditions({});
+  EXPECT_TRUE(kept.Send());
+  EXPECT_EQ(kept.Receive(), -1);
+  EXPECT_TRUE(HttpGet(m_url, kTimeout));
+}
+
 } // namespace
 } // namespace jaylane::testing
