gateway: log from where a change of the store was learned, and watches that fail

No record told a change that a watch or a list brought, nor a watch that timed out from one whose connection ended. No change of logic.

--- a/packages/gateway/src/HttpFetch.cpp
+++ b/packages/gateway/src/HttpFetch.cpp
@@ -37,7 +37,9 @@
   m_timer.async_wait([self = shared_from_this(),
                       exchange = m_exchangeNumber](const boost::system::error_code& aError) {
     if (!aError && exchange == self->m_exchangeNumber) {
-      self->Finish({});
+      FetchResponse response;
+      response.m_hasTimedOut = true;
+      self->Finish(std::move(response));
     }
   });
   if (m_socket.is_open() && IsIdleAndOpen(m_socket)) {
@@ -135,7 +137,10 @@
     return;
   }
   auto message = m_parser->release();
-  FetchResponse response{ message.result_int(), std::move(message.body()), std::move(message) };
+  FetchResponse response;
+  response.m_status = message.result_int();
+  response.m_body = std::move(message.body());
+  response.m_fields = std::move(message);
   if (!response.m_fields.count(http::field::connection) && m_buffer.size() == 0) {
     ++m_exchangeNumber;
     m_timer.cancel();
--- a/packages/gateway/src/HttpFetch.h
+++ b/packages/gateway/src/HttpFetch.h
@@ -33,6 +33,8 @@
   unsigned m_status = 0;
   std::string m_body;
   boost::beast::http::fields m_fields;
+  /// Whether the time limit has ended the exchange, rather than the connection.
+  bool m_hasTimedOut = false;
 
   /// @return whether the same call may succeed later: there was no response, or the server turned
   ///         the call away or failed.
--- a/packages/gateway/src/StoreSync.cpp
+++ b/packages/gateway/src/StoreSync.cpp
@@ -179,6 +179,7 @@
   OnSuccess();
   if (m_listRevision >= m_snapshot.Revision()) { // A peer's snapshot may be newer.
     AdoptList(std::move(m_listedObjects), m_listRevision);
+    LogChange("list");
     ReportRevision();
   }
   CheckPeerRevision(m_listRevision);
@@ -278,6 +279,7 @@
 {
   ++m_watchNumber;
   m_isWatching = true;
+  m_watchStarted = m_clock.Monotonic();
   m_peerRevisionAtCall = m_peerRevision;
   m_fetch->Start({ "GET",
                    m_dialect.WatchTarget(m_kind, m_snapshot.Revision(), aWait),
@@ -303,6 +305,11 @@
       ? m_dialect.ParseWatch(aResponse.m_body)
       : base::Result<ObjectBatch>(std::make_error_code(std::errc::io_error));
   if (!batch) {
+    m_log.Write(base::LogRecord("store_watch_failed")
+                  .Add("kind", KindName(m_kind))
+                  .Add("status", aResponse.m_status)
+                  .Add("timed_out", aResponse.m_hasTimedOut)
+                  .Add("age_ms", WatchAge()));
     OnFailure();
     return;
   }
@@ -317,6 +324,7 @@
   }
   m_snapshot.Apply(batch->m_objects, batch->m_revision);
   m_hooks.m_onChanges(std::move(batch->m_objects));
+  LogChange("watch");
   ReportRevision();
   if (m_role == policy::StoreRole::Relying) {
     Watch();
@@ -541,6 +549,7 @@
                 .Add("kind", KindName(m_kind))
                 .Add("present_revision", present)
                 .Add("revision", m_snapshot.Revision()));
+  LogChange("peer");
   ReportRevision();
   return true;
 }
@@ -553,6 +562,25 @@
   return aAfter == 0 ? m_snapshot.ToJson() : m_snapshot.MakeChanges(aAfter).ToJson();
 }
 
+milliseconds KindWatcher::WatchAge() const
+{
+  return std::chrono::duration_cast<milliseconds>(m_clock.Monotonic() - m_watchStarted);
+}
+
+void KindWatcher::LogChange(const char* aSource)
+{
+  const std::uint64_t newest = std::min(m_snapshot.NewestChange(), m_snapshot.Revision());
+  if (newest <= m_reportedRevision) {
+    return;
+  }
+  base::LogRecord record("store_change");
+  record.Add("kind", KindName(m_kind)).Add("source", aSource).Add("revision", newest);
+  if (m_watchNumber > 0) {
+    record.Add("watch_age_ms", WatchAge());
+  }
+  m_log.Write(record);
+}
+
 void KindWatcher::LogUnreadable(std::uint32_t aCount)
 {
   if (aCount > 0 && aCount != m_unreadableCount) {
--- a/packages/gateway/src/StoreSync.h
+++ b/packages/gateway/src/StoreSync.h
@@ -132,8 +132,12 @@
   /// from the store if the peers do not have the change.
   void ContinueCatchUp();
   void OnSuccess();
+  /// @return time since the last watch started.
+  std::chrono::milliseconds WatchAge() const;
   void ScheduleAfter(std::chrono::milliseconds aPause, std::function<void()> aNext);
   void LogUnreadable(std::uint32_t aCount);
+  /// @param aSource "list", "watch" or "peer".
+  void LogChange(const char* aSource);
 
   boost::asio::io_context& m_io;
   const StoreDialect& m_dialect;
@@ -161,6 +165,7 @@
   /// Number of the last watch request, and whether its response is pending.
   std::uint32_t m_watchNumber = 0;
   bool m_isWatching = false;
+  base::MonotonicTime m_watchStarted;
   bool m_isBehindCheckPending = false;
   boost::asio::steady_timer m_behindTimer;
   std::minstd_rand m_random;
