gateway: find silent connections to the store by a lead watcher

Cause: a pending watch counted as proof that the store has nothing new. A watch waits 4 to 18 s, all of them start together after each change, and behind a relay the kernel acknowledges every byte, so that neither TCP_USER_TIMEOUT nor keep-alive probes notice. Class: liveness judged by the kernel's acknowledgement instead of the application's progress.

Change: one VM, the lead watcher, keeps short watches and tells the others. An overdue watch moves to a new connection without an outage, the VM's other watches with it; a VM that was told of a change by a peer replaces the watch that has not delivered it; the probe uses a new connection each time; watches start anew after an outage. All other watches end after 16 to 19 s.

Neighbouring promise: SilentConnectionTest and ControlPlaneTest check that a silent connection is no outage, so removals are not held back.

--- a/packages/gateway/src/ControlPlane.cpp
+++ b/packages/gateway/src/ControlPlane.cpp
@@ -66,6 +66,7 @@
                         m_hooks.m_onQuarantines(std::move(aContents));
                       })
   , m_storeFollowing(policy::StoreFollowing::OptionsFor(m_settings.m_drainTime), m_settings.m_name)
+  , m_leadWatcher({}, m_settings.m_name, aClock.Monotonic())
   , m_readyServer(m_io, [this](std::string_view) { return OnReady(); })
   , m_lookupServer(m_io, [this](std::string_view aTarget) { return OnLookup(aTarget); })
   , m_tickTimer(m_io)
@@ -178,6 +179,13 @@
   };
   hooks.m_onFollower = [this](const StoreRevisions& aRevisions) { OnFollower(aRevisions); };
   hooks.m_onStoreUnreachable = [this] { m_storeSync.CheckStore(); };
+  hooks.m_leadHeartbeat = [this] { return m_leadWatcher.Current(m_clock.Monotonic()); };
+  hooks.m_onLeadHeartbeat = [this](const policy::LeadWatcher::Heartbeat& aHeartbeat) {
+    m_leadWatcher.OnHeartbeat(aHeartbeat, m_clock.Monotonic());
+  };
+  hooks.m_electedAmong = [this](std::vector<std::string> aZoneVms) {
+    return m_storeFollowing.ElectedAmong(std::move(aZoneVms));
+  };
   hooks.m_limits = [this] { return m_requestState.m_limits; };
   hooks.m_onLimits = [this](const std::vector<policy::LimitObservation>& aLimits) {
     m_hooks.m_onLimits(aLimits);
@@ -198,6 +206,9 @@
   if (m_role == policy::StoreRole::Elected) {
     m_peerLink.AnnounceToZone();
   }
+  if (m_isLead) {
+    m_peerLink.AnnounceToOtherZones(); // Their watches may be silent.
+  }
 }
 
 void ControlPlane::OnFollower(const StoreRevisions& aRevisions)
@@ -233,6 +244,17 @@
   m_storeSync.SetRole(role, m_storeFollowing.HasDependents(zoneVms));
 }
 
+void ControlPlane::UpdateLead()
+{
+  const bool isWatching = m_role == policy::StoreRole::Elected && m_isFollowing && !m_isLeaving;
+  const bool isLead = m_leadWatcher.Decide(isWatching, m_clock.Monotonic());
+  if (isLead != m_isLead) {
+    m_log.Write(base::LogRecord(isLead ? "store_lead_started" : "store_lead_ended"));
+  }
+  m_isLead = isLead;
+  m_storeSync.SetLead(isLead);
+}
+
 void ControlPlane::UpdateViewAge()
 {
   const milliseconds behindFor = m_storeSync.UpstreamsBehindFor();
@@ -256,6 +278,7 @@
 {
   ConfirmView();
   UpdateRole();
+  UpdateLead();
   UpdateFollowing();
   UpdateViewAge();
   m_peerLink.SetLoad(IsReady(), m_requestState.m_requestsPerSecond);
--- a/packages/gateway/src/ControlPlane.h
+++ b/packages/gateway/src/ControlPlane.h
@@ -6,6 +6,7 @@
 #include "QuarantineStore.h"
 #include "StoreSync.h"
 #include "jaylane/gateway/WireFormat.h"
+#include "jaylane/policy/LeadWatcher.h"
 #include "jaylane/policy/StoreFollowing.h"
 
 #include <atomic>
@@ -111,6 +112,7 @@
   /// Reports that the view is confirmed if it has all that the last follower had seen.
   void ConfirmView();
   void UpdateRole();
+  void UpdateLead();
   /// Announces this VM as one to rely on unless it is behind with its work.
   void UpdateFollowing();
   void UpdateViewAge();
@@ -132,6 +134,8 @@
   QuarantineStore m_quarantineStore;
   policy::StoreFollowing m_storeFollowing;
   policy::StoreRole m_role = policy::StoreRole::Elected;
+  policy::LeadWatcher m_leadWatcher;
+  bool m_isLead = false;
   InfoServer m_readyServer;
   InfoServer m_lookupServer;
   boost::asio::steady_timer m_tickTimer;
--- a/packages/gateway/src/HttpFetch.cpp
+++ b/packages/gateway/src/HttpFetch.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <fmt/format.h>
+#include <utility>
 
 namespace jaylane::gateway {
 
@@ -59,6 +60,13 @@
   m_buffer.clear();
 }
 
+void HttpFetch::CloseIfIdle()
+{
+  if (!m_onDone) {
+    Close();
+  }
+}
+
 void HttpFetch::Connect()
 {
   boost::system::error_code ignored;
@@ -144,7 +152,7 @@
   if (!response.m_fields.count(http::field::connection) && m_buffer.size() == 0) {
     ++m_exchangeNumber;
     m_timer.cancel();
-    const OnDone done = std::move(m_onDone);
+    const OnDone done = std::exchange(m_onDone, nullptr);
     done(std::move(response));
     return;
   }
@@ -153,7 +161,7 @@
 
 void HttpFetch::Finish(FetchResponse aResponse)
 {
-  const OnDone done = std::move(m_onDone);
+  const OnDone done = std::exchange(m_onDone, nullptr);
   Close();
   if (done) {
     done(std::move(aResponse));
--- a/packages/gateway/src/HttpFetch.h
+++ b/packages/gateway/src/HttpFetch.h
@@ -61,6 +61,9 @@
   /// Ends the exchange without calling its callback and closes the connection.
   void Close();
 
+  /// Closes the connection unless an exchange is pending, so that the next one uses a new one.
+  void CloseIfIdle();
+
 private:
   void Connect();
   void Send();
--- a/packages/gateway/src/PeerLink.cpp
+++ b/packages/gateway/src/PeerLink.cpp
@@ -32,6 +32,9 @@
 /// In a zone of more VMs, each hears every other once per several intervals. It counts as running
 /// until this many of its turns are missed.
 constexpr double kMaxMissedTurns = 3.2;
+/// Time since its last announcement for which a VM of another zone counts as one to announce to. It
+/// announces here only now and then.
+constexpr milliseconds kOtherZoneMemory{ 60'000 };
 /// VMs of the own zone, and VMs of other zones, that RunningPeers() returns.
 constexpr std::size_t kMaxSnapshotPeersPerGroup = 4;
 /// Number of announcements after the start that are also sent to the seeds, so that VMs find each
@@ -81,11 +84,11 @@
   return json;
 }
 
-/// @return age in milliseconds.
+/// @return age in milliseconds, rounded up: what VMs pass on to each other must not get younger.
 Json::Value AgeOf(base::MonotonicTime aTime, base::MonotonicTime aNow)
 {
   return Json::UInt(
-    std::max<std::int64_t>(0, std::chrono::duration_cast<milliseconds>(aNow - aTime).count()));
+    std::max<std::int64_t>(0, std::chrono::ceil<milliseconds>(aNow - aTime).count()));
 }
 
 /// @param aHadCompleted ids of the strikes whose requests had completed before. A field of its own,
@@ -301,6 +304,7 @@
   UpdatePeer(params, m_sender, true);
   m_hooks.m_onStrikes(StrikesFrom(params["strikes"], params["strikes_after_completion"]));
   ReadLimits(params);
+  ReadLeadHeartbeat(params);
   if (m_isReady && params["ready"].isBool() && !params["ready"].asBool() &&
       !params["leaving"].isBool() && !(m_hooks.m_limits().empty() && m_hooks.m_strikes().empty())) {
     // A VM that is starting must know the limits, and the requests that crash upstreams, before its
@@ -345,6 +349,10 @@
   if (m_isStoreUnreachable) {
     params["store_unreachable"] = true;
   }
+  if (const auto lead = m_hooks.m_leadHeartbeat()) {
+    params["lead"].append(lead->m_rank);
+    params["lead"].append(AgeOf(lead->m_at, m_clock.Monotonic()));
+  }
   for (const policy::Strike& strike : m_hooks.m_strikes()) {
     if (params["strikes"].size() == kMaxStrikesPerMessage) {
       break;
@@ -383,6 +391,15 @@
   }
 }
 
+void PeerLink::ReadLeadHeartbeat(const Json::Value& aParams)
+{
+  const Json::Value& entry = aParams["lead"];
+  if (entry.isArray() && entry.size() == 2 && entry[0].isUInt() && entry[1].isUInt()) {
+    m_hooks.m_onLeadHeartbeat(
+      { entry[0].asUInt(), m_clock.Monotonic() - milliseconds{ entry[1].asUInt() } });
+  }
+}
+
 void PeerLink::ReadLimits(const Json::Value& aParams)
 {
   const base::MonotonicTime now = m_clock.Monotonic();
@@ -478,6 +495,24 @@
   }
 }
 
+void PeerLink::AnnounceToOtherZones()
+{
+  std::map<std::string, std::vector<std::string>> zones;
+  for (const auto& [name, peer] : m_peers) {
+    const bool wasHeard = peer.m_hasBeenHeard && !peer.m_leaving &&
+                          m_clock.Monotonic() - peer.m_lastHeard < kOtherZoneMemory;
+    if (peer.m_zone != m_settings.m_zone && wasHeard) {
+      zones[peer.m_zone].push_back(name);
+    }
+  }
+  const std::string message = BuildAnnouncement(kMaxLimitsPerMessage);
+  for (auto& [zone, names] : zones) {
+    for (const std::string& name : m_hooks.m_electedAmong(std::move(names))) {
+      SendTo(message, m_peers.at(name).m_endpoint);
+    }
+  }
+}
+
 void PeerLink::AnnounceLeaving()
 {
   m_leaving = true;
--- a/packages/gateway/src/PeerLink.h
+++ b/packages/gateway/src/PeerLink.h
@@ -6,6 +6,7 @@
 #include "jaylane/gateway/GatewaySettings.h"
 #include "jaylane/policy/DemandShare.h"
 #include "jaylane/policy/EntrySelection.h"
+#include "jaylane/policy/LeadWatcher.h"
 #include "jaylane/policy/QuarantineList.h"
 #include "jaylane/policy/UpstreamLimits.h"
 
@@ -53,6 +54,12 @@
     std::function<void(const StoreRevisions&)> m_onFollower;
     /// A VM announced that the store does not answer its calls.
     std::function<void()> m_onStoreUnreachable;
+    /// Returns the heartbeat of the lead watcher to announce.
+    std::function<std::optional<policy::LeadWatcher::Heartbeat>()> m_leadHeartbeat;
+    /// Receives a heartbeat of the lead watcher that a peer announced.
+    std::function<void(const policy::LeadWatcher::Heartbeat&)> m_onLeadHeartbeat;
+    /// Selects VMs that watch the store among those of a zone, by name.
+    std::function<std::vector<std::string>(std::vector<std::string> aZoneVms)> m_electedAmong;
     /// Returns limits of upstreams to announce, in turn.
     std::function<std::vector<policy::LimitObservation>()> m_limits;
     /// Receives the limits that a peer announced.
@@ -104,6 +111,9 @@
   /// wait.
   void AnnounceToZone();
 
+  /// Announces at once to VMs of all other zones that watch the store, which pass the news on.
+  void AnnounceToOtherZones();
+
   /// @return names of the running VMs in this VM's zone, without this VM.
   std::vector<std::string> RunningZoneVms() const;
 
@@ -156,6 +166,7 @@
   /// Adds the limits whose turn it is, and the demand by which they are divided.
   void AddLimits(Json::Value& aParams, std::size_t aMaxLimits);
   void ReadLimits(const Json::Value& aParams);
+  void ReadLeadHeartbeat(const Json::Value& aParams);
   void SendTo(const std::string& aMessage, const boost::asio::ip::udp::endpoint& aEndpoint);
   bool IsRunning(const Peer& aPeer) const;
   /// A VM that lookups may return.
--- a/packages/gateway/src/StoreProbe.cpp
+++ b/packages/gateway/src/StoreProbe.cpp
@@ -67,6 +67,7 @@
   }
   m_isPending = true;
   m_askedAt = m_clock.Monotonic();
+  m_fetch->Close(); // A kept connection may be silent, which says nothing about the store.
   m_fetch->Start({ "GET", m_target, {}, kProbeTimeout }, [this](const FetchResponse& aResponse) {
     m_isPending = false;
     if (aResponse.IsTransientFailure()) {
--- a/packages/gateway/src/StoreSync.cpp
+++ b/packages/gateway/src/StoreSync.cpp
@@ -14,13 +14,18 @@
 
 using std::chrono::milliseconds;
 
-/// A watch without changes ends after a random time between these limits, and a dead connection is
-/// noticed at the latest kWatchResponseMargin later. The time is random so that some VM notices
-/// soon even if all connections die together; the others learn of changes from it. The maximum is
-/// shorter than the history that the store usually keeps.
-constexpr milliseconds kMinWatchTime{ 4'000 };
-constexpr milliseconds kMaxWatchTime{ 18'000 };
+/// A watch without changes ends after a random time between these limits. It is no evidence that
+/// the store has no change: its connection may be silent. That is noticed by the lead watcher, from
+/// which the other VMs learn of changes.
+constexpr milliseconds kMinWatchTime{ 16'000 };
+constexpr milliseconds kMaxWatchTime{ 19'000 };
+/// Time after the end of a watch within which the store must have responded.
 constexpr milliseconds kWatchResponseMargin{ 1500 };
+/// The same times for the lead watcher, as parts of the time within which a change must be in
+/// force. Evacuations have twice the time.
+constexpr double kLeadWatchShare = 0.4;
+constexpr int kLeadMarginDivisor = 8;
+constexpr int kEvacuationFactor = 2;
 constexpr milliseconds kListTimeout{ 1500 };
 /// Delay before the next watch, so that one call fetches several changes, because each call is
 /// charged. Upstreams change most often and announce their drain ahead: their delay is half of
@@ -55,11 +60,11 @@
 constexpr int kCatchUpDrainDivisor = 4;
 /// Peers that a VM without a watch asks for a change before it asks the store.
 constexpr std::uint32_t kMaxPeerFetchFailures = 2;
-/// Time within which a watch should have delivered a change that a peer has seen. A peer is asked
-/// for it then, and after kChecksBeforeRestart such checks the connection to the store is replaced.
-/// For upstreams it is a part of the drain time.
+/// Time within which a watch should have delivered a change that a peer has seen, at most a part of
+/// the time within which the change must be in force. A peer is asked for it then, and after
+/// kChecksBeforeRestart such checks the connection to the store is replaced.
 constexpr milliseconds kBehindCheckInterval{ 700 };
-constexpr int kBehindCheckDrainDivisor = 8;
+constexpr int kBehindCheckDivisor = 8;
 constexpr std::uint32_t kChecksBeforeRestart = 3;
 /// Announced revisions that are remembered while this VM lacks them. The first ones tell for how
 /// long it has been behind.
@@ -86,13 +91,16 @@
   return "unknown";
 }
 
-/// Reports the watchers' calls to the probe in addition, and sets m_onFollowingChanged.
+/// Reports the watchers' calls to the probe in addition, and sets m_onFollowingChanged and
+/// m_onSilence.
 StoreSync::Hooks WithOwnHooks(StoreSync::Hooks aHooks,
                               StoreProbe& aProbe,
-                              const std::function<void()>& aReport)
+                              const std::function<void()>& aReport,
+                              const std::function<void()>& aOnSilence)
 {
   for (auto* kind : { &aHooks.m_configuration, &aHooks.m_upstreams, &aHooks.m_evacuations }) {
     kind->m_onFollowingChanged = aReport;
+    kind->m_onSilence = aOnSilence;
     kind->m_onCallCompleted = [&aProbe,
                                inner = std::move(kind->m_onCallCompleted)](bool aSucceeded) {
       aProbe.OnCallCompleted(aSucceeded);
@@ -117,6 +125,7 @@
   , m_log(aLog)
   , m_kind(aKind)
   , m_drainTime(aSettings.m_drainTime)
+  , m_changeTime(std::min(aSettings.m_drainTime, aSettings.m_configurationTime))
   , m_hooks(std::move(aHooks))
   , m_storeAddress(aSettings.m_storeAddress)
   , m_fetch(std::make_shared<HttpFetch>(aIo, aSettings.m_storeAddress))
@@ -227,7 +236,25 @@
 
 milliseconds KindWatcher::BehindCheckInterval() const
 {
-  return std::min(kBehindCheckInterval, m_drainTime / kBehindCheckDrainDivisor);
+  return std::min(kBehindCheckInterval, m_changeTime / kBehindCheckDivisor);
+}
+
+milliseconds KindWatcher::LeadWatchTime() const
+{
+  const int factor = m_kind == ObjectKind::Evacuations ? kEvacuationFactor : 1;
+  return std::chrono::duration_cast<milliseconds>(m_changeTime * (kLeadWatchShare * factor));
+}
+
+milliseconds KindWatcher::WatchTime()
+{
+  return m_isLead ? LeadWatchTime()
+                  : milliseconds{ std::uniform_int_distribution<milliseconds::rep>(
+                      kMinWatchTime.count(), kMaxWatchTime.count())(m_random) };
+}
+
+milliseconds KindWatcher::ResponseMargin() const
+{
+  return m_isLead && !m_isRenewed ? m_changeTime / kLeadMarginDivisor : kWatchResponseMargin;
 }
 
 milliseconds KindWatcher::NextBackoff()
@@ -271,8 +298,38 @@
   if (m_isPaused) {
     return;
   }
-  StartWatch(milliseconds{ std::uniform_int_distribution<milliseconds::rep>(
-    kMinWatchTime.count(), kMaxWatchTime.count())(m_random) });
+  StartWatch(WatchTime());
+}
+
+void KindWatcher::SetLead(bool aIsLead)
+{
+  if (std::exchange(m_isLead, aIsLead) != aIsLead && m_isLead) {
+    RenewWatch(); // The present watch is a long one and may be silent.
+  }
+}
+
+void KindWatcher::RenewWatch()
+{
+  if (!m_isRenewed) {
+    RestartWatch();
+  }
+}
+
+void KindWatcher::RestartWatch()
+{
+  if (!m_isWatching) {
+    m_fetch->CloseIfIdle();
+    return;
+  }
+  m_fetch->Close();
+  m_fetch = std::make_shared<HttpFetch>(m_io, m_storeAddress);
+  m_isRenewed = true;
+  m_behindTimer.cancel();
+  StartWatch(LeadWatchTime());
+  m_isBehindCheckPending = IsWatchBehind();
+  if (m_isBehindCheckPending) {
+    ScheduleBehindCheck(m_watchNumber, 0);
+  }
 }
 
 void KindWatcher::StartWatch(milliseconds aWait)
@@ -280,11 +337,12 @@
   ++m_watchNumber;
   m_isWatching = true;
   m_watchStarted = m_clock.Monotonic();
+  m_watchRevision = m_snapshot.Revision();
   m_peerRevisionAtCall = m_peerRevision;
   m_fetch->Start({ "GET",
                    m_dialect.WatchTarget(m_kind, m_snapshot.Revision(), aWait),
                    {},
-                   aWait + kWatchResponseMargin },
+                   aWait + ResponseMargin() },
                  [this](const FetchResponse& aResponse) {
                    if (!base::ContainErrors(m_log, "watch", [&] { OnWatched(aResponse); })) {
                      OnFailure();
@@ -310,7 +368,13 @@
                   .Add("status", aResponse.m_status)
                   .Add("timed_out", aResponse.m_hasTimedOut)
                   .Add("age_ms", WatchAge()));
-    OnFailure();
+    if (aResponse.m_hasTimedOut && !m_isRenewed) {
+      m_isWatching = true;
+      RestartWatch();
+      m_hooks.m_onSilence();
+    } else {
+      OnFailure();
+    }
     return;
   }
   OnSuccess();
@@ -401,33 +465,46 @@
       return;
     }
     const bool isSameWatch = m_isWatching && m_watchNumber == aWatch;
-    m_isBehindCheckPending = isSameWatch && IsBehind();
+    m_isBehindCheckPending = isSameWatch && IsWatchBehind();
     if (!m_isBehindCheckPending) {
       return;
     }
     m_log.Write(base::LogRecord("store_watch_behind")
                   .Add("kind", KindName(m_kind))
-                  .Add("revision", m_snapshot.Revision())
+                  .Add("revision", m_watchRevision)
                   .Add("peer_revision", m_peerRevision)
                   .Add("checks", aChecks + 1));
     if (aChecks + 1 < kChecksBeforeRestart) {
-      FetchFromNextPeer();
+      if (IsBehind()) {
+        aChecks == 0 ? FetchFromPeer(m_newestPeer) : FetchFromNextPeer();
+      }
       ScheduleBehindCheck(aWatch, aChecks + 1);
       return;
     }
-    m_isBehindCheckPending = false;
-    m_isWatching = false;
-    m_fetch->Close();
-    m_fetch = std::make_shared<HttpFetch>(m_io, m_storeAddress);
-    OnFailure();
+    ReplaceSilentWatch();
   });
 }
 
+void KindWatcher::ReplaceSilentWatch()
+{
+  if (!m_isRenewed) {
+    RestartWatch();
+    m_hooks.m_onSilence();
+    return;
+  }
+  m_isBehindCheckPending = false;
+  m_isWatching = false;
+  m_fetch->Close();
+  m_fetch = std::make_shared<HttpFetch>(m_io, m_storeAddress);
+  OnFailure();
+}
+
 void KindWatcher::OnSuccess()
 {
   m_hooks.m_onCallCompleted(true);
   m_backoff = milliseconds{ 0 };
   m_failures = 0;
+  m_isRenewed = false;
   if (m_hasFailed) {
     m_hasFailed = false;
     m_log.Write(base::LogRecord("dependency_regained")
@@ -439,6 +516,7 @@
 
 void KindWatcher::OnFailure()
 {
+  m_isRenewed = false;
   m_hooks.m_onCallCompleted(false);
   if (!m_hasFailed) {
     m_hasFailed = true;
@@ -607,8 +685,17 @@
             aDialect.ListTarget(ObjectKind::Evacuations, {}, Freshness::MayBeStale),
             aClock,
             aLog,
-            aHooks.m_onStoreReachable)
-  , m_hooks(WithOwnHooks(std::move(aHooks), m_probe, [this] { ReportFollowing(); }))
+            [this, inner = std::move(aHooks.m_onStoreReachable)](bool aIsReachable) {
+              inner(aIsReachable);
+              if (aIsReachable) {
+                OnStoreReachable();
+              }
+            })
+  , m_hooks(WithOwnHooks(
+      std::move(aHooks),
+      m_probe,
+      [this] { ReportFollowing(); },
+      [this] { OnSilence(); }))
   , m_configuration(m_io,
                     aSettings,
                     aDialect,
@@ -673,6 +760,28 @@
   });
 }
 
+void StoreSync::SetLead(bool aIsLead)
+{
+  for (KindWatcher* watcher : { &m_configuration, &m_upstreams, &m_evacuations }) {
+    watcher->SetLead(aIsLead);
+  }
+}
+
+void StoreSync::OnStoreReachable()
+{
+  for (KindWatcher* watcher : { &m_configuration, &m_upstreams, &m_evacuations }) {
+    watcher->RestartWatch(); // The response to one from before the end of the outage may be lost.
+  }
+}
+
+void StoreSync::OnSilence()
+{
+  m_probe.Check();
+  for (KindWatcher* watcher : { &m_configuration, &m_upstreams, &m_evacuations }) {
+    watcher->RenewWatch();
+  }
+}
+
 void StoreSync::ReportFollowing()
 {
   const bool isFollowing =
--- a/packages/gateway/src/StoreSync.h
+++ b/packages/gateway/src/StoreSync.h
@@ -50,6 +50,8 @@
     std::function<void(std::uint64_t aRevision)> m_onRevision;
     /// IsFollowing() may have changed.
     std::function<void()> m_onFollowingChanged;
+    /// A watch has turned out to be silent. The other connections to the store may be, too.
+    std::function<void()> m_onSilence;
   };
 
   KindWatcher(boost::asio::io_context& aIo,
@@ -72,6 +74,16 @@
   /// @param aHasDependents whether other VMs rely on this one for changes.
   void SetRole(policy::StoreRole aRole, bool aHasDependents);
 
+  /// Sets whether this VM is the lead watcher, whose watches are short.
+  void SetLead(bool aIsLead);
+
+  /// Starts the pending watch, if there is one, again on a new connection, because the present one
+  /// may be silent. Without a watch, the next call uses a new connection.
+  void RestartWatch();
+
+  /// The same unless the pending watch was restarted already.
+  void RenewWatch();
+
   /// @return whether this VM watches the store and its last call did not fail.
   bool IsFollowing() const
   {
@@ -99,6 +111,15 @@
   /// Time limit of one exchange with a peer.
   std::chrono::milliseconds PeerTimeout() const;
   std::chrono::milliseconds BehindCheckInterval() const;
+  /// Time after which the store responds to a watch of the lead watcher without changes.
+  std::chrono::milliseconds LeadWatchTime() const;
+  /// Time after which the store responds to the next watch without changes.
+  std::chrono::milliseconds WatchTime();
+  /// Time after the end of a watch within which the store must have responded.
+  std::chrono::milliseconds ResponseMargin() const;
+  /// A peer has a change that the pending watch should have delivered long ago: replaces the watch,
+  /// and lists if it had been replaced already.
+  void ReplaceSilentWatch();
   std::chrono::milliseconds NextBackoff();
   /// Delays the first watch until it is known whether other VMs watch.
   void ScheduleFirstWatch();
@@ -113,6 +134,8 @@
   /// @param aRevision revision of the response.
   void CheckPeerRevision(std::uint64_t aRevision);
   bool IsBehind() const { return m_peerRevision > m_snapshot.Revision(); }
+  /// @return whether a peer has announced a change that the pending watch has not delivered.
+  bool IsWatchBehind() const { return m_peerRevision > m_watchRevision; }
   /// Forgets the announced changes that this VM has by now, or that do not exist.
   void TrimAnnounced();
   /// Checks after a while whether the watch is still behind a peer: fetches a peer's snapshot then,
@@ -145,6 +168,8 @@
   base::AsyncLog& m_log;
   ObjectKind m_kind;
   std::chrono::milliseconds m_drainTime;
+  /// Time within which a change must be in force.
+  std::chrono::milliseconds m_changeTime;
   Hooks m_hooks;
   std::string m_storeAddress;
   std::shared_ptr<HttpFetch> m_fetch;
@@ -166,6 +191,11 @@
   std::uint32_t m_watchNumber = 0;
   bool m_isWatching = false;
   base::MonotonicTime m_watchStarted;
+  /// Revision that the last watch started from.
+  std::uint64_t m_watchRevision = 0;
+  /// The pending watch was moved to a new connection, and no call has succeeded since.
+  bool m_isRenewed = false;
+  bool m_isLead = false;
   bool m_isBehindCheckPending = false;
   boost::asio::steady_timer m_behindTimer;
   std::minstd_rand m_random;
@@ -240,6 +270,9 @@
   /// @param aHasDependents whether other VMs rely on this one for changes.
   void SetRole(policy::StoreRole aRole, bool aHasDependents);
 
+  /// Sets whether this VM is the lead watcher. To be called on the loop's thread.
+  void SetLead(bool aIsLead);
+
   /// Another VM found that the store does not answer it: finds out whether it answers this VM. To
   /// be called on the loop's thread.
   void CheckStore() { m_probe.Check(); }
@@ -247,6 +280,8 @@
 private:
   InfoResponse OnSnapshotRequest(std::string_view aTarget) const;
   void ReportFollowing();
+  void OnStoreReachable();
+  void OnSilence();
   void Register();
   void ListMembers(std::chrono::milliseconds aDelay);
 
--- a/packages/gateway/tests/ControlPlaneTest.cpp
+++ b/packages/gateway/tests/ControlPlaneTest.cpp
@@ -132,6 +132,50 @@
   EXPECT_TRUE(WaitFor(m_recoveries, 1500ms));
 }
 
+// The responses to watches from before the outage are lost. Guards against waiting for them.
+TEST_F(ControlPlaneTest, WatchesStartAnewAfterAnOutage)
+{
+  Start();
+  const auto watches = [this] {
+    const auto seen = m_store.Seen();
+    return std::ranges::count_if(seen, [](const SeenRequest& aRequest) {
+      return aRequest.m_head.find("/watch/") != std::string::npos;
+    });
+  };
+  const auto before = watches();
+  m_state = Store::Silent;
+  Announce(R"("store_unreachable":true)");
+  ASSERT_TRUE(WaitFor(m_outages, 1500ms));
+  m_state = Store::Answers;
+  ASSERT_TRUE(WaitFor(m_recoveries, 1500ms));
+  std::this_thread::sleep_for(200ms);
+  EXPECT_GE(watches(), before + 3);
+}
+
+// The kept connection of the probe has gone silent, the store has not. Guards against an outage
+// that holds back the removals of upstreams.
+TEST_F(ControlPlaneTest, ASilentConnectionIsNoOutage)
+{
+  std::atomic<bool> isSilent{ false };
+  ScriptedUpstream store([&](const SeenRequest& aRequest) {
+    const bool isOld = aRequest.m_connection == 0;
+    return Text("200 OK", R"({"revision":9,"objects":[]})", isSilent && isOld ? 5s : 0ms);
+  });
+  boost::asio::io_context io;
+  int changes = 0;
+  StoreProbe probe(
+    io, store.Address(), "/list/2", base::SystemClock::Get(), m_log, [&](bool) { ++changes; });
+  probe.Check();
+  io.run_for(300ms);
+  isSilent = true;
+  std::this_thread::sleep_for(1s);
+  probe.Check();
+  io.restart();
+  io.run_for(1s);
+  EXPECT_EQ(store.Seen().size(), 2U);
+  EXPECT_EQ(changes, 0);
+}
+
 TEST_F(ControlPlaneTest, AFlappingStoreIsAnOutageEachTime)
 {
   Start();
--- a/packages/gateway/tests/PeerLinkTest.cpp
+++ b/packages/gateway/tests/PeerLinkTest.cpp
@@ -32,6 +32,8 @@
     std::string m_revisionPeer;
     int m_followersHeard = 0;
     int m_outagesHeard = 0;
+    std::optional<policy::LeadWatcher::Heartbeat> m_lead;
+    std::optional<policy::LeadWatcher::Heartbeat> m_receivedLead;
     std::vector<policy::LimitObservation> m_limits;
     std::vector<policy::LimitObservation> m_receivedLimits;
     /// Announcements with limits.
@@ -77,6 +79,14 @@
         },
         [raw](const StoreRevisions&) { ++raw->m_followersHeard; },
         [raw] { ++raw->m_outagesHeard; },
+        [raw] { return raw->m_lead; },
+        [raw](const policy::LeadWatcher::Heartbeat& aHeartbeat) {
+          raw->m_receivedLead = aHeartbeat;
+        },
+        [](std::vector<std::string> aZoneVms) {
+          aZoneVms.resize(std::min<std::size_t>(aZoneVms.size(), 2));
+          return aZoneVms;
+        },
         [raw] { return raw->m_limits; },
         [raw](const std::vector<policy::LimitObservation>& aLimits) {
           raw->m_receivedLimits = aLimits;
@@ -405,6 +415,25 @@
   EXPECT_EQ(m_vms.front()->m_link->AddressesFor("a", "r").size(), kVms - 1);
 }
 
+// Guards against a lead watcher whose heartbeats get younger on their way, or whose news reach
+// other zones only with the regular announcements.
+TEST_F(PeerLinkTest, PassesOnHeartbeatsAndNewsOfTheLeadWatcher)
+{
+  Vm& first = Add(1, "a", "r", Ip(2) + ":99");
+  Vm& second = Add(2, "b", "q", Ip(1) + ":99");
+  RunFor(600ms);
+  const auto at = base::SystemClock::Get().Monotonic() - 150ms;
+  first.m_lead = policy::LeadWatcher::Heartbeat{ 5, at };
+  first.m_link->SetRevisions({ 3, 4, 5 });
+  first.m_link->AnnounceToOtherZones();
+  RunFor(50ms);
+  EXPECT_EQ(second.m_seen, (StoreRevisions{ 3, 4, 5 }));
+  ASSERT_TRUE(second.m_receivedLead);
+  EXPECT_EQ(second.m_receivedLead->m_rank, 5U);
+  EXPECT_LE(second.m_receivedLead->m_at, at + 50ms);
+  EXPECT_GE(second.m_receivedLead->m_at, at - 50ms);
+}
+
 // Guards against a request that crashes upstreams once per VM because VMs do not share strikes.
 TEST_F(PeerLinkTest, StrikesReachOtherVms)
 {
--- a/packages/gateway/tests/StoreSyncTest.cpp
+++ b/packages/gateway/tests/StoreSyncTest.cpp
@@ -50,7 +50,10 @@
       kind->m_onRevision = [](std::uint64_t) {};
     }
     hooks.m_onMembers = [](const std::vector<StoredObject>&) {};
-    hooks.m_onStoreReachable = [](bool) {};
+    hooks.m_onStoreReachable = [this](bool aIsReachable) {
+      const std::lock_guard lock(m_mutex);
+      m_outages += aIsReachable ? 0 : 1;
+    };
     hooks.m_onFollowing = [this](bool aIsFollowing) {
       const std::lock_guard lock(m_mutex);
       m_isFollowing = aIsFollowing;
@@ -109,6 +112,11 @@
     return m_changed.wait_for(lock, aLimit, [this] { return m_isFollowing; });
   }
 
+  void SetLead(bool aIsLead)
+  {
+    boost::asio::post(m_io, [this, aIsLead] { m_sync->SetLead(aIsLead); });
+  }
+
   std::chrono::milliseconds UpstreamsBehindFor()
   {
     std::promise<std::chrono::milliseconds> result;
@@ -116,6 +124,12 @@
     return result.get_future().get();
   }
 
+  int Outages()
+  {
+    const std::lock_guard lock(m_mutex);
+    return m_outages;
+  }
+
   std::size_t Changes()
   {
     const std::lock_guard lock(m_mutex);
@@ -136,6 +150,7 @@
   std::condition_variable m_changed;
   std::vector<StoredObject> m_configurations;
   std::size_t m_changes = 0;
+  int m_outages = 0;
   bool m_isFollowing = false;
   boost::asio::io_context m_io{ 1 };
   std::unique_ptr<StoreSync> m_sync;
@@ -248,6 +263,106 @@
   EXPECT_EQ(ConfigurationLists(silent), 2U);
 }
 
+/// A store whose open connections can be made silent. Configuration "main" has revision 7 until it
+/// is changed to 8.
+class SilenceableStore
+{
+public:
+  std::string Address() const { return m_store.Address(); }
+  ScriptedUpstream& Upstream() { return m_store; }
+
+  /// Makes all connections that have been used so far silent for good.
+  void SilenceConnections() { m_silentBelow = m_connections.load(); }
+  void Change() { m_revision = 8; }
+
+private:
+  Script Serve(const SeenRequest& aRequest)
+  {
+    std::size_t connections = m_connections;
+    while (connections <= aRequest.m_connection &&
+           !m_connections.compare_exchange_weak(connections, aRequest.m_connection + 1)) {
+    }
+    const std::uint64_t revision = m_revision;
+    const bool isWatch = aRequest.m_head.find("/watch/") != std::string::npos;
+    const bool isConfiguration = aRequest.m_head.find("/0 ") != std::string::npos;
+    const bool isCurrent = aRequest.m_head.find("/watch/7/") == std::string::npos || revision == 7;
+    const std::string objects =
+      isConfiguration && !(isWatch && isCurrent)
+        ? fmt::format(R"([{{"name":"main","revision":{},"value":1}}])", revision)
+        : "[]";
+    const bool isPending = isWatch && (isCurrent || !isConfiguration);
+    Script script = Text("200 OK",
+                         fmt::format(R"({{"revision":{},"objects":{}}})", revision, objects),
+                         isPending ? 500ms : 0ms);
+    if (aRequest.m_connection < m_silentBelow) {
+      script.m_pause = 20s;
+    }
+    return script;
+  }
+
+  std::atomic<std::size_t> m_connections{ 0 };
+  std::atomic<std::size_t> m_silentBelow{ 0 };
+  std::atomic<std::uint64_t> m_revision{ 7 };
+  ScriptedUpstream m_store{ [this](const SeenRequest& aRequest) { return Serve(aRequest); } };
+};
+
+// All connections go silent, and no peer tells of the change. Guards against waiting for the end of
+// a long watch, and against taking a silent connection for an outage of the store, during which
+// removals of upstreams would be held back.
+TEST(SilentConnectionTest, TheLeadWatcherLearnsOfAChangeInTime)
+{
+  SilenceableStore store;
+  RecordingSync vm(store.Address(), FreeAddress());
+  ASSERT_TRUE(vm.WaitForRevision(7, 5s));
+  ASSERT_TRUE(vm.WaitUntilFollowing(5s));
+  vm.SetLead(true);
+  std::this_thread::sleep_for(1s);
+  store.SilenceConnections();
+  store.Change();
+  EXPECT_TRUE(vm.WaitForRevision(8, 1800ms)) << "the time for a change, by default";
+  EXPECT_EQ(vm.Outages(), 0);
+}
+
+// Guards against a lead watcher that takes over while its own long watch is silent.
+TEST(SilentConnectionTest, ANewLeadWatcherDoesNotTrustItsPendingWatch)
+{
+  SilenceableStore store;
+  RecordingSync vm(store.Address(), FreeAddress());
+  ASSERT_TRUE(vm.WaitForRevision(7, 5s));
+  ASSERT_TRUE(vm.WaitUntilFollowing(5s));
+  store.SilenceConnections();
+  store.Change();
+  vm.SetLead(true);
+  EXPECT_TRUE(vm.WaitForRevision(8, 300ms));
+  EXPECT_EQ(vm.Outages(), 0);
+}
+
+// A peer provides the change that the silent watch does not. Guards against keeping the watch, so
+// that each further change is late.
+TEST(SilentConnectionTest, AWatchThatMissedAChangeIsReplaced)
+{
+  ScriptedUpstream working(ServeRevision(12, 8000ms));
+  ScriptedUpstream silent(ServeRevision(7, 8000ms));
+  const std::string servedAddress = FreeAddress();
+  RecordingSync served(working.Address(), servedAddress);
+  ASSERT_TRUE(served.WaitForRevision(12, 5s));
+  RecordingSync behind(silent.Address(), FreeAddress());
+  ASSERT_TRUE(behind.WaitUntilFollowing(5s));
+  const auto watches = [&silent] {
+    const auto seen = silent.Seen();
+    return std::ranges::count_if(seen, [](const SeenRequest& aRequest) {
+      return aRequest.m_head.find("/watch/") != std::string::npos;
+    });
+  };
+  std::this_thread::sleep_for(300ms);
+  EXPECT_EQ(watches(), 3);
+  behind.Sync().OnPeerRevisions({ 12, 0, 0 }, servedAddress);
+  EXPECT_TRUE(behind.WaitForRevision(12, 500ms));
+  std::this_thread::sleep_for(1s);
+  EXPECT_EQ(watches(), 6) << "one silent connection is a reason to doubt the others";
+  EXPECT_EQ(behind.Outages(), 0);
+}
+
 /// A store that lists its configuration objects in two pages. The object "a" of the first page
 /// changes to revision 6 before the second page is read.
 Script ServePages(const SeenRequest& aRequest)
--- a/packages/policy/include/jaylane/policy/StoreFollowing.h
+++ b/packages/policy/include/jaylane/policy/StoreFollowing.h
@@ -64,6 +64,10 @@
   /// @param aZoneVms names of the running VMs in this VM's zone, without this VM.
   StoreRole Decide(const std::vector<std::string>& aZoneVms, base::MonotonicTime aNow) const;
 
+  /// @param aZoneVms names of the known VMs of any zone.
+  /// @return those that watch the store as far as this VM knows.
+  std::vector<std::string> ElectedAmong(std::vector<std::string> aZoneVms) const;
+
   /// @return whether the zone has VMs that are not elected.
   bool HasDependents(const std::vector<std::string>& aZoneVms) const
   {
--- a/packages/policy/src/StoreFollowing.cpp
+++ b/packages/policy/src/StoreFollowing.cpp
@@ -33,6 +33,13 @@
   return std::max(m_options.m_electedPerZone, perSize);
 }
 
+std::vector<std::string> StoreFollowing::ElectedAmong(std::vector<std::string> aZoneVms) const
+{
+  std::ranges::sort(aZoneVms, {}, ElectionOrder);
+  aZoneVms.resize(std::min(aZoneVms.size(), ElectedCount(aZoneVms.size())));
+  return aZoneVms;
+}
+
 StoreRole StoreFollowing::Decide(const std::vector<std::string>& aZoneVms,
                                  base::MonotonicTime aNow) const
 {
