gateway: log why an address cannot be listened on and what ends the process

Processes that ended at their start left no reason beyond an address. No change of logic otherwise.

Measured: a second process on taken addresses logs "cannot listen: bind 127.0.0.1:28711: Address already in use" and ends with code 1; SIGTERM is logged and ends the first one with code 0.

--- a/packages/gateway/src/Gateway.cpp
+++ b/packages/gateway/src/Gateway.cpp
@@ -14,6 +14,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
+#include <cstring>
 #include <set>
 
 namespace jaylane::gateway {
@@ -451,6 +452,8 @@
     if (aError) {
       return;
     }
+    m_dependencies.m_log.Write(
+      base::LogRecord("signal").Add("number", aSignal).Add("name", ::sigabbrev_np(aSignal)));
     if (aSignal == SIGHUP) {
       m_dependencies.m_hasNewSettings();
       Reload();
--- a/packages/gateway/src/Listen.cpp
+++ b/packages/gateway/src/Listen.cpp
@@ -3,6 +3,8 @@
 #include "SocketOptions.h"
 #include "jaylane/gateway/GatewayError.h"
 
+#include <fmt/format.h>
+
 namespace jaylane::gateway {
 
 namespace {
@@ -17,20 +19,24 @@
 {
   const auto endpoint = ParseEndpoint(aAddress);
   if (!endpoint) {
-    return base::Error{ make_error_code(GatewayErrc::ListenFailed), aAddress };
+    return base::Error{ make_error_code(GatewayErrc::ListenFailed),
+                        "\"" + aAddress + "\" is not an address and port" };
   }
   boost::system::error_code error;
+  const char* step = "open";
   aAcceptor.open(endpoint->protocol(), error);
   if (!error) {
     aAcceptor.set_option(boost::asio::socket_base::reuse_address(true), error);
+    step = "bind";
     aAcceptor.bind(*endpoint, error);
   }
   if (!error) {
+    step = "listen";
     aAcceptor.listen(kBacklog, error);
   }
   if (error) {
     return base::Error{ make_error_code(GatewayErrc::ListenFailed),
-                        std::string{ aAddress }.append(": ").append(error.message()) };
+                        fmt::format("{} {}: {}", step, aAddress, error.message()) };
   }
   return base::Success{};
 }
--- a/packages/gateway/src/PeerLink.cpp
+++ b/packages/gateway/src/PeerLink.cpp
@@ -210,8 +210,8 @@
   }
   if (error) {
     return base::Error{ make_error_code(GatewayErrc::ListenFailed),
-                        std::string{ m_settings.m_peerAddress }.append(": ").append(
-                          error.message()) };
+                        fmt::format(
+                          "bind {} (UDP): {}", m_settings.m_peerAddress, error.message()) };
   }
   m_socket.non_blocking(true, error);
   for (const std::string& seed : m_settings.m_seeds) {
