gateway: try busy addresses again and hold signals from the start of main()

Cause: one failed bind ended the process, although an address is often in use only while a predecessor stops, or while an outgoing connection has the port as its source port; SIGHUP and SIGTERM had their default actions until the signal set was made, and again after it was destroyed.

An address that is in use or not up is tried each 50 ms for up to 90 s, then it is an error that names purpose, step, cause and time. The caller address comes first, because a VM that takes no requests must not appear in lookups; afterwards each address waits for itself only. Requests do not end because of a busy metrics address. Malformed addresses are errors at once. The listener for peers moves from StoreSync's constructor to ListenForPeers().

Outgoing connections set SO_REUSEADDR.

main() first blocks the handled signals and ignores SIGPIPE; they stay pending until the signal set exists, and are blocked again before it is destroyed. A signal handler that throws no longer leaves later signals unread, and a failed accept of InfoServer waits 50 ms instead of spinning.

--- a/packages/gateway/include/jaylane/gateway/Gateway.h
+++ b/packages/gateway/include/jaylane/gateway/Gateway.h
@@ -35,7 +35,8 @@
   ~Gateway();
 
   /// Serves until SIGTERM or SIGINT, then finishes the requests in flight within the grace time.
-  /// @return an error if the VM could not start.
+  /// Addresses that are in use or not up are tried again for a bounded time.
+  /// @return an error if the VM could not listen on an address that it needs.
   base::Status Run();
 
 private:
--- a/packages/gateway/include/jaylane/gateway/GatewayError.h
+++ b/packages/gateway/include/jaylane/gateway/GatewayError.h
@@ -9,7 +9,11 @@
 {
   Ok = 0,
   InvalidSettings,
+  /// An address cannot be listened on.
   ListenFailed,
+  /// An address cannot be listened on now, because another socket has it or its interface is not
+  /// up.
+  AddressUnavailable,
   InvalidStoreResponse,
 };
 
--- a/packages/gateway/src/CallerServer.h
+++ b/packages/gateway/src/CallerServer.h
@@ -14,7 +14,8 @@
 public:
   explicit CallerServer(GatewayContext& aContext);
 
-  /// @return an error if the address cannot be listened on.
+  /// May be called again after an error.
+  /// @return an error as of ListenOn().
   base::Status Listen();
 
   /// Stops accepting connections.
--- a/packages/gateway/src/ControlPlane.cpp
+++ b/packages/gateway/src/ControlPlane.cpp
@@ -69,6 +69,10 @@
   , m_leadWatcher({}, m_settings.m_name, aClock.Monotonic())
   , m_readyServer(m_io, [this](std::string_view) { return OnReady(); })
   , m_lookupServer(m_io, [this](std::string_view aTarget) { return OnLookup(aTarget); })
+  , m_peerRetry(m_io, aClock, aLog, "peers (UDP)", {})
+  , m_snapshotRetry(m_io, aClock, aLog, "peers (TCP)", {})
+  , m_readyRetry(m_io, aClock, aLog, "readiness", {})
+  , m_lookupRetry(m_io, aClock, aLog, "lookups", {})
   , m_tickTimer(m_io)
   , m_lookupLifetime(m_settings.m_lookupLifetime)
 {
@@ -81,20 +85,31 @@
 
 base::Status ControlPlane::Listen()
 {
-  if (auto status = m_peerLink.Start(); !status) {
-    return status;
-  }
-  if (const base::Status& status = m_storeSync.PeerListenStatus(); !status) {
-    return status;
-  }
-  if (!m_settings.m_readyAddress.empty()) {
-    if (auto status = m_readyServer.Listen(m_settings.m_readyAddress); !status) {
+  struct Listener
+  {
+    ListenRetry& m_retry;
+    bool m_isServed;
+    ListenRetry::Attempt m_attempt;
+  };
+  const Listener listeners[] = {
+    { m_peerRetry, true, [this] { return m_peerLink.Start(); } },
+    { m_snapshotRetry, true, [this] { return m_storeSync.ListenForPeers(); } },
+    { m_readyRetry,
+      !m_settings.m_readyAddress.empty(),
+      [this] { return m_readyServer.Listen(m_settings.m_readyAddress); } },
+    { m_lookupRetry,
+      !m_settings.m_lookupAddress.empty(),
+      [this] { return m_lookupServer.Listen(m_settings.m_lookupAddress); } },
+  };
+  for (const Listener& listener : listeners) {
+    if (!listener.m_isServed) {
+      continue;
+    }
+    if (auto status = listener.m_retry.Start(listener.m_attempt, m_hooks.m_onListenFailed);
+        !status) {
       return status;
     }
   }
-  if (!m_settings.m_lookupAddress.empty()) {
-    return m_lookupServer.Listen(m_settings.m_lookupAddress);
-  }
   return base::Success{};
 }
 
--- a/packages/gateway/src/ControlPlane.h
+++ b/packages/gateway/src/ControlPlane.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "InfoServer.h"
+#include "ListenRetry.h"
 #include "LoopMonitor.h"
 #include "PeerLink.h"
 #include "QuarantineStore.h"
@@ -44,6 +45,8 @@
     std::function<void(bool aIsReachable)> m_onStoreReachable;
     std::function<void(bool aSucceeded)> m_onStoreCall;
     QuarantineStore::OnRead m_onQuarantines;
+    /// An address stayed unavailable for too long.
+    ListenRetry::OnFailed m_onListenFailed;
   };
 
   /// State of the request thread that is announced to other VMs.
@@ -64,8 +67,9 @@
                Hooks aHooks);
   ~ControlPlane();
 
-  /// Listens and starts the thread.
-  /// @return an error if this VM cannot listen.
+  /// Listens and starts the thread. An address that is in use or not up is tried again; what does
+  /// not need it runs meanwhile.
+  /// @return an error if an address can never be listened on.
   base::Status Start();
 
   /// Ends the thread. No hook is called afterwards.
@@ -138,6 +142,10 @@
   bool m_isLead = false;
   InfoServer m_readyServer;
   InfoServer m_lookupServer;
+  ListenRetry m_peerRetry;
+  ListenRetry m_snapshotRetry;
+  ListenRetry m_readyRetry;
+  ListenRetry m_lookupRetry;
   boost::asio::steady_timer m_tickTimer;
   std::uint32_t m_tickCount = 0;
   RequestState m_requestState;
--- a/packages/gateway/src/Gateway.cpp
+++ b/packages/gateway/src/Gateway.cpp
@@ -3,17 +3,19 @@
 #include "CallerServer.h"
 #include "ControlPlane.h"
 #include "GatewayContext.h"
+#include "HandledSignals.h"
 #include "HttpFetch.h"
 #include "InfoServer.h"
+#include "ListenRetry.h"
 #include "LoopMonitor.h"
 #include "RunLoop.h"
 #include "SocketOptions.h"
 #include "jaylane/base/ContainErrors.h"
+#include "jaylane/gateway/GatewayError.h"
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
-#include <csignal>
 #include <cstring>
 #include <set>
 
@@ -48,10 +50,18 @@
 {
 public:
   explicit Impl(Dependencies aDependencies);
+  ~Impl();
   base::Status Run();
 
 private:
+  /// Listens, or tries to for a bounded time while addresses are in use or not up.
+  /// @return an error if an address can never be listened on.
   base::Status Listen();
+  /// Listens for callers and starts everything else. A VM that takes no requests must not appear in
+  /// lookups, so that the control plane starts only then.
+  base::Status StartServing();
+  /// An address that this VM needs cannot be listened on: ends the process.
+  void OnListenFailed(const base::Error& aError);
   ControlPlane::Hooks MakeControlHooks();
   void OnConfiguration(const StoredObject& aObject);
   void OnConfigurations(const std::vector<StoredObject>& aObjects);
@@ -87,6 +97,7 @@
   void ProbeDueUpstreams();
   void Probe(const Steering::ProbeTarget& aTarget);
   void AwaitSignal();
+  void OnSignal(int aSignal);
   void Reload();
   void Stop();
   void ContinueStop();
@@ -100,6 +111,8 @@
   GatewayContext m_context;
   CallerServer m_callerServer;
   InfoServer m_metricsServer;
+  ListenRetry m_callerRetry;
+  ListenRetry m_metricsRetry;
   LoopMonitor m_loopMonitor;
   asio::signal_set m_signals;
   asio::steady_timer m_tickTimer;
@@ -111,6 +124,10 @@
   double m_requestsPerSecond = 0;
   std::set<std::string> m_evacuatedZones;
   base::MonotonicTime m_stopStarted;
+  /// Whether callers can connect.
+  bool m_isServing = false;
+  /// Why the process ends, unless it was told to.
+  std::optional<base::Error> m_listenError;
   ControlPlane m_controlPlane;
 };
 
@@ -133,8 +150,10 @@
                     [this](std::string_view) {
                       return InfoResponse{ 200, "text/plain", m_metrics.ToText() };
                     })
+  , m_callerRetry(m_io, m_dependencies.m_clock, m_dependencies.m_log, "callers", {})
+  , m_metricsRetry(m_io, m_dependencies.m_clock, m_dependencies.m_log, "metrics", {})
   , m_loopMonitor(m_io, m_dependencies.m_clock, m_dependencies.m_log, "request")
-  , m_signals(m_io, SIGTERM, SIGINT, SIGHUP)
+  , m_signals(m_io)
   , m_tickTimer(m_io)
   , m_stopTimer(m_io)
   , m_controlPlane(m_dependencies.m_settings,
@@ -144,42 +163,87 @@
                    m_dependencies.m_log,
                    MakeControlHooks())
 {
+  for (const int signal : kHandledSignals) {
+    m_signals.add(signal);
+  }
+  // Signals that come before Run() wait in the signal set.
+  UnblockHandledSignals();
   m_steering.AwaitQuarantines();
   m_context.m_isViewOutdated = [this] { return m_controlPlane.IsViewOutdated(); };
   m_steering.SetOnProbeDue([this] { asio::post(m_io, [this] { ProbeDueUpstreams(); }); });
 }
 
+Gateway::Impl::~Impl()
+{
+  // The signal set resets its signals to their default actions, which would end the process.
+  BlockHandledSignals();
+}
+
 base::Status Gateway::Impl::Listen()
 {
   const GatewaySettings& settings = m_dependencies.m_settings;
+  for (const std::string* address : { &settings.m_callerAddress,
+                                      &settings.m_readyAddress,
+                                      &settings.m_lookupAddress,
+                                      &settings.m_metricsAddress,
+                                      &settings.m_peerAddress }) {
+    if (!address->empty() && !ParseEndpoint(*address)) {
+      return base::Error{ make_error_code(GatewayErrc::ListenFailed),
+                          "\"" + *address + "\" is not an address and port" };
+    }
+  }
+  auto status = m_callerRetry.Start([this] { return StartServing(); },
+                                    [this](const base::Error& aError) { OnListenFailed(aError); });
+  if (!status || settings.m_metricsAddress.empty()) {
+    return status;
+  }
+  return m_metricsRetry.Start(
+    [this] { return m_metricsServer.Listen(m_dependencies.m_settings.m_metricsAddress); },
+    [this](const base::Error& aError) {
+      // Requests do not need the metrics.
+      m_dependencies.m_log.Write(
+        base::LogRecord("metrics_not_served").Add("reason", aError.Message()));
+    });
+}
+
+base::Status Gateway::Impl::StartServing()
+{
   if (auto status = m_callerServer.Listen(); !status) {
     return status;
   }
-  if (!settings.m_metricsAddress.empty()) {
-    return m_metricsServer.Listen(settings.m_metricsAddress);
+  m_isServing = true;
+  m_loopMonitor.Start();
+  Tick();
+  return m_controlPlane.Start();
+}
+
+void Gateway::Impl::OnListenFailed(const base::Error& aError)
+{
+  m_dependencies.m_log.Write(base::LogRecord("listen_failed").Add("reason", aError.Message()));
+  m_listenError = aError;
+  if (!m_isServing) {
+    m_io.stop();
+  } else if (m_context.m_phase == LifecyclePhase::Serving) {
+    Stop();
   }
-  return base::Success{};
 }
 
 base::Status Gateway::Impl::Run()
 {
-  std::signal(SIGPIPE, SIG_IGN);
-  if (auto status = Listen(); !status) {
-    return status;
-  }
   m_dependencies.m_log.Write(base::LogRecord("start")
                                .Add("zone", m_dependencies.m_settings.m_zone)
                                .Add("caller_address", m_dependencies.m_settings.m_callerAddress)
                                .Add("store", m_dependencies.m_settings.m_storeAddress));
   AwaitSignal();
-  m_loopMonitor.Start();
-  Tick();
-  if (auto status = m_controlPlane.Start(); !status) {
+  if (auto status = Listen(); !status) {
     return status;
   }
   RunLoop(m_io, m_dependencies.m_log, "request");
   m_controlPlane.Stop();
   m_dependencies.m_log.Write(base::LogRecord("stop").Add("in_flight", m_metrics.m_inFlight));
+  if (m_listenError) {
+    return *m_listenError;
+  }
   return base::Success{};
 }
 
@@ -225,6 +289,9 @@
       ReportState();
     });
   };
+  hooks.m_onListenFailed = [this](const base::Error& aError) {
+    asio::post(m_io, [this, aError] { OnListenFailed(aError); });
+  };
   hooks.m_onStoreCall = [this](bool aSucceeded) {
     asio::post(m_io, [this, aSucceeded] {
       ++(aSucceeded ? m_metrics.m_storeBatches : m_metrics.m_storeFailures);
@@ -452,18 +519,25 @@
     if (aError) {
       return;
     }
-    m_dependencies.m_log.Write(
-      base::LogRecord("signal").Add("number", aSignal).Add("name", ::sigabbrev_np(aSignal)));
-    if (aSignal == SIGHUP) {
-      m_dependencies.m_hasNewSettings();
-      Reload();
-    } else if (m_context.m_phase == LifecyclePhase::Serving) {
-      Stop();
-    }
-    AwaitSignal();
+    AwaitSignal(); // First, so that no error below leaves later signals unread.
+    OnSignal(aSignal);
   });
 }
 
+void Gateway::Impl::OnSignal(int aSignal)
+{
+  m_dependencies.m_log.Write(
+    base::LogRecord("signal").Add("number", aSignal).Add("name", ::sigabbrev_np(aSignal)));
+  if (aSignal == SIGHUP) {
+    m_dependencies.m_hasNewSettings();
+    Reload();
+  } else if (!m_isServing) {
+    m_io.stop(); // Still waiting for the address: there are no requests to finish.
+  } else if (m_context.m_phase == LifecyclePhase::Serving) {
+    Stop();
+  }
+}
+
 void Gateway::Impl::Reload()
 {
   const auto settings = m_dependencies.m_reload();
--- a/packages/gateway/src/GatewayError.cpp
+++ b/packages/gateway/src/GatewayError.cpp
@@ -18,6 +18,8 @@
         return "invalid settings";
       case GatewayErrc::ListenFailed:
         return "cannot listen";
+      case GatewayErrc::AddressUnavailable:
+        return "cannot listen now";
       case GatewayErrc::InvalidStoreResponse:
         return "invalid response of the store";
     }
--- a/packages/gateway/src/HttpFetch.cpp
+++ b/packages/gateway/src/HttpFetch.cpp
@@ -77,6 +77,7 @@
     asio::post(m_io, [self = shared_from_this()] { self->Finish({}); });
     return;
   }
+  OpenForConnecting(m_socket, *endpoint);
   m_socket.async_connect(*endpoint,
                          [self = shared_from_this(),
                           exchange = m_exchangeNumber](const boost::system::error_code& aError) {
--- a/packages/gateway/src/InfoServer.cpp
+++ b/packages/gateway/src/InfoServer.cpp
@@ -28,6 +28,9 @@
 constexpr std::size_t kMaxUnparsedBytes = kMaxHeaderBytes;
 /// Time from the last response to the end of the next request.
 constexpr std::chrono::seconds kRequestLimit{ 30 };
+/// Delay after a failed accept, which usually means that no descriptor is free. Without it, the
+/// thread would do nothing but fail to accept.
+constexpr std::chrono::milliseconds kAcceptRetryDelay{ 50 };
 
 /// One connection, whose requests are answered one after the other.
 class Session : public std::enable_shared_from_this<Session>
@@ -125,6 +128,7 @@
   : m_io(aIo)
   , m_handler(std::move(aHandler))
   , m_acceptor(aIo)
+  , m_acceptTimer(aIo)
 {
 }
 
@@ -144,16 +148,29 @@
       if (!m_acceptor.is_open()) {
         return;
       }
-      if (!aError) {
-        SetTcpOptions(aSocket, {});
-        std::make_shared<Session>(m_io, std::move(aSocket), m_handler)->Read();
+      if (aError) {
+        AcceptLater();
+        return;
       }
       Accept();
+      SetTcpOptions(aSocket, {});
+      std::make_shared<Session>(m_io, std::move(aSocket), m_handler)->Read();
     });
 }
 
+void InfoServer::AcceptLater()
+{
+  m_acceptTimer.expires_after(kAcceptRetryDelay);
+  m_acceptTimer.async_wait([this](const boost::system::error_code& aError) {
+    if (!aError && m_acceptor.is_open()) {
+      Accept();
+    }
+  });
+}
+
 void InfoServer::Close()
 {
+  m_acceptTimer.cancel();
   boost::system::error_code ignored;
   m_acceptor.close(ignored);
 }
--- a/packages/gateway/src/InfoServer.h
+++ b/packages/gateway/src/InfoServer.h
@@ -4,6 +4,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <string>
 
@@ -28,16 +29,19 @@
   InfoServer(boost::asio::io_context& aIo, Handler aHandler);
 
   /// @param aAddress "ip:port".
-  /// @return an error if the address cannot be listened on.
+  /// May be called again after an error.
+  /// @return an error as of ListenOn().
   base::Status Listen(const std::string& aAddress);
   void Close();
 
 private:
   void Accept();
+  void AcceptLater();
 
   boost::asio::io_context& m_io;
   Handler m_handler;
   boost::asio::ip::tcp::acceptor m_acceptor;
+  boost::asio::steady_timer m_acceptTimer;
 };
 
 } // namespace jaylane::gateway
--- a/packages/gateway/src/Listen.cpp
+++ b/packages/gateway/src/Listen.cpp
@@ -15,6 +15,17 @@
 
 } // namespace
 
+base::Error ListenError(const boost::system::error_code& aError,
+                        const char* aStep,
+                        const std::string& aAddress)
+{
+  const bool isUnavailable = aError == boost::system::errc::address_in_use ||
+                             aError == boost::system::errc::address_not_available;
+  return { make_error_code(isUnavailable ? GatewayErrc::AddressUnavailable
+                                         : GatewayErrc::ListenFailed),
+           fmt::format("{} {}: {}", aStep, aAddress, aError.message()) };
+}
+
 base::Status ListenOn(boost::asio::ip::tcp::acceptor& aAcceptor, const std::string& aAddress)
 {
   const auto endpoint = ParseEndpoint(aAddress);
@@ -35,8 +46,9 @@
     aAcceptor.listen(kBacklog, error);
   }
   if (error) {
-    return base::Error{ make_error_code(GatewayErrc::ListenFailed),
-                        fmt::format("{} {}: {}", step, aAddress, error.message()) };
+    boost::system::error_code ignored;
+    aAcceptor.close(ignored);
+    return ListenError(error, step, aAddress);
   }
   return base::Success{};
 }
--- a/packages/gateway/src/PeerLink.cpp
+++ b/packages/gateway/src/PeerLink.cpp
@@ -1,5 +1,6 @@
 #include "PeerLink.h"
 
+#include "Listen.h"
 #include "SocketOptions.h"
 #include "jaylane/base/ContainErrors.h"
 #include "jaylane/base/JsonText.h"
@@ -201,17 +202,19 @@
 base::Status PeerLink::Start()
 {
   const auto own = UdpEndpoint(m_settings.m_peerAddress);
-  boost::system::error_code error = asio::error::invalid_argument;
-  if (own) {
-    m_socket.open(own->protocol(), error);
+  if (!own) {
+    return base::Error{ make_error_code(GatewayErrc::ListenFailed),
+                        "\"" + m_settings.m_peerAddress + "\" is not an address and port" };
   }
+  boost::system::error_code error;
+  m_socket.open(own->protocol(), error);
   if (!error) {
     m_socket.bind(*own, error);
   }
   if (error) {
-    return base::Error{ make_error_code(GatewayErrc::ListenFailed),
-                        fmt::format(
-                          "bind {} (UDP): {}", m_settings.m_peerAddress, error.message()) };
+    boost::system::error_code ignored;
+    m_socket.close(ignored);
+    return ListenError(error, "bind", m_settings.m_peerAddress);
   }
   m_socket.non_blocking(true, error);
   for (const std::string& seed : m_settings.m_seeds) {
--- a/packages/gateway/src/PeerLink.h
+++ b/packages/gateway/src/PeerLink.h
@@ -92,6 +92,8 @@
            base::AsyncLog& aLog,
            Hooks aHooks);
 
+  /// Binds the peer address and starts to send announcements. May be called again after an error.
+  /// @return an error as of ListenError().
   base::Status Start();
 
   /// Adds VMs that are registered in the store.
--- a/packages/gateway/src/ProcessSetup.cpp
+++ b/packages/gateway/src/ProcessSetup.cpp
@@ -1,7 +1,9 @@
 #include "jaylane/gateway/ProcessSetup.h"
 
+#include "HandledSignals.h"
 #include "jaylane/base/AsyncLog.h"
 
+#include <csignal>
 #include <cstdlib>
 #include <exception>
 #include <string>
@@ -42,6 +44,12 @@
 
 } // namespace
 
+void HoldSignals()
+{
+  std::signal(SIGPIPE, SIG_IGN);
+  BlockHandledSignals();
+}
+
 void LogTerminations()
 {
   std::set_terminate(OnTerminate);
--- a/packages/gateway/src/SocketOptions.cpp
+++ b/packages/gateway/src/SocketOptions.cpp
@@ -17,6 +17,14 @@
 
 } // namespace
 
+void OpenForConnecting(boost::asio::ip::tcp::socket& aSocket,
+                       const boost::asio::ip::tcp::endpoint& aRemote)
+{
+  boost::system::error_code ignored;
+  aSocket.open(aRemote.protocol(), ignored);
+  aSocket.set_option(boost::asio::socket_base::reuse_address(true), ignored);
+}
+
 void SetTcpOptions(boost::asio::ip::tcp::socket& aSocket, const TcpTimeouts& aTimeouts)
 {
   const int socket = aSocket.native_handle();
--- a/packages/gateway/src/SocketOptions.h
+++ b/packages/gateway/src/SocketOptions.h
@@ -20,6 +20,13 @@
   int m_keepAliveProbes = 2;
 };
 
+/// Opens a socket for an outgoing connection, so that its source port can still be listened on. The
+/// kernel may choose a port that this process or its successor listens on, if it is not bound yet;
+/// without SO_REUSEADDR on both sockets, listening then fails until a minute after the connection
+/// has ended. Errors are ignored: connecting opens a closed socket.
+void OpenForConnecting(boost::asio::ip::tcp::socket& aSocket,
+                       const boost::asio::ip::tcp::endpoint& aRemote);
+
 /// Disables Nagle's algorithm and sets the timeouts. Errors are ignored: the socket works without.
 void SetTcpOptions(boost::asio::ip::tcp::socket& aSocket, const TcpTimeouts& aTimeouts);
 
--- a/packages/gateway/src/StoreSync.cpp
+++ b/packages/gateway/src/StoreSync.cpp
@@ -712,7 +712,6 @@
                   ObjectKind::Evacuations,
                   m_hooks.m_evacuations)
   , m_snapshotServer(m_io, [this](std::string_view aTarget) { return OnSnapshotRequest(aTarget); })
-  , m_peerListenStatus(m_snapshotServer.Listen(aSettings.m_peerAddress))
   , m_fetch(std::make_shared<HttpFetch>(m_io, aSettings.m_storeAddress))
   , m_timer(m_io)
 {
--- a/packages/gateway/src/StoreSync.h
+++ b/packages/gateway/src/StoreSync.h
@@ -248,8 +248,9 @@
   /// Makes the first calls to the store.
   void Start();
 
-  /// @return an error if this VM cannot listen for snapshot requests of peers.
-  const base::Status& PeerListenStatus() const { return m_peerListenStatus; }
+  /// Listens for snapshot requests of peers. May be called again after an error.
+  /// @return an error as of ListenOn().
+  base::Status ListenForPeers() { return m_snapshotServer.Listen(m_settings.m_peerAddress); }
 
   /// Sets the peers to fetch snapshots from. May be called on any thread.
   void SetPeers(std::vector<std::string> aAddresses);
@@ -295,7 +296,6 @@
   KindWatcher m_upstreams;
   KindWatcher m_evacuations;
   InfoServer m_snapshotServer;
-  base::Status m_peerListenStatus;
   bool m_isFollowing = false;
   std::shared_ptr<HttpFetch> m_fetch;
   boost::asio::steady_timer m_timer;
--- a/packages/gateway/src/UpstreamAttempt.cpp
+++ b/packages/gateway/src/UpstreamAttempt.cpp
@@ -129,6 +129,7 @@
       self->Fail(AttemptFailure::Unreachable);
     }
   });
+  OpenForConnecting(m_connection->m_socket, *endpoint);
   m_connection->m_socket.async_connect(
     *endpoint, [self = shared_from_this()](const boost::system::error_code& aError) {
       if (self->m_ended) {
