policy: test that a split holds over many VMs with few requests each

A route's series of choices begins anew with each configuration, with the largest part first on every VM. Where a VM gets one or two requests of a route between two configurations, the parts are far off their weights.

The test fails: over 300 VMs, a split of 65 to 35 runs 100 to 0 with one request a VM and 50 to 50 with two (allowed in the test: 0.1 off). RouteTable takes a seed, which it does not use yet.

--- a/packages/gateway/src/Steering.cpp
+++ b/packages/gateway/src/Steering.cpp
@@ -77,7 +77,9 @@
   if (!isNewer) {
     return false;
   }
-  m_routes = std::make_shared<policy::RouteTable>(std::move(aConfiguration));
+  // Differs between VMs and versions.
+  const std::uint64_t seed = HashOf(fmt::format("{}/{}", m_settings.m_name, version));
+  m_routes = std::make_shared<policy::RouteTable>(std::move(aConfiguration), seed);
   UpdateBalancers();
   return true;
 }
--- a/packages/policy/include/jaylane/policy/RouteTable.h
+++ b/packages/policy/include/jaylane/policy/RouteTable.h
@@ -12,7 +12,9 @@
 class RouteTable
 {
 public:
-  explicit RouteTable(Configuration aConfiguration);
+  /// @param aSeed selects where the series of NextService() begin. It should differ between VMs and
+  ///   between configurations, so that their first requests together follow the weights.
+  RouteTable(Configuration aConfiguration, std::uint64_t aSeed);
 
   const Configuration& Config() const { return m_configuration; }
 
--- a/packages/policy/src/RouteTable.cpp
+++ b/packages/policy/src/RouteTable.cpp
@@ -17,7 +17,7 @@
 
 } // namespace
 
-RouteTable::RouteTable(Configuration aConfiguration)
+RouteTable::RouteTable(Configuration aConfiguration, std::uint64_t /*aSeed*/)
   : m_configuration(std::move(aConfiguration))
 {
   for (std::size_t i = 0; i < m_configuration.m_routes.size(); ++i) {
--- a/packages/policy/tests/RouteTableTest.cpp
+++ b/packages/policy/tests/RouteTableTest.cpp
@@ -18,7 +18,7 @@
   return route;
 }
 
-RouteTable MakeTable(std::vector<Route> aRoutes)
+RouteTable MakeTable(std::vector<Route> aRoutes, unsigned aSeed = 1)
 {
   Configuration configuration;
   configuration.m_routes = std::move(aRoutes);
@@ -27,7 +27,7 @@
     service.m_name = name;
     configuration.m_services[name] = service;
   }
-  return RouteTable(std::move(configuration));
+  return RouteTable(std::move(configuration), aSeed);
 }
 
 TEST(RouteTableTest, LongestPrefixOfTheHostWins)
@@ -58,6 +58,39 @@
   }
 }
 
+// Guards against a split that begins with the largest part on every VM: where each VM gets few
+// requests between two configurations, the other parts would get none.
+TEST(RouteTableTest, SplitFollowsTheWeightsOverManyVmsWithFewRequests)
+{
+  constexpr int kVms = 300;
+  const std::vector<WeightedService> splits[] = {
+    { { "a", 65 }, { "b", 35 } },
+    { { "a", 1 }, { "b", 3 } },
+    { { "a", 650'001 }, { "b", 349'999 } },
+    { { "a", 50 }, { "b", 30 }, { "c", 20 } },
+  };
+  for (const std::vector<WeightedService>& split : splits) {
+    double total = 0;
+    for (const WeightedService& part : split) {
+      total += part.m_weight;
+    }
+    for (const int requestsPerVm : { 1, 2, 5 }) {
+      std::map<std::string, int> counts;
+      for (unsigned vm = 0; vm < kVms; ++vm) {
+        RouteTable table = MakeTable({ MakeRoute("h", "/", split) }, vm);
+        for (int i = 0; i < requestsPerVm; ++i) {
+          ++counts[table.NextService(*table.Find("h", "/x"))->m_name];
+        }
+      }
+      for (const WeightedService& part : split) {
+        EXPECT_NEAR(
+          counts[part.m_service] / (1.0 * kVms * requestsPerVm), part.m_weight / total, 0.1)
+          << part.m_service << " of " << split.size() << ", " << requestsPerVm << " a VM";
+      }
+    }
+  }
+}
+
 TEST(RouteTableTest, ZeroWeightsAndUnknownServicesYieldNothing)
 {
   RouteTable table =
