policy: begin the series of a split at different positions, and continue them

Cause: the choices of a weighted split begin anew with each configuration, at the same position on every VM, so that the first requests of all VMs run in the largest part. Change: the series begins at a position that differs between VMs and versions, and it continues across configurations that leave the services and weights of the route unchanged.

The exact shares over a hundred requests of one VM hold as before, also with a new configuration after each request.

--- a/packages/gateway/src/Steering.cpp
+++ b/packages/gateway/src/Steering.cpp
@@ -79,7 +79,11 @@
   }
   // Differs between VMs and versions.
   const std::uint64_t seed = HashOf(fmt::format("{}/{}", m_settings.m_name, version));
-  m_routes = std::make_shared<policy::RouteTable>(std::move(aConfiguration), seed);
+  auto routes = std::make_shared<policy::RouteTable>(std::move(aConfiguration), seed);
+  if (m_routes) {
+    routes->ContinueFrom(*m_routes);
+  }
+  m_routes = std::move(routes);
   UpdateBalancers();
   return true;
 }
--- a/packages/policy/include/jaylane/policy/Fleet.h
+++ b/packages/policy/include/jaylane/policy/Fleet.h
@@ -26,6 +26,8 @@
 {
   std::string m_service;
   std::uint32_t m_weight = 1;
+
+  bool operator==(const WeightedService&) const = default;
 };
 
 /// A rule that maps a host and a path prefix to services.
--- a/packages/policy/include/jaylane/policy/RouteTable.h
+++ b/packages/policy/include/jaylane/policy/RouteTable.h
@@ -2,6 +2,8 @@
 
 #include "jaylane/policy/Fleet.h"
 
+#include <cstdint>
+#include <optional>
 #include <string_view>
 
 namespace jaylane::policy {
@@ -16,6 +18,11 @@
   ///   between configurations, so that their first requests together follow the weights.
   RouteTable(Configuration aConfiguration, std::uint64_t aSeed);
 
+  /// Continues the series of the routes whose services and weights are those of another table. With
+  /// frequent changes of the configuration, series that begin anew would follow the weights less
+  /// exactly.
+  void ContinueFrom(const RouteTable& aPrevious);
+
   const Configuration& Config() const { return m_configuration; }
 
   /// @param aHost value of the Host header; its port and case are ignored.
@@ -30,6 +37,12 @@
   const Service* NextService(const Route& aRoute);
 
 private:
+  /// @return index of the route with the same host, prefix and weighted services, if there is one.
+  std::optional<std::size_t> IndexOfSame(const Route& aRoute) const;
+  /// Makes the choice for the next request of a route.
+  /// @return index of the service; nothing if no service has a weight above 0.
+  std::optional<std::size_t> Advance(std::size_t aRoute);
+
   Configuration m_configuration;
   std::unordered_map<std::string, std::vector<std::size_t>> m_routesByHost;
   /// Current weights of smooth weighted round robin by route, in the order of Route::m_services.
--- a/packages/policy/src/RouteTable.cpp
+++ b/packages/policy/src/RouteTable.cpp
@@ -2,11 +2,17 @@
 
 #include <algorithm>
 #include <cctype>
+#include <random>
 
 namespace jaylane::policy {
 
 namespace {
 
+/// Positions of a series at which it may begin. A multiple of most periods, which are the sums of
+/// the weights without their common divisor, and enough for shares of the first requests that are
+/// exact to a thousandth with any weights.
+constexpr std::uint64_t kStartPositions = 1000;
+
 std::string NormalizedHost(std::string_view aHost)
 {
   std::string host(aHost.substr(0, aHost.find(':')));
@@ -17,14 +23,45 @@
 
 } // namespace
 
-RouteTable::RouteTable(Configuration aConfiguration, std::uint64_t /*aSeed*/)
+RouteTable::RouteTable(Configuration aConfiguration, std::uint64_t aSeed)
   : m_configuration(std::move(aConfiguration))
 {
+  std::mt19937_64 random(aSeed);
   for (std::size_t i = 0; i < m_configuration.m_routes.size(); ++i) {
     const Route& route = m_configuration.m_routes[i];
     m_routesByHost[NormalizedHost(route.m_host)].push_back(i);
     m_currentWeights.emplace_back(route.m_services.size(), 0);
+    const std::uint64_t start = route.m_services.size() > 1 ? random() % kStartPositions : 0;
+    for (std::uint64_t k = 0; k < start; ++k) {
+      Advance(i);
+    }
+  }
+}
+
+void RouteTable::ContinueFrom(const RouteTable& aPrevious)
+{
+  for (std::size_t i = 0; i < m_configuration.m_routes.size(); ++i) {
+    const Route& route = m_configuration.m_routes[i];
+    if (route.m_services.size() < 2) {
+      continue;
+    }
+    if (const auto previous = aPrevious.IndexOfSame(route)) {
+      m_currentWeights[i] = aPrevious.m_currentWeights[*previous];
+    }
+  }
+}
+
+std::optional<std::size_t> RouteTable::IndexOfSame(const Route& aRoute) const
+{
+  const auto routes = m_routesByHost.find(NormalizedHost(aRoute.m_host));
+  if (routes == m_routesByHost.end()) {
+    return std::nullopt;
   }
+  const auto same = std::ranges::find_if(routes->second, [&](std::size_t aIndex) {
+    const Route& route = m_configuration.m_routes[aIndex];
+    return route.m_prefix == aRoute.m_prefix && route.m_services == aRoute.m_services;
+  });
+  return same == routes->second.end() ? std::nullopt : std::optional(*same);
 }
 
 const Route* RouteTable::Find(std::string_view aHost, std::string_view aTarget) const
@@ -45,25 +82,35 @@
   return best;
 }
 
-const Service* RouteTable::NextService(const Route& aRoute)
+std::optional<std::size_t> RouteTable::Advance(std::size_t aRoute)
 {
-  const auto index = static_cast<std::size_t>(&aRoute - m_configuration.m_routes.data());
-  std::vector<std::int64_t>& currentWeights = m_currentWeights.at(index);
+  const std::vector<WeightedService>& services = m_configuration.m_routes[aRoute].m_services;
+  std::vector<std::int64_t>& currentWeights = m_currentWeights[aRoute];
   std::int64_t total = 0;
   std::size_t best = 0;
   for (std::size_t i = 0; i < currentWeights.size(); ++i) {
-    const std::int64_t weight = aRoute.m_services[i].m_weight;
+    const std::int64_t weight = services[i].m_weight;
     currentWeights[i] += weight;
     total += weight;
     if (currentWeights[i] > currentWeights[best]) {
       best = i;
     }
   }
-  if (currentWeights.empty() || total == 0) {
-    return nullptr;
+  if (total == 0) {
+    return std::nullopt;
   }
   currentWeights[best] -= total;
-  const auto service = m_configuration.m_services.find(aRoute.m_services[best].m_service);
+  return best;
+}
+
+const Service* RouteTable::NextService(const Route& aRoute)
+{
+  const auto index = static_cast<std::size_t>(&aRoute - m_configuration.m_routes.data());
+  const auto chosen = Advance(index);
+  if (!chosen) {
+    return nullptr;
+  }
+  const auto service = m_configuration.m_services.find(aRoute.m_services[*chosen].m_service);
   return service == m_configuration.m_services.end() ? nullptr : &service->second;
 }
 
--- a/packages/policy/tests/RouteTableTest.cpp
+++ b/packages/policy/tests/RouteTableTest.cpp
@@ -91,6 +91,46 @@
   }
 }
 
+// With one request between two configurations, each VM still follows the weights.
+TEST(RouteTableTest, SplitGoesOnAcrossConfigurations)
+{
+  const std::vector<Route> routes = { MakeRoute("h", "/", { { "a", 90 }, { "b", 10 } }) };
+  RouteTable table = MakeTable(routes, 0);
+  std::map<std::string, int> counts;
+  for (unsigned version = 1; version <= 100; ++version) {
+    ++counts[table.NextService(*table.Find("h", "/x"))->m_name];
+    RouteTable next = MakeTable(routes, version);
+    next.ContinueFrom(table);
+    table = std::move(next);
+  }
+  EXPECT_EQ(counts["a"], 90);
+  EXPECT_EQ(counts["b"], 10);
+}
+
+// Guards against taking over the state of other weights, which would delay the new ones.
+TEST(RouteTableTest, ChangedWeightsApplyAtOnce)
+{
+  RouteTable before = MakeTable({ MakeRoute("h", "/", { { "a", 1'000'000 }, { "b", 1 } }) }, 1);
+  for (int i = 0; i < 1000; ++i) {
+    before.NextService(*before.Find("h", "/x"));
+  }
+  RouteTable after = MakeTable({ MakeRoute("h", "/", { { "a", 1 }, { "b", 1 } }) }, 2);
+  after.ContinueFrom(before);
+  std::map<std::string, int> counts;
+  for (int i = 0; i < 10; ++i) {
+    ++counts[after.NextService(*after.Find("h", "/x"))->m_name];
+  }
+  EXPECT_EQ(counts["a"], 5);
+}
+
+TEST(RouteTableTest, PartsOfWeightZeroGetNothing)
+{
+  RouteTable table = MakeTable({ MakeRoute("h", "/", { { "a", 0 }, { "b", 2 }, { "c", 1 } }) }, 3);
+  for (int i = 0; i < 300; ++i) {
+    EXPECT_NE(table.NextService(*table.Find("h", "/x"))->m_name, "a");
+  }
+}
+
 TEST(RouteTableTest, ZeroWeightsAndUnknownServicesYieldNothing)
 {
   RouteTable table =
