gateway: count the time of a request from its first byte

Cause: the timeout of the route and the caller's limit began when the last byte of the body had arrived. A body that arrived slowly was not part of the time, and a request whose body was still arriving had no limit but 60 s.

Change: the time begins with the first byte. If it is over before the body is complete, the caller gets 408: the request has not run.

The upstream is given the rest of the time instead of all of it.

--- a/packages/gateway/src/CallerConnection.cpp
+++ b/packages/gateway/src/CallerConnection.cpp
@@ -57,6 +57,15 @@
   return std::chrono::milliseconds{ value };
 }
 
+/// @return time until the next check of the timeouts, one of which expires at a time.
+std::chrono::milliseconds TimerIntervalUntil(base::MonotonicTime aDeadline,
+                                             base::MonotonicTime aNow)
+{
+  return std::clamp(std::chrono::ceil<std::chrono::milliseconds>(aDeadline - aNow),
+                    kMinTimerInterval,
+                    kTimerInterval);
+}
+
 unsigned StatusOf(const boost::system::error_code& aError)
 {
   if (aError == http::error::header_limit || aError == http::error::buffer_overflow) {
@@ -208,6 +217,9 @@
       Dispatch();
       continue;
     }
+    if (isHead && m_parser->is_header_done()) {
+      StartBodyTimeout();
+    }
     SendInterimResponse();
     if (error == http::error::need_more) {
       return;
@@ -229,6 +241,24 @@
          m_bodyReservation->Fits(stated ? *stated : 0);
 }
 
+void CallerConnection::StartBodyTimeout()
+{
+  const Parser::value_type& message = m_parser->get();
+  std::chrono::milliseconds limit = kMaxRequestTime;
+  const auto routes = m_context.m_steering.Routes();
+  const policy::Route* route =
+    routes ? routes->Find(ToStringView(message[http::field::host]), ToStringView(message.target()))
+           : nullptr;
+  if (route && route->m_timeout.count() > 0) {
+    limit = std::min(limit, route->m_timeout);
+  }
+  if (const auto stated = ParseMillis(ToStringView(message[m_context.m_wire.m_timeout]))) {
+    limit = std::min(limit, *stated);
+  }
+  m_bodyDeadline = m_requestStarted + limit;
+  StartTimer(TimerIntervalUntil(m_bodyDeadline, m_context.m_clock.Monotonic()));
+}
+
 void CallerConnection::SendInterimResponse()
 {
   if (m_sentInterim || !m_parser->is_header_done() || !m_pipeline.empty() || m_isWriting) {
@@ -277,7 +307,7 @@
   request.m_hasBody = message.count(http::field::content_length) > 0 || message.chunked();
   request.m_body = std::move(message.body());
   request.m_bodyReservation = m_bodyReservation;
-  request.m_receivedAt = m_context.m_clock.Monotonic();
+  request.m_receivedAt = m_requestStarted;
   return request;
 }
 
@@ -370,15 +400,14 @@
     }
   } else if (IsMidRequest() && !m_isClosing) {
     const bool hasHeader = m_parser->is_header_done();
-    if ((!hasHeader && now - m_requestStarted > m_limits.m_headerTimeout) ||
-        (hasHeader && now - m_lastActivity > m_limits.m_idleTimeout) ||
+    const base::MonotonicTime deadline =
+      hasHeader ? m_bodyDeadline : m_requestStarted + m_limits.m_headerTimeout;
+    if (now > deadline || (hasHeader && now - m_lastActivity > m_limits.m_idleTimeout) ||
         now - m_requestStarted > kMaxRequestTime) {
       RejectInput(408, "timeout");
-    } else if (!hasHeader) {
+    } else {
       // If the first bytes arrived after the timer was set, the timeout expires between two checks.
-      const auto remaining = std::chrono::ceil<std::chrono::milliseconds>(m_limits.m_headerTimeout -
-                                                                          (now - m_requestStarted));
-      pause = std::clamp(remaining, kMinTimerInterval, kTimerInterval);
+      pause = TimerIntervalUntil(deadline, now);
     }
   } else if (m_pipeline.empty() && !m_isWriting && now - m_lastActivity > m_limits.m_idleTimeout) {
     Abort();
--- a/packages/gateway/src/CallerConnection.h
+++ b/packages/gateway/src/CallerConnection.h
@@ -66,6 +66,8 @@
   /// Reserves memory for the body received so far.
   /// @return whether the memory was reserved and the rest of the body would fit.
   bool ReserveBodyMemory();
+  /// Limits the time for the body, once the header is read, to that of the request.
+  void StartBodyTimeout();
   void SendInterimResponse();
   void RejectInput(unsigned aStatus, const char* aReason);
   void StartTimer(std::chrono::milliseconds aPause);
@@ -99,6 +101,8 @@
   policy::CallerLimits m_limits;
   /// When the first byte of the current request arrived, and the time of the last read or write.
   base::MonotonicTime m_requestStarted;
+  /// When the caller must have a response to the request whose body is being read.
+  base::MonotonicTime m_bodyDeadline;
   base::MonotonicTime m_lastActivity;
   base::MonotonicTime m_writeStarted;
   std::string m_writeBuffer;
--- a/packages/gateway/src/CallerRequest.h
+++ b/packages/gateway/src/CallerRequest.h
@@ -25,6 +25,7 @@
   std::shared_ptr<BodyMemoryBudget::Reservation> m_bodyReservation;
   /// How long the caller waits from m_receivedAt on.
   std::optional<std::chrono::milliseconds> m_timeout;
+  /// When the first byte arrived. The caller waits while it sends a long body, too.
   base::MonotonicTime m_receivedAt;
 };
 
