gateway: tell a peer that pauses in reading from a dead host

TCP_USER_TIMEOUT ended connections whose peer had closed its receive window for 2 s (upstreams) or 10 s (callers), although the peer's kernel answered each window probe. An upload got the gateway's own 502 while its upstream was at work, and a response was cut.

policy::PeerLiveness decides from TCP_INFO: a host is dead once it has left three retransmissions or probes and 2 s (callers: 10 s) without an acknowledgement. Where the system gives no TCP_INFO, its own timeout still applies. TCP_RTO_MAX_MS keeps the probes of upstreams 1 s apart, so that a host that fails during a pause is found soon; systems before Linux 6.15 ignore it.

Failed hosts, simulated by a socket filter that drops all arriving packets, are found within 4.5 s at upstreams and 15 s at callers in the five and one cases of the tests.

--- a/packages/gateway/src/CallerConnection.cpp
+++ b/packages/gateway/src/CallerConnection.cpp
@@ -30,6 +30,8 @@
 /// Request headers and framing, and responses that are being written, up to which a connection is
 /// not counted against the memory for bodies.
 constexpr std::size_t kUncountedBytes = 8 * 1024;
+/// Time without an acknowledgement after which a caller's host counts as dead.
+constexpr std::chrono::milliseconds kSilenceLimit{ 10'000 };
 /// Time for the caller to read the last response and close before the connection is reset.
 constexpr std::chrono::seconds kLingerTimeout{ 1 };
 /// Sent when no body memory is left. Bodies are buffered only while their requests run, which takes
@@ -90,14 +92,19 @@
   , m_socket(std::move(aSocket))
   , m_onClosed(std::move(aOnClosed))
   , m_timer(aContext.m_io)
+  , m_liveness({ .m_silenceLimit = kSilenceLimit, .m_maxStep = 2 * kTimerInterval })
 {
 }
 
 void CallerConnection::Start()
 {
-  SetTcpOptions(
-    m_socket,
-    { std::chrono::seconds{ 10 }, std::chrono::seconds{ 10 }, std::chrono::seconds{ 5 }, 3 });
+  TcpTimeouts timeouts;
+  timeouts.m_userTimeout = kSilenceLimit;
+  timeouts.m_keepAliveIdle = std::chrono::seconds{ 9 };
+  timeouts.m_keepAliveInterval = std::chrono::seconds{ 3 };
+  timeouts.m_keepAliveProbes = 2;
+  timeouts.m_isPeerObserved = true;
+  SetTcpOptions(m_socket, timeouts);
   m_lastActivity = m_context.m_clock.Monotonic();
   ResetParser();
   StartTimer(kTimerInterval);
@@ -354,6 +361,10 @@
   }
   const auto now = m_context.m_clock.Monotonic();
   std::chrono::milliseconds pause = kTimerInterval;
+  if (IsCallerDead()) {
+    Abort("no acknowledgement from the caller's host");
+    return;
+  }
   if (m_isWriting && now - m_writeStarted > kMaxWriteTime) {
     Abort("write timeout");
     return;
@@ -388,6 +399,13 @@
   StartTimer(pause);
 }
 
+bool CallerConnection::IsCallerDead()
+{
+  const bool isAwaited = m_isWriting || !m_pipeline.empty();
+  const auto observation = isAwaited ? ObservePeer(m_socket) : std::nullopt;
+  return observation && m_liveness.IsDead(*observation, m_context.m_clock.Monotonic());
+}
+
 void CallerConnection::Flush()
 {
   if (m_isWriting || m_isAborted || m_hasCallerLeft) {
--- a/packages/gateway/src/CallerConnection.h
+++ b/packages/gateway/src/CallerConnection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "RequestExchange.h"
+#include "jaylane/policy/PeerLiveness.h"
 
 #include <array>
 #include <boost/asio/ip/tcp.hpp>
@@ -84,6 +85,8 @@
   void LogAbort(std::string_view aReason) const;
   std::string Serialize(CallerResponse& aResponse, bool aIsHead, bool aIsLast) const;
   bool IsMidRequest() const;
+  /// @return whether the caller's host has left sent bytes unacknowledged for too long.
+  bool IsCallerDead();
 
   GatewayContext& m_context;
   boost::asio::ip::tcp::socket m_socket;
@@ -104,6 +107,7 @@
   base::MonotonicTime m_requestStarted;
   base::MonotonicTime m_lastActivity;
   base::MonotonicTime m_writeStarted;
+  policy::PeerLiveness m_liveness;
   std::string m_writeBuffer;
   bool m_isWriting = false;
   bool m_isReading = false;
--- a/packages/gateway/src/SocketOptions.cpp
+++ b/packages/gateway/src/SocketOptions.cpp
@@ -1,7 +1,9 @@
 #include "SocketOptions.h"
 
+#include <algorithm>
 #include <boost/asio/ip/address.hpp>
 #include <charconv>
+#include <cstddef>
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/socket.h>
@@ -10,6 +12,9 @@
 
 namespace {
 
+/// Option for the largest retransmission timeout, since Linux 6.15; missing in older headers.
+constexpr int kTcpRtoMaxMs = 44;
+
 void SetOption(int aSocket, int aLevel, int aName, int aValue)
 {
   ::setsockopt(aSocket, aLevel, aName, &aValue, sizeof aValue);
@@ -21,8 +26,15 @@
 {
   const int socket = aSocket.native_handle();
   SetOption(socket, IPPROTO_TCP, TCP_NODELAY, 1);
-  SetOption(
-    socket, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(aTimeouts.m_userTimeout.count()));
+  const bool isObserved = aTimeouts.m_isPeerObserved && ObservePeer(aSocket);
+  SetOption(socket,
+            IPPROTO_TCP,
+            TCP_USER_TIMEOUT,
+            isObserved ? 0 : static_cast<int>(aTimeouts.m_userTimeout.count()));
+  if (isObserved && aTimeouts.m_maxProbeInterval) {
+    SetOption(
+      socket, IPPROTO_TCP, kTcpRtoMaxMs, static_cast<int>(aTimeouts.m_maxProbeInterval->count()));
+  }
   SetOption(socket, SOL_SOCKET, SO_KEEPALIVE, 1);
   SetOption(socket, IPPROTO_TCP, TCP_KEEPIDLE, static_cast<int>(aTimeouts.m_keepAliveIdle.count()));
   SetOption(
@@ -30,6 +42,21 @@
   SetOption(socket, IPPROTO_TCP, TCP_KEEPCNT, aTimeouts.m_keepAliveProbes);
 }
 
+std::optional<policy::PeerLiveness::Observation> ObservePeer(boost::asio::ip::tcp::socket& aSocket)
+{
+  tcp_info info{};
+  socklen_t size = sizeof info;
+  if (::getsockopt(aSocket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) != 0 ||
+      size < offsetof(tcp_info, tcpi_last_ack_recv) + sizeof info.tcpi_last_ack_recv ||
+      info.tcpi_state == 0) {
+    return std::nullopt;
+  }
+  return policy::PeerLiveness::Observation{ info.tcpi_unacked,
+                                            std::max<std::uint32_t>(info.tcpi_retransmits,
+                                                                    info.tcpi_probes),
+                                            std::chrono::milliseconds{ info.tcpi_last_ack_recv } };
+}
+
 std::optional<boost::asio::ip::tcp::endpoint> ParseEndpoint(std::string_view aText)
 {
   const std::size_t colon = aText.rfind(':');
--- a/packages/gateway/src/UpstreamAttempt.cpp
+++ b/packages/gateway/src/UpstreamAttempt.cpp
@@ -33,6 +33,12 @@
 constexpr std::size_t kUncountedBytes = kReadBytes;
 /// Responses that may be skipped, interim ones and those to other requests.
 constexpr std::uint32_t kMaxSkippedResponses = 16;
+/// Time without an acknowledgement after which an upstream's host counts as dead.
+constexpr std::chrono::milliseconds kSilenceLimit{ 2000 };
+/// Interval between checks of that.
+constexpr std::chrono::milliseconds kLivenessInterval{ 250 };
+/// Longest interval between window probes, of which several must stay unanswered.
+constexpr std::chrono::milliseconds kMaxProbeInterval{ 1000 };
 /// Idle timeout of an upstream that does not state one in Keep-Alive.
 constexpr std::chrono::seconds kDefaultIdleTimeout{ 8 };
 
@@ -84,6 +90,8 @@
   , m_remaining(aRemaining)
   , m_onDone(std::move(aOnDone))
   , m_connectTimer(aDependencies.m_io)
+  , m_livenessTimer(aDependencies.m_io)
+  , m_liveness({ .m_silenceLimit = kSilenceLimit })
 {
 }
 
@@ -105,6 +113,7 @@
   m_ended = true;
   m_onDone = nullptr;
   m_connectTimer.cancel();
+  m_livenessTimer.cancel();
   if (m_connection) {
     boost::system::error_code ignored;
     m_connection->m_socket.close(ignored);
@@ -146,7 +155,10 @@
         self->Fail(AttemptFailure::Withdrawn, "upstream or caller left during the connect");
         return;
       }
-      SetTcpOptions(self->m_connection->m_socket, {});
+      TcpTimeouts timeouts;
+      timeouts.m_isPeerObserved = true;
+      timeouts.m_maxProbeInterval = kMaxProbeInterval;
+      SetTcpOptions(self->m_connection->m_socket, timeouts);
       self->Send();
     });
 }
@@ -185,9 +197,34 @@
       self->m_writeResult = aError;
     });
   ResetParser();
+  StartLivenessTimer();
   Read();
 }
 
+void UpstreamAttempt::StartLivenessTimer()
+{
+  m_livenessTimer.expires_after(kLivenessInterval);
+  m_livenessTimer.async_wait([weak = weak_from_this()](const boost::system::error_code& aError) {
+    const auto self = weak.lock();
+    if (!aError && self && !self->m_ended) {
+      self->CheckLiveness();
+    }
+  });
+}
+
+void UpstreamAttempt::CheckLiveness()
+{
+  const auto observation = ObservePeer(m_connection->m_socket);
+  if (!observation) {
+    return; // The system's own timeout applies.
+  }
+  if (m_liveness.IsDead(*observation, m_dependencies.m_clock.Monotonic())) {
+    FailLostConnection("no acknowledgement from the upstream's host");
+    return;
+  }
+  StartLivenessTimer();
+}
+
 void UpstreamAttempt::ResetParser()
 {
   m_parser.emplace();
--- a/packages/gateway/src/UpstreamAttempt.h
+++ b/packages/gateway/src/UpstreamAttempt.h
@@ -3,6 +3,7 @@
 #include "CallerRequest.h"
 #include "UpstreamConnectionPool.h"
 #include "jaylane/gateway/WireFormat.h"
+#include "jaylane/policy/PeerLiveness.h"
 #include "jaylane/policy/ServiceBalancer.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -86,6 +87,9 @@
 
   void Connect();
   void Send();
+  void StartLivenessTimer();
+  /// Fails the attempt if the upstream's host is dead.
+  void CheckLiveness();
   void Read();
   void OnRead(const boost::system::error_code& aError, std::size_t aBytes);
   /// The upstream has sent its last byte, or a reset was reported to the write and not to the read.
@@ -118,6 +122,8 @@
   OnDone m_onDone;
   std::unique_ptr<UpstreamConnection> m_connection;
   boost::asio::steady_timer m_connectTimer;
+  boost::asio::steady_timer m_livenessTimer;
+  policy::PeerLiveness m_liveness;
   boost::beast::flat_buffer m_buffer;
   std::optional<Parser> m_parser;
   std::shared_ptr<BodyMemoryBudget::Reservation> m_bodyReservation;
--- /dev/null
+++ b/packages/gateway/tests/CallerConnectionTest.cpp
@@ -0,0 +1,99 @@
+#include "GatewayFixture.h"
+
+#include <boost/asio/write.hpp>
+#include <chrono>
+#include <poll.h>
+
+namespace jaylane::gateway {
+namespace {
+
+namespace asio = boost::asio;
+using namespace std::chrono_literals;
+
+/// Receive buffer of callers that read slowly; keeps large responses from being written.
+constexpr int kSmallBufferBytes = 4 * 1024;
+
+/// Reads until the connection ends or nothing arrives for a while.
+std::string ReadAll(asio::ip::tcp::socket& aSocket, std::chrono::milliseconds aQuiet = 2000ms)
+{
+  std::string received;
+  std::string buffer(64 * 1024, '\0');
+  pollfd waited{ aSocket.native_handle(), POLLIN, 0 };
+  while (::poll(&waited, 1, static_cast<int>(aQuiet.count())) > 0) {
+    boost::system::error_code error;
+    received.append(buffer, 0, aSocket.read_some(asio::buffer(buffer), error));
+    if (error) {
+      break;
+    }
+  }
+  return received;
+}
+
+/// @return the number of bytes behind the first empty line.
+std::size_t BodySize(const std::string& aResponse)
+{
+  const std::size_t head = aResponse.find("\r\n\r\n");
+  return head == std::string::npos ? 0 : aResponse.size() - head - 4;
+}
+
+class CallerConnectionTest : public GatewayFixture
+{
+protected:
+  CallerConnectionTest()
+    : GatewayFixture(24 << 20)
+  {
+  }
+
+  /// @return a socket with a small receive buffer.
+  asio::ip::tcp::socket ConnectSlowReader()
+  {
+    std::uint16_t port = 0;
+    OnRequestThread([&] { port = m_server->Port(); });
+    asio::ip::tcp::socket socket(m_callerIo, asio::ip::tcp::v4());
+    socket.set_option(asio::socket_base::receive_buffer_size(kSmallBufferBytes));
+    socket.connect({ asio::ip::make_address("127.0.0.1"), port });
+    return socket;
+  }
+
+  std::size_t ConnectionCount()
+  {
+    std::size_t count = 0;
+    OnRequestThread([&] { count = m_server->ConnectionCount(); });
+    return count;
+  }
+
+  static constexpr std::size_t kLargeBytes = 8 << 20;
+};
+
+// Guards against taking a caller that pauses in reading for a dead one: the kernel's timeout for
+// unacknowledged data cut the response after ten seconds. A caller whose host has failed must still
+// be found in about that time.
+TEST_F(CallerConnectionTest, AResponseOutlastsAPauseInReading)
+{
+  ScriptedUpstream upstream([](const SeenRequest& aRequest) {
+    return Script{ OkResponse(aRequest, std::string(kLargeBytes, 'x')) };
+  });
+  Start({ upstream.Address() });
+  auto paused = ConnectSlowReader();
+  auto dead = ConnectSlowReader();
+  asio::write(paused, asio::buffer(Request("/a/x", "r1")));
+  asio::write(dead, asio::buffer(Request("/a/x", "r2")));
+  std::this_thread::sleep_for(500ms);
+  ASSERT_EQ(ConnectionCount(), 2U);
+  ASSERT_TRUE(DropArrivingPackets(dead.native_handle()));
+  const auto failedAt = std::chrono::steady_clock::now();
+  while (ConnectionCount() == 2 && std::chrono::steady_clock::now() < failedAt + 20s) {
+    std::this_thread::sleep_for(100ms);
+  }
+  const auto foundAfter = std::chrono::steady_clock::now() - failedAt;
+  EXPECT_GE(foundAfter, 9s);
+  EXPECT_LE(foundAfter, 15s);
+  std::this_thread::sleep_until(failedAt + 13s);
+  EXPECT_EQ(ConnectionCount(), 1U);
+  const std::string response = ReadAll(paused);
+  EXPECT_EQ(Status(response), "HTTP/1.1 200 OK");
+  EXPECT_EQ(BodySize(response), kLargeBytes);
+}
+
+} // namespace
+} // namespace jaylane::gateway
--- a/packages/gateway/tests/ScriptedUpstream.cpp
+++ b/packages/gateway/tests/ScriptedUpstream.cpp
@@ -5,6 +5,8 @@
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <fmt/format.h>
+#include <linux/filter.h>
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/socket.h>
 
@@ -18,6 +20,9 @@
 /// Receive buffer of an upstream that does not read bodies; keeps larger requests from being
 /// written.
 constexpr int kSmallBufferBytes = 4 * 1024;
+/// Receive buffer of an upstream that reads bodies late, and its largest segment.
+constexpr int kPausedBufferBytes = 16 * 1024;
+constexpr int kSegmentBytes = 1448;
 
 } // namespace
 
@@ -36,7 +41,15 @@
   : m_handler(std::move(aHandler))
   , m_bodyReading(aBodyReading)
   , m_acceptor(m_io, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0))
-  , m_thread([this] {
+{
+  if (m_bodyReading == BodyReading::AfterPause) {
+    // A window below the segment size of loopback connections would pass little more than one
+    // segment for each window probe.
+    m_acceptor.set_option(asio::socket_base::receive_buffer_size(kPausedBufferBytes));
+    const int segment = kSegmentBytes;
+    ::setsockopt(m_acceptor.native_handle(), IPPROTO_TCP, TCP_MAXSEG, &segment, sizeof segment);
+  }
+  m_thread = std::thread([this] {
     for (std::size_t connection = 0;; ++connection) {
       boost::system::error_code error;
       tcp::socket socket = m_acceptor.accept(error);
@@ -52,8 +65,7 @@
         Serve(std::move(moved), connection);
       });
     }
-  })
-{
+  });
 }
 
 ScriptedUpstream::~ScriptedUpstream()
@@ -88,6 +100,21 @@
   return m_abandoned;
 }
 
+bool DropArrivingPackets(int aSocket)
+{
+  sock_filter dropAll{ BPF_RET | BPF_K, 0, 0, 0 };
+  const sock_fprog program{ 1, &dropAll };
+  return ::setsockopt(aSocket, SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof program) == 0;
+}
+
+void ScriptedUpstream::FailHost(tcp::socket& aSocket)
+{
+  if (DropArrivingPackets(aSocket.native_handle())) {
+    pollfd waited{ aSocket.native_handle(), 0, 0 };
+    ::poll(&waited, 1, -1);
+  }
+}
+
 void ScriptedUpstream::Serve(tcp::socket aSocket, std::size_t aConnection)
 {
   std::string buffer;
@@ -116,8 +143,22 @@
       m_seen.push_back(request);
     }
     const Script script = m_handler(request);
+    const bool isPauseBeforeBody =
+      m_bodyReading == BodyReading::AfterPause || script.m_isHostFailing;
+    if (isPauseBeforeBody) {
+      std::this_thread::sleep_for(script.m_pause);
+    }
+    if (script.m_isHostFailing) {
+      FailHost(aSocket);
+      break;
+    }
+    if (m_bodyReading == BodyReading::AfterPause && buffer.size() < size) {
+      asio::read(
+        aSocket, asio::dynamic_buffer(buffer), asio::transfer_exactly(size - buffer.size()), error);
+      buffer.erase(0, std::min(size, buffer.size()));
+    }
     pollfd waited{ aSocket.native_handle(), POLLIN | POLLRDHUP, 0 };
-    if (script.m_pause.count() > 0 &&
+    if (script.m_pause.count() > 0 && !isPauseBeforeBody &&
         ::poll(&waited, 1, static_cast<int>(script.m_pause.count())) > 0) {
       std::lock_guard lock(m_mutex);
       ++m_abandoned;
--- a/packages/gateway/tests/ScriptedUpstream.h
+++ b/packages/gateway/tests/ScriptedUpstream.h
@@ -36,6 +36,8 @@
   std::chrono::milliseconds m_pauseBeforeEnd{ 0 };
   /// Close the sending side before m_pauseBeforeEnd.
   bool m_shutdown = false;
+  /// After m_pause, the host fails: it sends nothing more and acknowledges nothing.
+  bool m_isHostFailing = false;
 };
 
 /// When an upstream responds to a request with a body.
@@ -44,9 +46,17 @@
   /// After it has read the body.
   Whole,
   /// After the head. The body is never read, and the receive buffer is small.
-  None
+  None,
+  /// After it has read the body, which it begins after Script::m_pause. The receive buffer is
+  /// small.
+  AfterPause
 };
 
+/// Makes a connected socket appear to its peer as if the host had failed or were cut off: the
+/// kernel drops everything that arrives, so that nothing is acknowledged.
+/// @return whether the system supports that.
+bool DropArrivingPackets(int aSocket);
+
 /// An HTTP server on loopback that sends exact bytes.
 class ScriptedUpstream
 {
@@ -63,6 +73,8 @@
 
 private:
   void Serve(boost::asio::ip::tcp::socket aSocket, std::size_t aConnection);
+  /// Does not return before the upstream is destroyed.
+  static void FailHost(boost::asio::ip::tcp::socket& aSocket);
 
   Handler m_handler;
   BodyReading m_bodyReading;
--- a/packages/gateway/tests/UpstreamAttemptTest.cpp
+++ b/packages/gateway/tests/UpstreamAttemptTest.cpp
@@ -69,10 +69,10 @@
       [&aResult](AttemptResult aEnd) { aResult = std::move(aEnd); });
   }
 
-  void RunUntil(const std::function<bool()>& aDone)
+  void RunUntil(const std::function<bool()>& aDone, std::chrono::milliseconds aLimit = 5s)
   {
     m_io.restart();
-    const auto end = std::chrono::steady_clock::now() + 5s;
+    const auto end = std::chrono::steady_clock::now() + aLimit;
     while (!aDone() && std::chrono::steady_clock::now() < end) {
       m_io.run_one_for(20ms);
       m_io.restart();
@@ -277,6 +277,70 @@
   }
 }
 
+// Guards against taking an upstream that pauses in reading a body for a dead one: the kernel's
+// timeout for unacknowledged data ended the upload after two seconds.
+TEST_F(UpstreamAttemptTest, AnUploadOutlastsAPauseInReading)
+{
+  ScriptedUpstream upstream(
+    [](const SeenRequest& aRequest) {
+      return Script{ OkResponse(aRequest, "abc"), false, false, 3500ms };
+    },
+    BodyReading::AfterPause);
+  std::optional<AttemptResult> result;
+  const auto attempt = MakeAttempt(upstream.Address(), "r1", result, 1 << 20);
+  attempt->Start();
+  RunUntil([&] { return result.has_value(); }, 20s);
+  ASSERT_TRUE(result);
+  EXPECT_FALSE(result->m_failure) << result->m_cause;
+  EXPECT_EQ(result->m_response.m_body, "abc");
+}
+
+// Guards against missing a failed host once pauses in reading are tolerated: while the request is
+// written, while the upstream pauses in reading it, and while it works on a request that it has
+// read. Idempotent requests are repeated only after that.
+TEST_F(UpstreamAttemptTest, AFailedHostIsFoundWithinFourSeconds)
+{
+  struct Case
+  {
+    BodyReading m_reading;
+    std::size_t m_bodyBytes;
+    std::chrono::milliseconds m_pause;
+  };
+  const Case cases[] = { { BodyReading::None, kUploadBytes, 0ms },
+                         { BodyReading::None, kUploadBytes, 2500ms },
+                         { BodyReading::None, kUploadBytes, 6000ms },
+                         { BodyReading::Whole, 0, 0ms },
+                         { BodyReading::Whole, 100, 1000ms } };
+  constexpr std::size_t kCases = std::size(cases);
+  std::optional<AttemptResult> results[kCases];
+  std::vector<std::unique_ptr<ScriptedUpstream>> upstreams;
+  std::vector<std::shared_ptr<UpstreamAttempt>> attempts;
+  for (std::size_t i = 0; i < kCases; ++i) {
+    upstreams.push_back(std::make_unique<ScriptedUpstream>(
+      [pause = cases[i].m_pause](const SeenRequest&) {
+        Script script;
+        script.m_pause = pause;
+        script.m_isHostFailing = true;
+        return script;
+      },
+      cases[i].m_reading));
+    attempts.push_back(
+      MakeAttempt(upstreams.back()->Address(), "r1", results[i], cases[i].m_bodyBytes));
+    attempts.back()->Start();
+  }
+  RunUntil(
+    [&] { return std::ranges::all_of(results, [](const auto& r) { return r.has_value(); }); }, 12s);
+  for (std::size_t i = 0; i < kCases; ++i) {
+    ASSERT_TRUE(results[i]) << "case " << i;
+    EXPECT_EQ(results[i]->m_failure, AttemptFailure::Lost);
+    EXPECT_TRUE(results[i]->m_connectionEnded);
+    const auto foundAfter = results[i]->m_latency - cases[i].m_pause;
+    // The last acknowledgement may have come one interval between probes before the failure.
+    EXPECT_GE(foundAfter, 1000ms) << "case " << i << ": " << results[i]->m_cause;
+    EXPECT_LE(foundAfter, 4500ms) << "case " << i << ": " << results[i]->m_cause;
+  }
+}
+
 // Guards against the same when the kernel ends a connection on which the request makes no progress.
 TEST_F(UpstreamAttemptTest, AWriteTimeoutDoesNotCompleteAResponse)
 {
