gateway: judge a request on a kept connection by the limits in force

A connection took the limits of the configuration when the parser was reset, which is when the request before was read. After a change, its next request was judged by the old limits, and an idle connection was closed after the old idle timeout, while the caller may already rely on a longer one. The limits are now taken with the first byte of a request, and an idle connection is closed after the longer one of both timeouts.

--- a/packages/gateway/src/CallerConnection.cpp
+++ b/packages/gateway/src/CallerConnection.cpp
@@ -111,16 +111,28 @@
   Read();
 }
 
-void CallerConnection::ResetParser()
+void CallerConnection::UpdateLimits()
 {
   if (const auto routes = m_context.m_steering.Routes()) {
     m_limits = routes->Config().m_limits;
   }
+  m_parser->header_limit(m_limits.m_maxHeaderBytes);
+  m_parser->body_limit(m_limits.m_maxBodyBytes);
+}
+
+std::chrono::milliseconds CallerConnection::IdleTimeout() const
+{
+  const auto routes = m_context.m_steering.Routes();
+  return routes ? std::max(m_limits.m_idleTimeout, routes->Config().m_limits.m_idleTimeout)
+                : m_limits.m_idleTimeout;
+}
+
+void CallerConnection::ResetParser()
+{
   m_parser.emplace();
   m_headBytes = 0;
   m_parser->eager(true);
-  m_parser->header_limit(m_limits.m_maxHeaderBytes);
-  m_parser->body_limit(m_limits.m_maxBodyBytes);
+  UpdateLimits();
   m_bodyReservation = m_context.m_bodyBudget.MakeReservation();
   m_sentInterim = false;
 }
@@ -188,6 +200,7 @@
   while (m_buffer.size() > 0 && !m_isClosing && !m_hasCallerLeft &&
          m_pipeline.size() < kMaxPipelinedRequests) {
     if (!IsMidRequest()) {
+      UpdateLimits(); // The configuration may have changed while the connection was idle.
       m_requestStarted = m_context.m_clock.Monotonic();
     }
     boost::system::error_code error;
@@ -392,7 +405,7 @@
                                                                           (now - m_requestStarted));
       pause = std::clamp(remaining, kMinTimerInterval, kTimerInterval);
     }
-  } else if (m_pipeline.empty() && !m_isWriting && now - m_lastActivity > m_limits.m_idleTimeout) {
+  } else if (m_pipeline.empty() && !m_isWriting && now - m_lastActivity > IdleTimeout()) {
     Abort("idle timeout");
     return;
   }
--- a/packages/gateway/src/CallerConnection.h
+++ b/packages/gateway/src/CallerConnection.h
@@ -53,6 +53,11 @@
   };
 
   void ResetParser();
+  /// Takes the limits of the configuration in force, for the request that begins.
+  void UpdateLimits();
+  /// @return the idle time after which the connection is closed: the longer one of the limits at
+  ///         the last request and of those in force, as the caller may know either.
+  std::chrono::milliseconds IdleTimeout() const;
   void Read();
   void OnRead(const boost::system::error_code& aError, std::size_t aBytes);
   /// Parses the bytes that have arrived; an unexpected error closes the connection.
--- a/packages/gateway/tests/CallerConnectionTest.cpp
+++ b/packages/gateway/tests/CallerConnectionTest.cpp
@@ -95,5 +95,35 @@
   EXPECT_EQ(BodySize(response), kLargeBytes);
 }
 
+// Guards against judging a request on a kept connection by the limits that were in force when the
+// request before it was read.
+TEST_F(CallerConnectionTest, NewLimitsHoldForTheNextRequestOfAKeptConnection)
+{
+  ScriptedUpstream upstream(
+    [](const SeenRequest& aRequest) { return Script{ OkResponse(aRequest, "x") }; });
+  Start({ upstream.Address() });
+  auto used = Connect();
+  auto idle = Connect();
+  for (auto* socket : { &used, &idle }) {
+    asio::write(*socket, asio::buffer(Request("/a/x", "r1")));
+    EXPECT_EQ(Status(ReadAll(*socket, 300ms)), "HTTP/1.1 200 OK");
+  }
+  OnRequestThread([&] {
+    policy::Configuration configuration = m_steering->Routes()->Config();
+    configuration.m_version = 2;
+    configuration.m_limits.m_maxBodyBytes = 5000;
+    configuration.m_limits.m_idleTimeout = 20s;
+    m_steering->ApplyConfiguration(configuration);
+  });
+  const std::string body(3000, 'b');
+  const std::string upload =
+    "POST /b/x HTTP/1.1\r\nHost: h\r\nRequest-Id: r2\r\nContent-Length: 3000\r\n\r\n" + body;
+  asio::write(used, asio::buffer(upload));
+  EXPECT_EQ(Status(ReadAll(used, 500ms)), "HTTP/1.1 200 OK") << "larger bodies are allowed";
+  std::this_thread::sleep_for(4s);
+  asio::write(idle, asio::buffer(upload));
+  EXPECT_EQ(Status(ReadAll(idle, 500ms)), "HTTP/1.1 200 OK") << "the idle timeout is longer";
+}
+
 } // namespace
 } // namespace jaylane::gateway
