gateway: do not close connections as idle while a request waits to be read

Closing idle connections during a stop, at their idle timeout or at the connection limit looked only at what the event loop had read. A request that had arrived while the loop was busy got no response.

Measured: the test with a request that arrives while the request thread is busy got end-of-file before and 503 now.

--- a/packages/gateway/src/CallerConnection.cpp
+++ b/packages/gateway/src/CallerConnection.cpp
@@ -405,7 +405,8 @@
                                                                           (now - m_requestStarted));
       pause = std::clamp(remaining, kMinTimerInterval, kTimerInterval);
     }
-  } else if (m_pipeline.empty() && !m_isWriting && now - m_lastActivity > IdleTimeout()) {
+  } else if (m_pipeline.empty() && !m_isWriting && now - m_lastActivity > IdleTimeout() &&
+             !HasUnreadInput()) {
     Abort("idle timeout");
     return;
   }
@@ -534,8 +535,8 @@
   if (m_isClosing) {
     return;
   }
-  if (IsMidRequest()) {
-    return; // The request will still be served; its response closes the connection.
+  if (IsMidRequest() || HasUnreadInput()) {
+    return; // The request will still be answered; its response closes the connection.
   }
   m_isClosing = true;
   if (m_pipeline.empty() && !m_isWriting) {
@@ -543,9 +544,16 @@
   }
 }
 
+bool CallerConnection::HasUnreadInput() const
+{
+  // The event loop may be busy with other connections.
+  return HasUnreadBytes(m_socket);
+}
+
 std::optional<base::MonotonicTime> CallerConnection::IdleSince() const
 {
-  if (!m_pipeline.empty() || m_isWriting || (IsMidRequest() && !m_isClosing)) {
+  if (!m_pipeline.empty() || m_isWriting ||
+      (!m_isClosing && (IsMidRequest() || HasUnreadInput()))) {
     return std::nullopt;
   }
   return m_lastActivity;
--- a/packages/gateway/src/CallerConnection.h
+++ b/packages/gateway/src/CallerConnection.h
@@ -90,6 +90,8 @@
   void LogAbort(std::string_view aReason) const;
   std::string Serialize(CallerResponse& aResponse, bool aIsHead, bool aIsLast) const;
   bool IsMidRequest() const;
+  /// @return whether bytes have arrived that were not read yet, so that the connection is not idle.
+  bool HasUnreadInput() const;
   /// @return whether the caller's host has left sent bytes unacknowledged for too long.
   bool IsCallerDead();
 
--- a/packages/gateway/src/SocketOptions.cpp
+++ b/packages/gateway/src/SocketOptions.cpp
@@ -88,6 +88,12 @@
   return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+bool HasUnreadBytes(const boost::asio::ip::tcp::socket& aSocket)
+{
+  boost::system::error_code error;
+  return aSocket.available(error) > 0;
+}
+
 bool HasPeerClosed(boost::asio::ip::tcp::socket& aSocket)
 {
   char byte = 0;
--- a/packages/gateway/src/SocketOptions.h
+++ b/packages/gateway/src/SocketOptions.h
@@ -49,6 +49,9 @@
 ///         (which would belong to no request).
 bool IsIdleAndOpen(boost::asio::ip::tcp::socket& aSocket);
 
+/// @return whether received bytes are waiting to be read.
+bool HasUnreadBytes(const boost::asio::ip::tcp::socket& aSocket);
+
 /// @return whether the peer has closed the connection, also if unread bytes are ahead of the close.
 bool HasPeerClosed(boost::asio::ip::tcp::socket& aSocket);
 
--- a/packages/gateway/tests/CallerConnectionTest.cpp
+++ b/packages/gateway/tests/CallerConnectionTest.cpp
@@ -95,6 +95,27 @@
   EXPECT_EQ(BodySize(response), kLargeBytes);
 }
 
+// Guards against ending an idle connection on which a request has arrived that was not read yet:
+// its caller got no response, the more often the longer the event loop was busy.
+TEST_F(CallerConnectionTest, ClosingIdleConnectionsLeavesNoArrivedRequestWithoutResponse)
+{
+  ScriptedUpstream upstream(
+    [](const SeenRequest& aRequest) { return Script{ OkResponse(aRequest, "x") }; });
+  Start({ upstream.Address() });
+  auto socket = Connect();
+  asio::write(socket, asio::buffer(Request("/a/x", "r1")));
+  EXPECT_EQ(Status(ReadAll(socket, 300ms)), "HTTP/1.1 200 OK");
+  OnRequestThread([&] {
+    asio::write(socket, asio::buffer(Request("/a/x", "r2")));
+    std::this_thread::sleep_for(50ms);
+    m_context->m_phase = LifecyclePhase::Closing;
+    m_server->CloseIdle();
+  });
+  const std::string response = ReadAll(socket);
+  EXPECT_EQ(Status(response), "HTTP/1.1 503 Service Unavailable");
+  EXPECT_NE(response.find("Connection: close\r\n"), std::string::npos);
+}
+
 // Guards against judging a request on a kept connection by the limits that were in force when the
 // request before it was read.
 TEST_F(CallerConnectionTest, NewLimitsHoldForTheNextRequestOfAKeptConnection)
