gateway: let the last response arrive before the connection is closed

One second after the last response had been handed to the kernel, the connection was closed, even if the caller had not read the response yet. Any byte that the caller sent after that reset the connection and cut the response. The second now begins once the caller's host has acknowledged the response; a dead host and the limit of 60 s for writing end the wait.

--- a/packages/gateway/src/CallerConnection.cpp
+++ b/packages/gateway/src/CallerConnection.cpp
@@ -32,7 +32,7 @@
 constexpr std::size_t kUncountedBytes = 8 * 1024;
 /// Time without an acknowledgement after which a caller's host counts as dead.
 constexpr std::chrono::milliseconds kSilenceLimit{ 10'000 };
-/// Time for the caller to read the last response and close before the connection is reset.
+/// Time for the caller to close after the last response has arrived before the connection is reset.
 constexpr std::chrono::seconds kLingerTimeout{ 1 };
 /// Sent when no body memory is left. Bodies are buffered only while their requests run, which takes
 /// seconds at most.
@@ -389,7 +389,7 @@
     }
     pause = kCloseCheckInterval;
   } else if (m_isSendShutdown) {
-    if (now - m_lastActivity > kLingerTimeout) {
+    if (IsLingerOver(now)) {
       Abort("linger timeout");
       return;
     }
@@ -413,9 +413,19 @@
   StartTimer(pause);
 }
 
+bool CallerConnection::IsLingerOver(base::MonotonicTime aNow)
+{
+  if (HasUnacknowledgedBytes(m_socket)) {
+    // The end of the response has not arrived, and a reset would cut it.
+    m_lastActivity = aNow;
+    return aNow - m_sendShutdownAt > kMaxWriteTime;
+  }
+  return aNow - m_lastActivity > kLingerTimeout;
+}
+
 bool CallerConnection::IsCallerDead()
 {
-  const bool isAwaited = m_isWriting || !m_pipeline.empty();
+  const bool isAwaited = m_isWriting || m_isSendShutdown || !m_pipeline.empty();
   const auto observation = isAwaited ? ObservePeer(m_socket) : std::nullopt;
   return observation && m_liveness.IsDead(*observation, m_context.m_clock.Monotonic());
 }
@@ -526,7 +536,8 @@
   boost::system::error_code ignored;
   m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
   m_isSendShutdown = true;
-  m_lastActivity = m_context.m_clock.Monotonic();
+  m_sendShutdownAt = m_context.m_clock.Monotonic();
+  m_lastActivity = m_sendShutdownAt;
   Read();
 }
 
--- a/packages/gateway/src/CallerConnection.h
+++ b/packages/gateway/src/CallerConnection.h
@@ -92,6 +92,8 @@
   bool IsMidRequest() const;
   /// @return whether bytes have arrived that were not read yet, so that the connection is not idle.
   bool HasUnreadInput() const;
+  /// @return whether the time for the caller to read the last response is over.
+  bool IsLingerOver(base::MonotonicTime aNow);
   /// @return whether the caller's host has left sent bytes unacknowledged for too long.
   bool IsCallerDead();
 
@@ -114,6 +116,7 @@
   base::MonotonicTime m_requestStarted;
   base::MonotonicTime m_lastActivity;
   base::MonotonicTime m_writeStarted;
+  base::MonotonicTime m_sendShutdownAt;
   policy::PeerLiveness m_liveness;
   std::string m_writeBuffer;
   bool m_isWriting = false;
--- a/packages/gateway/src/SocketOptions.cpp
+++ b/packages/gateway/src/SocketOptions.cpp
@@ -4,8 +4,10 @@
 #include <boost/asio/ip/address.hpp>
 #include <charconv>
 #include <cstddef>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace jaylane::gateway {
@@ -94,6 +96,12 @@
   return aSocket.available(error) > 0;
 }
 
+bool HasUnacknowledgedBytes(boost::asio::ip::tcp::socket& aSocket)
+{
+  int bytes = 0;
+  return ::ioctl(aSocket.native_handle(), SIOCOUTQ, &bytes) == 0 && bytes > 0;
+}
+
 bool HasPeerClosed(boost::asio::ip::tcp::socket& aSocket)
 {
   char byte = 0;
--- a/packages/gateway/src/SocketOptions.h
+++ b/packages/gateway/src/SocketOptions.h
@@ -52,6 +52,9 @@
 /// @return whether received bytes are waiting to be read.
 bool HasUnreadBytes(const boost::asio::ip::tcp::socket& aSocket);
 
+/// @return whether the peer's host has not acknowledged all sent bytes, or the end of them.
+bool HasUnacknowledgedBytes(boost::asio::ip::tcp::socket& aSocket);
+
 /// @return whether the peer has closed the connection, also if unread bytes are ahead of the close.
 bool HasPeerClosed(boost::asio::ip::tcp::socket& aSocket);
 
--- a/packages/gateway/tests/CallerConnectionTest.cpp
+++ b/packages/gateway/tests/CallerConnectionTest.cpp
@@ -146,5 +146,25 @@
   EXPECT_EQ(Status(ReadAll(idle, 500ms)), "HTTP/1.1 200 OK") << "the idle timeout is longer";
 }
 
+// Guards against resetting a connection whose last response is still on its way to a caller that
+// reads slowly: any byte that the caller sends after the close resets it.
+TEST_F(CallerConnectionTest, TheLastResponseOutlastsAPauseInReading)
+{
+  constexpr std::size_t kBytes = 256 << 10;
+  ScriptedUpstream upstream([](const SeenRequest& aRequest) {
+    return Script{ OkResponse(aRequest, std::string(kBytes, 'x')) };
+  });
+  Start({ upstream.Address() });
+  auto socket = ConnectSlowReader();
+  asio::write(socket, asio::buffer(Request("/a/x", "r1", "Connection: close\r\n")));
+  std::this_thread::sleep_for(3500ms);
+  boost::system::error_code error;
+  asio::write(socket, asio::buffer(Request("/a/x", "r2")), error);
+  std::this_thread::sleep_for(100ms);
+  const std::string response = ReadAll(socket);
+  EXPECT_EQ(BodySize(response), kBytes);
+  EXPECT_EQ(upstream.Seen().size(), 1U);
+}
+
 } // namespace
 } // namespace jaylane::gateway
