gateway: keep the grace time of a stop that has begun

The steps of a stop were computed from the present grace time, the exit from the one at its beginning. If the settings were read again during a stop (SIGHUP or a changed file) with a longer grace time, requests were never rejected, idle connections never closed, and the process exited with them open. policy::StopSequence decides on the steps by the grace time at the signal.

--- a/packages/gateway/src/Gateway.cpp
+++ b/packages/gateway/src/Gateway.cpp
@@ -9,6 +9,7 @@
 #include "RunLoop.h"
 #include "SocketOptions.h"
 #include "jaylane/base/ContainErrors.h"
+#include "jaylane/policy/StopSequence.h"
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
@@ -32,12 +33,6 @@
 constexpr milliseconds kProbeTimeout{ 500 };
 /// Largest response to a health probe.
 constexpr std::uint64_t kMaxProbeBytes = 64 * 1024;
-/// Steps of a graceful shutdown, as parts of the grace time: new connections and requests are
-/// rejected, idle connections are closed, and the process exits even if requests are in flight.
-/// Requests that may last until then are rejected from the start.
-constexpr double kStopAcceptingShare = 0.5;
-constexpr double kCloseIdleShare = 0.55;
-constexpr double kExitShare = 0.9;
 /// Weight of the last second in the announced request rate.
 constexpr double kLoadAlpha = 0.5;
 
@@ -90,7 +85,7 @@
   void Stop();
   void ContinueStop();
   /// Logs a step of the shutdown when it is reached for the first time.
-  void LogStopStep(const std::string& aStep);
+  void LogStopStep(policy::StopSequence::Step aStep);
 
   Dependencies m_dependencies;
   asio::io_context m_io{ 1 };
@@ -111,9 +106,9 @@
   std::uint64_t m_receivedBefore = 0;
   double m_requestsPerSecond = 0;
   std::set<std::string> m_evacuatedZones;
-  base::MonotonicTime m_stopStarted;
-  /// Steps of the shutdown that have been logged.
-  std::set<std::string> m_loggedStopSteps;
+  /// Set while the process shuts down.
+  std::optional<policy::StopSequence> m_stop;
+  std::optional<policy::StopSequence::Step> m_loggedStopStep;
   ControlPlane m_controlPlane;
 };
 
@@ -489,31 +484,28 @@
 {
   m_dependencies.m_log.Write(base::LogRecord("stopping").Add("in_flight", m_metrics.m_inFlight));
   m_context.m_phase = LifecyclePhase::Draining;
-  m_stopStarted = m_dependencies.m_clock.Monotonic();
-  m_context.m_exitAt = m_stopStarted + std::chrono::duration_cast<milliseconds>(
-                                         m_dependencies.m_settings.m_stopGrace * kExitShare);
+  m_stop.emplace(m_dependencies.m_settings.m_stopGrace, m_dependencies.m_clock.Monotonic());
+  m_context.m_exitAt = m_stop->ExitAt();
   m_controlPlane.AnnounceLeaving();
   ContinueStop();
 }
 
 void Gateway::Impl::ContinueStop()
 {
-  const base::MonotonicTime now = m_dependencies.m_clock.Monotonic();
-  const auto elapsed = now - m_stopStarted;
-  const auto grace = m_dependencies.m_settings.m_stopGrace;
-  if (elapsed >= grace * kStopAcceptingShare) {
-    LogStopStep("stop_accepting");
+  using Step = policy::StopSequence::Step;
+  const Step step = m_stop->StepAt(m_dependencies.m_clock.Monotonic());
+  LogStopStep(step);
+  if (step != Step::Drain) {
     m_callerServer.StopAccepting();
     m_context.m_phase = LifecyclePhase::Closing;
   }
-  if (elapsed >= grace * kCloseIdleShare) {
-    LogStopStep("close_idle");
+  if (step == Step::CloseIdle) {
     m_callerServer.CloseIdle();
   }
   const bool isDone =
     m_context.m_phase == LifecyclePhase::Closing && m_callerServer.ConnectionCount() == 0;
-  if (isDone || now >= m_context.m_exitAt) {
-    LogStopStep("exit");
+  if (isDone || step == Step::Exit) {
+    LogStopStep(Step::Exit);
     m_io.stop();
     return;
   }
@@ -525,16 +517,18 @@
   });
 }
 
-void Gateway::Impl::LogStopStep(const std::string& aStep)
+void Gateway::Impl::LogStopStep(policy::StopSequence::Step aStep)
 {
-  if (m_loggedStopSteps.insert(aStep).second) {
-    m_dependencies.m_log.Write(
-      base::LogRecord("stop_step")
-        .Add("step", aStep)
-        .Add("after_ms", m_dependencies.m_clock.Monotonic() - m_stopStarted)
-        .Add("connections", m_callerServer.ConnectionCount())
-        .Add("in_flight", m_metrics.m_inFlight));
+  if (m_loggedStopStep == aStep) {
+    return;
   }
+  m_loggedStopStep = aStep;
+  m_dependencies.m_log.Write(
+    base::LogRecord("stop_step")
+      .Add("step", policy::ToString(aStep))
+      .Add("after_ms", m_dependencies.m_clock.Monotonic() - m_stop->StartedAt())
+      .Add("connections", m_callerServer.ConnectionCount())
+      .Add("in_flight", m_metrics.m_inFlight));
 }
 
 Gateway::Gateway(Dependencies aDependencies)
