gateway: tests of pipelined and partly read requests in a stop, and of socket timeouts

AWriteTimeoutDoesNotCompleteAResponse relied on the system's timeout of 2 s, which no longer applies to an upstream that pauses; it now covers the reset that follows the pause and, in addition, an upstream whose host fails.

--- a/packages/gateway/tests/CallerConnectionTest.cpp
+++ b/packages/gateway/tests/CallerConnectionTest.cpp
@@ -116,6 +116,51 @@
   EXPECT_NE(response.find("Connection: close\r\n"), std::string::npos);
 }
 
+// Guards against a stop that cuts requests which were read before idle connections are closed, or
+// that reads further ones and does not answer them.
+TEST_F(CallerConnectionTest, PipelinedRequestsOutlastTheStepsOfAStop)
+{
+  ScriptedUpstream upstream([](const SeenRequest& aRequest) {
+    return Script{ OkResponse(aRequest, aRequest.Header("Request-Id")), false, false, 600ms };
+  });
+  Start({ upstream.Address() });
+  auto socket = Connect();
+  asio::write(socket, asio::buffer(Request("/a/x", "r1") + Request("/a/x", "r2")));
+  std::this_thread::sleep_for(150ms);
+  OnRequestThread([&] { m_context->m_phase = LifecyclePhase::Draining; });
+  asio::write(socket, asio::buffer(Request("/a/x", "r3") + Request("/a/x", "r4")));
+  std::this_thread::sleep_for(150ms);
+  OnRequestThread([&] {
+    m_context->m_phase = LifecyclePhase::Closing;
+    m_server->CloseIdle();
+  });
+  const std::string responses = ReadAll(socket);
+  EXPECT_NE(responses.find("\r\n\r\nr1"), std::string::npos);
+  EXPECT_NE(responses.find("\r\n\r\nr2"), std::string::npos);
+  EXPECT_TRUE(responses.ends_with("Connection: close\r\n\r\nr3"));
+  EXPECT_EQ(upstream.Seen().size(), 3U) << "a request behind the close is not passed on";
+}
+
+// Guards against closing a connection as idle whose request has been read in part.
+TEST_F(CallerConnectionTest, ARequestThatIsReadInPartIsAnsweredDuringAStop)
+{
+  ScriptedUpstream upstream(
+    [](const SeenRequest& aRequest) { return Script{ OkResponse(aRequest, "x") }; });
+  Start({ upstream.Address() });
+  auto socket = Connect();
+  const std::string request = Request("/a/x", "r1");
+  asio::write(socket, asio::buffer(request.substr(0, 20)));
+  std::this_thread::sleep_for(150ms);
+  OnRequestThread([&] {
+    m_context->m_phase = LifecyclePhase::Closing;
+    m_server->CloseIdle();
+  });
+  asio::write(socket, asio::buffer(request.substr(20)));
+  const std::string response = ReadAll(socket);
+  EXPECT_EQ(Status(response), "HTTP/1.1 503 Service Unavailable");
+  EXPECT_NE(response.find("Connection: close\r\n"), std::string::npos);
+}
+
 // Guards against judging a request on a kept connection by the limits that were in force when the
 // request before it was read.
 TEST_F(CallerConnectionTest, NewLimitsHoldForTheNextRequestOfAKeptConnection)
--- a/packages/gateway/tests/ScriptedUpstream.cpp
+++ b/packages/gateway/tests/ScriptedUpstream.cpp
@@ -149,6 +149,7 @@
       std::this_thread::sleep_for(script.m_pause);
     }
     if (script.m_isHostFailing) {
+      asio::write(aSocket, asio::buffer(script.m_bytes), error);
       FailHost(aSocket);
       break;
     }
--- a/packages/gateway/tests/ScriptedUpstream.h
+++ b/packages/gateway/tests/ScriptedUpstream.h
@@ -36,7 +36,7 @@
   std::chrono::milliseconds m_pauseBeforeEnd{ 0 };
   /// Close the sending side before m_pauseBeforeEnd.
   bool m_shutdown = false;
-  /// After m_pause, the host fails: it sends nothing more and acknowledges nothing.
+  /// After m_pause and the bytes, the host fails: it sends nothing more and acknowledges nothing.
   bool m_isHostFailing = false;
 };
 
--- a/packages/gateway/tests/UpstreamAttemptTest.cpp
+++ b/packages/gateway/tests/UpstreamAttemptTest.cpp
@@ -341,15 +341,18 @@
   }
 }
 
-// Guards against the same when the kernel ends a connection on which the request makes no progress.
+// Guards against the same when the connection ends long after the request has stopped to make
+// progress: by a reset, or because the upstream's host has failed.
 TEST_F(UpstreamAttemptTest, AWriteTimeoutDoesNotCompleteAResponse)
 {
-  ScriptedUpstream upstream(
-    [](const SeenRequest&) {
-      return Script{ kUnframedStart, false, true, 0ms, 4s };
-    },
-    BodyReading::None);
-  EXPECT_EQ(Upload(upstream).m_failure, AttemptFailure::Lost);
+  for (const bool isHostFailing : { false, true }) {
+    ScriptedUpstream upstream(
+      [isHostFailing](const SeenRequest&) {
+        return Script{ kUnframedStart, false, !isHostFailing, 0ms, 4s, false, isHostFailing };
+      },
+      BodyReading::None);
+    EXPECT_EQ(Upload(upstream).m_failure, AttemptFailure::Lost) << isHostFailing;
+  }
 }
 
 // Guards against losing a response without a length that ends with an orderly close before the
