base: end although nobody reads the standard output

The writer waits for the output with poll() and gives up once the log is being closed. While the log is open nothing changes: a full ring drops and counts.

--- a/packages/base/include/jaylane/base/AsyncLog.h
+++ b/packages/base/include/jaylane/base/AsyncLog.h
@@ -81,7 +81,14 @@
   /// @return false if the limit of the current second is reached.
   bool TryConsumeRateLimit();
   void RunWriter();
-  void Emit(const std::string& aLine);
+  /// Waits until the standard output can be written to.
+  /// @return false if nobody reads it and the log is being closed. A process must not fail to end
+  ///   because of its log.
+  bool AwaitOutput() const;
+  /// @return false as of AwaitOutput().
+  bool WriteToStandardOutput(std::string_view aLine) const;
+  /// @return false if this and further lines cannot be written before the log is closed.
+  bool Emit(const std::string& aLine) const;
 
   const std::string m_process;
   const Clock& m_clock;
--- a/packages/base/src/AsyncLog.cpp
+++ b/packages/base/src/AsyncLog.cpp
@@ -1,7 +1,10 @@
 #include "jaylane/base/AsyncLog.h"
 
+#include <algorithm>
+#include <climits>
 #include <fmt/chrono.h>
 #include <fmt/format.h>
+#include <poll.h>
 #include <unistd.h>
 #include <utility>
 
@@ -12,16 +15,9 @@
 /// Longest wait of the writer thread for a record. Affects only how soon drops are reported.
 constexpr std::chrono::seconds kWriterWait{ 5 };
 
-void WriteToStandardOutput(std::string_view aLine)
-{
-  while (!aLine.empty()) {
-    const ssize_t written = ::write(STDOUT_FILENO, aLine.data(), aLine.size());
-    if (written <= 0) {
-      return; // The output failed, and there is no other place to report that.
-    }
-    aLine.remove_prefix(static_cast<std::size_t>(written));
-  }
-}
+/// Interval at which the writer thread checks whether the log is being closed, while nobody reads
+/// the standard output.
+constexpr std::chrono::milliseconds kOutputCheckInterval{ 100 };
 
 } // namespace
 
@@ -105,13 +101,43 @@
   }
 }
 
-void AsyncLog::Emit(const std::string& aLine)
+bool AsyncLog::AwaitOutput() const
+{
+  while (true) {
+    pollfd output{ STDOUT_FILENO, POLLOUT, 0 };
+    if (::poll(&output, 1, static_cast<int>(kOutputCheckInterval.count())) != 0) {
+      return true; // Writable, or an error that the write reports.
+    }
+    if (m_ring.IsClosed()) {
+      return false;
+    }
+  }
+}
+
+bool AsyncLog::WriteToStandardOutput(std::string_view aLine) const
+{
+  while (!aLine.empty()) {
+    if (!AwaitOutput()) {
+      return false;
+    }
+    // A writable pipe takes PIPE_BUF bytes without blocking.
+    const ssize_t written =
+      ::write(STDOUT_FILENO, aLine.data(), std::min<std::size_t>(aLine.size(), PIPE_BUF));
+    if (written <= 0) {
+      return true; // The output failed, and there is no other place to report that.
+    }
+    aLine.remove_prefix(static_cast<std::size_t>(written));
+  }
+  return true;
+}
+
+bool AsyncLog::Emit(const std::string& aLine) const
 {
   if (m_options.m_sink) {
     m_options.m_sink(aLine);
-  } else {
-    WriteToStandardOutput(aLine);
+    return true;
   }
+  return WriteToStandardOutput(aLine);
 }
 
 void AsyncLog::RunWriter()
@@ -120,7 +146,9 @@
   while (true) {
     const bool wasClosed = m_ring.IsClosed();
     if (const std::optional<std::string> line = m_ring.Pop(kWriterWait)) {
-      Emit(*line);
+      if (!Emit(*line)) {
+        return;
+      }
     } else if (wasClosed) {
       return;
     }
--- a/packages/base/tests/AsyncLogTest.cpp
+++ b/packages/base/tests/AsyncLogTest.cpp
@@ -5,6 +5,7 @@
 #include <condition_variable>
 #include <gtest/gtest.h>
 #include <mutex>
+#include <unistd.h>
 
 namespace jaylane::base {
 namespace {
@@ -85,5 +86,26 @@
   }
 }
 
+// Guards against a process that cannot end because nobody reads its standard output.
+TEST(AsyncLogDeathTest, EndsWhileNobodyReadsTheStandardOutput)
+{
+  testing::FLAGS_gtest_death_test_style = "threadsafe";
+  constexpr unsigned kLimitSeconds = 5;
+  EXPECT_EXIT(
+    {
+      ::alarm(kLimitSeconds);
+      int unread[2];
+      if (::pipe(unread) == 0 && ::dup2(unread[1], STDOUT_FILENO) == STDOUT_FILENO) {
+        AsyncLog log("vm", SystemClock::Get(), { 512, 1000, {} });
+        for (int i = 0; i < 100; ++i) {
+          log.Write(LogRecord("filler").Add("text", std::string(1000, 'x')));
+        }
+      }
+      ::_exit(0);
+    },
+    testing::ExitedWithCode(0),
+    "");
+}
+
 } // namespace
 } // namespace jaylane::base
