gateway: log a termination also while the standard output is not read

The write of the reason could block on a full pipe and keep the process from ending; poll() comes first.

--- a/packages/gateway/src/ProcessSetup.cpp
+++ b/packages/gateway/src/ProcessSetup.cpp
@@ -3,9 +3,12 @@
 #include "HandledSignals.h"
 #include "jaylane/base/AsyncLog.h"
 
+#include <algorithm>
+#include <climits>
 #include <csignal>
 #include <cstdlib>
 #include <exception>
+#include <poll.h>
 #include <string>
 #include <unistd.h>
 
@@ -35,7 +38,10 @@
     base::LogRecord("terminate").Add("reason", CurrentExceptionReason());
   const std::string line = "{" + record.Members() + "}\n";
   for (const int descriptor : { STDOUT_FILENO, STDERR_FILENO }) {
-    if (::write(descriptor, line.data(), line.size()) < 0) {
+    // A pipe that nobody reads must not keep the process from ending.
+    pollfd writable{ descriptor, POLLOUT, 0 };
+    if (::poll(&writable, 1, 0) <= 0 ||
+        ::write(descriptor, line.data(), std::min<std::size_t>(line.size(), PIPE_BUF)) < 0) {
       continue; // The other descriptor may still work, and there is no further place to report to.
     }
   }
