--- a/packages/gateway/tests/InfoServerTest.cpp
+++ b/packages/gateway/tests/InfoServerTest.cpp
@@ -5,7 +5,10 @@
 #include <boost/asio/connect.hpp>
 #include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
+#include <pthread.h>
+#include <sys/resource.h>
 #include <thread>
+#include <time.h>
 
 namespace jaylane::gateway {
 namespace {
@@ -69,5 +72,38 @@
   EXPECT_TRUE(Exchange(start + "\r\n").starts_with("HTTP/1.1 200 OK"));
 }
 
+// Guards against a thread that does nothing but fail to accept while no descriptor is free, and
+// against a listener that takes no connections afterwards.
+TEST_F(InfoServerTest, WaitsWhileNoDescriptorIsFree)
+{
+  const auto cpuTime = [this] {
+    clockid_t clock{};
+    timespec time{};
+    EXPECT_EQ(::pthread_getcpuclockid(m_thread.native_handle(), &clock), 0);
+    EXPECT_EQ(::clock_gettime(clock, &time), 0);
+    return std::chrono::seconds{ time.tv_sec } + std::chrono::nanoseconds{ time.tv_nsec };
+  };
+  boost::asio::io_context io;
+  tcp::socket socket(io);
+  socket.open(tcp::v4());
+  rlimit usual{};
+  ASSERT_EQ(::getrlimit(RLIMIT_NOFILE, &usual), 0);
+  rlimit none = usual;
+  none.rlim_cur = 0;
+  const std::size_t colon = m_address.rfind(':');
+  ASSERT_EQ(::setrlimit(RLIMIT_NOFILE, &none), 0);
+  socket.connect({ boost::asio::ip::make_address("127.0.0.1"),
+                   static_cast<std::uint16_t>(std::stoi(m_address.substr(colon + 1))) });
+  const auto before = cpuTime();
+  std::this_thread::sleep_for(400ms);
+  const auto used = cpuTime() - before;
+  ASSERT_EQ(::setrlimit(RLIMIT_NOFILE, &usual), 0);
+  EXPECT_LT(used, 40ms);
+  boost::asio::write(socket, boost::asio::buffer(std::string{ "GET / HTTP/1.1\r\n\r\n" }));
+  std::string response(64, '\0');
+  response.resize(socket.read_some(boost::asio::buffer(response)));
+  EXPECT_TRUE(response.starts_with("HTTP/1.1 200 OK")) << response;
+}
+
 } // namespace
 } // namespace jaylane::gateway
