--- a/packages/gateway/src/ControlPlane.cpp
+++ b/packages/gateway/src/ControlPlane.cpp
@@ -69,6 +69,10 @@
   , m_leadWatcher({}, m_settings.m_name, aClock.Monotonic())
   , m_readyServer(m_io, [this](std::string_view) { return OnReady(); })
   , m_lookupServer(m_io, [this](std::string_view aTarget) { return OnLookup(aTarget); })
+  , m_peerRetry(m_io, aClock, aLog, "peers (UDP)", {})
+  , m_snapshotRetry(m_io, aClock, aLog, "peers (TCP)", {})
+  , m_readyRetry(m_io, aClock, aLog, "readiness", {})
+  , m_lookupRetry(m_io, aClock, aLog, "lookups", {})
   , m_tickTimer(m_io)
   , m_lookupLifetime(m_settings.m_lookupLifetime)
 {
@@ -81,20 +85,31 @@
 
 base::Status ControlPlane::Listen()
 {
-  if (auto status = m_peerLink.Start(); !status) {
-    return status;
-  }
-  if (const base::Status& status = m_storeSync.PeerListenStatus(); !status) {
-    return status;
-  }
-  if (!m_settings.m_readyAddress.empty()) {
-    if (auto status = m_readyServer.Listen(m_settings.m_readyAddress); !status) {
+  struct Listener
+  {
+    ListenRetry& m_retry;
+    bool m_isServed;
+    ListenRetry::Attempt m_attempt;
+  };
+  const Listener listeners[] = {
+    { m_peerRetry, true, [this] { return m_peerLink.Start(); } },
+    { m_snapshotRetry, true, [this] { return m_storeSync.ListenForPeers(); } },
+    { m_readyRetry,
+      !m_settings.m_readyAddress.empty(),
+      [this] { return m_readyServer.Listen(m_settings.m_readyAddress); } },
+    { m_lookupRetry,
+      !m_settings.m_lookupAddress.empty(),
+      [this] { return m_lookupServer.Listen(m_settings.m_lookupAddress); } },
+  };
+  for (const Listener& listener : listeners) {
+    if (!listener.m_isServed) {
+      continue;
+    }
+    if (auto status = listener.m_retry.Start(listener.m_attempt, m_hooks.m_onListenFailed);
+        !status) {
       return status;
     }
   }
-  if (!m_settings.m_lookupAddress.empty()) {
-    return m_lookupServer.Listen(m_settings.m_lookupAddress);
-  }
   return base::Success{};
 }
 
@@ -148,6 +163,7 @@
       m_peerLink.AnnounceToZone();
     }
   };
+  hooks.m_onSilence = [this] { m_leadWatcher.OnSilence(m_clock.Monotonic()); };
   hooks.m_onStoreReachable = [this](bool aIsReachable) {
     m_peerLink.SetStoreUnreachable(!aIsReachable);
     m_hooks.m_onStoreReachable(aIsReachable);
@@ -183,6 +199,9 @@
   hooks.m_onLeadHeartbeat = [this](const policy::LeadWatcher::Heartbeat& aHeartbeat) {
     m_leadWatcher.OnHeartbeat(aHeartbeat, m_clock.Monotonic());
   };
+  hooks.m_onLeadResigned = [this](std::uint32_t aRank) {
+    m_leadWatcher.OnResigned(aRank, m_clock.Monotonic());
+  };
   hooks.m_electedAmong = [this](std::vector<std::string> aZoneVms) {
     return m_storeFollowing.ElectedAmong(std::move(aZoneVms));
   };
@@ -246,12 +265,24 @@
 
 void ControlPlane::UpdateLead()
 {
-  const bool isWatching = m_role == policy::StoreRole::Elected && m_isFollowing && !m_isLeaving;
+  const bool isWatching = m_role == policy::StoreRole::Elected && m_isFollowing &&
+                          m_storeSync.IsAnswered() && !m_isLeaving;
   const bool isLead = m_leadWatcher.Decide(isWatching, m_clock.Monotonic());
-  if (isLead != m_isLead) {
-    m_log.Write(base::LogRecord(isLead ? "store_lead_started" : "store_lead_ended"));
+  if (m_leadWatcher.TakeSilence()) {
+    m_storeSync.RenewWatches();
+  }
+  if (isLead == m_isLead) {
+    return;
   }
   m_isLead = isLead;
+  m_log.Write(base::LogRecord(isLead ? "store_lead_started" : "store_lead_ended"));
+  if (isLead) {
+    // Before others take over as well.
+    m_peerLink.AnnounceToZone();
+    m_peerLink.AnnounceToOtherZones();
+  } else if (!m_leadWatcher.Current(m_clock.Monotonic())) {
+    m_peerLink.AnnounceLeadResigned(m_leadWatcher.Rank());
+  }
   m_storeSync.SetLead(isLead);
 }
 
