--- a/packages/gateway/src/CallerConnection.cpp
+++ b/packages/gateway/src/CallerConnection.cpp
@@ -30,7 +30,9 @@
 /// Request headers and framing, and responses that are being written, up to which a connection is
 /// not counted against the memory for bodies.
 constexpr std::size_t kUncountedBytes = 8 * 1024;
-/// Time for the caller to read the last response and close before the connection is reset.
+/// Time without an acknowledgement after which a caller's host counts as dead.
+constexpr std::chrono::milliseconds kSilenceLimit{ 10'000 };
+/// Time for the caller to close after the last response has arrived before the connection is reset.
 constexpr std::chrono::seconds kLingerTimeout{ 1 };
 /// Sent when no body memory is left. Bodies are buffered only while their requests run, which takes
 /// seconds at most.
@@ -99,30 +101,47 @@
   , m_socket(std::move(aSocket))
   , m_onClosed(std::move(aOnClosed))
   , m_timer(aContext.m_io)
+  , m_liveness({ .m_silenceLimit = kSilenceLimit, .m_maxStep = 2 * kTimerInterval })
 {
 }
 
 void CallerConnection::Start()
 {
-  SetTcpOptions(
-    m_socket,
-    { std::chrono::seconds{ 10 }, std::chrono::seconds{ 10 }, std::chrono::seconds{ 5 }, 3 });
+  TcpTimeouts timeouts;
+  timeouts.m_userTimeout = kSilenceLimit;
+  timeouts.m_keepAliveIdle = std::chrono::seconds{ 9 };
+  timeouts.m_keepAliveInterval = std::chrono::seconds{ 3 };
+  timeouts.m_keepAliveProbes = 2;
+  timeouts.m_isPeerObserved = true;
+  SetTcpOptions(m_socket, timeouts);
   m_lastActivity = m_context.m_clock.Monotonic();
   ResetParser();
   StartTimer(kTimerInterval);
   Read();
 }
 
-void CallerConnection::ResetParser()
+void CallerConnection::UpdateLimits()
 {
   if (const auto routes = m_context.m_steering.Routes()) {
     m_limits = routes->Config().m_limits;
   }
+  m_parser->header_limit(m_limits.m_maxHeaderBytes);
+  m_parser->body_limit(m_limits.m_maxBodyBytes);
+}
+
+std::chrono::milliseconds CallerConnection::IdleTimeout() const
+{
+  const auto routes = m_context.m_steering.Routes();
+  return routes ? std::max(m_limits.m_idleTimeout, routes->Config().m_limits.m_idleTimeout)
+                : m_limits.m_idleTimeout;
+}
+
+void CallerConnection::ResetParser()
+{
   m_parser.emplace();
   m_headBytes = 0;
   m_parser->eager(true);
-  m_parser->header_limit(m_limits.m_maxHeaderBytes);
-  m_parser->body_limit(m_limits.m_maxBodyBytes);
+  UpdateLimits();
   m_bodyReservation = m_context.m_bodyBudget.MakeReservation();
   m_sentInterim = false;
 }
@@ -156,7 +175,7 @@
     return;
   }
   if (aError) {
-    Abort();
+    Abort("read: " + aError.message());
     return;
   }
   m_buffer.commit(aBytes);
@@ -180,7 +199,7 @@
 bool CallerConnection::ParseContained()
 {
   if (!base::ContainErrors(m_context.m_log, "caller_input", [this] { ParseBuffer(); })) {
-    Abort();
+    Abort("unexpected error");
   }
   return !m_isAborted;
 }
@@ -190,6 +209,7 @@
   while (m_buffer.size() > 0 && !m_isClosing && !m_hasCallerLeft &&
          m_pipeline.size() < kMaxPipelinedRequests) {
     if (!IsMidRequest()) {
+      UpdateLimits(); // The configuration may have changed while the connection was idle.
       m_requestStarted = m_context.m_clock.Monotonic();
     }
     boost::system::error_code error;
@@ -345,7 +365,8 @@
 {
   if (!m_hasCallerLeft && !m_isAborted && HasPeerClosed(m_socket)) {
     m_hasCallerLeft = true;
-    asio::post(m_context.m_io, [self = shared_from_this()] { self->Abort(); });
+    asio::post(m_context.m_io,
+               [self = shared_from_this()] { self->Abort("caller closed the connection"); });
   }
   return m_hasCallerLeft || m_isAborted;
 }
@@ -383,8 +404,12 @@
   }
   const auto now = m_context.m_clock.Monotonic();
   std::chrono::milliseconds pause = kTimerInterval;
+  if (IsCallerDead()) {
+    Abort("no acknowledgement from the caller's host");
+    return;
+  }
   if (m_isWriting && now - m_writeStarted > kMaxWriteTime) {
-    Abort();
+    Abort("write timeout");
     return;
   }
   if (!m_isReading && !m_pipeline.empty()) {
@@ -394,8 +419,8 @@
     }
     pause = kCloseCheckInterval;
   } else if (m_isSendShutdown) {
-    if (now - m_lastActivity > kLingerTimeout) {
-      Abort();
+    if (IsLingerOver(now)) {
+      Abort("linger timeout");
       return;
     }
   } else if (IsMidRequest() && !m_isClosing) {
@@ -409,13 +434,31 @@
       // If the first bytes arrived after the timer was set, the timeout expires between two checks.
       pause = TimerIntervalUntil(deadline, now);
     }
-  } else if (m_pipeline.empty() && !m_isWriting && now - m_lastActivity > m_limits.m_idleTimeout) {
-    Abort();
+  } else if (m_pipeline.empty() && !m_isWriting && now - m_lastActivity > IdleTimeout() &&
+             !HasUnreadInput()) {
+    Abort("idle timeout");
     return;
   }
   StartTimer(pause);
 }
 
+bool CallerConnection::IsLingerOver(base::MonotonicTime aNow)
+{
+  if (HasUnacknowledgedBytes(m_socket)) {
+    // The end of the response has not arrived, and a reset would cut it.
+    m_lastActivity = aNow;
+    return aNow - m_sendShutdownAt > kMaxWriteTime;
+  }
+  return aNow - m_lastActivity > kLingerTimeout;
+}
+
+bool CallerConnection::IsCallerDead()
+{
+  const bool isAwaited = m_isWriting || m_isSendShutdown || !m_pipeline.empty();
+  const auto observation = isAwaited ? ObservePeer(m_socket) : std::nullopt;
+  return observation && m_liveness.IsDead(*observation, m_context.m_clock.Monotonic());
+}
+
 void CallerConnection::Flush()
 {
   if (m_isWriting || m_isAborted || m_hasCallerLeft) {
@@ -485,7 +528,9 @@
 
 void CallerConnection::OnResponseEvicted()
 {
-  asio::post(m_context.m_io, [self = shared_from_this()] { self->Abort(); });
+  asio::post(m_context.m_io, [self = shared_from_this()] {
+    self->Abort("memory of the response given to another");
+  });
 }
 
 void CallerConnection::OnWritten(const boost::system::error_code& aError)
@@ -497,7 +542,7 @@
     return;
   }
   if (aError) {
-    Abort();
+    Abort("write: " + aError.message());
     return;
   }
   m_lastActivity = m_context.m_clock.Monotonic();
@@ -520,7 +565,8 @@
   boost::system::error_code ignored;
   m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
   m_isSendShutdown = true;
-  m_lastActivity = m_context.m_clock.Monotonic();
+  m_sendShutdownAt = m_context.m_clock.Monotonic();
+  m_lastActivity = m_sendShutdownAt;
   Read();
 }
 
@@ -529,8 +575,8 @@
   if (m_isClosing) {
     return;
   }
-  if (IsMidRequest()) {
-    return; // The request will still be served; its response closes the connection.
+  if (IsMidRequest() || HasUnreadInput()) {
+    return; // The request will still be answered; its response closes the connection.
   }
   m_isClosing = true;
   if (m_pipeline.empty() && !m_isWriting) {
@@ -538,9 +584,16 @@
   }
 }
 
+bool CallerConnection::HasUnreadInput() const
+{
+  // The event loop may be busy with other connections.
+  return HasUnreadBytes(m_socket);
+}
+
 std::optional<base::MonotonicTime> CallerConnection::IdleSince() const
 {
-  if (!m_pipeline.empty() || m_isWriting || (IsMidRequest() && !m_isClosing)) {
+  if (!m_pipeline.empty() || m_isWriting ||
+      (!m_isClosing && (IsMidRequest() || HasUnreadInput()))) {
     return std::nullopt;
   }
   return m_lastActivity;
@@ -560,12 +613,25 @@
   }
 }
 
-void CallerConnection::Abort()
+void CallerConnection::LogAbort(std::string_view aReason) const
+{
+  if (m_pipeline.empty() && !m_isWriting && !(IsMidRequest() && !m_isClosing)) {
+    return;
+  }
+  m_context.m_log.Write(base::LogRecord("caller_connection_aborted")
+                          .Add("reason", aReason)
+                          .Add("unanswered", m_pipeline.size())
+                          .Add("writing", m_isWriting ? 1 : 0)
+                          .Add("partly_read", IsMidRequest() && !m_isClosing ? 1 : 0));
+}
+
+void CallerConnection::Abort(std::string_view aReason)
 {
   if (m_isAborted) {
     return;
   }
   m_isAborted = true;
+  LogAbort(aReason);
   ReleaseWritten();
   m_timer.cancel();
   LogUndelivered();
--- a/packages/gateway/src/CallerConnection.h
+++ b/packages/gateway/src/CallerConnection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "RequestExchange.h"
+#include "jaylane/policy/PeerLiveness.h"
 
 #include <array>
 #include <boost/asio/ip/tcp.hpp>
@@ -33,7 +34,8 @@
   void CloseWhenIdle();
 
   /// Cancels all requests and closes the connection at once.
-  void Abort();
+  /// @param aReason why, for the log.
+  void Abort(std::string_view aReason);
 
   /// @return time of the last read or write, or nothing while a request is read or served.
   std::optional<base::MonotonicTime> IdleSince() const;
@@ -51,6 +53,11 @@
   };
 
   void ResetParser();
+  /// Takes the limits of the configuration in force, for the request that begins.
+  void UpdateLimits();
+  /// @return the idle time after which the connection is closed: the longer one of the limits at
+  ///         the last request and of those in force, as the caller may know either.
+  std::chrono::milliseconds IdleTimeout() const;
   void Read();
   void OnRead(const boost::system::error_code& aError, std::size_t aBytes);
   /// Parses the bytes that have arrived; an unexpected error closes the connection.
@@ -81,8 +88,16 @@
   void ShutdownSend();
   /// Logs the responses that were waiting for an earlier one when the caller disconnected.
   void LogUndelivered() const;
+  /// Logs the reason if requests remain unanswered or responses unwritten.
+  void LogAbort(std::string_view aReason) const;
   std::string Serialize(CallerResponse& aResponse, bool aIsHead, bool aIsLast) const;
   bool IsMidRequest() const;
+  /// @return whether bytes have arrived that were not read yet, so that the connection is not idle.
+  bool HasUnreadInput() const;
+  /// @return whether the time for the caller to read the last response is over.
+  bool IsLingerOver(base::MonotonicTime aNow);
+  /// @return whether the caller's host has left sent bytes unacknowledged for too long.
+  bool IsCallerDead();
 
   GatewayContext& m_context;
   boost::asio::ip::tcp::socket m_socket;
@@ -105,6 +120,8 @@
   base::MonotonicTime m_bodyDeadline;
   base::MonotonicTime m_lastActivity;
   base::MonotonicTime m_writeStarted;
+  base::MonotonicTime m_sendShutdownAt;
+  policy::PeerLiveness m_liveness;
   std::string m_writeBuffer;
   bool m_isWriting = false;
   bool m_isReading = false;
--- a/packages/gateway/src/UpstreamAttempt.cpp
+++ b/packages/gateway/src/UpstreamAttempt.cpp
@@ -33,6 +33,12 @@
 constexpr std::size_t kUncountedBytes = kReadBytes;
 /// Responses that may be skipped, interim ones and those to other requests.
 constexpr std::uint32_t kMaxSkippedResponses = 16;
+/// Time without an acknowledgement after which an upstream's host counts as dead.
+constexpr std::chrono::milliseconds kSilenceLimit{ 2000 };
+/// Interval between checks of that.
+constexpr std::chrono::milliseconds kLivenessInterval{ 250 };
+/// Longest interval between window probes, of which several must stay unanswered.
+constexpr std::chrono::milliseconds kMaxProbeInterval{ 1000 };
 /// Idle timeout of an upstream that does not state one in Keep-Alive.
 constexpr std::chrono::seconds kDefaultIdleTimeout{ 8 };
 
@@ -84,6 +90,8 @@
   , m_remaining(aRemaining)
   , m_onDone(std::move(aOnDone))
   , m_connectTimer(aDependencies.m_io)
+  , m_livenessTimer(aDependencies.m_io)
+  , m_liveness({ .m_silenceLimit = kSilenceLimit })
 {
 }
 
@@ -105,6 +113,7 @@
   m_ended = true;
   m_onDone = nullptr;
   m_connectTimer.cancel();
+  m_livenessTimer.cancel();
   if (m_connection) {
     boost::system::error_code ignored;
     m_connection->m_socket.close(ignored);
@@ -115,8 +124,9 @@
 {
   const auto endpoint = ParseEndpoint(m_address);
   if (!endpoint) {
-    asio::post(m_dependencies.m_io,
-               [self = shared_from_this()] { self->Fail(AttemptFailure::Unreachable); });
+    asio::post(m_dependencies.m_io, [self = shared_from_this()] {
+      self->Fail(AttemptFailure::Unreachable, "malformed address");
+    });
     return;
   }
   m_connection = std::make_unique<UpstreamConnection>(m_dependencies.m_io);
@@ -126,7 +136,7 @@
     // The timeout and the connection may complete in the same turn of the event loop. Once the
     // request is sent it may run, so the attempt must not end as unreachable.
     if (!aError && !self->m_isSendStarted) {
-      self->Fail(AttemptFailure::Unreachable);
+      self->Fail(AttemptFailure::Unreachable, "connect timeout");
     }
   });
   OpenForConnecting(m_connection->m_socket, *endpoint);
@@ -137,16 +147,19 @@
       }
       self->m_connectTimer.cancel();
       if (aError) {
-        self->Fail(AttemptFailure::Unreachable);
+        self->Fail(AttemptFailure::Unreachable, "connect: " + aError.message());
         return;
       }
       self->m_connectTime = self->m_dependencies.m_clock.Monotonic() - self->m_startedAt;
       const auto& mayReceive = self->m_dependencies.m_mayReceive;
       if (mayReceive && !mayReceive(self->m_upstreamId)) {
-        self->Fail(AttemptFailure::Withdrawn);
+        self->Fail(AttemptFailure::Withdrawn, "upstream or caller left during the connect");
         return;
       }
-      SetTcpOptions(self->m_connection->m_socket, {});
+      TcpTimeouts timeouts;
+      timeouts.m_isPeerObserved = true;
+      timeouts.m_maxProbeInterval = kMaxProbeInterval;
+      SetTcpOptions(self->m_connection->m_socket, timeouts);
       self->Send();
     });
 }
@@ -185,9 +198,34 @@
       self->m_writeResult = aError;
     });
   ResetParser();
+  StartLivenessTimer();
   Read();
 }
 
+void UpstreamAttempt::StartLivenessTimer()
+{
+  m_livenessTimer.expires_after(kLivenessInterval);
+  m_livenessTimer.async_wait([weak = weak_from_this()](const boost::system::error_code& aError) {
+    const auto self = weak.lock();
+    if (!aError && self && !self->m_ended) {
+      self->CheckLiveness();
+    }
+  });
+}
+
+void UpstreamAttempt::CheckLiveness()
+{
+  const auto observation = ObservePeer(m_connection->m_socket);
+  if (!observation) {
+    return; // The system's own timeout applies.
+  }
+  if (m_liveness.IsDead(*observation, m_dependencies.m_clock.Monotonic())) {
+    FailLostConnection("no acknowledgement from the upstream's host");
+    return;
+  }
+  StartLivenessTimer();
+}
+
 void UpstreamAttempt::ResetParser()
 {
   m_parser.emplace();
@@ -226,8 +264,7 @@
     return;
   }
   if (aError) {
-    m_hasConnectionEnded = true;
-    Fail(AttemptFailure::Lost);
+    FailLostConnection("read: " + aError.message());
     return;
   }
   m_hasResponseBytes = true;
@@ -255,8 +292,7 @@
       return;
     }
   }
-  m_hasConnectionEnded = true;
-  Fail(AttemptFailure::Lost);
+  FailLostConnection(written ? "write: " + written.message() : "end of file");
 }
 
 bool UpstreamAttempt::ParseBuffer()
@@ -269,13 +305,13 @@
     m_headBytes += isHead ? used : 0;
     if (error == http::error::need_more) {
       if (m_buffer.size() > kMaxUnparsedBytes) {
-        Fail(AttemptFailure::Lost);
+        Fail(AttemptFailure::Lost, "response framing too long");
         return false;
       }
       break;
     }
     if (error) {
-      Fail(AttemptFailure::Lost);
+      Fail(AttemptFailure::Lost, "malformed response: " + error.message());
       return false;
     }
     if (!ReserveBodyMemory()) {
@@ -290,7 +326,7 @@
       return false;
     }
     if (++m_skippedResponses > kMaxSkippedResponses) {
-      Fail(AttemptFailure::Lost);
+      Fail(AttemptFailure::Lost, "too many responses to other requests");
       return false;
     }
     m_hasForeignResponse = m_hasForeignResponse || !isInterim;
@@ -312,7 +348,7 @@
   if (m_bodyReservation->GrowTo(bytes)) {
     return true;
   }
-  Fail(AttemptFailure::Lost);
+  Fail(AttemptFailure::Lost, "no memory left for the response");
   return false;
 }
 
@@ -320,8 +356,9 @@
 {
   m_parser.reset();
   // Another attempt, whose body needs the memory, is running now.
-  asio::post(m_dependencies.m_io,
-             [self = shared_from_this()] { self->Fail(AttemptFailure::Lost); });
+  asio::post(m_dependencies.m_io, [self = shared_from_this()] {
+    self->Fail(AttemptFailure::Lost, "memory of the response given to another");
+  });
 }
 
 bool UpstreamAttempt::MatchesRequestId() const
@@ -389,11 +426,24 @@
   m_dependencies.m_pool.Put(std::move(m_connection));
 }
 
-void UpstreamAttempt::Fail(AttemptFailure aFailure)
+void UpstreamAttempt::Fail(AttemptFailure aFailure, std::string aCause)
 {
   AttemptResult result;
   result.m_failure = aFailure;
-  result.m_connectionEnded = m_hasConnectionEnded;
+  result.m_cause = std::move(aCause);
+  result.m_latency = m_dependencies.m_clock.Monotonic() - m_startedAt;
+  Finish(std::move(result));
+}
+
+void UpstreamAttempt::FailLostConnection(const std::string& aCause)
+{
+  AttemptResult result;
+  result.m_failure = AttemptFailure::Lost;
+  result.m_connectionEnded = true;
+  result.m_cause = aCause;
+  if (!m_writeResult) {
+    result.m_cause += " (request partly written)";
+  }
   result.m_latency = m_dependencies.m_clock.Monotonic() - m_startedAt;
   Finish(std::move(result));
 }
