gateway: remove the backstop of the system's timeout for observed peers

Cause: set TCP_USER_TIMEOUT to 60 s for peers that PeerLiveness observes. Any value but 0 makes Linux count time instead of keep-alive probes, so that a host that fails while nothing is unacknowledged would be found after 60 s instead of 4 s.

--- a/packages/gateway/src/SocketOptions.cpp
+++ b/packages/gateway/src/SocketOptions.cpp
@@ -14,9 +14,6 @@
 
 namespace {
 
-/// Longest time for which a peer may pause in reading. It ends connections to dead hosts where the
-/// system says too little to observe the peer.
-constexpr std::chrono::milliseconds kMaxPause{ 60'000 };
 /// Option for the largest retransmission timeout, since Linux 6.15; missing in older headers.
 constexpr int kTcpRtoMaxMs = 44;
 
@@ -43,7 +40,8 @@
   SetOption(socket,
             IPPROTO_TCP,
             TCP_USER_TIMEOUT,
-            static_cast<int>((isObserved ? kMaxPause : aTimeouts.m_userTimeout).count()));
+            // Any value but 0 would replace the number of keep-alive probes as well.
+            isObserved ? 0 : static_cast<int>(aTimeouts.m_userTimeout.count()));
   if (isObserved && aTimeouts.m_maxProbeInterval) {
     SetOption(
       socket, IPPROTO_TCP, kTcpRtoMaxMs, static_cast<int>(aTimeouts.m_maxProbeInterval->count()));
