gateway: read the settings at the next tick after SIGHUP

What was seen: a process that gets many SIGHUPs had not ended 4 s after SIGTERM, in 2 of 100 runs of gateway_repeated_signals at load averages of 24 to 31.

Cause: the signal set hands out queued signals in the order of their numbers, SIGHUP before SIGTERM, and each SIGHUP reads the settings file.

Change: SIGHUP is noted, and the next tick, 0.2 s later at most, reads the settings once.

--- a/packages/gateway/src/Gateway.cpp
+++ b/packages/gateway/src/Gateway.cpp
@@ -19,6 +19,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <cstring>
 #include <set>
+#include <utility>
 
 namespace jaylane::gateway {
 
@@ -119,6 +120,10 @@
   /// second.
   std::uint64_t m_receivedBefore = 0;
   double m_requestsPerSecond = 0;
+  /// SIGHUP was received. Reading the settings waits for the next tick: the signal set hands out
+  /// queued signals in the order of their numbers, so that SIGHUPs which take long keep a SIGTERM
+  /// waiting.
+  bool m_isReloadDue = false;
   std::set<std::string> m_evacuatedZones;
   /// Set while the process shuts down.
   std::optional<policy::StopSequence> m_stop;
@@ -467,9 +472,10 @@
   if (++m_tickCount % kMaintenanceTicks == 0) {
     UpdateRequestRate();
     m_pool.CloseUnusable(m_steering.UpstreamIds());
-    if (m_dependencies.m_hasNewSettings()) {
-      Reload();
-    }
+    m_isReloadDue = m_dependencies.m_hasNewSettings() || m_isReloadDue;
+  }
+  if (std::exchange(m_isReloadDue, false)) {
+    Reload();
   }
 }
 
@@ -528,8 +534,7 @@
   m_dependencies.m_log.Write(
     base::LogRecord("signal").Add("number", aSignal).Add("name", ::sigabbrev_np(aSignal)));
   if (aSignal == SIGHUP) {
-    m_dependencies.m_hasNewSettings();
-    Reload();
+    m_isReloadDue = true;
   } else if (!m_isServing) {
     m_io.stop(); // Still waiting for the address: there are no requests to finish.
   } else if (m_context.m_phase == LifecyclePhase::Serving) {
