--- a/packages/policy/include/jaylane/policy/Fleet.h
+++ b/packages/policy/include/jaylane/policy/Fleet.h
@@ -51,6 +51,24 @@
   bool m_sticky = false;
   /// Regions that may execute requests; all if empty.
   std::set<std::string> m_allowedRegions;
+  /// Whether requests need no API key although the configuration has teams.
+  bool m_isPublic = false;
+};
+
+/// A group of callers that share API keys and a quota.
+struct Team
+{
+  std::string m_name;
+  /// Takes precedence over the priority of the route; 0 is the most urgent.
+  std::optional<std::uint32_t> m_priority;
+  /// Regions that may execute the team's requests, in addition to the route's restriction; all if
+  /// empty.
+  std::set<std::string> m_allowedRegions;
+  /// Requests per second that all VMs together may admit; 0: no limit.
+  double m_ratePerSecond = 0;
+  /// Requests that may be admitted at once in addition to the rate.
+  double m_burst = 0;
+  std::vector<std::string> m_apiKeys;
 };
 
 /// Configuration of a group of interchangeable upstreams.
@@ -83,6 +101,8 @@
   std::uint64_t m_revision = 0;
   std::vector<Route> m_routes;
   std::unordered_map<std::string, Service> m_services;
+  /// Empty if requests need no API keys.
+  std::optional<std::vector<Team>> m_teams;
   CallerLimits m_limits;
 };
 
--- a/packages/policy/include/jaylane/policy/ServiceBalancer.h
+++ b/packages/policy/include/jaylane/policy/ServiceBalancer.h
@@ -22,6 +22,9 @@
   std::uint32_t m_running = 0;
   std::uint32_t m_waiting = 0;
   std::uint32_t m_slots = 0;
+  /// Current service time on the upstream's machine as a multiple of the usual one; empty if it is
+  /// not reported.
+  std::optional<double> m_slowdown = std::nullopt;
 };
 
 /// Why an attempt at an upstream failed.
