Team access: API keys, team names for upstreams, regions of teams

Cause: configurations of two deployments have teams with API keys. The gateway neither checked the keys nor kept them from upstreams.

The connection checks the key when the header is complete, and the exchange checks it again when the request starts. Keys and the caller's team headers are not passed on; the upstream gets the name of the team.

--- a/packages/gateway/include/jaylane/gateway/WireFormat.h
+++ b/packages/gateway/include/jaylane/gateway/WireFormat.h
@@ -19,6 +19,9 @@
   std::string m_timeout;
   /// Header with the id of the only upstream that may run the request.
   std::string m_targetUpstream;
+  /// Header with the caller's API key, and header that tells upstreams the name of its team.
+  std::string m_authorization;
+  std::string m_team;
 
   /// Names of response headers: the upstream did not run the request, its signature, its load.
   std::string m_notExecuted;
@@ -29,6 +32,9 @@
   /// Header with the requests per second that an upstream takes from all VMs together.
   std::string m_limit;
 
+  /// Parses the value of the authorization header.
+  /// @return the API key, a part of aValue; nothing if the value is malformed.
+  std::optional<std::string_view> (*m_parseApiKey)(std::string_view aValue) = nullptr;
   /// Parses the value of the load header.
   std::optional<policy::LoadReport> (*m_parseLoad)(std::string_view aValue) = nullptr;
   /// Parses the value of the limit header.
--- a/packages/gateway/src/CallerConnection.cpp
+++ b/packages/gateway/src/CallerConnection.cpp
@@ -144,6 +144,7 @@
   UpdateLimits();
   m_bodyReservation = m_context.m_bodyBudget.MakeReservation();
   m_sentInterim = false;
+  m_isAccessChecked = false;
 }
 
 bool CallerConnection::IsMidRequest() const
@@ -229,6 +230,9 @@
       RejectInput(status, ReasonOf(status));
       return;
     }
+    if (!CheckAccess()) {
+      return;
+    }
     if (!ReserveBodyMemory()) {
       RejectInput(503, "body memory is in use");
       return;
@@ -311,6 +315,48 @@
   return std::nullopt;
 }
 
+std::optional<std::string_view> CallerConnection::ApiKeyOf(const Parser::value_type& aMessage) const
+{
+  const WireFormat& wire = m_context.m_wire;
+  if (aMessage.count(wire.m_authorization) != 1) {
+    return std::nullopt;
+  }
+  return wire.m_parseApiKey(ToStringView(aMessage[wire.m_authorization]));
+}
+
+bool CallerConnection::CheckAccess()
+{
+  if (m_isAccessChecked || !m_parser->is_header_done() || m_parser->is_done()) {
+    return true;
+  }
+  m_isAccessChecked = true;
+  const auto routes = m_context.m_steering.Routes();
+  if (!routes || !routes->ApiKeys()) {
+    return true;
+  }
+  Parser::value_type& message = m_parser->get();
+  if (const auto problem = CheckRequest(message)) {
+    RejectInput(400, problem->c_str());
+    return false;
+  }
+  const policy::Route* route =
+    routes->Find(ToStringView(message[http::field::host]), ToStringView(message.target()));
+  if (!route) {
+    return true;
+  }
+  const auto decision = policy::AccessDecision::Make(
+    routes->ApiKeys(), *route, ApiKeyOf(message), m_context.m_isConfigurationConfirmed());
+  if (decision.m_outcome == policy::AccessDecision::Outcome::Allowed) {
+    return true;
+  }
+  auto exchange = std::make_shared<RequestExchange>(m_context, TakeRequest(), MakeExchangeHooks());
+  ResetParser();
+  m_isClosing = true; // The rest of the body would be taken for the next request.
+  m_pipeline.push_back({ exchange, std::nullopt });
+  exchange->Deny(decision.m_outcome);
+  return false;
+}
+
 CallerRequest CallerConnection::TakeRequest()
 {
   const WireFormat& wire = m_context.m_wire;
@@ -322,8 +368,22 @@
   request.m_host = std::string(ToStringView(message[http::field::host]));
   request.m_affinityKey = std::string(ToStringView(message[wire.m_affinityKey]));
   request.m_timeout = ParseMillis(ToStringView(message[wire.m_timeout]));
-  request.m_headerLines =
-    EndToEndHeaders(message, { wire.m_timeout, wire.m_targetUpstream, "Expect" });
+  const auto routes = m_context.m_steering.Routes();
+  const policy::ApiKeyTable* keys = routes ? routes->ApiKeys() : nullptr;
+  std::string_view teamHeader;
+  std::string_view keyHeader;
+  if (keys) {
+    const auto key = ApiKeyOf(message);
+    request.m_apiKey = key;
+    teamHeader = wire.m_team;
+    // Public routes may have an authorization of their own, which is not a team's key.
+    const policy::Route* route = routes->Find(request.m_host, request.m_target);
+    if (!route || !route->m_isPublic || (key && keys->Find(*key))) {
+      keyHeader = wire.m_authorization;
+    }
+  }
+  request.m_headerLines = EndToEndHeaders(
+    message, { wire.m_timeout, wire.m_targetUpstream, "Expect", teamHeader, keyHeader });
   request.m_hasBody = message.count(http::field::content_length) > 0 || message.chunked();
   request.m_body = std::move(message.body());
   request.m_bodyReservation = m_bodyReservation;
--- a/packages/gateway/src/CallerConnection.h
+++ b/packages/gateway/src/CallerConnection.h
@@ -70,6 +70,13 @@
   bool HasCallerLeft();
   std::optional<std::string> CheckRequest(const Parser::value_type& aMessage) const;
   CallerRequest TakeRequest();
+  /// @return the caller's API key; nothing if it sent none, several or a malformed one.
+  std::optional<std::string_view> ApiKeyOf(const Parser::value_type& aMessage) const;
+  /// Rejects a request whose API key does not allow it, once the header is read, so that its body
+  /// takes no memory. A request that is complete is checked when it starts instead, which leaves
+  /// the connection open.
+  /// @return whether to go on reading the request.
+  bool CheckAccess();
   /// Reserves memory for the body received so far.
   /// @return whether the memory was reserved and the rest of the body would fit.
   bool ReserveBodyMemory();
@@ -126,6 +133,8 @@
   bool m_isWriting = false;
   bool m_isReading = false;
   bool m_sentInterim = false;
+  /// CheckAccess() has allowed the request whose body is being read.
+  bool m_isAccessChecked = false;
   /// No further requests are read; the connection is closed after the last response.
   bool m_isClosing = false;
   bool m_isSendShutdown = false;
--- a/packages/gateway/src/CallerRequest.h
+++ b/packages/gateway/src/CallerRequest.h
@@ -18,6 +18,11 @@
   std::string m_target;
   std::string m_host;
   std::string m_affinityKey;
+  /// API key of the caller; empty if it sent none or a malformed one. Must not be passed on or
+  /// logged.
+  std::optional<std::string> m_apiKey;
+  /// Name of the caller's team for the upstream; empty if it has none.
+  std::string m_team;
   /// End-to-end headers in the order of arrival, as header lines.
   std::string m_headerLines;
   std::string m_body;
--- a/packages/gateway/src/ControlPlane.cpp
+++ b/packages/gateway/src/ControlPlane.cpp
@@ -3,6 +3,7 @@
 #include "RunLoop.h"
 #include "jaylane/base/ContainErrors.h"
 
+#include <algorithm>
 #include <boost/asio/dispatch.hpp>
 
 namespace jaylane::gateway {
@@ -75,6 +76,7 @@
   , m_lookupRetry(m_io, aClock, aLog, "lookups", {})
   , m_tickTimer(m_io)
   , m_lookupLifetime(m_settings.m_lookupLifetime)
+  , m_configurationView(m_settings.m_configurationTime)
 {
 }
 
@@ -192,6 +194,7 @@
   hooks.m_onNewPeer = [this] { m_hooks.m_onMembers(m_peerLink.KnownVmNames()); };
   hooks.m_onRevisions = [this](const StoreRevisions& aRevisions, const std::string& aPeer) {
     m_storeSync.OnPeerRevisions(aRevisions, aPeer);
+    UpdateConfigurationView();
   };
   hooks.m_onFollower = [this](const StoreRevisions& aRevisions) { OnFollower(aRevisions); };
   hooks.m_onStoreUnreachable = [this] { m_storeSync.CheckStore(); };
@@ -297,6 +300,26 @@
   m_isViewOutdated = isOutdated;
 }
 
+void ControlPlane::UpdateConfigurationView()
+{
+  const base::MonotonicTime now = m_clock.Monotonic();
+  if (const auto answeredAt = m_storeSync.ConfigurationAnsweredAt()) {
+    m_configurationView.OnConfirmed(*answeredAt);
+  }
+  // A pending watch may be silent, here or at the VM that this one relies on. Those of the lead
+  // watcher are short, and it tells the others when they are not answered.
+  if (const auto leadAnsweredAt = m_leadWatcher.OtherRoseAt(now)) {
+    if (m_isFollowing && m_storeSync.IsAnswered()) {
+      m_configurationView.OnConfirmed(*leadAnsweredAt);
+    } else if (m_followerHeardAt &&
+               m_storeSync.HasSeenConfiguration(m_followerRevisions.m_configuration)) {
+      m_configurationView.OnConfirmed(std::min(*leadAnsweredAt, *m_followerHeardAt));
+    }
+  }
+  m_isConfigurationConfirmed =
+    m_configurationView.IsConfirmed(m_storeSync.IsConfigurationBehind(), now);
+}
+
 void ControlPlane::UpdateDemand()
 {
   const base::MonotonicTime now = m_clock.Monotonic();
@@ -312,6 +335,7 @@
   UpdateLead();
   UpdateFollowing();
   UpdateViewAge();
+  UpdateConfigurationView();
   m_peerLink.SetLoad(IsReady(), m_requestState.m_requestsPerSecond);
   if (++m_tickCount % kMaintenanceTicks == 0) {
     m_storeSync.SetPeers(m_peerLink.RunningPeers());
--- a/packages/gateway/src/ControlPlane.h
+++ b/packages/gateway/src/ControlPlane.h
@@ -7,6 +7,7 @@
 #include "QuarantineStore.h"
 #include "StoreSync.h"
 #include "jaylane/gateway/WireFormat.h"
+#include "jaylane/policy/ConfirmedView.h"
 #include "jaylane/policy/LeadWatcher.h"
 #include "jaylane/policy/StoreFollowing.h"
 
@@ -96,6 +97,10 @@
   ///         so long that it may not send requests on its view. May be called on any thread.
   bool IsViewOutdated() const { return m_isViewOutdated; }
 
+  /// @return whether this VM can be sure that its configuration is the newest, apart from changes
+  ///   that need not be in force yet. May be called on any thread.
+  bool IsConfigurationConfirmed() const { return m_isConfigurationConfirmed; }
+
   /// @return part of all requests that arrives at this VM; 0 until it is known. May be called on
   ///   any thread.
   double DemandShare() const { return m_share; }
@@ -120,6 +125,8 @@
   /// Announces this VM as one to rely on unless it is behind with its work.
   void UpdateFollowing();
   void UpdateViewAge();
+  /// Updates whether the configuration is known to be the newest.
+  void UpdateConfigurationView();
   void UpdateDemand();
   /// @return whether this VM can serve requests.
   bool IsReady() const;
@@ -159,6 +166,8 @@
   /// Whether this VM itself watches the store successfully.
   bool m_isFollowing = false;
   std::atomic<bool> m_isViewOutdated{ false };
+  policy::ConfirmedView m_configurationView;
+  std::atomic<bool> m_isConfigurationConfirmed{ false };
   policy::DemandShare m_demandShare;
   std::atomic<double> m_share{ 0 };
   std::thread m_thread;
--- a/packages/gateway/src/Gateway.cpp
+++ b/packages/gateway/src/Gateway.cpp
@@ -174,6 +174,9 @@
   UnblockHandledSignals();
   m_steering.AwaitQuarantines();
   m_context.m_isViewOutdated = [this] { return m_controlPlane.IsViewOutdated(); };
+  m_context.m_isConfigurationConfirmed = [this] {
+    return m_controlPlane.IsConfigurationConfirmed();
+  };
   m_steering.SetOnProbeDue([this] { asio::post(m_io, [this] { ProbeDueUpstreams(); }); });
 }
 
--- a/packages/gateway/src/GatewayContext.h
+++ b/packages/gateway/src/GatewayContext.h
@@ -43,6 +43,8 @@
   /// Returns whether this VM knows that its view of the upstreams is too old to send requests on
   /// it.
   std::function<bool()> m_isViewOutdated = [] { return false; };
+  /// Returns whether this VM can be sure that its configuration is the newest.
+  std::function<bool()> m_isConfigurationConfirmed = [] { return true; };
 };
 
 } // namespace jaylane::gateway
--- a/packages/gateway/src/RequestExchange.cpp
+++ b/packages/gateway/src/RequestExchange.cpp
@@ -25,6 +25,10 @@
 constexpr milliseconds kStartupRetryDelay{ 500 };
 /// The same when another VM can serve the request at once.
 constexpr milliseconds kOtherVmRetryDelay{ 50 };
+/// The same when the API key may be one that this VM does not know yet.
+constexpr milliseconds kUnconfirmedRetryDelay{ 500 };
+/// Header line that a response with status 401 must have.
+constexpr const char* kChallenge = "WWW-Authenticate: Bearer\r\n";
 /// Outcomes whose log records name the request's fingerprint.
 constexpr std::string_view kOutcomeLost = "upstream_lost";
 constexpr std::string_view kOutcomeQuarantined = "quarantined";
@@ -71,6 +75,51 @@
   }
 }
 
+void RequestExchange::Deny(policy::AccessDecision::Outcome aOutcome)
+{
+  ++m_context.m_metrics.m_received;
+  ++m_context.m_metrics.m_inFlight;
+  m_request->m_apiKey.reset();
+  m_request->m_body = {};
+  m_route = m_routes->Find(m_request->m_host, m_request->m_target);
+  RespondDenied(aOutcome);
+}
+
+void RequestExchange::RespondDenied(policy::AccessDecision::Outcome aOutcome)
+{
+  if (aOutcome == policy::AccessDecision::Outcome::Unauthorized) {
+    Respond(401, "unauthorized");
+  } else {
+    Reject("keys_unconfirmed", kUnconfirmedRetryDelay);
+  }
+}
+
+bool RequestExchange::CheckAccess()
+{
+  // Also if the key was checked before the body was read: another configuration may be in force.
+  const auto decision = policy::AccessDecision::Make(
+    m_routes->ApiKeys(), *m_route, m_request->m_apiKey, m_context.m_isConfigurationConfirmed());
+  m_request->m_apiKey.reset();
+  if (decision.m_outcome != policy::AccessDecision::Outcome::Allowed) {
+    RespondDenied(decision.m_outcome);
+    return false;
+  }
+  m_team = decision.m_team;
+  m_request->m_team = m_team ? m_team->m_name : std::string{};
+  m_allowedRegions = policy::AllowedRegions(*m_route, m_team);
+  if (m_allowedRegions.IsNone()) {
+    Reject("no_region", kMaxTimeout);
+    return false;
+  }
+  return true;
+}
+
+std::uint32_t RequestExchange::Priority() const
+{
+  const std::uint32_t ofRoute = m_route ? m_route->m_priority : 0;
+  return m_team ? m_team->m_priority.value_or(ofRoute) : ofRoute;
+}
+
 bool RequestExchange::ResolveRoute()
 {
   m_route = m_routes->Find(m_request->m_host, m_request->m_target);
@@ -78,6 +127,9 @@
     Respond(404, "no_route");
     return false;
   }
+  if (!CheckAccess()) {
+    return false;
+  }
   m_service = m_routes->NextService(*m_route);
   if (!m_service) {
     Reject("no_service", kStartupRetryDelay);
@@ -145,7 +197,7 @@
   // All VMs choose the same upstream for a suspect, so that its copies end few of them.
   query.m_key = m_isSuspect && !m_route->m_sticky ? m_fingerprint.m_low : m_key;
   query.m_hasAffinity = m_route->m_sticky && !m_request->m_affinityKey.empty();
-  query.m_allowedRegions = &m_route->m_allowedRegions;
+  query.m_allowedRegions = m_allowedRegions.Get();
   query.m_triedUpstreams = &m_tried;
   query.m_isBulk = m_route->m_kind == RequestKind::Upload;
   query.m_remaining = Remaining();
@@ -496,9 +548,13 @@
 {
   CallerResponse response;
   response.m_status = aStatus;
-  response.m_reason = aStatus == 404   ? "Not Found"
+  response.m_reason = aStatus == 401   ? "Unauthorized"
+                      : aStatus == 404 ? "Not Found"
                       : aStatus == 502 ? "Bad Gateway"
                                        : "Gateway Timeout";
+  if (aStatus == 401) {
+    response.m_headerLines = kChallenge;
+  }
   Finish(std::move(response), aReason);
 }
 
@@ -545,6 +601,9 @@
   if (m_service) {
     record.Add("service", m_service->m_name);
   }
+  if (m_team) {
+    record.Add("team", m_team->m_name);
+  }
   if (aOutcome == kOutcomeLost || aOutcome == kOutcomeQuarantined) {
     record.Add("fingerprint", m_fingerprint.ToString());
   }
--- a/packages/gateway/src/RequestExchange.h
+++ b/packages/gateway/src/RequestExchange.h
@@ -3,6 +3,8 @@
 #include "CallerRequest.h"
 #include "GatewayContext.h"
 #include "UpstreamAttempt.h"
+#include "jaylane/policy/AccessDecision.h"
+#include "jaylane/policy/AllowedRegions.h"
 #include "jaylane/policy/RetryDelay.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -31,6 +33,10 @@
 
   void Start();
 
+  /// Responds without running the request, whose body may be missing.
+  /// @param aOutcome why the caller may not run it; not Allowed.
+  void Deny(policy::AccessDecision::Outcome aOutcome);
+
   /// Ends the exchange without a response because the caller disconnected.
   void Cancel();
 
@@ -38,9 +44,15 @@
   bool IsDone() const { return m_isDone; }
   CallerResponse& Response() { return m_response; }
   bool IsHead() const { return m_request->m_method == "HEAD"; }
+  /// @return priority of the request; 0 is the most urgent.
+  std::uint32_t Priority() const;
 
 private:
   bool ResolveRoute();
+  /// Sets the caller's team and the regions that may run the request.
+  /// @return whether the caller may run it; if not, the caller has got its response.
+  bool CheckAccess();
+  void RespondDenied(policy::AccessDecision::Outcome aOutcome);
   void StartDeadlineTimer();
   void TryUpstream();
   /// Cancels the exchange if the caller has left.
@@ -91,6 +103,9 @@
   std::shared_ptr<policy::RouteTable> m_routes;
   const policy::Route* m_route = nullptr;
   const policy::Service* m_service = nullptr;
+  /// Team of the caller; null if the configuration has no teams or the route is public.
+  const policy::Team* m_team = nullptr;
+  policy::AllowedRegions m_allowedRegions;
   std::uint64_t m_key = 0;
   policy::RequestFingerprint m_fingerprint;
   /// Whether the next or present attempt is one of a suspect, see policy::CrashContainment.
--- a/packages/gateway/src/StoreSync.cpp
+++ b/packages/gateway/src/StoreSync.cpp
@@ -526,6 +526,7 @@
 void KindWatcher::OnSuccess()
 {
   m_hooks.m_onCallCompleted(true);
+  m_answeredAt = m_clock.Monotonic();
   m_backoff = milliseconds{ 0 };
   m_failures = 0;
   if (std::exchange(m_isOverdue, false)) {
--- a/packages/gateway/src/StoreSync.h
+++ b/packages/gateway/src/StoreSync.h
@@ -104,6 +104,12 @@
   ///         none.
   std::chrono::milliseconds BehindFor() const;
 
+  /// @return whether a peer has announced a change that this VM lacks.
+  bool IsBehind() const { return m_peerRevision > m_snapshot.Revision(); }
+
+  /// @return when a call to the store last succeeded; nothing if none has.
+  std::optional<base::MonotonicTime> AnsweredAt() const { return m_answeredAt; }
+
   /// @return whether this VM has every change up to a revision.
   bool HasSeen(std::uint64_t aRevision) const { return m_snapshot.Revision() >= aRevision; }
 
@@ -143,7 +149,6 @@
   /// The store has answered a call: corrects the announcement of a peer that is ahead of the store.
   /// @param aRevision revision of the response.
   void CheckPeerRevision(std::uint64_t aRevision);
-  bool IsBehind() const { return m_peerRevision > m_snapshot.Revision(); }
   /// @return whether a peer has announced a change that the pending watch has not delivered.
   bool IsWatchBehind() const { return m_peerRevision > m_watchRevision; }
   /// Forgets the announced changes that this VM has by now, or that do not exist.
@@ -226,6 +231,7 @@
   bool m_hasList = false;
   bool m_hasFailed = false;
   std::uint32_t m_failures = 0;
+  std::optional<base::MonotonicTime> m_answeredAt;
   std::vector<std::string> m_peers;
   std::size_t m_nextPeer = 0;
   std::shared_ptr<HttpFetch> m_peerFetch;
@@ -289,6 +295,20 @@
   ///         To be called on the loop's thread.
   std::chrono::milliseconds UpstreamsBehindFor() const { return m_upstreams.BehindFor(); }
 
+  /// @return when the store last answered a call for the configuration; nothing if it never did. To
+  ///   be called on the loop's thread, like the next two.
+  std::optional<base::MonotonicTime> ConfigurationAnsweredAt() const
+  {
+    return m_configuration.AnsweredAt();
+  }
+  /// @return whether this VM has every change of the configuration up to a revision.
+  bool HasSeenConfiguration(std::uint64_t aRevision) const
+  {
+    return m_configuration.HasSeen(aRevision);
+  }
+  /// @return whether a peer has announced a configuration that this VM lacks.
+  bool IsConfigurationBehind() const { return m_configuration.IsBehind(); }
+
   /// Sets how this VM learns of changes. May be called on any thread.
   /// @param aHasDependents whether other VMs rely on this one for changes.
   void SetRole(policy::StoreRole aRole, bool aHasDependents);
--- a/packages/gateway/src/UpstreamAttempt.cpp
+++ b/packages/gateway/src/UpstreamAttempt.cpp
@@ -175,6 +175,9 @@
   const auto remaining = std::max(m_remaining - elapsed, std::chrono::milliseconds{ 1 });
   head.append(wire.m_timeout).append(": ").append(std::to_string(remaining.count())).append("\r\n");
   head.append(wire.m_targetUpstream).append(": ").append(m_upstreamId).append("\r\n");
+  if (!m_request->m_team.empty()) {
+    head.append(wire.m_team).append(": ").append(m_request->m_team).append("\r\n");
+  }
   if (m_request->m_hasBody) {
     head.append("Content-Length: ").append(std::to_string(m_request->m_body.size()));
     head.append("\r\n");
--- a/packages/policy/include/jaylane/policy/LeadWatcher.h
+++ b/packages/policy/include/jaylane/policy/LeadWatcher.h
@@ -74,6 +74,10 @@
   /// @return the heartbeat to announce; nothing if no lead watcher is known.
   std::optional<Heartbeat> Current(base::MonotonicTime aNow) const;
 
+  /// @return when the beat of another VM that leads last rose, so that its watches were answered;
+  ///   nothing if no other VM is known to lead.
+  std::optional<base::MonotonicTime> OtherRoseAt(base::MonotonicTime aNow) const;
+
   /// @return whether the lead watcher has found its connections silent since the last call. Those
   ///   of this VM may be silent, too.
   bool TakeSilence();
--- a/packages/policy/include/jaylane/policy/RouteTable.h
+++ b/packages/policy/include/jaylane/policy/RouteTable.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "jaylane/policy/ApiKeyTable.h"
 #include "jaylane/policy/Fleet.h"
 
 #include <cstdint>
@@ -17,6 +18,8 @@
   /// @param aSeed selects where the series of NextService() begin. It should differ between VMs and
   ///   between configurations, so that their first requests together follow the weights.
   RouteTable(Configuration aConfiguration, std::uint64_t aSeed);
+  RouteTable(RouteTable&&) = default;
+  RouteTable& operator=(RouteTable&&) = default;
 
   /// Continues the series of the routes whose services and weights are those of another table. With
   /// frequent changes of the configuration, series that begin anew would follow the weights less
@@ -25,6 +28,9 @@
 
   const Configuration& Config() const { return m_configuration; }
 
+  /// @return the API keys of the teams; null if the configuration has no teams.
+  const ApiKeyTable* ApiKeys() const { return m_apiKeys ? &*m_apiKeys : nullptr; }
+
   /// @param aHost value of the Host header; its port and case are ignored.
   /// @param aTarget request target; its query is ignored.
   /// @return the route of the host with the longest matching path prefix, or null.
@@ -44,6 +50,8 @@
   std::optional<std::size_t> Advance(std::size_t aRoute);
 
   Configuration m_configuration;
+  /// Refers to the teams of m_configuration, which moves keep in place and copies would not.
+  std::optional<ApiKeyTable> m_apiKeys;
   std::unordered_map<std::string, std::vector<std::size_t>> m_routesByHost;
   /// Current weights of smooth weighted round robin by route, in the order of Route::m_services.
   std::vector<std::vector<std::int64_t>> m_currentWeights;
--- a/packages/policy/src/LeadWatcher.cpp
+++ b/packages/policy/src/LeadWatcher.cpp
@@ -119,4 +119,10 @@
                                                          : std::nullopt;
 }
 
+std::optional<base::MonotonicTime> LeadWatcher::OtherRoseAt(base::MonotonicTime aNow) const
+{
+  const bool isOther = m_lead && m_lead->m_heartbeat.m_rank != m_rank;
+  return isOther && IsFresh(*m_lead, aNow) ? std::optional(m_lead->m_roseAt) : std::nullopt;
+}
+
 } // namespace jaylane::policy
--- a/packages/policy/src/RouteTable.cpp
+++ b/packages/policy/src/RouteTable.cpp
@@ -26,6 +26,9 @@
 RouteTable::RouteTable(Configuration aConfiguration, std::uint64_t aSeed)
   : m_configuration(std::move(aConfiguration))
 {
+  if (m_configuration.m_teams) {
+    m_apiKeys.emplace(m_configuration);
+  }
   std::mt19937_64 random(aSeed);
   for (std::size_t i = 0; i < m_configuration.m_routes.size(); ++i) {
     const Route& route = m_configuration.m_routes[i];
