Tests: confirmation of the configuration, exact header without teams

The test of the control plane guards against a VM that is cut off and answers 401 to a key that was added meanwhile. Without teams, the forwarded header is compared as a whole.

--- a/packages/gateway/tests/ControlPlaneTest.cpp
+++ b/packages/gateway/tests/ControlPlaneTest.cpp
@@ -57,7 +57,8 @@
   }
 
   /// A peer announces that the store does not answer it, or that it does again.
-  void Announce(const std::string& aParams)
+  /// @param aConfiguration revision of the configuration that the peer has.
+  void Announce(const std::string& aParams, int aConfiguration = 0)
   {
     boost::asio::io_context io;
     boost::asio::ip::udp::socket socket(io, { boost::asio::ip::make_address("127.0.0.1"), 0 });
@@ -66,8 +67,8 @@
       static_cast<std::uint16_t>(std::stoi(m_settings.m_peerAddress.substr(colon + 1)));
     socket.send_to(
       boost::asio::buffer(R"({"jsonrpc":"2.0","method":"announce","params":{"name":"p",)"
-                          R"("zone":"r","region":"r","revisions":[0,0,0],)" +
-                          aParams + "}}"),
+                          R"("zone":"r","region":"r","revisions":[)" +
+                          std::to_string(aConfiguration) + ",0,0]," + aParams + "}}"),
       { boost::asio::ip::make_address("127.0.0.1"), port });
   }
 
@@ -235,5 +236,27 @@
   EXPECT_TRUE(WaitFor(m_recoveries, 1500ms));
 }
 
+// Guards against a VM that is cut off and takes its configuration for the newest, since its open
+// watch reports no change, and against one that doubts it while other VMs confirm it.
+TEST_F(ControlPlaneTest, TheConfigurationIsConfirmedWhileTheLeadWatcherIsHeard)
+{
+  Start();
+  EXPECT_TRUE(m_controlPlane->IsConfigurationConfirmed()) << "just listed";
+  m_state = Store::Silent;
+  for (int beat = 1; beat <= 10; ++beat) {
+    Announce(fmt::format(R"("following":true,"lead":[0,{},0])", beat));
+    std::this_thread::sleep_for(400ms);
+  }
+  EXPECT_TRUE(m_controlPlane->IsConfigurationConfirmed());
+  std::this_thread::sleep_for(m_settings.m_configurationTime + 500ms);
+  EXPECT_FALSE(m_controlPlane->IsConfigurationConfirmed()) << "cut off";
+  Announce(R"("following":true,"lead":[0,11,0])");
+  std::this_thread::sleep_for(300ms);
+  EXPECT_TRUE(m_controlPlane->IsConfigurationConfirmed());
+  Announce(R"("following":true,"lead":[0,12,0])", 20);
+  std::this_thread::sleep_for(300ms);
+  EXPECT_FALSE(m_controlPlane->IsConfigurationConfirmed()) << "lacks a change";
+}
+
 } // namespace
 } // namespace jaylane::gateway
--- a/packages/gateway/tests/TeamAccessTest.cpp
+++ b/packages/gateway/tests/TeamAccessTest.cpp
@@ -191,7 +191,10 @@
   const std::string lines = "tENANT: cats\r\nTenant: dogs\r\nAuthorization: Bearer good\r\n";
   EXPECT_EQ(Status(Exchange(Request("/a/x", "r1", lines + "Connection: close\r\n"))),
             "HTTP/1.1 200 OK");
-  EXPECT_NE(m_upstream.Seen().at(0).m_head.find(lines), std::string::npos);
+  const SeenRequest seen = m_upstream.Seen().at(0);
+  EXPECT_EQ(seen.m_head,
+            "GET /a/x HTTP/1.1\r\nHost: h\r\nRequest-Id: r1\r\n" + lines +
+              "Timeout-Ms: " + seen.Header("Timeout-Ms") + "\r\nTarget-Instance: i-0\r\n\r\n");
 }
 
 } // namespace
