--- a/packages/gateway/tests/TeamAccessTest.cpp
+++ b/packages/gateway/tests/TeamAccessTest.cpp
@@ -174,9 +174,9 @@
          { {}, { "other" }, "HTTP/1.1 503 Service Unavailable" },
          { { "r" }, { "other" }, "HTTP/1.1 503 Service Unavailable" },
          { { "r", "other" }, { "r" }, "HTTP/1.1 200 OK" } }) {
-    Change([&](policy::Configuration& aConfiguration) {
-      aConfiguration.m_routes[0].m_allowedRegions = route;
-      aConfiguration.m_teams->front().m_allowedRegions = team;
+    Change([&routeRegions = route, &teamRegions = team](policy::Configuration& aConfiguration) {
+      aConfiguration.m_routes[0].m_allowedRegions = routeRegions;
+      aConfiguration.m_teams->front().m_allowedRegions = teamRegions;
     });
     EXPECT_EQ(Status(Exchange(request)), status);
   }
