--- a/packages/gateway/src/CallerConnection.cpp
+++ b/packages/gateway/src/CallerConnection.cpp
@@ -376,9 +376,10 @@
     const auto key = ApiKeyOf(message);
     request.m_apiKey = key;
     teamHeader = wire.m_team;
-    // Public routes may have an authorization of their own, which is not a team's key.
+    // Public routes may have an authorization of their own. One in the form of an API key is held
+    // back even if it is unknown: it may be one that was removed.
     const policy::Route* route = routes->Find(request.m_host, request.m_target);
-    if (!route || !route->m_isPublic || (key && keys->Find(*key))) {
+    if (!route || !route->m_isPublic || key) {
       keyHeader = wire.m_authorization;
     }
   }
--- a/packages/gateway/tests/TeamAccessTest.cpp
+++ b/packages/gateway/tests/TeamAccessTest.cpp
@@ -57,12 +57,13 @@
   for (const std::string& request :
        { Request("/a/x", "r1", claims + "authorization: Bearer good\r\n"),
          Request("/b/x", "r2", claims + kGoodKey),
+         Request("/b/x", "r4", "Authorization: Bearer removed\r\n"),
          Request("/b/x", "r3", "Authorization: Basic other\r\n") }) {
     asio::write(socket, asio::buffer(request));
     EXPECT_EQ(Status(ReadResponse(socket)), "HTTP/1.1 200 OK") << request;
   }
   const auto seen = m_upstream.Seen();
-  ASSERT_EQ(seen.size(), 3U);
+  ASSERT_EQ(seen.size(), 4U);
   EXPECT_EQ(seen[0].Header("Tenant"), "owls");
   EXPECT_EQ(seen[1].Header("Tenant"), "") << "public";
   for (const SeenRequest& request : seen) {
@@ -70,7 +71,8 @@
     EXPECT_EQ(request.m_head.find("cats"), std::string::npos) << request.m_head;
     EXPECT_EQ(request.m_head.find("dogs"), std::string::npos) << request.m_head;
   }
-  EXPECT_EQ(seen[2].Header("Authorization"), "Basic other") << "no key of a team";
+  EXPECT_EQ(seen[2].Header("Authorization"), "") << "a key that no team has any more";
+  EXPECT_EQ(seen[3].Header("Authorization"), "Basic other") << "no key of a team";
 }
 
 // Guards against running requests without a key, and against closing connections for them.
