Quota client: return unused credits, look for the broker that has a majority

Change: unused credits return to the bucket, VMs without a majority probe others, the reserve is 0.15 instead of 0.25.

--- a/packages/policy/include/jaylane/policy/QuotaClient.h
+++ b/packages/policy/include/jaylane/policy/QuotaClient.h
@@ -57,11 +57,12 @@
     std::optional<base::MonotonicTime> m_lastHeard;
   };
 
-  /// Reports to send to a broker.
+  /// A report to send.
   struct Outgoing
   {
-    std::string m_broker;
-    std::vector<QuotaReport> m_reports;
+    /// Name of the VM that it goes to; may be this VM.
+    std::string m_to;
+    QuotaReport m_report;
   };
 
   /// Longest time for which a request waits for the broker's answer.
@@ -95,7 +96,7 @@
   void Return(const Credit& aCredit, base::MonotonicTime aNow);
 
   /// @return reports that are due, each once. To be called after Wait, and several times a second.
-  std::optional<Outgoing> TakeReports(base::MonotonicTime aNow);
+  std::vector<Outgoing> TakeReports(base::MonotonicTime aNow);
 
   /// @return whether the grant answers a report of this process and was accepted.
   bool OnGrant(const QuotaGrant& aGrant, base::MonotonicTime aNow);
@@ -137,7 +138,9 @@
   struct Sent
   {
     base::MonotonicTime m_at;
-    std::string m_broker;
+    std::string m_to;
+    /// Only asks for the broker that has a majority.
+    bool m_isProbe = false;
   };
 
   std::chrono::milliseconds ReportInterval() const;
@@ -157,7 +160,13 @@
   /// Turns to the broker that the VM asked has named, which is the one that others are committed to.
   void FollowRedirection(const std::string& aBroker, base::MonotonicTime aNow);
   bool IsDue(base::MonotonicTime aNow);
-  QuotaReport MakeReport(base::MonotonicTime aNow);
+  QuotaReport MakeReport(const std::string& aTo, bool aIsProbe, base::MonotonicTime aNow);
+  /// Adds the state and the wishes of the teams to the reports, and to further ones if needed.
+  void AddTeams(std::vector<Outgoing>& aReports, base::MonotonicTime aNow);
+  /// Removes credits beyond the stock, so that other VMs get them.
+  /// @return how many.
+  static std::uint32_t TakeSurplus(Team& aTeam, std::uint32_t aStock, base::MonotonicTime aNow);
+  void AddCredits(const QuotaGrant& aGrant, base::MonotonicTime aSentAt, base::MonotonicTime aNow);
 
   std::string m_name;
   std::uint32_t m_instance;
@@ -176,6 +185,8 @@
   /// First report since the last answer.
   std::optional<base::MonotonicTime> m_unansweredSince;
   std::optional<base::MonotonicTime> m_sentAt;
+  std::optional<base::MonotonicTime> m_probedAt;
+  std::size_t m_nextProbe = 0;
   /// Reports that may still be answered, by number.
   std::map<std::uint32_t, Sent> m_sent;
   std::uint32_t m_number = 0;
--- a/packages/policy/include/jaylane/policy/QuotaMessages.h
+++ b/packages/policy/include/jaylane/policy/QuotaMessages.h
@@ -28,6 +28,8 @@
     std::string m_team;
     /// Credits that the VM still holds.
     std::uint32_t m_held = 0;
+    /// Credits that the VM gives back unused with this report.
+    std::uint32_t m_returned = 0;
     /// Credits that it asks for.
     std::uint32_t m_wanted = 0;
     /// How many of them requests are waiting for.
@@ -82,7 +84,8 @@
 /// Time after sending the report for which credits of its grant may be used.
 inline constexpr std::chrono::milliseconds kQuotaCreditLifetime{ 1200 };
 /// Part of its weight in the quotas that a VM keeps for use while it is cut off. The rest of the
-/// weight of VMs that are down is available to the others.
-inline constexpr double kQuotaReserve = 0.25;
+/// weight of VMs that are down is available to the others; with a third of them down, this leaves
+/// 0.95 of the quotas.
+inline constexpr double kQuotaReserve = 0.15;
 
 } // namespace jaylane::policy
--- a/packages/policy/src/QuotaBroker.cpp
+++ b/packages/policy/src/QuotaBroker.cpp
@@ -143,13 +143,20 @@
   }
   Team& team = found->second;
   std::vector<Lot>& lots = team.m_lots[{ aReport.m_vm, aReport.m_instance }];
-  // What remains of the lots that the VM had received is what it holds.
+  // What remains of the lots that the VM had received is what it holds. Returned credits count only
+  // while their lots do, because they have taken room in the bucket until now.
+  std::uint32_t returned = aRequest.m_returned;
   std::uint32_t held = aRequest.m_held;
   std::ranges::sort(lots, std::greater{}, &Lot::m_number);
   for (Lot& lot : lots) {
     if (lot.m_number <= aReport.m_lastGrant) {
-      lot.m_credits = std::min(lot.m_credits, held);
-      held -= lot.m_credits;
+      const std::uint32_t kept = std::min(lot.m_credits, held);
+      const std::uint32_t freed = aNow < lot.m_expiry ? lot.m_credits - kept : 0;
+      const std::uint32_t unused = std::min(freed, returned);
+      team.m_level += unused;
+      returned -= unused;
+      held -= kept;
+      lot.m_credits = kept;
     }
   }
   std::erase_if(lots, [](const Lot& aLot) { return aLot.m_credits == 0; });
--- a/packages/policy/src/QuotaClient.cpp
+++ b/packages/policy/src/QuotaClient.cpp
@@ -34,12 +34,20 @@
 /// Time constant of the demand, and time ahead for which credits are held.
 constexpr std::chrono::duration<double> kDemandTime{ 0.7 };
 constexpr std::chrono::duration<double> kAdvanceTime{ 0.6 };
+/// Expected requests that did not arrive in a row, after which the demand has moved elsewhere.
+constexpr double kMissedRequests = 3;
 /// Part of the stock below which more is asked for.
 constexpr double kLowStock = 0.4;
 /// Retry delay where the next credit cannot be foreseen.
 constexpr milliseconds kUnknownRetry{ 500 };
 constexpr milliseconds kMaxRetry{ 5000 };
 
+/// @return credits above which some go back to the broker.
+std::uint32_t SurplusLevel(std::uint32_t aStock)
+{
+  return 2 * aStock + 1;
+}
+
 } // namespace
 
 QuotaClient::QuotaClient(std::string aName, std::uint32_t aInstance, base::MonotonicTime aNow)
@@ -114,6 +122,10 @@
 
 std::uint32_t QuotaClient::StockOf(const Team& aTeam, base::MonotonicTime aNow) const
 {
+  const std::chrono::duration<double> silence = aNow - aTeam.m_demandAt;
+  if (silence.count() * DemandOf(aTeam, aTeam.m_demandAt) > kMissedRequests) {
+    return 0;
+  }
   // Rounded down: a team with few requests on this VM holds nothing here.
   return static_cast<std::uint32_t>(DemandOf(aTeam, aNow) * kAdvanceTime.count());
 }
@@ -293,11 +305,14 @@
     }
     DropExpired(team, aNow);
     const std::uint32_t stock = StockOf(team, aNow);
-    return stock > 0 && since >= kAdvanceSpacing && HeldOf(team) < kLowStock * stock;
+    const std::uint32_t held = HeldOf(team);
+    return since >= kAdvanceSpacing && (held < kLowStock * stock || held > SurplusLevel(stock));
   });
 }
 
-QuotaReport QuotaClient::MakeReport(base::MonotonicTime aNow)
+QuotaReport QuotaClient::MakeReport(const std::string& aTo,
+                                    bool aIsProbe,
+                                    base::MonotonicTime aNow)
 {
   QuotaReport report;
   report.m_vm = m_name;
@@ -305,61 +320,89 @@
   report.m_number = ++m_number;
   report.m_lastGrant = m_lastGrant;
   report.m_knownVms = m_knownVms;
+  m_sent[m_number] = { aNow, aTo, aIsProbe };
+  if (aIsProbe) {
+    return report;
+  }
   report.m_brokerInstance = m_brokerInstance;
   report.m_echo = m_echo;
-  const bool mayCommit = m_committedTo == m_broker || aNow >= m_committedUntil;
+  const bool mayCommit = m_committedTo == aTo || aNow >= m_committedUntil;
   if (m_brokerInstance != 0 && mayCommit && m_knownVms > 0 &&
       aNow - m_started >= CommitmentTime()) {
     report.m_commitment = CommitmentTime();
-    m_committedTo = m_broker;
+    m_committedTo = aTo;
     m_committedUntil = std::max(m_committedUntil, aNow + CommitmentTime());
   }
-  m_sent[m_number] = { aNow, m_broker };
   return report;
 }
 
-std::optional<QuotaClient::Outgoing> QuotaClient::TakeReports(base::MonotonicTime aNow)
+std::uint32_t QuotaClient::TakeSurplus(Team& aTeam, std::uint32_t aStock, base::MonotonicTime aNow)
 {
-  if (m_teams.empty() || m_candidates.empty()) {
-    return std::nullopt;
+  DropExpired(aTeam, aNow);
+  const std::uint32_t held = HeldOf(aTeam);
+  if (aTeam.m_waiting > 0 || held <= SurplusLevel(aStock)) {
+    return 0;
   }
-  ChooseBroker(aNow);
-  if (!IsDue(aNow)) {
-    return std::nullopt;
+  std::uint32_t surplus = held - aStock;
+  for (Lot& lot : aTeam.m_lots) {
+    const std::uint32_t taken = std::min(lot.m_credits, surplus);
+    lot.m_credits -= taken;
+    surplus -= taken;
   }
-  std::erase_if(
-    m_sent, [aNow](const auto& aEntry) { return aNow - aEntry.second.m_at >= kQuotaCreditLifetime; });
-  Outgoing outgoing{ m_broker, { MakeReport(aNow) } };
+  DropExpired(aTeam, aNow);
+  return held - aStock;
+}
+
+void QuotaClient::AddTeams(std::vector<Outgoing>& aReports, base::MonotonicTime aNow)
+{
   for (auto& [name, team] : m_teams) {
-    DropExpired(team, aNow);
     const std::uint32_t stock = StockOf(team, aNow);
-    std::uint32_t held = HeldOf(team);
-    // Credits beyond the stock go back, so that other VMs get them.
-    while (held > 2 * stock + 1 && team.m_waiting == 0) {
-      team.m_lots.front().m_credits -= 1;
-      --held;
-      DropExpired(team, aNow);
-    }
+    const std::uint32_t returned = TakeSurplus(team, stock, aNow);
+    const std::uint32_t held = HeldOf(team);
     const std::uint32_t target = stock + team.m_waiting;
-    const bool mayAsk = aNow >= team.m_askAfter;
-    const std::uint32_t wanted = mayAsk && target > held ? target - held : 0;
+    const std::uint32_t wanted = aNow >= team.m_askAfter && target > held ? target - held : 0;
     if (wanted == 0 && held == team.m_reportedHeld) {
       continue;
     }
-    if (outgoing.m_reports.back().m_teams.size() == kMaxTeamsPerReport) {
-      outgoing.m_reports.push_back(MakeReport(aNow));
+    if (aReports.back().m_report.m_teams.size() == kMaxTeamsPerReport) {
+      aReports.push_back({ m_broker, MakeReport(m_broker, false, aNow) });
     }
-    outgoing.m_reports.back().m_teams.push_back(
-      { name, held, wanted, std::min(team.m_waiting, wanted) });
+    aReports.back().m_report.m_teams.push_back(
+      { name, held, returned, wanted, std::min(team.m_waiting, wanted) });
     team.m_reported = m_number;
     team.m_reportedHeld = held;
   }
+}
+
+std::vector<QuotaClient::Outgoing> QuotaClient::TakeReports(base::MonotonicTime aNow)
+{
+  if (m_teams.empty() || m_candidates.empty()) {
+    return {};
+  }
+  ChooseBroker(aNow);
+  if (!IsDue(aNow)) {
+    return {};
+  }
+  std::erase_if(m_sent, [aNow](const auto& aEntry) {
+    return aNow - aEntry.second.m_at >= kQuotaCreditLifetime;
+  });
+  std::vector<Outgoing> reports;
+  reports.push_back({ m_broker, MakeReport(m_broker, false, aNow) });
+  AddTeams(reports, aNow);
+  const bool isProbeDue = !m_probedAt || aNow - *m_probedAt >= ReportInterval();
+  if (MajorityBroker(aNow).empty() && isProbeDue) {
+    m_probedAt = aNow;
+    const std::string& other = m_candidates[m_nextProbe++ % m_candidates.size()].m_name;
+    if (other != m_broker) {
+      reports.push_back({ other, MakeReport(other, true, aNow) });
+    }
+  }
   m_sentAt = aNow;
   m_hasNewBroker = false;
   if (!m_unansweredSince) {
     m_unansweredSince = aNow;
   }
-  return outgoing;
+  return reports;
 }
 
 void QuotaClient::FollowRedirection(const std::string& aBroker, base::MonotonicTime aNow)
@@ -377,23 +420,11 @@
   m_redirectedAt = aNow;
 }
 
-bool QuotaClient::OnGrant(const QuotaGrant& aGrant, base::MonotonicTime aNow)
+void QuotaClient::AddCredits(const QuotaGrant& aGrant,
+                             base::MonotonicTime aSentAt,
+                             base::MonotonicTime aNow)
 {
-  const auto sent = m_sent.find(aGrant.m_number);
-  if (aGrant.m_vmInstance != m_instance || sent == m_sent.end() ||
-      aGrant.m_number <= m_lastGrant) {
-    return false;
-  }
-  const Sent report = sent->second;
-  m_sent.erase(m_sent.begin(), std::next(sent));
-  m_lastGrant = aGrant.m_number;
-  if (report.m_broker == m_broker) {
-    m_brokerInstance = aGrant.m_brokerInstance;
-    m_echo = aGrant.m_stamp;
-    m_unansweredSince.reset();
-    m_majorityAt = aGrant.m_hasMajority ? std::optional{ aNow } : std::nullopt;
-  }
-  const auto expiry = report.m_at + kQuotaCreditLifetime;
+  const auto expiry = aSentAt + kQuotaCreditLifetime;
   for (const QuotaGrant::Team& entry : aGrant.m_teams) {
     const auto found = m_teams.find(entry.m_team);
     if (found == m_teams.end()) {
@@ -408,7 +439,33 @@
       team.m_askAfter = aNow + std::min(entry.m_retryAfter, kMaxRetry);
     }
   }
-  if (report.m_broker == m_broker && !aGrant.m_hasMajority) {
+}
+
+bool QuotaClient::OnGrant(const QuotaGrant& aGrant, base::MonotonicTime aNow)
+{
+  const auto found = m_sent.find(aGrant.m_number);
+  if (aGrant.m_vmInstance != m_instance || found == m_sent.end()) {
+    return false;
+  }
+  const Sent sent = found->second;
+  if (sent.m_isProbe) {
+    m_sent.erase(found);
+    if (MajorityBroker(aNow).empty()) {
+      FollowRedirection(aGrant.m_hasMajority ? sent.m_to : aGrant.m_redirect, aNow);
+    }
+    return true;
+  }
+  // Grants of earlier reports count as lost, also for the broker.
+  m_sent.erase(m_sent.begin(), std::next(found));
+  m_lastGrant = aGrant.m_number;
+  if (sent.m_to == m_broker) {
+    m_brokerInstance = aGrant.m_brokerInstance;
+    m_echo = aGrant.m_stamp;
+    m_unansweredSince.reset();
+    m_majorityAt = aGrant.m_hasMajority ? std::optional{ aNow } : std::nullopt;
+  }
+  AddCredits(aGrant, sent.m_at, aNow);
+  if (sent.m_to == m_broker && !aGrant.m_hasMajority) {
     FollowRedirection(aGrant.m_redirect, aNow);
   }
   return true;
