Admit requests by the quotas of their teams

The gateway sends quota_report and quota_grant datagrams through PeerLink; RequestExchange asks before the first attempt, holds a request for 150 ms at most and answers 429 (over_quota). The cores of a VM are now part of its registration, so that all VMs choose the same broker from the start.

--- a/packages/gateway/src/ControlPlane.cpp
+++ b/packages/gateway/src/ControlPlane.cpp
@@ -42,7 +42,8 @@
                            const WireFormat& aWire,
                            const base::Clock& aClock,
                            base::AsyncLog& aLog,
-                           Hooks aHooks)
+                           Hooks aHooks,
+                           std::uint32_t aInstance)
   : m_settings(aSettings)
   , m_wire(aWire)
   , m_clock(aClock)
@@ -50,6 +51,14 @@
   , m_hooks(std::move(aHooks))
   , m_loopMonitor(m_io, aClock, aLog, "control")
   , m_peerLink(m_io, m_settings, aClock, aLog, MakePeerHooks())
+  , m_quotaLink(m_settings.m_name,
+                aInstance,
+                aClock,
+                aLog,
+                { [this](const std::string& aVm, const std::string& aText) {
+                   m_peerLink.SendToPeer(aVm, aText);
+                 },
+                  [this](const policy::QuotaGrant& aGrant) { m_hooks.m_onQuotaGrant(aGrant); } })
   , m_storeSync(m_io,
                 m_settings,
                 aDialect,
@@ -175,6 +184,8 @@
       members.push_back(object.m_value);
     }
     m_peerLink.AddMembers(members);
+    m_hasMembers = true;
+    UpdateQuotaFleet();
     m_hooks.m_onMembers(m_peerLink.KnownVmNames());
   };
   return hooks;
@@ -215,6 +226,11 @@
       m_demandShare.OnZoneDemand(aDemand);
     }
   };
+  hooks.m_onMessage = [this](const std::string& aMethod,
+                             const Json::Value& aParams,
+                             const std::function<void(const std::string&)>& aReply) {
+    m_quotaLink.OnMessage(aMethod, aParams, aReply);
+  };
   return hooks;
 }
 
@@ -305,6 +321,18 @@
   m_share = m_demandShare.Share(m_peerLink.KnownZoneVms(), now);
 }
 
+void ControlPlane::UpdateQuotaFleet()
+{
+  if (!m_hasQuotas) {
+    return;
+  }
+  // A VM that does not know the others yet must not take a larger part of the quotas for its own.
+  const auto known =
+    m_hasMembers ? static_cast<std::uint32_t>(m_peerLink.KnownVmNames().size()) : 0U;
+  m_quotaLink.SetKnownVms(known);
+  m_hooks.m_onQuotaFleet(m_peerLink.BrokerCandidates(), known);
+}
+
 void ControlPlane::UpdateState()
 {
   ConfirmView();
@@ -316,6 +344,7 @@
   if (++m_tickCount % kMaintenanceTicks == 0) {
     m_storeSync.SetPeers(m_peerLink.RunningPeers());
     UpdateDemand();
+    UpdateQuotaFleet();
   }
 }
 
@@ -344,6 +373,23 @@
     m_io, [this, records = std::move(aRecords)] { m_quarantineStore.Write(records); });
 }
 
+void ControlPlane::SetQuotas(std::vector<policy::TeamQuota> aQuotas)
+{
+  boost::asio::dispatch(m_io, [this, quotas = std::move(aQuotas)] {
+    m_hasQuotas = !quotas.empty();
+    m_quotaLink.SetQuotas(quotas);
+    UpdateQuotaFleet();
+  });
+}
+
+void ControlPlane::SendQuotaReports(std::vector<policy::QuotaClient::Outgoing> aReports,
+                                    const std::string& aMajorityBroker)
+{
+  boost::asio::dispatch(m_io, [this, reports = std::move(aReports), aMajorityBroker] {
+    m_quotaLink.Send(reports, aMajorityBroker);
+  });
+}
+
 void ControlPlane::SetLookupLifetime(milliseconds aLifetime)
 {
   boost::asio::dispatch(m_io, [this, aLifetime] { m_lookupLifetime = aLifetime; });
--- a/packages/gateway/src/ControlPlane.h
+++ b/packages/gateway/src/ControlPlane.h
@@ -5,6 +5,7 @@
 #include "LoopMonitor.h"
 #include "PeerLink.h"
 #include "QuarantineStore.h"
+#include "QuotaLink.h"
 #include "StoreSync.h"
 #include "jaylane/gateway/WireFormat.h"
 #include "jaylane/policy/LeadWatcher.h"
@@ -45,6 +46,12 @@
     std::function<void(bool aIsReachable)> m_onStoreReachable;
     std::function<void(bool aSucceeded)> m_onStoreCall;
     QuarantineStore::OnRead m_onQuarantines;
+    /// Receives a grant of the quota broker.
+    std::function<void(policy::QuotaGrant)> m_onQuotaGrant;
+    /// Receives the VMs that may be the quota broker and the number of known VMs, see
+    /// policy::QuotaClient::SetFleet(). Called about once a second while there are quotas.
+    std::function<void(std::vector<policy::QuotaClient::Candidate>, std::uint32_t aKnownVms)>
+      m_onQuotaFleet;
     /// An address stayed unavailable for too long.
     ListenRetry::OnFailed m_onListenFailed;
   };
@@ -59,12 +66,14 @@
     bool m_hasQuarantines = false;
   };
 
+  /// @param aInstance differs between processes of this VM; see policy::QuotaBroker.
   ControlPlane(const GatewaySettings& aSettings,
                const StoreDialect& aDialect,
                const WireFormat& aWire,
                const base::Clock& aClock,
                base::AsyncLog& aLog,
-               Hooks aHooks);
+               Hooks aHooks,
+               std::uint32_t aInstance = 0);
   ~ControlPlane();
 
   /// Listens and starts the thread. An address that is in use or not up is tried again; what does
@@ -92,6 +101,17 @@
   /// Announces that this VM is stopping, and leaves lookups. May be called on any thread.
   void AnnounceLeaving();
 
+  /// Sets the quotas of the teams; without any, no messages about them are sent. May be called on
+  /// any thread.
+  void SetQuotas(std::vector<policy::TeamQuota> aQuotas);
+
+  /// Sends reports to quota brokers, see QuotaLink::Send(). May be called on any thread.
+  void SendQuotaReports(std::vector<policy::QuotaClient::Outgoing> aReports,
+                        const std::string& aMajorityBroker);
+
+  /// Messages to other VMs as a quota broker. May be used on any thread.
+  const QuotaLink& Quotas() const { return m_quotaLink; }
+
   /// @return whether other VMs have announced a change of upstreams that this VM could not get for
   ///         so long that it may not send requests on its view. May be called on any thread.
   bool IsViewOutdated() const { return m_isViewOutdated; }
@@ -121,6 +141,7 @@
   void UpdateFollowing();
   void UpdateViewAge();
   void UpdateDemand();
+  void UpdateQuotaFleet();
   /// @return whether this VM can serve requests.
   bool IsReady() const;
   InfoResponse OnReady() const;
@@ -134,6 +155,10 @@
   boost::asio::io_context m_io{ 1 };
   LoopMonitor m_loopMonitor;
   PeerLink m_peerLink;
+  QuotaLink m_quotaLink;
+  bool m_hasQuotas = false;
+  /// Whether the VMs that are registered in the store have been read.
+  bool m_hasMembers = false;
   StoreSync m_storeSync;
   QuarantineStore m_quarantineStore;
   policy::StoreFollowing m_storeFollowing;
--- a/packages/gateway/src/Gateway.cpp
+++ b/packages/gateway/src/Gateway.cpp
@@ -8,6 +8,7 @@
 #include "InfoServer.h"
 #include "ListenRetry.h"
 #include "LoopMonitor.h"
+#include "QuotaGate.h"
 #include "RunLoop.h"
 #include "SocketOptions.h"
 #include "jaylane/base/ContainErrors.h"
@@ -18,6 +19,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <cstring>
+#include <random>
 #include <set>
 #include <utility>
 
@@ -40,6 +42,12 @@
 /// Weight of the last second in the announced request rate.
 constexpr double kLoadAlpha = 0.5;
 
+/// @return a number that differs between processes, other than 0.
+std::uint32_t MakeInstance()
+{
+  return std::random_device{}() | 1U;
+}
+
 } // namespace
 
 class Gateway::Impl
@@ -101,11 +109,13 @@
   void LogStopStep(policy::StopSequence::Step aStep);
 
   Dependencies m_dependencies;
+  const std::uint32_t m_instance = MakeInstance();
   asio::io_context m_io{ 1 };
   Steering m_steering;
   UpstreamConnectionPool m_pool;
   GatewayMetrics m_metrics;
   BodyMemoryBudget m_bodyBudget;
+  QuotaGate m_quotaGate;
   GatewayContext m_context;
   CallerServer m_callerServer;
   InfoServer m_metricsServer;
@@ -140,6 +150,16 @@
   , m_steering(m_dependencies.m_settings, m_dependencies.m_clock, m_dependencies.m_log)
   , m_pool(m_dependencies.m_clock)
   , m_bodyBudget(m_dependencies.m_settings.m_bodyMemoryBytes)
+  , m_quotaGate(m_io,
+                m_dependencies.m_settings.m_name,
+                m_instance,
+                m_dependencies.m_clock,
+                m_dependencies.m_log,
+                m_metrics,
+                [this](std::vector<policy::QuotaClient::Outgoing> aReports,
+                       const std::string& aMajorityBroker) {
+                  m_controlPlane.SendQuotaReports(std::move(aReports), aMajorityBroker);
+                })
   , m_context{ m_io,
                m_dependencies.m_settings,
                m_dependencies.m_wire,
@@ -165,7 +185,8 @@
                    m_dependencies.m_wire,
                    m_dependencies.m_clock,
                    m_dependencies.m_log,
-                   MakeControlHooks())
+                   MakeControlHooks(),
+                   m_instance)
 {
   for (const int signal : kHandledSignals) {
     m_signals.add(signal);
@@ -173,6 +194,7 @@
   // Signals that come before Run() wait in the signal set.
   UnblockHandledSignals();
   m_steering.AwaitQuarantines();
+  m_context.m_quotas = &m_quotaGate;
   m_context.m_isViewOutdated = [this] { return m_controlPlane.IsViewOutdated(); };
   m_steering.SetOnProbeDue([this] { asio::post(m_io, [this] { ProbeDueUpstreams(); }); });
 }
@@ -284,6 +306,17 @@
   hooks.m_onLimits = [this](std::vector<policy::LimitObservation> aLimits) {
     asio::post(m_io, [this, limits = std::move(aLimits)] { m_steering.OnPeerLimits(limits); });
   };
+  hooks.m_onQuotaGrant = [this](policy::QuotaGrant aGrant) {
+    asio::post(m_io, [this, grant = std::move(aGrant)] {
+      base::ContainErrors(m_dependencies.m_log, "quota_grant", [&] { m_quotaGate.OnGrant(grant); });
+    });
+  };
+  hooks.m_onQuotaFleet = [this](std::vector<policy::QuotaClient::Candidate> aCandidates,
+                                std::uint32_t aKnownVms) {
+    asio::post(m_io, [this, candidates = std::move(aCandidates), aKnownVms]() mutable {
+      m_quotaGate.SetFleet(std::move(candidates), aKnownVms);
+    });
+  };
   hooks.m_onStoreReachable = [this](bool aIsReachable) {
     asio::post(m_io, [this, aIsReachable] { m_steering.OnStoreReachable(aIsReachable); });
   };
@@ -360,6 +393,12 @@
     }
     base::ContainErrors(m_dependencies.m_log, "configuration", [&] { OnConfiguration(object); });
   }
+  if (const auto routes = m_steering.Routes()) {
+    if (auto quotas = m_quotaGate.SetConfiguration(routes->Config())) {
+      m_dependencies.m_log.Write(base::LogRecord("quotas").Add("teams", quotas->size()));
+      m_controlPlane.SetQuotas(std::move(*quotas));
+    }
+  }
   ReportState();
 }
 
@@ -469,6 +508,8 @@
   RecordQuarantines();
   ProbeDueUpstreams();
   ReportState();
+  m_metrics.m_quotaGrants = m_controlPlane.Quotas().SentGrants();
+  m_metrics.m_quotaGrantedShare = m_controlPlane.Quotas().GrantedShare();
   if (++m_tickCount % kMaintenanceTicks == 0) {
     UpdateRequestRate();
     m_pool.CloseUnusable(m_steering.UpstreamIds());
--- a/packages/gateway/src/GatewayContext.h
+++ b/packages/gateway/src/GatewayContext.h
@@ -2,6 +2,7 @@
 
 #include "BodyMemoryBudget.h"
 #include "GatewayMetrics.h"
+#include "QuotaGate.h"
 #include "Steering.h"
 #include "UpstreamConnectionPool.h"
 #include "jaylane/gateway/WireFormat.h"
@@ -43,6 +44,8 @@
   /// Returns whether this VM knows that its view of the upstreams is too old to send requests on
   /// it.
   std::function<bool()> m_isViewOutdated = [] { return false; };
+  /// Quotas of the teams; without it, all requests are admitted.
+  QuotaGate* m_quotas = nullptr;
 };
 
 } // namespace jaylane::gateway
--- a/packages/gateway/src/GatewayMetrics.cpp
+++ b/packages/gateway/src/GatewayMetrics.cpp
@@ -35,6 +35,13 @@
   fmt::format_to(out, "jaylane_store_batches_total {}\n", m_storeBatches);
   fmt::format_to(out, "jaylane_store_failures_total {}\n", m_storeFailures);
   fmt::format_to(out, "jaylane_upstream_entries_rejected_total {}\n", m_rejectedEntries);
+  fmt::format_to(out, "jaylane_quota_admitted_total {}\n", m_quotaAdmitted);
+  fmt::format_to(out, "jaylane_quota_rejected_total {}\n", m_quotaRejected);
+  fmt::format_to(out, "jaylane_quota_held_total {}\n", m_quotaHeld);
+  fmt::format_to(out, "jaylane_quota_reports_total {}\n", m_quotaReports);
+  fmt::format_to(out, "jaylane_quota_grants_total {}\n", m_quotaGrants);
+  fmt::format_to(out, "jaylane_quota_credits {}\n", m_quotaCredits);
+  fmt::format_to(out, "jaylane_quota_granted_share {:.4f}\n", m_quotaGrantedShare);
   AddHistogram(text, "jaylane_request_seconds", m_requestLatency);
   AddHistogram(text, "jaylane_upstream_seconds", m_upstreamLatency);
   return text;
--- a/packages/gateway/src/GatewayMetrics.h
+++ b/packages/gateway/src/GatewayMetrics.h
@@ -25,6 +25,17 @@
   std::uint64_t m_storeFailures = 0;
   /// Registrations of upstreams that could not be used, each time that one was read.
   std::uint64_t m_rejectedEntries = 0;
+  /// Requests of teams with quotas: admitted and rejected by them, and held until the quota broker
+  /// answered, each of which is admitted or rejected as well.
+  std::uint64_t m_quotaAdmitted = 0;
+  std::uint64_t m_quotaRejected = 0;
+  std::uint64_t m_quotaHeld = 0;
+  /// Reports to quota brokers, and grants to other VMs.
+  std::uint64_t m_quotaReports = 0;
+  std::uint64_t m_quotaGrants = 0;
+  /// Credits that this VM holds, and part of the quotas that it grants as a broker.
+  std::uint64_t m_quotaCredits = 0;
+  double m_quotaGrantedShare = 0;
   base::LatencyHistogram m_requestLatency;
   base::LatencyHistogram m_upstreamLatency;
 
--- a/packages/gateway/src/PeerLink.cpp
+++ b/packages/gateway/src/PeerLink.cpp
@@ -10,6 +10,9 @@
 #include <charconv>
 #include <cmath>
 #include <fmt/format.h>
+#include <iterator>
+#include <tuple>
+#include <xxhash.h>
 
 namespace jaylane::gateway {
 
@@ -196,6 +199,7 @@
   description["region"] = aSettings.m_region;
   description["caller_address"] = aSettings.m_callerAddress;
   description["peer_address"] = aSettings.m_peerAddress;
+  description["millicores"] = Json::UInt(std::lround(aSettings.m_cores * kMillicores));
   return description;
 }
 
@@ -263,12 +267,12 @@
   peer.m_region = TextOf(aDescription, "region");
   peer.m_callerAddress = TextOf(aDescription, "caller_address");
   peer.m_endpoint = aEndpoint;
+  peer.m_cores = NumberOf(aDescription, "millicores") / kMillicores;
   if (aIsAnnouncement) {
     peer.m_lastHeard = m_clock.Monotonic();
     peer.m_hasBeenHeard = true;
     peer.m_leaving = aDescription["leaving"].isBool() && aDescription["leaving"].asBool();
     peer.m_isReady = !aDescription["ready"].isBool() || aDescription["ready"].asBool();
-    peer.m_cores = NumberOf(aDescription, "millicores") / kMillicores;
     peer.m_requestsPerSecond = NumberOf(aDescription, "requests_per_second");
   }
   // VMs of other regions send announcements here only now and then, so their state would flap in
@@ -302,8 +306,19 @@
 void PeerLink::OnDatagram(std::size_t aBytes)
 {
   const auto message = base::ParseJson({ m_receiveBuffer.data(), aBytes });
-  if (!message || !message->isObject() || TextOf(*message, "method") != "announce" ||
-      !(*message)["params"].isObject()) {
+  if (!message || !message->isObject()) {
+    return;
+  }
+  if (const std::string method = TextOf(*message, "method"); method != "announce") {
+    if (m_hooks.m_onMessage) {
+      m_hooks.m_onMessage(
+        method, (*message)["params"], [this, sender = m_sender](const std::string& aText) {
+          SendTo(aText, sender);
+        });
+    }
+    return;
+  }
+  if (!(*message)["params"].isObject()) {
     return;
   }
   const Json::Value& params = (*message)["params"];
@@ -341,7 +356,6 @@
   Json::Value params = Describe(m_settings);
   params.removeMember("peer_address"); // The sender's address is the same.
   params["revisions"] = ToJson(m_revisions);
-  params["millicores"] = Json::UInt(std::lround(m_settings.m_cores * kMillicores));
   params["requests_per_second"] = Json::UInt(std::lround(m_requestsPerSecond));
   if (m_leaving) {
     params["leaving"] = true;
@@ -707,6 +721,45 @@
   return vms;
 }
 
+void PeerLink::SendToPeer(const std::string& aName, const std::string& aMessage)
+{
+  if (const auto peer = m_peers.find(aName); peer != m_peers.end()) {
+    SendTo(aMessage, peer->second.m_endpoint);
+  }
+}
+
+std::vector<policy::QuotaClient::Candidate> PeerLink::BrokerCandidates() const
+{
+  struct Ranked
+  {
+    long m_millicores;
+    std::uint64_t m_hash;
+    policy::QuotaClient::Candidate m_candidate;
+  };
+  std::vector<Ranked> ranked;
+  const auto add = [&](const std::string& aName, double aCores, auto aLastHeard) {
+    ranked.push_back({ std::lround(aCores * kMillicores),
+                       XXH64(aName.data(), aName.size(), 0),
+                       { aName, aLastHeard } });
+  };
+  if (!m_leaving) {
+    add(m_settings.m_name, m_settings.m_cores, std::optional{ m_clock.Monotonic() });
+  }
+  for (const auto& [name, peer] : m_peers) {
+    if (!peer.m_leaving) {
+      add(
+        name, peer.m_cores, peer.m_hasBeenHeard ? std::optional{ peer.m_lastHeard } : std::nullopt);
+    }
+  }
+  std::ranges::sort(ranked, [](const Ranked& aLeft, const Ranked& aRight) {
+    return std::tie(aRight.m_millicores, aLeft.m_hash) <
+           std::tie(aLeft.m_millicores, aRight.m_hash);
+  });
+  std::vector<policy::QuotaClient::Candidate> candidates;
+  std::ranges::transform(ranked, std::back_inserter(candidates), &Ranked::m_candidate);
+  return candidates;
+}
+
 std::set<std::string> PeerLink::KnownVmNames() const
 {
   std::set<std::string> names{ m_settings.m_name };
--- a/packages/gateway/src/PeerLink.h
+++ b/packages/gateway/src/PeerLink.h
@@ -8,6 +8,7 @@
 #include "jaylane/policy/EntrySelection.h"
 #include "jaylane/policy/LeadWatcher.h"
 #include "jaylane/policy/QuarantineList.h"
+#include "jaylane/policy/QuotaClient.h"
 #include "jaylane/policy/UpstreamLimits.h"
 
 #include <array>
@@ -70,6 +71,12 @@
     std::function<std::optional<policy::ZoneDemand>()> m_zoneDemand;
     /// Receives the demand of a zone that a peer announced.
     std::function<void(const policy::ZoneDemand&)> m_onZoneDemand;
+    /// Receives a message that is no announcement, and a function that sends a datagram to its
+    /// sender; see QuotaLink.
+    std::function<void(const std::string& aMethod,
+                       const Json::Value& aParams,
+                       const std::function<void(const std::string&)>& aReply)>
+      m_onMessage = {};
   };
 
   struct Peer
@@ -155,6 +162,13 @@
   /// @return number of known VMs of each zone, running or not, this one included.
   std::map<std::string, std::size_t> KnownZoneVms() const;
 
+  /// Sends a datagram to a VM; does nothing if it is not known.
+  void SendToPeer(const std::string& aName, const std::string& aMessage);
+
+  /// @return VMs that may be the quota broker: those with the most cores first, and equal ones in
+  ///   the same order at all VMs. Those that are leaving are not among them.
+  std::vector<policy::QuotaClient::Candidate> BrokerCandidates() const;
+
   /// @return names of this VM and of all VMs known since the start, running or not.
   std::set<std::string> KnownVmNames() const;
 
--- a/packages/gateway/src/RequestExchange.cpp
+++ b/packages/gateway/src/RequestExchange.cpp
@@ -34,6 +34,11 @@
   return XXH64(aText.data(), aText.size(), 0);
 }
 
+std::string RetryAfterLine(milliseconds aDelay)
+{
+  return fmt::format("Retry-After: {:.3f}\r\n", std::chrono::duration<double>(aDelay).count());
+}
+
 bool IsServerFailure(unsigned aStatus)
 {
   return aStatus >= 500;
@@ -67,7 +72,50 @@
       return;
     }
     StartDeadlineTimer();
+    AdmitByQuota();
+  }
+}
+
+void RequestExchange::AdmitByQuota()
+{
+  if (!m_team || !m_context.m_quotas) {
+    TryUpstream();
+    return;
+  }
+  const QuotaGate::Result result = m_context.m_quotas->Admit(
+    m_team->m_name, [self = shared_from_this()](const QuotaGate::Admission& aAdmission) {
+      self->OnQuotaDecision(aAdmission);
+    });
+  m_quotaWaiter = result.m_waiter;
+  if (m_quotaWaiter == 0) {
+    OnQuotaDecision(result.m_admission);
+  }
+}
+
+void RequestExchange::OnQuotaDecision(const QuotaGate::Admission& aAdmission)
+{
+  m_quotaWaiter = 0;
+  m_credit = aAdmission.m_credit;
+  if (m_isDone) {
+    ReturnCredit();
+  } else if (aAdmission.m_decision == policy::QuotaClient::Decision::Admitted) {
     TryUpstream();
+  } else {
+    RejectOverQuota(aAdmission.m_retryAfter);
+  }
+}
+
+void RequestExchange::StopWaitingForQuota()
+{
+  if (const std::uint64_t waiter = std::exchange(m_quotaWaiter, 0); waiter != 0) {
+    m_context.m_quotas->Cancel(waiter);
+  }
+}
+
+void RequestExchange::ReturnCredit()
+{
+  if (const auto credit = std::exchange(m_credit, std::nullopt)) {
+    m_context.m_quotas->Return(*credit);
   }
 }
 
@@ -484,14 +532,23 @@
 
 void RequestExchange::Reject(std::string_view aReason, milliseconds aRetryAfter)
 {
+  ReturnCredit();
   CallerResponse response;
   response.m_status = 503;
   response.m_reason = "Service Unavailable";
-  response.m_headerLines =
-    fmt::format("Retry-After: {:.3f}\r\n", std::chrono::duration<double>(aRetryAfter).count());
+  response.m_headerLines = RetryAfterLine(aRetryAfter);
   Finish(std::move(response), aReason);
 }
 
+void RequestExchange::RejectOverQuota(milliseconds aRetryAfter)
+{
+  CallerResponse response;
+  response.m_status = 429;
+  response.m_reason = "Too Many Requests";
+  response.m_headerLines = RetryAfterLine(aRetryAfter);
+  Finish(std::move(response), "over_quota");
+}
+
 void RequestExchange::Respond(unsigned aStatus, std::string_view aReason)
 {
   CallerResponse response;
@@ -508,6 +565,7 @@
     return;
   }
   m_isDone = true;
+  StopWaitingForQuota();
   m_deadlineTimer.cancel();
   m_overdueTimer.cancel();
   EndSuspect();
@@ -558,6 +616,10 @@
   }
   m_isDone = true;
   m_hooks.m_onResponse = nullptr;
+  StopWaitingForQuota();
+  if (m_tried.empty()) {
+    ReturnCredit();
+  }
   m_deadlineTimer.cancel();
   CancelAttempts();
   EndSuspect();
--- a/packages/gateway/src/RequestExchange.h
+++ b/packages/gateway/src/RequestExchange.h
@@ -40,8 +40,17 @@
   bool IsHead() const { return m_request->m_method == "HEAD"; }
 
 private:
+  friend class RequestQuotaTest;
+
   bool ResolveRoute();
   void StartDeadlineTimer();
+  /// Continues with TryUpstream() if the quota of the team admits the request, at once or after the
+  /// quota broker has answered.
+  void AdmitByQuota();
+  void OnQuotaDecision(const QuotaGate::Admission& aAdmission);
+  void StopWaitingForQuota();
+  /// The request has not run and will not.
+  void ReturnCredit();
   void TryUpstream();
   /// Cancels the exchange if the caller has left.
   /// @return whether it has.
@@ -71,6 +80,8 @@
   bool MayRetry(const AttemptResult& aResult) const;
   void OnDeadline();
   void Reject(std::string_view aReason, std::chrono::milliseconds aRetryAfter);
+  /// Responds with 429: the team has no credit left.
+  void RejectOverQuota(std::chrono::milliseconds aRetryAfter);
   void Respond(unsigned aStatus, std::string_view aReason);
   void Finish(CallerResponse aResponse, std::string_view aOutcome);
   void LogOutcome(std::string_view aOutcome) const;
@@ -91,6 +102,11 @@
   std::shared_ptr<policy::RouteTable> m_routes;
   const policy::Route* m_route = nullptr;
   const policy::Service* m_service = nullptr;
+  /// Team of the caller; null if the configuration has no teams or the route is public.
+  const policy::Team* m_team = nullptr;
+  /// The request while it waits for the quota broker; 0 if it does not.
+  std::uint64_t m_quotaWaiter = 0;
+  std::optional<policy::QuotaClient::Credit> m_credit;
   std::uint64_t m_key = 0;
   policy::RequestFingerprint m_fingerprint;
   /// Whether the next or present attempt is one of a suspect, see policy::CrashContainment.
--- a/packages/policy/include/jaylane/policy/QuotaBroker.h
+++ b/packages/policy/include/jaylane/policy/QuotaBroker.h
@@ -15,10 +15,10 @@
 /// demand of a team moves between VMs within seconds, many teams have fewer requests per second
 /// than there are VMs, and one team suddenly sends several times its usual rate.
 ///
-/// Each team has one token bucket, here. A credit that was handed out takes room in the bucket until
-/// the VM reports that it is used, or it has expired, so that the credits at all places together
-/// never exceed the burst. While the VMs are divided there may be several brokers; the VMs'
-/// commitments divide the quotas among them (see GrantedShare()). Not thread safe.
+/// Each team has one token bucket, here. A credit that was handed out takes room in the bucket
+/// until the VM reports that it is used, or it has expired, so that the credits at all places
+/// together never exceed the burst. While the VMs are divided there may be several brokers; the
+/// VMs' commitments divide the quotas among them (see GrantedShare()). Not thread safe.
 class QuotaBroker
 {
 public:
--- a/packages/policy/include/jaylane/policy/QuotaClient.h
+++ b/packages/policy/include/jaylane/policy/QuotaClient.h
@@ -18,8 +18,9 @@
 /// decides which broker to ask, when and for what. Load pattern: see QuotaBroker; in addition VMs
 /// are killed, restarted and cut off from each other.
 ///
-/// A committed VM gives its part of all quotas to one broker. A VM that is committed to none may use
-/// a reserve of its own part, so that some requests are served while it is cut off. Not thread safe.
+/// A committed VM gives its part of all quotas to one broker. A VM that is committed to none may
+/// use a reserve of its own part, so that some requests are served while it is cut off. Not thread
+/// safe.
 class QuotaClient
 {
 public:
@@ -67,8 +68,8 @@
 
   /// Longest time for which a request waits for the broker's answer.
   static constexpr std::chrono::milliseconds kMaxWait{ 150 };
-  /// Teams in one report, so that it fits into a datagram of 1,200 bytes with names of 12 bytes.
-  static constexpr std::size_t kMaxTeamsPerReport = 40;
+  /// Bytes of the teams in one report as text, so that it fits into a datagram of 1,200 bytes.
+  static constexpr std::size_t kMaxTeamBytes = 1000;
 
   /// @param aName name of this VM.
   /// @param aInstance differs between processes of this VM.
@@ -157,7 +158,8 @@
   bool IsSuspect(const Candidate& aCandidate, base::MonotonicTime aNow) const;
   void ChooseBroker(base::MonotonicTime aNow);
   void SetBroker(const std::string& aName);
-  /// Turns to the broker that the VM asked has named, which is the one that others are committed to.
+  /// Turns to the broker that the VM asked has named, which is the one that others are committed
+  /// to.
   void FollowRedirection(const std::string& aBroker, base::MonotonicTime aNow);
   bool IsDue(base::MonotonicTime aNow);
   QuotaReport MakeReport(const std::string& aTo, bool aIsProbe, base::MonotonicTime aNow);
--- a/packages/policy/src/QuotaBroker.cpp
+++ b/packages/policy/src/QuotaBroker.cpp
@@ -174,7 +174,8 @@
   if (grant.m_credits < aRequest.m_wanted && team.m_level < kLowLevel * Capacity(team)) {
     const double rate = team.m_quota.m_ratePerSecond * m_share;
     const double missing = std::max(0.0, 1 - team.m_level);
-    const double seconds = rate > 0 ? missing / rate : std::chrono::duration<double>(kMaxRetry).count();
+    const double seconds =
+      rate > 0 ? missing / rate : std::chrono::duration<double>(kMaxRetry).count();
     grant.m_retryAfter = std::clamp(
       milliseconds{ static_cast<std::int64_t>(std::ceil(std::min(seconds, 60.0) * 1000)) },
       kMinRetry,
--- a/packages/policy/src/QuotaClient.cpp
+++ b/packages/policy/src/QuotaClient.cpp
@@ -38,6 +38,8 @@
 constexpr double kMissedRequests = 3;
 /// Part of the stock below which more is asked for.
 constexpr double kLowStock = 0.4;
+/// Bytes of a team in a report besides its name, with numbers of three digits.
+constexpr std::size_t kTeamEntryBytes = 20;
 /// Retry delay where the next credit cannot be foreseen.
 constexpr milliseconds kUnknownRetry{ 500 };
 constexpr milliseconds kMaxRetry{ 5000 };
@@ -99,10 +101,10 @@
 
 std::uint32_t QuotaClient::HeldOf(const Team& aTeam)
 {
-  return std::accumulate(
-    aTeam.m_lots.begin(), aTeam.m_lots.end(), 0U, [](std::uint32_t aSum, const Lot& aLot) {
-      return aSum + aLot.m_credits;
-    });
+  return std::accumulate(aTeam.m_lots.begin(),
+                         aTeam.m_lots.end(),
+                         0U,
+                         [](std::uint32_t aSum, const Lot& aLot) { return aSum + aLot.m_credits; });
 }
 
 std::uint32_t QuotaClient::HeldCredits() const
@@ -144,9 +146,8 @@
   const auto since =
     std::max({ aTeam.m_reserveAt, m_committedUntil, m_started + CommitmentTime() });
   const std::chrono::duration<double> elapsed = aNow - since;
-  const double level =
-    (aTeam.m_reserveAt >= m_committedUntil ? aTeam.m_reserve : 0) +
-    std::max(elapsed.count(), 0.0) * aTeam.m_quota.m_ratePerSecond * share;
+  const double level = (aTeam.m_reserveAt >= m_committedUntil ? aTeam.m_reserve : 0) +
+                       std::max(elapsed.count(), 0.0) * aTeam.m_quota.m_ratePerSecond * share;
   aTeam.m_reserve = std::min(level, aTeam.m_quota.m_burst * share);
   aTeam.m_reserveAt = aNow;
   if (aTeam.m_reserve < 1) {
@@ -310,9 +311,7 @@
   });
 }
 
-QuotaReport QuotaClient::MakeReport(const std::string& aTo,
-                                    bool aIsProbe,
-                                    base::MonotonicTime aNow)
+QuotaReport QuotaClient::MakeReport(const std::string& aTo, bool aIsProbe, base::MonotonicTime aNow)
 {
   QuotaReport report;
   report.m_vm = m_name;
@@ -355,6 +354,7 @@
 
 void QuotaClient::AddTeams(std::vector<Outgoing>& aReports, base::MonotonicTime aNow)
 {
+  std::size_t bytes = 0;
   for (auto& [name, team] : m_teams) {
     const std::uint32_t stock = StockOf(team, aNow);
     const std::uint32_t returned = TakeSurplus(team, stock, aNow);
@@ -364,7 +364,9 @@
     if (wanted == 0 && held == team.m_reportedHeld) {
       continue;
     }
-    if (aReports.back().m_report.m_teams.size() == kMaxTeamsPerReport) {
+    bytes += name.size() + kTeamEntryBytes;
+    if (bytes > kMaxTeamBytes) {
+      bytes = name.size() + kTeamEntryBytes;
       aReports.push_back({ m_broker, MakeReport(m_broker, false, aNow) });
     }
     aReports.back().m_report.m_teams.push_back(
--- a/packages/policy/tests/QuotaTest.cpp
+++ b/packages/policy/tests/QuotaTest.cpp
@@ -83,6 +83,7 @@
     const auto now = m_clock.Monotonic();
     m_vms[aVm] = { std::make_unique<QuotaClient>(NameOf(aVm), instance, now),
                    std::make_unique<QuotaBroker>(instance, now),
+                   {},
                    {} };
     Configure(aVm);
   }
@@ -94,6 +95,11 @@
       Configure(i);
     }
   }
+  /// The VM does nothing for a time; messages to it wait.
+  void Pause(std::size_t aVm, milliseconds aTime)
+  {
+    m_vms[aVm].m_pausedUntil = m_clock.Monotonic() + aTime;
+  }
   /// VMs of different parts do not hear each other.
   void SetParts(std::function<int(std::size_t aVm)> aPartOf) { m_partOf = std::move(aPartOf); }
   /// Bytes that the busiest VM sent in a second since Measure().
@@ -121,6 +127,7 @@
     std::unique_ptr<QuotaClient> m_client;
     std::unique_ptr<QuotaBroker> m_broker;
     std::vector<Waiting> m_waiting;
+    base::MonotonicTime m_pausedUntil;
   };
   struct Message
   {
@@ -147,16 +154,17 @@
   {
     constexpr std::size_t kEnvelope = 125;
     constexpr std::size_t kEntry = 14;
-    return kEnvelope + kEntry * std::visit([](const auto& aContent) {
-      return aContent.m_teams.size();
-    }, aMessage.m_content);
+    return kEnvelope +
+           kEntry * std::visit([](const auto& aContent) { return aContent.m_teams.size(); },
+                               aMessage.m_content);
   }
   void Send(Message aMessage)
   {
     const bool isLocal = aMessage.m_from == aMessage.m_to;
     m_bytes.resize(m_vms.size());
     m_bytes[aMessage.m_from] += isLocal ? 0 : SizeOf(aMessage);
-    if (m_partOf(aMessage.m_from) != m_partOf(aMessage.m_to) || (!isLocal && m_random() % 100 == 0)) {
+    if (m_partOf(aMessage.m_from) != m_partOf(aMessage.m_to) ||
+        (!isLocal && m_random() % 100 == 0)) {
       return;
     }
     const auto delay = isLocal ? 0ms : aMessage.m_from % 3 == aMessage.m_to % 3 ? 1ms : 20ms;
@@ -169,6 +177,10 @@
     if (!vm.m_client) {
       return;
     }
+    if (now < vm.m_pausedUntil) {
+      m_messages.emplace(vm.m_pausedUntil, aMessage);
+      return;
+    }
     if (const auto* report = std::get_if<QuotaReport>(&aMessage.m_content)) {
       vm.m_broker->SetRedirect(vm.m_client->MajorityBroker(now));
       Send({ aMessage.m_to, aMessage.m_from, vm.m_broker->OnReport(*report, now) });
@@ -217,7 +229,7 @@
       Deliver(message);
     }
     for (std::size_t i = 0; i < m_vms.size(); ++i) {
-      if (m_vms[i].m_client) {
+      if (m_vms[i].m_client && now >= m_vms[i].m_pausedUntil) {
         StepVm(i);
       }
     }
@@ -248,7 +260,8 @@
       vm.m_client->SetFleet(candidates, static_cast<std::uint32_t>(m_vms.size()));
     }
     for (const auto& outgoing : vm.m_client->TakeReports(now)) {
-      Send({ aVm, static_cast<std::size_t>(std::stoi(outgoing.m_to.substr(3))), outgoing.m_report });
+      Send(
+        { aVm, static_cast<std::size_t>(std::stoi(outgoing.m_to.substr(3))), outgoing.m_report });
     }
   }
 
@@ -285,8 +298,7 @@
 {
   const std::map<std::string, QuotaFleet::Demand> demands{
     { "one VM", Divided([](std::size_t aVm, double) { return aVm == 7 ? 1 : 0; }) },
-    { "moving each 3 s",
-      Divided([](std::size_t aVm, double aSeconds) {
+    { "moving each 3 s", Divided([](std::size_t aVm, double aSeconds) {
         return static_cast<std::size_t>(aSeconds / 3) * 7 % 30 == aVm ? 1 : 0;
       }) },
     { "even", kEven }
@@ -355,20 +367,39 @@
   }
 }
 
+// Guards against a broker that was paused and then counts commitments of reports that have waited
+// for it, while the VMs have turned to another one.
+TEST(QuotaTest, APausedBrokerGrantsNothingOnOldReports)
+{
+  for (unsigned seed = 1; seed <= 5; ++seed) {
+    QuotaFleet fleet(30, { kTeam }, kEven, seed);
+    fleet.RunFor(kWarmup);
+    for (int i = 0; i < 3; ++i) {
+      for (std::size_t vm = 0; vm < 3; ++vm) {
+        fleet.Pause(vm, 6s + 137ms * i);
+      }
+      fleet.RunFor(15s);
+    }
+    EXPECT_LE(fleet.Of("team").m_excess, 0) << "seed " << seed;
+  }
+}
+
 // Guards against small teams that are rejected below their quota because each VM has too small a
 // part of it, and where demand appears on a VM that had none.
 TEST(QuotaTest, SmallTeamsGetWhatTheyAreAllowed)
 {
   const std::map<std::string, std::function<double(std::size_t, double)>> demands{
     { "5/s on 30 VMs", [](std::size_t, double) { return 5.0 / 30; } },
-    { "first requests", [](std::size_t aVm, double aSeconds) {
-       return static_cast<std::size_t>(aSeconds) * 11 % 30 == aVm ? 5.0 : 0;
-     } }
+    { "first requests",
+      [](std::size_t aVm, double aSeconds) {
+        return static_cast<std::size_t>(aSeconds) * 11 % 30 == aVm ? 5.0 : 0;
+      } }
   };
   for (const auto& [name, demand] : demands) {
-    QuotaFleet fleet(30, { kTeam, kSmallTeam }, [&](const std::string& aTeam, std::size_t aVm, double aNow) {
-      return aTeam == "small" ? demand(aVm, aNow) : 5;
-    });
+    QuotaFleet fleet(
+      30, { kTeam, kSmallTeam }, [&](const std::string& aTeam, std::size_t aVm, double aNow) {
+        return aTeam == "small" ? demand(aVm, aNow) : 5;
+      });
     fleet.RunFor(kWarmup);
     fleet.Measure();
     fleet.RunFor(60s);
@@ -457,8 +488,11 @@
       EXPECT_LE(fleet.Of(quota.m_team).m_excess, 0) << quota.m_team;
     }
     EXPECT_GE(static_cast<double>(admitted) / requests, 0.95) << vms << " VMs";
-    std::printf("%zu VMs: mean %.0f B/s, broker %.0f B/s, admitted %.4f\n", vms, fleet.MeanBytesPerSecond(),
-                fleet.MaxBytesPerSecond(), static_cast<double>(admitted) / requests);
+    std::printf("%zu VMs: mean %.0f B/s, broker %.0f B/s, admitted %.4f\n",
+                vms,
+                fleet.MeanBytesPerSecond(),
+                fleet.MaxBytesPerSecond(),
+                static_cast<double>(admitted) / requests);
   }
 }
 
