Merge part-quota: quotas of teams over all VMs

Both parts add fields to GatewayContext and RequestExchange and lines to the table of outcomes; all are kept. The access check sets the team that the quota is taken from.

--- a/packages/gateway/src/GatewayContext.h
+++ b/packages/gateway/src/GatewayContext.h
@@ -2,6 +2,7 @@
 
 #include "BodyMemoryBudget.h"
 #include "GatewayMetrics.h"
+#include "QuotaGate.h"
 #include "Steering.h"
 #include "UpstreamConnectionPool.h"
 #include "jaylane/gateway/WireFormat.h"
@@ -45,6 +46,8 @@
   std::function<bool()> m_isViewOutdated = [] { return false; };
   /// Returns whether this VM can be sure that its configuration is the newest.
   std::function<bool()> m_isConfigurationConfirmed = [] { return true; };
+  /// Quotas of the teams; without it, all requests are admitted.
+  QuotaGate* m_quotas = nullptr;
 };
 
 } // namespace jaylane::gateway
--- a/packages/gateway/src/RequestExchange.h
+++ b/packages/gateway/src/RequestExchange.h
@@ -48,12 +48,21 @@
   std::uint32_t Priority() const;
 
 private:
+  friend class RequestQuotaTest;
+
   bool ResolveRoute();
   /// Sets the caller's team and the regions that may run the request.
   /// @return whether the caller may run it; if not, the caller has got its response.
   bool CheckAccess();
   void RespondDenied(policy::AccessDecision::Outcome aOutcome);
   void StartDeadlineTimer();
+  /// Continues with TryUpstream() if the quota of the team admits the request, at once or after the
+  /// quota broker has answered.
+  void AdmitByQuota();
+  void OnQuotaDecision(const QuotaGate::Admission& aAdmission);
+  void StopWaitingForQuota();
+  /// The request has not run and will not.
+  void ReturnCredit();
   void TryUpstream();
   /// Cancels the exchange if the caller has left.
   /// @return whether it has.
@@ -83,6 +92,8 @@
   bool MayRetry(const AttemptResult& aResult) const;
   void OnDeadline();
   void Reject(std::string_view aReason, std::chrono::milliseconds aRetryAfter);
+  /// Responds with 429: the team has no credit left.
+  void RejectOverQuota(std::chrono::milliseconds aRetryAfter);
   void Respond(unsigned aStatus, std::string_view aReason);
   void Finish(CallerResponse aResponse, std::string_view aOutcome);
   void LogOutcome(std::string_view aOutcome) const;
@@ -106,6 +117,9 @@
   /// Team of the caller; null if the configuration has no teams or the route is public.
   const policy::Team* m_team = nullptr;
   policy::AllowedRegions m_allowedRegions;
+  /// The request while it waits for the quota broker; 0 if it does not.
+  std::uint64_t m_quotaWaiter = 0;
+  std::optional<policy::QuotaClient::Credit> m_credit;
   std::uint64_t m_key = 0;
   policy::RequestFingerprint m_fingerprint;
   /// Whether the next or present attempt is one of a suspect, see policy::CrashContainment.
