Quota tests: set the team by an API key

Cause: the access check now sets the team when the request starts, so that the team which the test had set before was lost and three tests failed.

Change: the configuration of the test has the team, and requests carry its key. The checks are the same.

--- a/packages/gateway/src/RequestExchange.h
+++ b/packages/gateway/src/RequestExchange.h
@@ -48,8 +48,6 @@
   std::uint32_t Priority() const;
 
 private:
-  friend class RequestQuotaTest;
-
   bool ResolveRoute();
   /// Sets the caller's team and the regions that may run the request.
   /// @return whether the caller may run it; if not, the caller has got its response.
--- a/packages/gateway/tests/RequestQuotaTest.cpp
+++ b/packages/gateway/tests/RequestQuotaTest.cpp
@@ -31,8 +31,10 @@
         });
       m_context->m_quotas = m_gate.get();
       m_gate->SetFleet({ { "broker", std::nullopt } }, 30);
-      policy::Configuration configuration;
-      configuration.m_teams = { m_team };
+      policy::Configuration configuration = m_steering->Routes()->Config();
+      ++configuration.m_version;
+      configuration.m_teams.emplace().push_back(m_team);
+      ASSERT_TRUE(m_steering->ApplyConfiguration(configuration));
       EXPECT_TRUE(m_gate->SetConfiguration(configuration));
       EXPECT_FALSE(m_gate->SetConfiguration(configuration)) << "nothing has changed";
     });
@@ -71,6 +73,7 @@
     request.m_method = "GET";
     request.m_target = "/b/x";
     request.m_host = "h";
+    request.m_apiKey = m_team.m_apiKeys.front();
     request.m_receivedAt = base::SystemClock::Get().Monotonic();
     std::promise<void> done;
     std::shared_ptr<RequestExchange> exchange;
@@ -79,7 +82,6 @@
         *m_context,
         std::move(request),
         RequestExchange::Hooks{ [&] { done.set_value(); }, [] { return false; } });
-      exchange->m_team = &m_team;
       exchange->Start();
     });
     if (aCancelAfter) {
@@ -96,7 +98,7 @@
     return response;
   }
 
-  policy::Team m_team{ "t", std::nullopt, {}, 10, 10, {} };
+  policy::Team m_team{ "t", std::nullopt, {}, 10, 10, { "key" } };
   ScriptedUpstream m_upstream{ [](const SeenRequest& aRequest) {
     return Script{ OkResponse(aRequest, "x") };
   } };
