policy: share observed loads between VMs and spill keys from busy upstreams

A VM sends to a given upstream a few times a minute and decided on loads that had decayed to the average. Keys of equal weight that collide on an upstream stayed there whatever its load. ServiceBalancer::Observe() takes loads and served keys that other VMs have read. An upstream whose smoothed utilization stays high lets a slowly changing fraction of its requests go on to the next upstream of the same region in the ranking of their key. The slowdown in load reports scales expected times. The model gets more results, slow upstreams and observations between VMs.

--- a/packages/policy/bench/SteeringModel.cpp
+++ b/packages/policy/bench/SteeringModel.cpp
@@ -37,6 +37,7 @@
   , m_scheduler(aScheduler)
   , m_random(m_options.m_seed)
   , m_vmRandom(m_options.m_seed + 1)
+  , m_peerRandom(m_options.m_seed + 2)
 {
   MakeUpstreams();
   MakeBalancers();
@@ -71,10 +72,11 @@
       candidates.push_back(std::move(candidate));
     }
     auto& balancers = m_balancers.emplace_back();
+    m_observations.emplace_back(m_options.m_regions[region].m_vms);
     const std::size_t count =
       m_scheduler == Scheduler::PerVm ? m_options.m_regions[region].m_vms : 1;
     for (std::size_t vm = 0; vm < count; ++vm) {
-      balancers.emplace_back(m_options.m_balancer, RegionName(region));
+      balancers.emplace_back(m_options.m_balancer, RegionName(region), region << 32U | vm);
       balancers.back().Update(candidates, m_events.Now());
     }
   }
@@ -88,7 +90,11 @@
   if (m_options.m_crashShare > 0) {
     m_events.After(m_options.m_crashAt, [this] { CrashUpstreams(); });
   }
+  if (m_options.m_announcedObservations > 0 && m_scheduler == Scheduler::PerVm) {
+    m_events.After(m_options.m_announceInterval, [this] { Announce(); });
+  }
   m_events.Run();
+  AddResults();
   m_result.m_p50Ms = QuantileMs(m_latencies, 0.5);
   m_result.m_p99Ms = QuantileMs(m_latencies, 0.99);
   for (const auto& [window, counts] : m_windows) {
@@ -99,6 +105,96 @@
   return m_result;
 }
 
+void SteeringModel::Announce()
+{
+  std::vector<std::pair<std::size_t, std::size_t>> vms;
+  for (std::size_t region = 0; region < m_balancers.size(); ++region) {
+    for (std::size_t vm = 0; vm < m_balancers[region].size(); ++vm) {
+      vms.emplace_back(region, vm);
+    }
+  }
+  for (const auto& [region, vm] : vms) {
+    for (std::size_t i = 0; i < m_options.m_announceRecipients; ++i) {
+      const auto [toRegion, toVm] = vms[m_peerRandom.Below(vms.size())];
+      if (toRegion == region && toVm == vm) {
+        continue;
+      }
+      auto observations =
+        m_observations[region][vm].Next(m_options.m_announcedObservations, m_events.Now());
+      const Time delay =
+        toRegion == region ? m_options.m_localDelay : m_options.m_crossRegionDelay;
+      m_events.After(delay, [this, &to = m_balancers[toRegion][toVm], observations] {
+        for (const LoadObservation& observation : observations) {
+          to.Observe(observation, m_events.Now());
+        }
+      });
+    }
+  }
+  if (m_events.Elapsed() + m_options.m_announceInterval < m_options.m_duration) {
+    m_events.After(m_options.m_announceInterval, [this] { Announce(); });
+  }
+}
+
+void SteeringModel::RecordObservation(const Upstream& aUpstream,
+                                      const Request& aRequest,
+                                      const LoadReport& aReport)
+{
+  const bool knowsKey = HasServedKey(aUpstream, aRequest.m_key);
+  m_observations[aRequest.m_region][aRequest.m_vm].Add(
+    { LoadObservation::HashUpstream(aUpstream.m_id),
+      knowsKey ? LoadObservation::HashKey(MakeQuery(aRequest).m_key) : std::uint16_t{ 0 },
+      static_cast<std::uint16_t>(aReport.m_running),
+      static_cast<std::uint16_t>(aReport.m_waiting),
+      m_events.Now() });
+}
+
+void SteeringModel::AddResults()
+{
+  std::size_t busiest = 0;
+  for (const auto& upstream : m_upstreams) {
+    busiest = std::max(busiest, upstream->m_runs);
+  }
+  if (m_result.m_runs > 0) {
+    m_result.m_busiestLoad = static_cast<double>(busiest * m_upstreams.size()) /
+                             static_cast<double>(m_result.m_runs);
+  }
+  std::size_t vms = 0;
+  for (const ModelOptions::Region& region : m_options.m_regions) {
+    vms += region.m_vms;
+  }
+  m_result.m_upstreamsPerVm =
+    static_cast<double>(m_usedPairs.size()) / static_cast<double>(std::max<std::size_t>(vms, 1));
+  const auto shareOf = [](const std::map<std::size_t, std::size_t>& aRuns, std::size_t aRegion) {
+    double all = 0;
+    for (const auto& [region, runs] : aRuns) {
+      all += static_cast<double>(runs);
+    }
+    const auto runs = aRuns.find(aRegion);
+    return runs == aRuns.end() ? 0 : static_cast<double>(runs->second) / all;
+  };
+  for (const auto& [window, regions] : m_regionRuns) {
+    const auto next = m_regionRuns.find(window + 1);
+    // Requests that started before the end of the arrivals are all that the last window has.
+    if (next == m_regionRuns.end() || (window + 2) * kWindow > m_options.m_duration) {
+      break;
+    }
+    for (const auto& [region, runs] : regions) {
+      for (std::size_t to = 0; to < m_options.m_regions.size(); ++to) {
+        const double change = shareOf(next->second[region], to) - shareOf(runs, to);
+        m_result.m_regionMove = std::max(m_result.m_regionMove, std::abs(change));
+      }
+    }
+  }
+}
+
+bool SteeringModel::IsSlow(const Upstream& aUpstream) const
+{
+  const std::int64_t period = m_events.Elapsed() / m_options.m_slowTime;
+  const std::uint64_t hash =
+    XXH64(aUpstream.m_id.data(), aUpstream.m_id.size(), static_cast<std::uint64_t>(period) + 1);
+  return static_cast<double>(hash % 1000) < m_options.m_slowShare * 1000;
+}
+
 double SteeringModel::RateFactor(std::size_t aRegion) const
 {
   const Time now = m_events.Elapsed();
@@ -134,7 +230,8 @@
 {
   auto request = std::make_shared<Request>();
   request->m_region = aRegion;
-  request->m_key = aRegion * m_options.m_keyCount + m_random.Below(m_options.m_keyCount);
+  request->m_key =
+    (m_options.m_sharesKeys ? 0 : aRegion * m_options.m_keyCount) + m_random.Below(m_options.m_keyCount);
   request->m_arrived = m_events.Elapsed();
   // The sum of three uniform values minus its mean approximates a normal distribution with a
   // standard deviation of 1/2.
@@ -158,6 +255,8 @@
       destination.m_upstream->m_id, MakeQuery(*aRequest), m_events.Now());
   }
   Upstream& upstream = *destination.m_upstream;
+  m_usedPairs.emplace(aRequest->m_region, aRequest->m_vm, upstream.m_id);
+  m_result.m_sends += IsCounted(*aRequest) ? 1 : 0;
   m_events.After(OneWayDelay(upstream, *aRequest),
                  [this, &upstream, aRequest] { Receive(upstream, aRequest); });
   m_events.After(m_options.m_timeout, [this, aRequest] { TimeOut(aRequest); });
@@ -228,7 +327,8 @@
   const Time mean = HasServedKey(aUpstream, aRequest.m_key) ? m_options.m_warmServiceTime
                                                             : m_options.m_coldServiceTime;
   return Time{ static_cast<std::int64_t>(static_cast<double>(mean.count()) *
-                                         aRequest.m_serviceTimeFactor) };
+                                         aRequest.m_serviceTimeFactor *
+                                         (IsSlow(aUpstream) ? m_options.m_slowFactor : 1)) };
 }
 
 Time SteeringModel::FinishTime(const Upstream& aUpstream, const Request& aRequest) const
@@ -267,6 +367,7 @@
   const bool isFull = aUpstream.m_running.size() >= m_options.m_slots &&
                       aUpstream.m_waiting.size() >= m_options.m_queueCapacity;
   if (!aUpstream.m_isRunning || isFull) {
+    m_result.m_fullRejections += aUpstream.m_isRunning && IsCounted(*aRequest) ? 1 : 0;
     m_events.After(OneWayDelay(aUpstream, *aRequest),
                    [this, &aUpstream, aRequest] { HandleRejection(aUpstream, aRequest); });
     return;
@@ -285,6 +386,7 @@
       aUpstream.m_isRunning ? AttemptFailure::Rejected : AttemptFailure::Unreachable;
     BalancerFor(*aRequest).OnFailure(
       aUpstream.m_id, failure, MakeReport(aUpstream), m_events.Now());
+    RecordObservation(aUpstream, *aRequest, MakeReport(aUpstream));
   }
   Reject(aRequest, { nullptr, RejectionCause::NoCapacity, m_options.m_targetLatency });
 }
@@ -300,6 +402,8 @@
     if (IsCounted(*request)) {
       ++m_result.m_runs;
       m_result.m_coldRuns += HasServedKey(aUpstream, request->m_key) ? 0 : 1;
+      ++aUpstream.m_runs;
+      ++m_regionRuns[m_events.Elapsed() / kWindow][request->m_region][aUpstream.m_region];
     }
     const Time time = ServiceTime(aUpstream, *request);
     aUpstream.m_running.emplace_back(m_events.Elapsed() + time, request);
@@ -327,6 +431,7 @@
                                         m_events.Elapsed() - aRequest->m_attemptAt,
                                         report,
                                         m_events.Now());
+      RecordObservation(aUpstream, *aRequest, report);
     }
     Finish(aRequest, Outcome::Served);
   });
@@ -412,7 +517,10 @@
 {
   return { static_cast<std::uint32_t>(aUpstream.m_running.size()),
            static_cast<std::uint32_t>(aUpstream.m_waiting.size()),
-           m_options.m_slots };
+           m_options.m_slots,
+           m_options.m_slowShare > 0
+             ? std::optional<double>{ IsSlow(aUpstream) ? m_options.m_slowFactor : 1 }
+             : std::nullopt };
 }
 
 } // namespace jaylane::policy::sim
--- a/packages/policy/bench/SteeringModel.h
+++ b/packages/policy/bench/SteeringModel.h
@@ -1,12 +1,15 @@
 #pragma once
 
 #include "Simulation.h"
+#include "jaylane/policy/LoadObservations.h"
 #include "jaylane/policy/RetryDelay.h"
 #include "jaylane/policy/ServiceBalancer.h"
 
 #include <deque>
 #include <list>
 #include <memory>
+#include <set>
+#include <tuple>
 #include <vector>
 
 namespace jaylane::policy::sim {
@@ -29,6 +32,8 @@
   std::size_t m_queueCapacity = 12;
   /// Affinity keys per region, and the number of them that an upstream keeps warm.
   std::size_t m_keyCount = 60;
+  /// Whether the keys are the same in all regions.
+  bool m_sharesKeys = false;
   std::size_t m_maxServedKeys = 40;
   /// Mean service times for keys that the upstream keeps warm, and for others.
   Time m_warmServiceTime{ std::chrono::milliseconds{ 144 } };
@@ -45,6 +50,15 @@
   /// Fraction of the upstreams, evenly spread, that crash at m_crashAt and do not come back.
   double m_crashShare = 0;
   Time m_crashAt{ std::chrono::seconds{ 20 } };
+  /// Fraction of the upstreams that take m_slowFactor times as long, for m_slowTime at a time.
+  double m_slowShare = 0;
+  double m_slowFactor = 2.5;
+  Time m_slowTime{ std::chrono::milliseconds{ 600 } };
+  /// Every m_announceInterval each VM sends m_announcedObservations to each of
+  /// m_announceRecipients random other VMs.
+  std::size_t m_announcedObservations = 0;
+  std::size_t m_announceRecipients = 0;
+  Time m_announceInterval{ std::chrono::milliseconds{ 400 } };
   /// One-way network delay within a region, and between regions.
   Time m_localDelay{ std::chrono::milliseconds{ 1 } };
   Time m_crossRegionDelay{ std::chrono::milliseconds{ 20 } };
@@ -88,7 +102,18 @@
   double m_p99Ms = 0;
   /// Fraction of requests served within the target latency in the worst window of two seconds.
   double m_worstWindow = 1;
-
+  /// Requests sent to upstreams, and those that these rejected because their queues were full.
+  std::size_t m_sends = 0;
+  std::size_t m_fullRejections = 0;
+  /// Executions at the busiest upstream as a multiple of the mean.
+  double m_busiestLoad = 0;
+  /// Largest change of the share of a region's executions that are in one region, from one window
+  /// of two seconds to the next.
+  double m_regionMove = 0;
+  /// Upstreams that a VM sends requests to, on average.
+  double m_upstreamsPerVm = 0;
+
+  double FullRejectionShare() const { return Fraction(m_fullRejections, m_sends); }
   double OnTimeShare() const { return Fraction(m_onTime, m_requests); }
   double LateShare() const { return Fraction(m_late, m_requests); }
   double UnservedShare() const { return Fraction(m_rejected + m_timedOut, m_requests); }
@@ -137,6 +162,7 @@
     std::deque<RequestPtr> m_waiting;
     /// Warm keys, the most recently served last.
     std::list<std::uint64_t> m_servedKeys;
+    std::size_t m_runs = 0;
   };
 
   enum class Outcome
@@ -155,6 +181,12 @@
 
   void MakeUpstreams();
   void MakeBalancers();
+  void Announce();
+  void RecordObservation(const Upstream& aUpstream,
+                         const Request& aRequest,
+                         const LoadReport& aReport);
+  void AddResults();
+  bool IsSlow(const Upstream& aUpstream) const;
   void ScheduleArrival(std::size_t aRegion);
   double RateFactor(std::size_t aRegion) const;
   void Arrive(std::size_t aRegion);
@@ -188,10 +220,17 @@
   std::vector<std::unique_ptr<Upstream>> m_upstreams;
   /// By region, then by VM.
   std::vector<std::vector<ServiceBalancer>> m_balancers;
+  std::vector<std::vector<LoadObservations>> m_observations;
+  /// Only for the recipients of announcements.
+  Random m_peerRandom;
   ModelResult m_result;
   std::vector<Time> m_latencies;
   /// Requests, and those served within the target latency, by window of their arrival.
   std::map<std::int64_t, std::pair<std::size_t, std::size_t>> m_windows;
+  /// Executions by window of their start, region of the caller and region of the upstream.
+  std::map<std::int64_t, std::map<std::size_t, std::map<std::size_t, std::size_t>>> m_regionRuns;
+  /// VM (by region and index) and upstream of all requests sent.
+  std::set<std::tuple<std::size_t, std::size_t, std::string>> m_usedPairs;
 };
 
 } // namespace jaylane::policy::sim
--- a/packages/policy/bench/SteeringSim.cpp
+++ b/packages/policy/bench/SteeringSim.cpp
@@ -19,6 +19,8 @@
   std::string m_name;
   ModelOptions m_options;
   int m_seeds = 3;
+  /// Whether only Scheduler::PerVm runs; the others take minutes with hundreds of upstreams.
+  bool m_runsOnlyVms = false;
 };
 
 struct Row
@@ -70,6 +72,14 @@
   Read(aNode, "move_away_above", aOptions.m_shiftOutUtilization);
   Read(aNode, "move_back_below", aOptions.m_shiftBackUtilization);
   ReadMillis(aNode, "report_life_ms", aOptions.m_reportDecayTime);
+  Read(aNode, "spill_above", aOptions.m_spillUtilization);
+  Read(aNode, "return_below", aOptions.m_returnUtilization);
+  Read(aNode, "spill_ratio", aOptions.m_spillRatio);
+  Read(aNode, "return_ratio", aOptions.m_returnRatio);
+  Read(aNode, "told_weight", aOptions.m_toldLoadAlpha);
+  Read(aNode, "spill_step", aOptions.m_spillStep);
+  ReadMillis(aNode, "utilization_ms", aOptions.m_utilizationTime);
+  ReadMillis(aNode, "told_key_ms", aOptions.m_toldKeyMemory);
 }
 
 /// Reads the keys that the node has; other options keep their values.
@@ -78,10 +88,16 @@
   ModelOptions& options = aExperiment.m_options;
   Read(aNode, "name", aExperiment.m_name);
   Read(aNode, "seeds", aExperiment.m_seeds);
+  Read(aNode, "only_vms", aExperiment.m_runsOnlyVms);
   ReadRegions(aNode, options);
   Read(aNode, "slots", options.m_slots);
   Read(aNode, "queue", options.m_queueCapacity);
   Read(aNode, "keys", options.m_keyCount);
+  Read(aNode, "shared_keys", options.m_sharesKeys);
+  Read(aNode, "observations", options.m_announcedObservations);
+  Read(aNode, "recipients", options.m_announceRecipients);
+  Read(aNode, "slow_share", options.m_slowShare);
+  Read(aNode, "slow_factor", options.m_slowFactor);
   Read(aNode, "keys_kept", options.m_maxServedKeys);
   ReadMillis(aNode, "known_ms", options.m_warmServiceTime);
   ReadMillis(aNode, "unknown_ms", options.m_coldServiceTime);
@@ -116,6 +132,11 @@
     sum.m_timedOut += result.m_timedOut;
     sum.m_runs += result.m_runs;
     sum.m_coldRuns += result.m_coldRuns;
+    sum.m_sends += result.m_sends;
+    sum.m_fullRejections += result.m_fullRejections;
+    sum.m_busiestLoad += result.m_busiestLoad / aExperiment.m_seeds;
+    sum.m_regionMove = std::max(sum.m_regionMove, result.m_regionMove);
+    sum.m_upstreamsPerVm += result.m_upstreamsPerVm / aExperiment.m_seeds;
     sum.m_p50Ms += result.m_p50Ms / aExperiment.m_seeds;
     sum.m_p99Ms += result.m_p99Ms / aExperiment.m_seeds;
     sum.m_worstWindow += result.m_worstWindow / aExperiment.m_seeds;
@@ -128,7 +149,8 @@
   const double best = aRow.m_results.back().second.OnTimeShare();
   for (const auto& [scheduler, result] : aRow.m_results) {
     fmt::print(
-      "{:<28}{:<16}{:>9}{:>10.3f}{:>10.3f}{:>10.3f}{:>10.3f}{:>9.0f}{:>9.0f}{:>9.3f}{:>9.3f}\n",
+      "{:<28}{:<16}{:>9}{:>10.3f}{:>10.3f}{:>10.3f}{:>10.3f}{:>9.0f}{:>9.0f}{:>9.3f}{:>9.3f}"
+      "{:>9.3f}{:>9.2f}{:>9.3f}{:>9.0f}\n",
       aRow.m_name,
       scheduler,
       result.m_requests,
@@ -139,7 +161,11 @@
       result.m_p50Ms,
       result.m_p99Ms,
       result.m_worstWindow,
-      best > 0 ? result.OnTimeShare() / best : 0);
+      best > 0 ? result.OnTimeShare() / best : 0,
+      result.FullRejectionShare(),
+      result.m_busiestLoad,
+      result.m_regionMove,
+      result.m_upstreamsPerVm);
   }
 }
 
@@ -184,7 +210,8 @@
 int RunExperiments(const std::string& aFile, const std::string& aSvg)
 {
   std::vector<Row> rows;
-  fmt::print("{:<28}{:<16}{:>9}{:>10}{:>10}{:>10}{:>10}{:>9}{:>9}{:>9}{:>9}\n",
+  fmt::print("{:<28}{:<16}{:>9}{:>10}{:>10}{:>10}{:>10}{:>9}{:>9}{:>9}{:>9}"
+             "{:>9}{:>9}{:>9}{:>9}\n",
              "experiment",
              "scheduler",
              "requests",
@@ -195,7 +222,11 @@
              "p50 ms",
              "p99 ms",
              "worst 2s",
-             "of best");
+             "of best",
+             "full",
+             "busiest",
+             "moved",
+             "ups/VM");
   const YAML::Node document = YAML::LoadFile(aFile);
   Experiment defaults;
   ReadExperiment(document["defaults"], defaults);
@@ -204,8 +235,10 @@
     ReadExperiment(node, experiment);
     Row row{ experiment.m_name, {} };
     row.m_results.emplace_back("each VM", RunSeeds(experiment, Scheduler::PerVm));
-    row.m_results.emplace_back("one a region", RunSeeds(experiment, Scheduler::PerRegion));
-    row.m_results.emplace_back("full knowledge", RunSeeds(experiment, Scheduler::FullKnowledge));
+    if (!experiment.m_runsOnlyVms) {
+      row.m_results.emplace_back("one a region", RunSeeds(experiment, Scheduler::PerRegion));
+      row.m_results.emplace_back("full knowledge", RunSeeds(experiment, Scheduler::FullKnowledge));
+    }
     Print(row);
     rows.push_back(std::move(row));
   }
--- a/packages/policy/include/jaylane/policy/ServiceBalancer.h
+++ b/packages/policy/include/jaylane/policy/ServiceBalancer.h
@@ -3,6 +3,7 @@
 #include "jaylane/base/Clock.h"
 #include "jaylane/policy/CrossRegionPlacement.h"
 #include "jaylane/policy/Fleet.h"
+#include "jaylane/policy/LoadObservation.h"
 #include "jaylane/policy/TicketSchedule.h"
 
 #include <cstddef>
@@ -94,8 +95,27 @@
   /// m_minOverdueTime, which covers the relative spread of short latencies.
   double m_overdueFactor = 3;
   std::chrono::milliseconds m_minOverdueTime{ 150 };
-  /// Affinity keys tracked per upstream.
+  /// Affinity keys tracked per upstream: those that it served for this VM, and for others.
   std::size_t m_maxTrackedKeys = 64;
+  /// Weights of a load that another VM has read, in the load of its upstream: normally, and from
+  /// m_overloadMinRejectionRate on. Under overload all VMs together fill up the upstream that the
+  /// same observation shows as free.
+  double m_toldLoadAlpha = 0.5;
+  double m_overloadToldLoadAlpha = 0.1;
+  /// Time for which a key that an upstream served for another VM counts as known there.
+  std::chrono::milliseconds m_toldKeyMemory{ 8000 };
+  /// Smoothed utilization of an upstream above which requests spill to the next upstream in the
+  /// ranking of their key, and below which they return.
+  double m_spillUtilization = 0.9;
+  double m_returnUtilization = 0.7;
+  /// Change of the spilled fraction of an upstream's requests per step of kShareUpdateInterval.
+  double m_spillStep = 0.02;
+  /// The same as multiples of the mean utilization of all upstreams. Spilling costs first requests
+  /// for keys and gains nothing if the others are as busy.
+  double m_spillRatio = 1.6;
+  double m_returnRatio = 1.3;
+  /// Time constant of the smoothed utilization.
+  std::chrono::milliseconds m_utilizationTime{ 3000 };
 };
 
 /// Chooses upstreams of one service for the requests of one VM.
@@ -196,6 +216,11 @@
   /// the caller disconnected.
   void OnCancelled(const std::string& aUpstream);
 
+  /// Takes the load and the key that another VM has read in a response of an upstream.
+  /// @return whether the observation was used: the upstream is known, and the observation is not
+  ///   older than BalancerOptions::m_toldKeyMemory.
+  bool Observe(const LoadObservation& aObservation, base::MonotonicTime aNow);
+
   /// Limits this VM's requests to an upstream.
   /// @param aPerSecond requests per second; empty: no limit.
   void SetRate(const std::string& aUpstream,
@@ -218,6 +243,8 @@
   double LocalShare() const { return m_localShare; }
   /// @return fraction of the affinity keys that are ranked over all regions.
   double CrossRegionShare() const { return m_placement.Share(); }
+  /// @return mean fraction of the upstreams' requests that spill to the next in the ranking.
+  double SpillShare() const;
   std::size_t size() const { return m_states.size(); }
 
 private:
@@ -229,6 +256,16 @@
     /// Requests of other VMs at the upstream, as of m_reportedAt.
     double m_externalLoad = 0;
     base::MonotonicTime m_reportedAt;
+    /// Time of the newest request of this VM.
+    base::MonotonicTime m_sentAt;
+    /// Load in slots, averaged over BalancerOptions::m_utilizationTime before m_utilizationAt.
+    double m_utilization = 0;
+    base::MonotonicTime m_utilizationAt;
+    /// Fraction of the requests that go on to the next upstream in the ranking of their key.
+    double m_spill = 0;
+    /// Slowdown that the upstream last reported.
+    double m_slowdown = 1;
+    base::MonotonicTime m_slowdownAt;
     double m_successRate = 1;
     /// Service time as a multiple of the service's average.
     double m_relativeServiceTime = 1;
@@ -247,6 +284,8 @@
     bool m_hasSentColdRequest = false;
     /// Hashes of affinity keys that the upstream has served, with the time of the last response.
     std::unordered_map<std::uint64_t, base::MonotonicTime> m_servedKeys;
+    /// The same for keys that it has served for other VMs, by LoadObservation::HashKey().
+    std::unordered_map<std::uint16_t, base::MonotonicTime> m_toldKeys;
   };
 
   struct RankedState
@@ -281,7 +320,15 @@
   State* FindState(const std::string& aUpstream);
   bool IsUsable(const State& aState, const Query& aQuery, base::MonotonicTime aNow) const;
   Tiers SortIntoTiers(const Query& aQuery, base::MonotonicTime aNow) const;
-  std::vector<RankedState> Rank(const Query& aQuery, base::MonotonicTime aNow) const;
+  /// Upstreams to compare for a request, the best first.
+  struct Ranking
+  {
+    std::vector<RankedState> m_ranked;
+    /// Upstreams before them that were skipped because they spill.
+    std::size_t m_skipped = 0;
+  };
+  static void KeepBest(std::vector<RankedState>& aRanked, std::size_t aCount);
+  Ranking Rank(const Query& aQuery, base::MonotonicTime aNow);
   /// @return time until the first upstream that lacks only a ticket may be used; empty if there is
   ///   none.
   std::optional<std::chrono::milliseconds> TicketWait(const Query& aQuery,
@@ -296,9 +343,20 @@
   double QueuedPerSlot(const State& aState, base::MonotonicTime aNow) const;
   LatencyEstimate EstimateLatency(const State& aState,
                                   const Query& aQuery,
-                                  std::size_t aRank,
+                                  bool aIsPlace,
                                   base::MonotonicTime aNow) const;
-  double ExpectedServiceTime(const State& aState, const Query& aQuery, std::size_t aRank) const;
+  double ExpectedServiceTime(const State& aState,
+                             const Query& aQuery,
+                             bool aIsPlace,
+                             base::MonotonicTime aNow) const;
+  bool KnowsKey(const State& aState, const Query& aQuery, base::MonotonicTime aNow) const;
+  double Slowdown(const State& aState, base::MonotonicTime aNow) const;
+  /// Skips upstreams with the probability of their spilled fraction.
+  /// @param aRanked all preferred upstreams in any order.
+  /// @return the ranking among the upstreams of the first one's region, so that spilling moves no
+  ///   requests between regions; nothing skipped if the request stays at the first.
+  Ranking SkipSpilling(std::vector<RankedState> aRanked);
+  void AdjustSpill(base::MonotonicTime aNow);
   double WarmServiceTime(const Query& aQuery) const;
   double ColdServiceTime(const Query& aQuery) const;
   std::chrono::milliseconds OverdueAfter(const State& aState,
@@ -309,6 +367,8 @@
   void AdjustLocalShare(base::MonotonicTime aNow);
   void InitializeLocalShare();
   void UpdateOverflowRate(bool aIsOverflow);
+  /// Takes a load in requests, this VM's included, into account.
+  void ApplyLoad(State& aState, double aLoad, double aAlpha, base::MonotonicTime aSeenAt);
   void ApplyLoadReport(State& aState,
                        const std::optional<LoadReport>& aReport,
                        base::MonotonicTime aNow);
@@ -323,6 +383,7 @@
   double m_distanceMs = 0;
   std::vector<State> m_states;
   std::unordered_map<std::string, std::size_t> m_indexById;
+  std::unordered_map<std::uint32_t, std::size_t> m_indexByHash;
   /// Service times of all upstreams in milliseconds, for keys that the upstream has served before
   /// and for others; zero before the first measurement.
   double m_warmServiceTime = 0;
@@ -336,6 +397,8 @@
   double m_overflowRate = 0;
   /// Fraction of the recent requests rejected because of overload.
   double m_rejectionRate = 0;
+  /// Position in the sequence of pseudo-random numbers of SkipSpilling().
+  std::uint64_t m_spillDraws = 0;
   /// Average load by other VMs, as a fraction of the slots.
   double m_meanExternalLoad = 0;
 };
--- a/packages/policy/src/ServiceBalancer.cpp
+++ b/packages/policy/src/ServiceBalancer.cpp
@@ -32,6 +32,13 @@
 constexpr double kMeanLoadAlpha = 0.05;
 /// Weight of the newest decision in the rejection rate, which averages over about 100 requests.
 constexpr double kRejectionAlpha = 0.01;
+/// A load report's slowdown is used no longer than this; it changes many times per second.
+constexpr milliseconds kSlowdownMemory{ 600 };
+/// Upstreams that a request may skip because they spill. A key of a long-running type needs the
+/// slots of up to three.
+constexpr std::size_t kMaxSkipped = 5;
+/// Seed of the numbers that are compared with the spilled fractions.
+constexpr std::uint64_t kSpillSeed = 0x27D4EB2F165667C5;
 /// Fraction of a key that decides whether it belongs to the own region, or of a key combined with
 /// an upstream's hash that ranks the upstream for the key.
 double PlacementFraction(std::uint64_t aValue)
@@ -51,6 +58,15 @@
   aAverage = aAverage == 0 ? aSample : aAverage + aAlpha * (aSample - aAverage);
 }
 
+/// Erases the entry with the oldest time if there are more than aLimit.
+void EraseOldest(auto& aTimes, std::size_t aLimit)
+{
+  if (aTimes.size() > aLimit) {
+    aTimes.erase(
+      std::ranges::min_element(aTimes, {}, [](const auto& aEntry) { return aEntry.second; }));
+  }
+}
+
 } // namespace
 
 ServiceBalancer::ServiceBalancer(BalancerOptions aOptions,
@@ -68,6 +84,7 @@
   std::vector<State> states;
   states.reserve(aCandidates.size());
   std::unordered_map<std::string, std::size_t> indexById;
+  std::unordered_map<std::uint32_t, std::size_t> indexByHash;
   for (Candidate& candidate : aCandidates) {
     const std::string id = candidate.m_upstream.m_id;
     State state;
@@ -80,10 +97,12 @@
     state.m_candidate = std::move(candidate);
     state.m_hash = XXH64(id.data(), id.size(), 0);
     indexById[id] = states.size();
+    indexByHash[LoadObservation::HashUpstream(id)] = states.size();
     states.push_back(std::move(state));
   }
   m_states = std::move(states);
   m_indexById = std::move(indexById);
+  m_indexByHash = std::move(indexByHash);
   UpdateDistance();
   if (!m_isLocalShareInitialized && !m_states.empty()) {
     InitializeLocalShare();
@@ -207,26 +226,32 @@
   return tiers;
 }
 
-std::vector<ServiceBalancer::RankedState> ServiceBalancer::Rank(const Query& aQuery,
-                                                                base::MonotonicTime aNow) const
+void ServiceBalancer::KeepBest(std::vector<RankedState>& aRanked, std::size_t aCount)
+{
+  const auto middle = aRanked.begin() + std::min(aCount, aRanked.size());
+  std::ranges::partial_sort(aRanked, middle, std::ranges::greater{}, &RankedState::m_score);
+  aRanked.erase(middle, aRanked.end());
+}
+
+ServiceBalancer::Ranking ServiceBalancer::Rank(const Query& aQuery, base::MonotonicTime aNow)
 {
   Tiers tiers = SortIntoTiers(aQuery, aNow);
-  const auto keepBest = [](std::vector<RankedState>& aRanked, std::size_t aCount) {
-    const auto middle = aRanked.begin() + std::min(aCount, aRanked.size());
-    std::ranges::partial_sort(aRanked, middle, std::ranges::greater{}, &RankedState::m_score);
-    aRanked.erase(middle, aRanked.end());
-  };
+  if (aQuery.m_hasAffinity && !aQuery.m_isHedge) {
+    if (Ranking spilled = SkipSpilling(tiers.m_preferred); spilled.m_skipped > 0) {
+      return spilled;
+    }
+  }
   std::vector<RankedState> ranked = std::move(tiers.m_preferred);
-  keepBest(ranked, m_options.m_preferredCandidates);
+  KeepBest(ranked, m_options.m_preferredCandidates);
   if (ranked.empty() || m_overflowRate < m_options.m_maxOverflowShare) {
-    keepBest(tiers.m_fallbacks, m_options.m_fallbackCandidates);
+    KeepBest(tiers.m_fallbacks, m_options.m_fallbackCandidates);
     ranked.insert(ranked.end(), tiers.m_fallbacks.begin(), tiers.m_fallbacks.end());
   }
   if (ranked.empty()) {
-    keepBest(tiers.m_withheld, m_options.m_preferredCandidates);
+    KeepBest(tiers.m_withheld, m_options.m_preferredCandidates);
     ranked = std::move(tiers.m_withheld);
   }
-  return ranked;
+  return { std::move(ranked), 0 };
 }
 
 double ServiceBalancer::WarmServiceTime(const Query& aQuery) const
@@ -244,16 +269,83 @@
   return std::max(cold, WarmServiceTime(aQuery));
 }
 
+bool ServiceBalancer::KnowsKey(const State& aState,
+                               const Query& aQuery,
+                               base::MonotonicTime aNow) const
+{
+  if (!aQuery.m_hasAffinity || aState.m_servedKeys.contains(aQuery.m_key)) {
+    return true;
+  }
+  const auto told = aState.m_toldKeys.find(LoadObservation::HashKey(aQuery.m_key));
+  return told != aState.m_toldKeys.end() && aNow - told->second <= m_options.m_toldKeyMemory;
+}
+
+double ServiceBalancer::Slowdown(const State& aState, base::MonotonicTime aNow) const
+{
+  return aNow - aState.m_slowdownAt <= kSlowdownMemory ? aState.m_slowdown : 1;
+}
+
 double ServiceBalancer::ExpectedServiceTime(const State& aState,
                                             const Query& aQuery,
-                                            std::size_t aRank) const
+                                            bool aIsPlace,
+                                            base::MonotonicTime aNow) const
 {
-  // The first-ranked upstream counts as warm: other VMs send the key there too.
-  const bool isFirst = aRank == 0 && !aQuery.m_isHedge;
-  const bool isWarm =
-    !aQuery.m_hasAffinity || isFirst || aState.m_servedKeys.contains(aQuery.m_key);
+  // The upstream at the key's place counts as warm: other VMs send the key there too.
+  const bool isWarm = (aIsPlace && !aQuery.m_isHedge) || KnowsKey(aState, aQuery, aNow);
   return (isWarm ? WarmServiceTime(aQuery) : ColdServiceTime(aQuery)) *
-         aState.m_relativeServiceTime;
+         aState.m_relativeServiceTime * Slowdown(aState, aNow);
+}
+
+ServiceBalancer::Ranking ServiceBalancer::SkipSpilling(std::vector<RankedState> aRanked)
+{
+  const auto first = std::ranges::max_element(aRanked, {}, &RankedState::m_score);
+  if (first == aRanked.end() || m_states[first->m_index].m_spill == 0) {
+    return {};
+  }
+  const std::string& region = m_states[first->m_index].m_candidate.m_upstream.m_region;
+  std::erase_if(aRanked, [&](const RankedState& aState) {
+    return m_states[aState.m_index].m_candidate.m_upstream.m_region != region;
+  });
+  const std::size_t count =
+    std::min(aRanked.size(), kMaxSkipped + m_options.m_preferredCandidates);
+  KeepBest(aRanked, count);
+  std::size_t skipped = 0;
+  while (skipped < kMaxSkipped && skipped + 1 < aRanked.size() &&
+         detail::HashFraction(++m_spillDraws ^ m_ticketSeed, kSpillSeed) <
+           m_states[aRanked[skipped].m_index].m_spill) {
+    ++skipped;
+  }
+  aRanked.erase(aRanked.begin(), aRanked.begin() + static_cast<std::ptrdiff_t>(skipped));
+  aRanked.resize(std::min(aRanked.size(), m_options.m_preferredCandidates));
+  return { std::move(aRanked), skipped };
+}
+
+void ServiceBalancer::AdjustSpill(base::MonotonicTime aNow)
+{
+  double mean = 0;
+  for (const State& state : m_states) {
+    mean += state.m_utilization / static_cast<double>(m_states.size());
+  }
+  for (State& state : m_states) {
+    const double age = ToMillis(aNow - state.m_utilizationAt);
+    const double weight = std::exp(-age / ToMillis(m_options.m_utilizationTime) / 3);
+    const double utilization =
+      mean + weight * (state.m_utilization - mean);
+    if (utilization > std::max(m_options.m_spillUtilization, m_options.m_spillRatio * mean)) {
+      state.m_spill = std::min(1.0, state.m_spill + m_options.m_spillStep);
+    } else if (utilization < std::max(m_options.m_returnUtilization, m_options.m_returnRatio * mean)) {
+      state.m_spill = std::max(0.0, state.m_spill - m_options.m_spillStep);
+    }
+  }
+}
+
+double ServiceBalancer::SpillShare() const
+{
+  double sum = 0;
+  for (const State& state : m_states) {
+    sum += state.m_spill;
+  }
+  return m_states.empty() ? 0 : sum / static_cast<double>(m_states.size());
 }
 
 milliseconds ServiceBalancer::OverdueAfter(const State& aState,
@@ -285,13 +377,14 @@
 
 ServiceBalancer::LatencyEstimate ServiceBalancer::EstimateLatency(const State& aState,
                                                                   const Query& aQuery,
-                                                                  std::size_t aRank,
+                                                                  bool aIsPlace,
                                                                   base::MonotonicTime aNow) const
 {
   LatencyEstimate estimate;
   estimate.m_queueWait =
-    QueuedPerSlot(aState, aNow) * WarmServiceTime(aQuery) * aState.m_relativeServiceTime;
-  estimate.m_serviceTime = ExpectedServiceTime(aState, aQuery, aRank);
+    QueuedPerSlot(aState, aNow) * WarmServiceTime(aQuery) * aState.m_relativeServiceTime *
+    Slowdown(aState, aNow);
+  estimate.m_serviceTime = ExpectedServiceTime(aState, aQuery, aIsPlace, aNow);
   estimate.m_failurePenalty =
     (1 - aState.m_successRate) * m_options.m_failurePenalty * ToMillis(aQuery.m_targetLatency);
   const double regionPenalty = IsOwnRegion(aState) ? 0 : kCrossRegionPenaltyMs;
@@ -312,14 +405,14 @@
   const auto cost = [isAcrossRegions](const LatencyEstimate& aEstimate) {
     return isAcrossRegions ? aEstimate.AtUpstream() : aEstimate.Total();
   };
-  const std::vector<RankedState> ranked = Rank(aQuery, aNow);
-  for (std::size_t rank = 0; rank < ranked.size(); ++rank) {
-    const State& state = m_states[ranked[rank].m_index];
-    const LatencyEstimate estimate = EstimateLatency(state, aQuery, rank, aNow);
+  const Ranking ranking = Rank(aQuery, aNow);
+  for (std::size_t i = 0; i < ranking.m_ranked.size(); ++i) {
+    const State& state = m_states[ranking.m_ranked[i].m_index];
+    const LatencyEstimate estimate = EstimateLatency(state, aQuery, i == 0, aNow);
     if (!choice.m_upstream || cost(estimate) < cost(best)) {
       best = estimate;
       choice.m_upstream = &state.m_candidate.m_upstream;
-      choice.m_rank = rank;
+      choice.m_rank = ranking.m_skipped + i;
       choice.m_isCold = aNow < state.m_candidate.m_coldUntil;
       choice.m_hasServedKey = state.m_servedKeys.contains(aQuery.m_key);
       choice.m_overdueAfter = OverdueAfter(state, aQuery, estimate);
@@ -387,6 +480,7 @@
     return;
   }
   ++state->m_inFlight;
+  state->m_sentAt = aNow;
   if (state->m_tickets) {
     state->m_tickets->Take(aNow);
   }
@@ -405,22 +499,60 @@
   if (!aReport) {
     return;
   }
-  const double load = aReport->m_running + aReport->m_waiting;
-  const double externalLoad = std::max(0.0, load - aState.m_inFlight);
-  aState.m_externalLoad = ExternalLoad(aState, aNow);
-  aState.m_externalLoad += kReportAlpha * (externalLoad - aState.m_externalLoad);
-  aState.m_reportedAt = aNow;
+  ApplyLoad(aState, aReport->m_running + aReport->m_waiting, kReportAlpha, aNow);
+  if (aReport->m_slowdown) {
+    aState.m_slowdown = *aReport->m_slowdown;
+    aState.m_slowdownAt = aNow;
+  }
+}
+
+void ServiceBalancer::ApplyLoad(State& aState,
+                                double aLoad,
+                                double aAlpha,
+                                base::MonotonicTime aSeenAt)
+{
+  // A request that was sent after the load was read is not part of it.
+  const std::uint32_t newer = aState.m_sentAt > aSeenAt && aState.m_inFlight > 0 ? 1 : 0;
+  const double externalLoad = std::max(0.0, aLoad - (aState.m_inFlight - newer));
   const double slots = std::max(1U, aState.m_candidate.m_upstream.m_slots);
+  aState.m_externalLoad = ExternalLoad(aState, aSeenAt);
+  aState.m_externalLoad += aAlpha * (externalLoad - aState.m_externalLoad);
+  aState.m_reportedAt = aSeenAt;
   m_meanExternalLoad += kMeanLoadAlpha * (externalLoad / slots - m_meanExternalLoad);
+  const double age = ToMillis(aSeenAt - aState.m_utilizationAt);
+  const double kept = std::exp(-age / ToMillis(m_options.m_utilizationTime));
+  aState.m_utilization = kept * aState.m_utilization + (1 - kept) * aLoad / slots;
+  aState.m_utilizationAt = aSeenAt;
+}
+
+bool ServiceBalancer::Observe(const LoadObservation& aObservation, base::MonotonicTime aNow)
+{
+  const auto index = m_indexByHash.find(aObservation.m_upstream);
+  const base::MonotonicTime seenAt = std::min(aObservation.m_seenAt, aNow);
+  if (index == m_indexByHash.end() || aNow - seenAt > m_options.m_toldKeyMemory) {
+    return false;
+  }
+  State& state = m_states[index->second];
+  if (seenAt > state.m_reportedAt) {
+    const double load = aObservation.m_running + aObservation.m_waiting;
+    const double overload =
+      std::min(1.0, m_rejectionRate / m_options.m_overloadMinRejectionRate);
+    const double alpha =
+      std::lerp(m_options.m_toldLoadAlpha, m_options.m_overloadToldLoadAlpha, overload);
+    ApplyLoad(state, load, alpha, seenAt);
+  }
+  if (aObservation.m_key != 0) {
+    auto& servedAt = state.m_toldKeys[aObservation.m_key];
+    servedAt = std::max(servedAt, seenAt);
+    EraseOldest(state.m_toldKeys, m_options.m_maxTrackedKeys);
+  }
+  return true;
 }
 
 void ServiceBalancer::RecordServedKey(State& aState, std::uint64_t aKey, base::MonotonicTime aNow)
 {
   aState.m_servedKeys[aKey] = aNow;
-  if (aState.m_servedKeys.size() > m_options.m_maxTrackedKeys) {
-    aState.m_servedKeys.erase(std::ranges::min_element(
-      aState.m_servedKeys, {}, [](const auto& aEntry) { return aEntry.second; }));
-  }
+  EraseOldest(aState.m_servedKeys, m_options.m_maxTrackedKeys);
 }
 
 void ServiceBalancer::OnResponse(const std::string& aUpstream,
@@ -443,7 +575,10 @@
   }
   const bool hadQueue = aReport && aReport->m_waiting > 0;
   const bool wasWarm = !aQuery.m_hasAffinity || state->m_servedKeys.contains(aQuery.m_key);
-  const double time = std::max(1.0, ToMillis(aLatency) - ToMillis(state->m_candidate.m_roundTrip));
+  // The measured service times refer to the usual speed of the upstream.
+  const double slowdown = aReport ? aReport->m_slowdown.value_or(1) : 1;
+  const double time =
+    std::max(1.0, (ToMillis(aLatency) - ToMillis(state->m_candidate.m_roundTrip)) / slowdown);
   if (wasWarm && !hadQueue) {
     detail::TrackQuantile(state->m_relativeServiceTime,
                           time / WarmServiceTime(aQuery),
@@ -544,6 +679,7 @@
     return;
   }
   m_localShareUpdatedAt = aNow;
+  AdjustSpill(aNow);
   double load = 0;
   double slots = 0;
   for (const State& state : m_states) {
