--- a/packages/gateway/tests/SteeringTest.cpp
+++ b/packages/gateway/tests/SteeringTest.cpp
@@ -45,6 +45,29 @@
   EXPECT_TRUE(m_steering->Containment().List().IsQuarantined(crashing, clock.Monotonic()));
 }
 
+// Guards against loads that this VM has seen and does not tell others, or tells twice, and against
+// loads told by others that do not reach the balancer of the upstream's service.
+TEST_F(SteeringTest, LoadsArePassedOn)
+{
+  m_steering = std::make_unique<Steering>(m_settings, base::SystemClock::Get(), m_log);
+  policy::Upstream upstream;
+  upstream.m_id = "u";
+  upstream.m_service = "s";
+  upstream.m_address = "127.0.0.1:1";
+  upstream.m_slots = 4;
+  m_steering->ReplaceUpstreams({ upstream });
+  m_steering->OnLoad("u", 7, { 3, 1, 4 });
+  m_steering->OnLoad("unknown", std::nullopt, { 100'000, 0, 4 });
+  const auto loads = m_steering->TakeLoads();
+  ASSERT_EQ(loads.size(), 2U);
+  EXPECT_EQ(loads[0].m_running + loads[0].m_waiting, 4);
+  EXPECT_NE(loads[0].m_key, 0);
+  EXPECT_EQ(loads[1].m_key, 0);
+  EXPECT_EQ(loads[1].m_running, 65'535);
+  EXPECT_TRUE(m_steering->TakeLoads().empty());
+  EXPECT_EQ(m_steering->OnPeerLoads(loads), 1U);
+}
+
 // Many upstreams of another region are busy with first requests and silent for a while. Guards
 // against taking that for a cut, which would move all of the region's keys.
 TEST_F(SteeringTest, SilentUpstreamsAreNoCut)
--- a/packages/policy/include/jaylane/policy/ServiceBalancer.h
+++ b/packages/policy/include/jaylane/policy/ServiceBalancer.h
@@ -352,10 +352,10 @@
   bool KnowsKey(const State& aState, const Query& aQuery, base::MonotonicTime aNow) const;
   double Slowdown(const State& aState, base::MonotonicTime aNow) const;
   /// Skips upstreams with the probability of their spilled fraction.
-  /// @param aRanked all preferred upstreams in any order.
+  /// @param aPreferred all preferred upstreams in any order.
   /// @return the ranking among the upstreams of the first one's region, so that spilling moves no
   ///   requests between regions; nothing skipped if the request stays at the first.
-  Ranking SkipSpilling(std::vector<RankedState> aRanked);
+  Ranking SkipSpilling(const std::vector<RankedState>& aPreferred);
   void AdjustSpill(base::MonotonicTime aNow);
   double WarmServiceTime(const Query& aQuery) const;
   double ColdServiceTime(const Query& aQuery) const;
--- a/packages/policy/src/ServiceBalancer.cpp
+++ b/packages/policy/src/ServiceBalancer.cpp
@@ -296,27 +296,28 @@
          aState.m_relativeServiceTime * Slowdown(aState, aNow);
 }
 
-ServiceBalancer::Ranking ServiceBalancer::SkipSpilling(std::vector<RankedState> aRanked)
+ServiceBalancer::Ranking ServiceBalancer::SkipSpilling(const std::vector<RankedState>& aPreferred)
 {
-  const auto first = std::ranges::max_element(aRanked, {}, &RankedState::m_score);
-  if (first == aRanked.end() || m_states[first->m_index].m_spill == 0) {
+  const auto first = std::ranges::max_element(aPreferred, {}, &RankedState::m_score);
+  if (first == aPreferred.end() || m_states[first->m_index].m_spill == 0) {
     return {};
   }
   const std::string& region = m_states[first->m_index].m_candidate.m_upstream.m_region;
-  std::erase_if(aRanked, [&](const RankedState& aState) {
+  std::vector<RankedState> ranked = aPreferred;
+  std::erase_if(ranked, [&](const RankedState& aState) {
     return m_states[aState.m_index].m_candidate.m_upstream.m_region != region;
   });
-  const std::size_t count = std::min(aRanked.size(), kMaxSkipped + m_options.m_preferredCandidates);
-  KeepBest(aRanked, count);
+  const std::size_t count = std::min(ranked.size(), kMaxSkipped + m_options.m_preferredCandidates);
+  KeepBest(ranked, count);
   std::size_t skipped = 0;
-  while (skipped < kMaxSkipped && skipped + 1 < aRanked.size() &&
+  while (skipped < kMaxSkipped && skipped + 1 < ranked.size() &&
          detail::HashFraction(++m_spillDraws ^ m_ticketSeed, kSpillSeed) <
-           m_states[aRanked[skipped].m_index].m_spill) {
+           m_states[ranked[skipped].m_index].m_spill) {
     ++skipped;
   }
-  aRanked.erase(aRanked.begin(), aRanked.begin() + static_cast<std::ptrdiff_t>(skipped));
-  aRanked.resize(std::min(aRanked.size(), m_options.m_preferredCandidates));
-  return { std::move(aRanked), skipped };
+  ranked.erase(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(skipped));
+  ranked.resize(std::min(ranked.size(), m_options.m_preferredCandidates));
+  return { std::move(ranked), skipped };
 }
 
 void ServiceBalancer::AdjustSpill(base::MonotonicTime aNow)
