--- a/packages/gateway/src/GatewayMetrics.cpp
+++ b/packages/gateway/src/GatewayMetrics.cpp
@@ -42,6 +42,13 @@
   fmt::format_to(out, "jaylane_quota_grants_total {}\n", m_quotaGrants);
   fmt::format_to(out, "jaylane_quota_credits {}\n", m_quotaCredits);
   fmt::format_to(out, "jaylane_quota_granted_share {:.4f}\n", m_quotaGrantedShare);
+  fmt::format_to(out, "jaylane_load_reports_unreadable_total {}\n", m_unreadableLoads);
+  fmt::format_to(out, "jaylane_load_observations_told_total {}\n", m_observationsTold);
+  fmt::format_to(out, "jaylane_load_observations_received_total {}\n", m_observationsReceived);
+  fmt::format_to(out, "jaylane_load_observations_ignored_total {}\n", m_observationsIgnored);
+  for (const auto& [service, share] : m_spillShares) {
+    fmt::format_to(out, "jaylane_spill_share{{service=\"{}\"}} {:.4f}\n", service, share);
+  }
   AddHistogram(text, "jaylane_request_seconds", m_requestLatency);
   AddHistogram(text, "jaylane_upstream_seconds", m_upstreamLatency);
   return text;
--- a/packages/gateway/src/GatewayMetrics.h
+++ b/packages/gateway/src/GatewayMetrics.h
@@ -36,6 +36,15 @@
   /// Credits that this VM holds, and part of the quotas that it grants as a broker.
   std::uint64_t m_quotaCredits = 0;
   double m_quotaGrantedShare = 0;
+  /// Load reports of upstreams that could not be read.
+  std::uint64_t m_unreadableLoads = 0;
+  /// Observations of loads (policy::LoadObservation) that were sent to other VMs, one each time;
+  /// received from them; and of these ignored. A text that cannot be read counts as one.
+  std::uint64_t m_observationsTold = 0;
+  std::uint64_t m_observationsReceived = 0;
+  std::uint64_t m_observationsIgnored = 0;
+  /// Fraction of the requests that busy upstreams leave to the next one, by service.
+  std::map<std::string, double> m_spillShares;
   base::LatencyHistogram m_requestLatency;
   base::LatencyHistogram m_upstreamLatency;
 
