--- a/packages/policy/include/jaylane/policy/ServiceBalancer.h
+++ b/packages/policy/include/jaylane/policy/ServiceBalancer.h
@@ -4,6 +4,7 @@
 #include "jaylane/policy/CrossRegionPlacement.h"
 #include "jaylane/policy/Fleet.h"
 #include "jaylane/policy/TicketSchedule.h"
+#include "jaylane/policy/UrgencyLimits.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -74,6 +75,8 @@
   double m_bulkShiftBackUtilization = 0.9;
   /// When keys are ranked over the upstreams of all regions instead of the own region first.
   CrossRegionPlacement::Options m_placement;
+  /// How more urgent request kinds restrict the less urgent ones.
+  UrgencyLimits::Options m_urgency;
   /// Fraction of the keys shifted per step. With kShareUpdateInterval between the steps this
   /// stays below the bound on regional shifts.
   double m_shiftStep = 0.016;
@@ -146,6 +149,12 @@
     /// Whether an earlier attempt is still running. A hedge is sent only to an upstream with a
     /// free slot.
     bool m_isHedge = false;
+    /// 0 is the most urgent.
+    std::uint32_t m_priority = 0;
+    /// Time for which the request has been held at this VM; it counts as queueing time.
+    std::chrono::milliseconds m_held{ 0 };
+    /// Whether Choose() was asked for this request before, which has been counted then.
+    bool m_isCounted = false;
   };
 
   enum class Decision
@@ -169,6 +178,14 @@
     bool m_hasServedKey = false;
     /// Time from sending after which the response is overdue.
     std::chrono::milliseconds m_overdueAfter{ 0 };
+    /// If overloaded: whether the request may be held until an upstream accepts it, which applies
+    /// to services with kinds of different priority; the time until that is expected; and the
+    /// expected time from sending to the response of a request of this kind.
+    bool m_mayHold = false;
+    std::chrono::milliseconds m_expectedHold{ 0 };
+    std::chrono::milliseconds m_latencyWithoutQueue{ 0 };
+    /// Whether the request was not accepted only because more urgent kinds use the upstreams.
+    bool m_isLimitedByUrgency = false;
   };
 
   /// @param aTicketSeed differs between VMs, so that they do not use their tickets together.
@@ -292,8 +309,9 @@
   void UpdatePlacement(const Query& aQuery, base::MonotonicTime aNow);
   void UpdateDistance();
   double ExternalLoad(const State& aState, base::MonotonicTime aNow) const;
+  /// @param aReserved slots that the request may not use.
   /// @return requests ahead of a new one that exceed the free slots, per slot.
-  double QueuedPerSlot(const State& aState, base::MonotonicTime aNow) const;
+  double QueuedPerSlot(const State& aState, base::MonotonicTime aNow, double aReserved = 0) const;
   LatencyEstimate EstimateLatency(const State& aState,
                                   const Query& aQuery,
                                   std::size_t aRank,
@@ -306,6 +324,18 @@
                                          const LatencyEstimate& aEstimate) const;
   /// @return longest acceptable queueing time as a fraction of the target latency.
   double MaxQueueWaitRatio() const;
+  /// @return queueing time in milliseconds at the upstream when the slots that are left to more
+  ///   urgent kinds count as occupied.
+  double QueueWaitBehindUrgent(const State& aState,
+                               const Query& aQuery,
+                               base::MonotonicTime aNow) const;
+  /// Decides whether the best candidate accepts the request.
+  void Accept(const Query& aQuery,
+              const State& aState,
+              const LatencyEstimate& aEstimate,
+              base::MonotonicTime aNow,
+              Choice& aChoice);
+  static UrgencyLimits::Kind KindOf(const Query& aQuery);
   void AdjustLocalShare(base::MonotonicTime aNow);
   void InitializeLocalShare();
   void UpdateOverflowRate(bool aIsOverflow);
@@ -336,6 +366,7 @@
   double m_overflowRate = 0;
   /// Fraction of the recent requests rejected because of overload.
   double m_rejectionRate = 0;
+  UrgencyLimits m_urgency;
   /// Average load by other VMs, as a fraction of the slots.
   double m_meanExternalLoad = 0;
 };
--- a/packages/policy/src/ServiceBalancer.cpp
+++ b/packages/policy/src/ServiceBalancer.cpp
@@ -60,6 +60,7 @@
   , m_ownRegion(std::move(aOwnRegion))
   , m_ticketSeed(aTicketSeed)
   , m_placement(m_options.m_placement)
+  , m_urgency(m_options.m_urgency)
 {
 }
 
@@ -276,11 +277,13 @@
   return average + weight * (aState.m_externalLoad - average);
 }
 
-double ServiceBalancer::QueuedPerSlot(const State& aState, base::MonotonicTime aNow) const
+double ServiceBalancer::QueuedPerSlot(const State& aState,
+                                      base::MonotonicTime aNow,
+                                      double aReserved) const
 {
   const double slots = std::max(1U, aState.m_candidate.m_upstream.m_slots);
   const double load = aState.m_inFlight + ExternalLoad(aState, aNow);
-  return std::max(0.0, load - slots + 1) / slots;
+  return std::max(0.0, load + aReserved - slots + 1) / slots;
 }
 
 ServiceBalancer::LatencyEstimate ServiceBalancer::EstimateLatency(const State& aState,
@@ -303,7 +306,11 @@
 {
   AdjustLocalShare(aNow);
   UpdatePlacement(aQuery, aNow);
+  if (!aQuery.m_isHedge && !aQuery.m_isCounted) {
+    m_urgency.OnRequest(KindOf(aQuery), aNow);
+  }
   Choice choice;
+  const State* bestState = nullptr;
   LatencyEstimate best;
   // The distance must not decide between the upstreams of a key that is placed across regions. The
   // own region's upstreams would be used until they are busy, and the requests would all change
@@ -318,6 +325,7 @@
     const LatencyEstimate estimate = EstimateLatency(state, aQuery, rank, aNow);
     if (!choice.m_upstream || cost(estimate) < cost(best)) {
       best = estimate;
+      bestState = &state;
       choice.m_upstream = &state.m_candidate.m_upstream;
       choice.m_rank = rank;
       choice.m_isCold = aNow < state.m_candidate.m_coldUntil;
@@ -332,23 +340,65 @@
     }
     return choice;
   }
-  choice.m_expectedLatency = milliseconds{ static_cast<std::int64_t>(best.Total()) };
+  Accept(aQuery, *bestState, best, aNow, choice);
+  return choice;
+}
+
+UrgencyLimits::Kind ServiceBalancer::KindOf(const Query& aQuery)
+{
+  return { aQuery.m_priority, aQuery.m_targetLatency };
+}
+
+double ServiceBalancer::QueueWaitBehindUrgent(const State& aState,
+                                              const Query& aQuery,
+                                              base::MonotonicTime aNow) const
+{
+  const double share = m_urgency.ReservedShare(aQuery.m_priority, aNow);
+  const double slots = std::max(1U, aState.m_candidate.m_upstream.m_slots);
+  const double reserved = share * std::clamp(m_meanExternalLoad, 0.0, 1.0) * slots;
+  return QueuedPerSlot(aState, aNow, reserved) * WarmServiceTime(aQuery) *
+         aState.m_relativeServiceTime;
+}
+
+void ServiceBalancer::Accept(const Query& aQuery,
+                             const State& aState,
+                             const LatencyEstimate& aEstimate,
+                             base::MonotonicTime aNow,
+                             Choice& aChoice)
+{
+  aChoice.m_expectedLatency = milliseconds{ static_cast<std::int64_t>(aEstimate.Total()) };
   const double target = ToMillis(aQuery.m_targetLatency);
-  const double latencyWithoutQueue = best.Total() - best.m_queueWait;
-  // A request whose service time alone uses up the target is still sent if it need not queue for
-  // long: the upstream serves the key faster from then on.
-  const double maxQueueWait = std::max(MaxQueueWaitRatio() * target, target - latencyWithoutQueue);
+  const double latencyWithoutQueue = aEstimate.Total() - aEstimate.m_queueWait;
   const bool isInTime = latencyWithoutQueue <= ToMillis(aQuery.m_remaining);
   if (aQuery.m_isHedge) {
-    const bool isFree = best.m_queueWait == 0 && !choice.m_isCold;
-    choice.m_decision = isFree && isInTime ? Decision::Send : Decision::Overloaded;
-    return choice;
+    const bool isFree = aEstimate.m_queueWait == 0 && !aChoice.m_isCold;
+    aChoice.m_decision = isFree && isInTime ? Decision::Send : Decision::Overloaded;
+    return;
+  }
+  // A request whose service time alone uses up the target is still sent if it need not queue for
+  // long: the upstream serves the key faster from then on.
+  const double ownLimit =
+    std::max(MaxQueueWaitRatio() * target, target - latencyWithoutQueue) - ToMillis(aQuery.m_held);
+  double excess = aEstimate.m_queueWait - ownLimit;
+  const bool isWithinOwnLimit = excess <= 0;
+  if (const auto shortest = m_urgency.ShortestTarget(aQuery.m_priority, aNow)) {
+    const double limit = MaxQueueWaitRatio() * ToMillis(*shortest);
+    excess = std::max(excess, QueueWaitBehindUrgent(aState, aQuery, aNow) - limit);
+  }
+  aChoice.m_decision = excess <= 0 && isInTime ? Decision::Send : Decision::Overloaded;
+  aChoice.m_isLimitedByUrgency = isWithinOwnLimit && isInTime && excess > 0;
+  if (aChoice.m_decision == Decision::Overloaded) {
+    aChoice.m_mayHold = isInTime && m_urgency.HasPriorities(aNow);
+    aChoice.m_expectedHold = milliseconds{ static_cast<std::int64_t>(std::ceil(excess)) };
+    const auto service = m_urgency.ServiceTime(KindOf(aQuery));
+    const double latency = service ? ToMillis(*service) + aEstimate.m_distance : latencyWithoutQueue;
+    aChoice.m_latencyWithoutQueue = milliseconds{ static_cast<std::int64_t>(latency) };
+  }
+  // A kind that only makes way for more urgent ones does not shorten their limits.
+  if (!aQuery.m_isCounted && !aChoice.m_isLimitedByUrgency) {
+    const double rejected = aChoice.m_decision == Decision::Overloaded ? 1 : 0;
+    m_rejectionRate += kRejectionAlpha * (rejected - m_rejectionRate);
   }
-  choice.m_decision =
-    best.m_queueWait <= maxQueueWait && isInTime ? Decision::Send : Decision::Overloaded;
-  const double rejected = choice.m_decision == Decision::Overloaded ? 1 : 0;
-  m_rejectionRate += kRejectionAlpha * (rejected - m_rejectionRate);
-  return choice;
 }
 
 std::optional<milliseconds> ServiceBalancer::TicketWait(const Query& aQuery,
@@ -455,6 +505,10 @@
   } else if (!wasWarm && !hadQueue && time > WarmServiceTime(aQuery) * 1.5) {
     UpdateAverage(m_coldServiceTime, time, m_options.m_serviceTimeAlpha);
   }
+  if (!hadQueue) {
+    m_urgency.OnServed(KindOf(aQuery), std::chrono::duration_cast<std::chrono::nanoseconds>(
+                                         std::chrono::duration<double, std::milli>(time)));
+  }
   RecordServedKey(*state, aQuery.m_key, aNow);
 }
 
