--- a/packages/gateway/src/GatewayContext.h
+++ b/packages/gateway/src/GatewayContext.h
@@ -2,6 +2,7 @@
 
 #include "BodyMemoryBudget.h"
 #include "GatewayMetrics.h"
+#include "HeldRequests.h"
 #include "QuotaGate.h"
 #include "Steering.h"
 #include "UpstreamConnectionPool.h"
@@ -9,6 +10,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <functional>
+#include <memory>
 #include <optional>
 
 namespace jaylane::gateway {
@@ -48,6 +50,8 @@
   std::function<bool()> m_isConfigurationConfirmed = [] { return true; };
   /// Quotas of the teams; without it, all requests are admitted.
   QuotaGate* m_quotas = nullptr;
+  /// Requests that no upstream accepts now.
+  std::unique_ptr<HeldRequests> m_held = std::make_unique<HeldRequests>(m_io, m_clock);
 };
 
 } // namespace jaylane::gateway
