--- a/packages/testing/include/jaylane/testing/HttpServer.h
+++ b/packages/testing/include/jaylane/testing/HttpServer.h
@@ -63,6 +63,9 @@
   /// 0 lets the kernel choose.
   std::uint16_t m_port = 0;
   unsigned m_connectionLimit = 512;
+  /// Memory for the header of a request and for its parsed fields. A header that needs more is
+  /// rejected, or its connection is closed.
+  std::size_t m_connectionMemoryBytes = 32 * 1024;
   /// The hooks get at most this much of a body; the rest is only counted and hashed.
   std::size_t m_keptBodyBytes = 2 * 1024 * 1024;
 };
--- a/packages/testing/src/HttpServer.cpp
+++ b/packages/testing/src/HttpServer.cpp
@@ -217,6 +217,8 @@
                      aOptions.m_connectionLimit,
                      MHD_OPTION_THREAD_STACK_SIZE,
                      kThreadStackBytes,
+                     MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+                     aOptions.m_connectionMemoryBytes,
                      MHD_OPTION_END);
   if (!internals.m_daemon) {
     return MakeError(TestingErrc::ListenFailed, aOptions.m_bindAddress);
