Count all that callers make the process hold, and close who holds most

Requests that are being read may be evicted: those that have stalled first, then larger ones; they get 503 and did not run. Fields, headers and waiting responses count. Answered requests are released before the caller reads the response. Pipelined requests have a limit over all connections. At the connection limit, the connection that has kept the gateway waiting for longest is closed. Large blocks return to the system at once.

--- a/packages/gateway/src/BodyMemoryBudget.h
+++ b/packages/gateway/src/BodyMemoryBudget.h
@@ -7,11 +7,11 @@
 
 namespace jaylane::gateway {
 
-/// Limits the bytes of request and response bodies that the process buffers at the same time.
-/// Bodies are buffered whole, so that a request can be retried and a truncated response is never
-/// passed on; without the limit many large bodies would exhaust the memory. A body that does not
-/// fit takes the place of the largest one that may be evicted and is larger, because that one may
-/// have no end. Used by the request thread only.
+/// Limits the bytes of requests and responses that the process holds at the same time. Bodies are
+/// buffered whole, so that a request can be retried and a truncated response is never passed on;
+/// without the limit many large bodies would exhaust the memory. What does not fit takes the place
+/// of the largest one that may be evicted and has stalled, or else of the largest one that may be
+/// evicted and is larger, because that one may have no end. Used by the request thread only.
 class BodyMemoryBudget
 {
 public:
@@ -31,9 +31,22 @@
     /// @return whether the budget allows it; if not, the reservation is unchanged.
     bool GrowTo(std::uint64_t aBytes);
 
+    /// Releases what the reservation has above a number of bytes.
+    void ShrinkTo(std::uint64_t aBytes);
+
     /// @return whether a body of that size would fit now without evicting others.
     bool Fits(std::uint64_t aBytes) const;
 
+    /// Evicts bodies that have stalled, the largest first, until a body of that size fits; none if
+    /// that would not suffice.
+    /// @return whether it fits.
+    bool EvictStalledFor(std::uint64_t aBytes);
+
+    /// @param aIsStalled whether no bytes of the body have arrived for some time. It is then
+    /// evicted
+    ///        before others, also for a smaller one. Cleared when the reservation grows.
+    void SetStalled(bool aIsStalled) { m_isStalled = aIsStalled; }
+
     /// Allows to evict the body. Its bytes are released before the call.
     /// @param aOnEvicted releases the memory; empty: the body may no longer be evicted.
     void SetEvictable(std::function<void()> aOnEvicted);
@@ -43,6 +56,7 @@
 
     BodyMemoryBudget& m_budget;
     std::uint64_t m_bytes = 0;
+    bool m_isStalled = false;
     std::function<void()> m_onEvicted;
   };
 
@@ -54,14 +68,21 @@
 
   std::shared_ptr<Reservation> MakeReservation() { return std::make_shared<Reservation>(*this); }
   std::uint64_t Used() const { return m_used; }
+  /// @return number of bodies evicted since the start.
+  std::uint64_t Evictions() const { return m_evictions; }
 
 private:
+  /// Evicts the largest body that has stalled, other than the given one.
+  /// @return whether there was one.
+  bool EvictStalled(const Reservation& aFor);
   /// Evicts the largest body that has more than a number of bytes.
   /// @return whether there was one.
   bool EvictLargerThan(std::uint64_t aBytes);
+  void Evict(Reservation& aEvicted);
 
   std::uint64_t m_limit;
   std::uint64_t m_used = 0;
+  std::uint64_t m_evictions = 0;
   std::unordered_set<Reservation*> m_evictable;
 };
 
--- a/packages/gateway/src/CallerConnection.cpp
+++ b/packages/gateway/src/CallerConnection.cpp
@@ -18,24 +18,42 @@
 
 /// Requests of one connection that are served concurrently.
 constexpr std::size_t kMaxPipelinedRequests = 32;
-/// Read buffer between requests, which holds most requests without a body, and within a request.
-/// The first is small because there are hundreds of idle connections for each one that is being
-/// read.
+/// Read buffer, which holds most requests without a body, and the one after a read that filled it.
+/// The first is small because there are hundreds of idle or slow connections for each one that is
+/// being read.
 constexpr std::size_t kIdleReadBytes = 1024;
 constexpr std::size_t kReadBytes = 16 * 1024;
 /// Longest time from the first byte of a request to its last.
 constexpr std::chrono::seconds kMaxRequestTime{ 60 };
 /// Longest time in which the caller must read what is written at once.
 constexpr std::chrono::seconds kMaxWriteTime{ 60 };
-/// Request headers and framing, and responses that are being written, up to which a connection is
-/// not counted against the memory for bodies.
-constexpr std::size_t kUncountedBytes = 8 * 1024;
+/// Bytes of a request, or of responses that are being written, up to which a connection is not
+/// counted against the memory for bodies, so that small requests are served when it is used up.
+constexpr std::size_t kUncountedBytes = 4 * 1024;
+/// Memory of a parsed field besides its bytes: the links of the parser's list and set, and the
+/// overhead of an allocation. A crowd with headers of four bytes a field took 79 bytes for each.
+constexpr std::size_t kFieldBytes = 96;
+/// Memory of a pipelined request: the exchange with its timers, a small header and a small
+/// response.
+constexpr std::uint64_t kEntryBytes = 2 * 1024;
+/// Part of it for the header, which is not counted against the memory for bodies.
+constexpr std::size_t kUncountedEntryBytes = kEntryBytes / 4;
+/// Pipelined requests of a connection that do not count in the limit on those of all connections.
+constexpr std::size_t kUncountedEntries = 4;
+/// That limit is this part of the memory for bodies, in entries, but at least the number that some
+/// connections may have.
+constexpr std::uint64_t kPipelineDivisor = 8;
+constexpr std::size_t kMinPipelinedRequests = 8 * kMaxPipelinedRequests;
+/// Time without bytes of a body after which it is evicted before others. A caller with a round trip
+/// of some 100 ms that lost packets resumes before that.
+constexpr std::chrono::milliseconds kStallTime{ 2000 };
 /// Time without an acknowledgement after which a caller's host counts as dead.
 constexpr std::chrono::milliseconds kSilenceLimit{ 10'000 };
 /// Time for the caller to close after the last response has arrived before the connection is reset.
 constexpr std::chrono::seconds kLingerTimeout{ 1 };
 /// Sent when no body memory is left. Bodies are buffered only while their requests run, which takes
 /// seconds at most.
+constexpr const char* kNoMemoryReason = "body memory is in use";
 constexpr const char* kBodyMemoryRetryAfter = "Retry-After: 0.5\r\n";
 /// Usual interval between checks of the connection's timeouts.
 constexpr std::chrono::milliseconds kTimerInterval{ 1000 };
@@ -140,6 +158,7 @@
 {
   m_parser.emplace();
   m_headBytes = 0;
+  m_fieldBytes = 0;
   m_parser->eager(true);
   UpdateLimits();
   m_bodyReservation = m_context.m_bodyBudget.MakeReservation();
@@ -157,7 +176,7 @@
     return;
   }
   m_isReading = true;
-  const std::size_t space = IsMidRequest() ? kReadBytes : kIdleReadBytes;
+  const std::size_t space = m_hasFilledBuffer ? kReadBytes : kIdleReadBytes;
   if (m_buffer.size() == 0 && m_buffer.capacity() > space) {
     m_buffer.shrink_to_fit();
   }
@@ -171,13 +190,15 @@
 
 void CallerConnection::OnRead(const boost::system::error_code& aError, std::size_t aBytes)
 {
-  if (m_isAborted) {
+  if (m_isAborted || m_isEvicted) {
     return;
   }
   if (aError) {
     Abort("read: " + aError.message());
     return;
   }
+  // Of a caller that sends little, little is expected.
+  m_hasFilledBuffer = aBytes >= (m_hasFilledBuffer ? kReadBytes : kIdleReadBytes);
   m_buffer.commit(aBytes);
   m_lastActivity = m_context.m_clock.Monotonic();
   if (m_isClosing) {
@@ -206,17 +227,23 @@
 
 void CallerConnection::ParseBuffer()
 {
-  while (m_buffer.size() > 0 && !m_isClosing && !m_hasCallerLeft &&
+  while (m_buffer.size() > 0 && !m_isClosing && !m_hasCallerLeft && !m_isEvicted &&
          m_pipeline.size() < kMaxPipelinedRequests) {
     if (!IsMidRequest()) {
       UpdateLimits(); // The configuration may have changed while the connection was idle.
       m_requestStarted = m_context.m_clock.Monotonic();
     }
+    if (!GrowBody()) {
+      RejectInput(503, kNoMemoryReason);
+      return;
+    }
     boost::system::error_code error;
     const bool isHead = !m_parser->is_header_done();
     const std::size_t used = m_parser->put(m_buffer.data(), error);
+    if (isHead) {
+      CountHead(used);
+    }
     m_buffer.consume(used);
-    m_headBytes += isHead ? used : 0;
     // Only framing stays in the buffer until it is complete: a chunk's size and extension, or the
     // trailer. The parser does not limit it.
     const bool isFramingTooLong = m_parser->is_header_done() && error == http::error::need_more &&
@@ -230,7 +257,7 @@
       return;
     }
     if (!ReserveBodyMemory()) {
-      RejectInput(503, "body memory is in use");
+      RejectInput(503, kNoMemoryReason);
       return;
     }
     if (m_parser->is_done()) {
@@ -247,18 +274,97 @@
   }
 }
 
+void CallerConnection::CountHead(std::size_t aUsed)
+{
+  const auto& message = m_parser->get();
+  if (m_parser->is_header_done()) {
+    m_headBytes += aUsed - std::min(aUsed, message.body().size());
+    m_fieldBytes =
+      kFieldBytes * static_cast<std::size_t>(std::distance(message.begin(), message.end()));
+    return;
+  }
+  // A list has no count, and its end may be far.
+  const auto* bytes = static_cast<const char*>(m_buffer.data().data());
+  m_headBytes += aUsed;
+  m_fieldBytes += kFieldBytes * static_cast<std::size_t>(std::count(bytes, bytes + aUsed, '\n'));
+}
+
+bool CallerConnection::GrowBody()
+{
+  if (!m_parser->is_header_done() || m_parser->content_length()) {
+    return true; // A stated length is allocated at once.
+  }
+  std::string& body = m_parser->get().body();
+  const std::uint64_t needed = body.size() + m_buffer.size();
+  if (needed <= body.capacity() || body.size() < kReadBytes) {
+    return true; // A short body is copied within the reserve of the process.
+  }
+  // Halves of the limit, so that the last copy has half of the largest body.
+  std::uint64_t capacity = std::max(m_limits.m_maxBodyBytes, needed);
+  while (capacity / 2 >= std::max<std::uint64_t>(needed, kReadBytes)) {
+    capacity /= 2;
+  }
+  // The old and the new buffer exist at the same time while the bytes are copied.
+  if (!m_bodyReservation->GrowTo(CountedBytes(2 * body.size()))) {
+    return false;
+  }
+  std::string grown;
+  grown.reserve(capacity);
+  grown.append(body);
+  body.swap(grown);
+  return true;
+}
+
+std::uint64_t CallerConnection::CountedBytes(std::uint64_t aBodyBytes) const
+{
+  // Only one request of a connection has the full exemption, as there may be many of them. Behind
+  // it, the buffer may hold further requests.
+  const std::size_t head = 2 * m_headBytes + m_fieldBytes;
+  const std::size_t buffered = m_buffer.size();
+  if (m_pipeline.empty()) {
+    return aBodyBytes + head + buffered - std::min(head + buffered, kUncountedBytes);
+  }
+  return aBodyBytes + head - std::min(head, kUncountedEntryBytes) + buffered -
+         std::min(buffered, kUncountedBytes);
+}
+
+std::size_t CallerConnection::MaxPipelinedRequests() const
+{
+  return std::max<std::size_t>(
+    kMinPipelinedRequests, m_context.m_settings.m_bodyMemoryBytes / kPipelineDivisor / kEntryBytes);
+}
+
 bool CallerConnection::ReserveBodyMemory()
 {
-  const std::size_t other = m_headBytes + m_buffer.size();
-  const std::size_t counted = other - std::min(other, kUncountedBytes);
-  if (!m_parser->is_header_done()) {
-    return m_bodyReservation->GrowTo(counted);
+  const bool hasHeader = m_parser->is_header_done();
+  const std::uint64_t bytes = CountedBytes(hasHeader ? m_parser->get().body().size() : 0);
+  m_bodyReservation->ShrinkTo(bytes); // The copy of GrowBody() is gone.
+  // A caller that does not go on must not keep memory from others.
+  if (bytes > 0 && !m_parser->is_done()) {
+    m_bodyReservation->SetEvictable([this] { OnRequestEvicted(); });
+  }
+  if (!hasHeader) {
+    return m_bodyReservation->GrowTo(bytes);
   }
   // Only received bytes are reserved, so that a Content-Length alone takes no memory from other
-  // requests. A body that does not fit is rejected before it is read.
+  // requests that go on. A body that does not fit is rejected before it is read.
   const auto stated = m_parser->content_length();
-  return m_bodyReservation->GrowTo(m_parser->get().body().size() + counted) &&
-         m_bodyReservation->Fits(stated ? *stated : 0);
+  return m_bodyReservation->GrowTo(bytes) &&
+         m_bodyReservation->EvictStalledFor(stated ? *stated : 0);
+}
+
+void CallerConnection::OnRequestEvicted()
+{
+  m_isEvicted = true;
+  std::string().swap(m_parser->get().body());
+  // Another connection, which needs the memory, is being read now.
+  asio::post(m_context.m_io, [self = shared_from_this()] {
+    if (!self->m_isAborted) {
+      self->RejectInput(503, "body memory given to another");
+      self->m_isEvicted = false;
+      self->Read();
+    }
+  });
 }
 
 void CallerConnection::StartBodyTimeout()
@@ -286,7 +392,7 @@
   }
   if (boost::beast::iequals(m_parser->get()[http::field::expect], "100-continue")) {
     m_sentInterim = true;
-    Write("HTTP/1.1 100 Continue\r\n\r\n");
+    Write({ "HTTP/1.1 100 Continue\r\n\r\n" });
   }
 }
 
@@ -337,12 +443,19 @@
     RejectInput(400, problem->c_str());
     return;
   }
+  const bool isCounted = m_pipeline.size() >= kUncountedEntries;
+  if (isCounted && m_context.m_pipelinedRequests >= MaxPipelinedRequests()) {
+    RejectInput(503, "too many pipelined requests");
+    return;
+  }
+  m_context.m_pipelinedRequests += isCounted ? 1 : 0;
   const bool isLastRequest = !m_parser->get().keep_alive();
+  m_bodyReservation->SetEvictable({});
   auto exchange = std::make_shared<RequestExchange>(m_context, TakeRequest(), MakeExchangeHooks());
   ResetParser();
   m_isClosing = m_isClosing || isLastRequest || m_context.m_isNearConnectionLimit ||
                 m_context.m_phase != LifecyclePhase::Serving;
-  m_pipeline.push_back({ exchange, std::nullopt });
+  m_pipeline.push_back({ exchange, std::nullopt, isCounted });
   exchange->Start();
 }
 
@@ -382,7 +495,8 @@
     response.m_headerLines = kBodyMemoryRetryAfter;
   }
   m_isClosing = true;
-  m_pipeline.push_back({ nullptr, std::move(response) });
+  m_pipeline.push_back({ nullptr, std::move(response), false });
+  ResetParser(); // Releases the memory of the request.
   Flush();
 }
 
@@ -423,8 +537,9 @@
       Abort("linger timeout");
       return;
     }
-  } else if (IsMidRequest() && !m_isClosing) {
+  } else if (IsMidRequest() && !m_isClosing && !m_isEvicted) {
     const bool hasHeader = m_parser->is_header_done();
+    m_bodyReservation->SetStalled(now - m_lastActivity > kStallTime);
     const base::MonotonicTime deadline =
       hasHeader ? m_bodyDeadline : m_requestStarted + m_limits.m_headerTimeout;
     if (now > deadline || (hasHeader && now - m_lastActivity > m_limits.m_idleTimeout) ||
@@ -461,35 +576,61 @@
 
 void CallerConnection::Flush()
 {
-  if (m_isWriting || m_isAborted || m_hasCallerLeft) {
+  if (m_isAborted || m_hasCallerLeft) {
+    return;
+  }
+  if (m_isWriting) {
+    SetWaitingEvictable();
     return;
   }
-  std::string text;
+  std::vector<std::string> texts;
   std::vector<std::shared_ptr<BodyMemoryBudget::Reservation>> reservations;
   while (!m_pipeline.empty() && m_pipeline.front().IsReady()) {
     PipelineEntry entry = std::move(m_pipeline.front());
     m_pipeline.pop_front();
+    m_context.m_pipelinedRequests -= entry.m_isCounted ? 1 : 0;
     const bool isLastResponse = m_isClosing && m_pipeline.empty();
-    CallerResponse& response =
-      entry.m_localResponse ? *entry.m_localResponse : entry.m_exchange->Response();
+    CallerResponse& response = entry.Response();
     if (response.m_bodyReservation) {
+      response.m_bodyReservation->SetEvictable({});
       reservations.push_back(std::move(response.m_bodyReservation));
     }
-    text += Serialize(response, entry.m_exchange && entry.m_exchange->IsHead(), isLastResponse);
+    Serialize(response, entry.m_exchange && entry.m_exchange->IsHead(), isLastResponse, texts);
+  }
+  std::size_t bytes = 0;
+  for (const std::string& text : texts) {
+    bytes += text.size();
   }
-  if (text.size() > kUncountedBytes) {
+  if (bytes > kUncountedBytes) {
     // A caller that reads slowly must not keep memory from others.
     for (const auto& reservation : reservations) {
       reservation->SetEvictable([this] { OnResponseEvicted(); });
     }
     m_writtenReservations = std::move(reservations);
   }
-  if (!text.empty()) {
-    Write(std::move(text));
+  SetWaitingEvictable();
+  if (!texts.empty()) {
+    Write(std::move(texts));
+  }
+}
+
+void CallerConnection::SetWaitingEvictable()
+{
+  for (PipelineEntry& entry : m_pipeline) {
+    if (const auto& reservation = entry.IsReady() ? entry.Response().m_bodyReservation : nullptr) {
+      reservation->SetEvictable([weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+          self->OnResponseEvicted();
+        }
+      });
+    }
   }
 }
 
-std::string CallerConnection::Serialize(CallerResponse& aResponse, bool aIsHead, bool aIsLast) const
+void CallerConnection::Serialize(CallerResponse& aResponse,
+                                 bool aIsHead,
+                                 bool aIsLast,
+                                 std::vector<std::string>& aTexts)
 {
   std::string text = "HTTP/1.1 ";
   text.append(std::to_string(aResponse.m_status)).append(" ");
@@ -501,19 +642,24 @@
     text.append("Content-Length: ").append(std::to_string(aResponse.m_body.size())).append("\r\n");
   }
   text.append(aIsLast ? "Connection: close\r\n\r\n" : "\r\n");
-  if (!aIsHead && !hasNoBody) {
-    text.append(aResponse.m_body);
+  aTexts.push_back(std::move(text));
+  if (!aIsHead && !hasNoBody && !aResponse.m_body.empty()) {
+    aTexts.push_back(std::move(aResponse.m_body));
   }
-  return text;
 }
 
-void CallerConnection::Write(std::string aText)
+void CallerConnection::Write(std::vector<std::string> aTexts)
 {
   m_isWriting = true;
   m_writeStarted = m_context.m_clock.Monotonic();
-  m_writeBuffer = std::move(aText);
+  m_writeTexts = std::move(aTexts);
+  std::vector<asio::const_buffer> buffers;
+  buffers.reserve(m_writeTexts.size());
+  for (const std::string& text : m_writeTexts) {
+    buffers.push_back(asio::buffer(text));
+  }
   asio::async_write(m_socket,
-                    asio::buffer(m_writeBuffer),
+                    buffers,
                     [self = shared_from_this()](const boost::system::error_code& aError,
                                                 std::size_t) { self->OnWritten(aError); });
 }
@@ -536,7 +682,7 @@
 void CallerConnection::OnWritten(const boost::system::error_code& aError)
 {
   m_isWriting = false;
-  m_writeBuffer = {};
+  m_writeTexts = {};
   ReleaseWritten();
   if (m_isAborted) {
     return;
@@ -599,6 +745,17 @@
   return m_lastActivity;
 }
 
+std::optional<base::MonotonicTime> CallerConnection::WaitingSince() const
+{
+  if (m_isWriting) {
+    return m_writeStarted;
+  }
+  if (m_pipeline.empty() && IsMidRequest() && !m_isClosing) {
+    return m_requestStarted;
+  }
+  return std::nullopt;
+}
+
 void CallerConnection::LogUndelivered() const
 {
   const auto blocking =
@@ -636,6 +793,7 @@
   m_timer.cancel();
   LogUndelivered();
   for (const PipelineEntry& entry : m_pipeline) {
+    m_context.m_pipelinedRequests -= entry.m_isCounted ? 1 : 0;
     if (entry.m_exchange) {
       entry.m_exchange->Cancel();
     }
--- a/packages/gateway/src/CallerConnection.h
+++ b/packages/gateway/src/CallerConnection.h
@@ -40,6 +40,10 @@
   /// @return time of the last read or write, or nothing while a request is read or served.
   std::optional<base::MonotonicTime> IdleSince() const;
 
+  /// @return since when the caller has kept the connection waiting: for the rest of a request while
+  ///         no other is unanswered, or to read responses. Nothing otherwise.
+  std::optional<base::MonotonicTime> WaitingSince() const;
+
 private:
   using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
 
@@ -48,8 +52,14 @@
   {
     std::shared_ptr<RequestExchange> m_exchange;
     std::optional<CallerResponse> m_localResponse;
+    /// Whether it counts in GatewayContext::m_pipelinedRequests.
+    bool m_isCounted = false;
 
     bool IsReady() const { return m_localResponse || m_exchange->IsDone(); }
+    CallerResponse& Response()
+    {
+      return m_localResponse ? *m_localResponse : m_exchange->Response();
+    }
   };
 
   void ResetParser();
@@ -70,9 +80,22 @@
   bool HasCallerLeft();
   std::optional<std::string> CheckRequest(const Parser::value_type& aMessage) const;
   CallerRequest TakeRequest();
-  /// Reserves memory for the body received so far.
+  /// Counts the memory of the next bytes of a header, which are still in the buffer.
+  /// @param aUsed bytes that the parser took, which may include a part of the body.
+  void CountHead(std::size_t aUsed);
+  /// Makes room for the next bytes of a body without a stated length, and reserves memory for the
+  /// time in which they are copied.
+  /// @return whether the memory was reserved.
+  bool GrowBody();
+  /// Reserves memory for what was received of the request so far.
   /// @return whether the memory was reserved and the rest of the body would fit.
   bool ReserveBodyMemory();
+  /// @return the bytes of a request that count against the memory for bodies.
+  std::uint64_t CountedBytes(std::uint64_t aBodyBytes) const;
+  /// @return the number of pipelined requests of all connections that may be held.
+  std::size_t MaxPipelinedRequests() const;
+  /// Another body takes the memory of the request that is being read.
+  void OnRequestEvicted();
   /// Limits the time for the body, once the header is read, to that of the request.
   void StartBodyTimeout();
   void SendInterimResponse();
@@ -80,7 +103,9 @@
   void StartTimer(std::chrono::milliseconds aPause);
   void OnTimer();
   void Flush();
-  void Write(std::string aText);
+  void Write(std::vector<std::string> aTexts);
+  /// Lets other bodies take the memory of the responses that wait for the caller to read.
+  void SetWaitingEvictable();
   void OnWritten(const boost::system::error_code& aError);
   void ReleaseWritten();
   /// Another body takes the memory of a response that is being written.
@@ -90,7 +115,11 @@
   void LogUndelivered() const;
   /// Logs the reason if requests remain unanswered or responses unwritten.
   void LogAbort(std::string_view aReason) const;
-  std::string Serialize(CallerResponse& aResponse, bool aIsHead, bool aIsLast) const;
+  /// Appends the header and the body of a response, which it moves, to the texts to write.
+  static void Serialize(CallerResponse& aResponse,
+                        bool aIsHead,
+                        bool aIsLast,
+                        std::vector<std::string>& aTexts);
   bool IsMidRequest() const;
   /// @return whether bytes have arrived that were not read yet, so that the connection is not idle.
   bool HasUnreadInput() const;
@@ -109,6 +138,8 @@
   std::shared_ptr<BodyMemoryBudget::Reservation> m_bodyReservation;
   /// Bytes of the head of the request that is being read.
   std::size_t m_headBytes = 0;
+  /// Memory of its parsed fields besides these bytes.
+  std::size_t m_fieldBytes = 0;
   /// Memory of the responses that are being written.
   std::vector<std::shared_ptr<BodyMemoryBudget::Reservation>> m_writtenReservations;
   /// Unanswered requests in the order of arrival.
@@ -122,9 +153,11 @@
   base::MonotonicTime m_writeStarted;
   base::MonotonicTime m_sendShutdownAt;
   policy::PeerLiveness m_liveness;
-  std::string m_writeBuffer;
+  std::vector<std::string> m_writeTexts;
   bool m_isWriting = false;
   bool m_isReading = false;
+  /// The last read filled the buffer, so that more may have arrived.
+  bool m_hasFilledBuffer = false;
   bool m_sentInterim = false;
   /// No further requests are read; the connection is closed after the last response.
   bool m_isClosing = false;
@@ -132,6 +165,8 @@
   /// The caller has closed the connection, and Abort() follows.
   bool m_hasCallerLeft = false;
   bool m_isAborted = false;
+  /// The memory of the request that is being read was given to another body.
+  bool m_isEvicted = false;
 };
 
 } // namespace jaylane::gateway
--- a/packages/gateway/src/CallerServer.cpp
+++ b/packages/gateway/src/CallerServer.cpp
@@ -17,6 +17,9 @@
 /// When the limit is reached, one in this many connections is closed, those idle for longest first.
 /// Closing several at once keeps the cost of sorting them off most accepts.
 constexpr std::size_t kCloseDivisor = 20;
+/// Time for which a connection without idle ones beside it has to wait for its caller before it is
+/// closed. Ordinary callers send a request or read a response in less.
+constexpr std::chrono::milliseconds kMinWaitTime{ 1000 };
 /// Delay after a failed accept, which usually means that no descriptor is free.
 constexpr std::chrono::milliseconds kAcceptRetryDelay{ 50 };
 
@@ -74,28 +77,35 @@
                                       kNearLimitShare * static_cast<double>(ConnectionLimit());
 }
 
-void CallerServer::CloseLongestIdle()
+void CallerServer::CloseLongest(Since aSince,
+                                std::chrono::milliseconds aMinTime,
+                                std::string_view aReason)
 {
-  std::vector<std::pair<base::MonotonicTime, std::shared_ptr<CallerConnection>>> idle;
+  const base::MonotonicTime latest = m_context.m_clock.Monotonic() - aMinTime;
+  std::vector<std::pair<base::MonotonicTime, std::shared_ptr<CallerConnection>>> candidates;
   for (const auto& [key, connection] : m_connections) {
-    if (const auto since = connection->IdleSince()) {
-      idle.emplace_back(*since, connection);
+    const auto since = ((*connection).*aSince)();
+    if (since && *since <= latest) {
+      candidates.emplace_back(*since, connection);
     }
   }
-  const std::size_t count = std::min(idle.size(), 1 + m_connections.size() / kCloseDivisor);
-  std::ranges::partial_sort(idle,
-                            idle.begin() + static_cast<std::ptrdiff_t>(count),
+  const std::size_t count = std::min(candidates.size(), 1 + m_connections.size() / kCloseDivisor);
+  std::ranges::partial_sort(candidates,
+                            candidates.begin() + static_cast<std::ptrdiff_t>(count),
                             {},
                             [](const auto& aEntry) { return aEntry.first; });
   for (std::size_t i = 0; i < count; ++i) {
-    idle[i].second->Abort("connection limit");
+    candidates[i].second->Abort(aReason);
   }
 }
 
 void CallerServer::AddConnection(boost::asio::ip::tcp::socket aSocket)
 {
   if (m_connections.size() >= ConnectionLimit()) {
-    CloseLongestIdle();
+    CloseLongest(&CallerConnection::IdleSince, {}, "connection limit");
+  }
+  if (m_connections.size() >= ConnectionLimit()) {
+    CloseLongest(&CallerConnection::WaitingSince, kMinWaitTime, "connection limit, waited longest");
   }
   if (m_connections.size() >= ConnectionLimit()) {
     m_context.m_log.Write(
--- a/packages/gateway/src/CallerServer.h
+++ b/packages/gateway/src/CallerServer.h
@@ -8,7 +8,8 @@
 
 namespace jaylane::gateway {
 
-/// Accepts connections of callers, and closes idle ones when their number reaches its limit.
+/// Accepts connections of callers. When their number reaches its limit, closes idle ones, or else
+/// those whose callers have kept them waiting for longest.
 class CallerServer
 {
 public:
@@ -31,7 +32,12 @@
   void Accept();
   std::size_t ConnectionLimit() const;
   void OnConnectionCountChanged();
-  void CloseLongestIdle();
+  using Since = std::optional<base::MonotonicTime> (CallerConnection::*)() const;
+  /// Closes some connections that have been in a state for longest.
+  /// @param aSince returns since when a connection is in that state.
+  /// @param aMinTime shortest time for which it has to be.
+  /// @param aReason why, for the log.
+  void CloseLongest(Since aSince, std::chrono::milliseconds aMinTime, std::string_view aReason);
   void AddConnection(boost::asio::ip::tcp::socket aSocket);
 
   GatewayContext& m_context;
--- a/packages/gateway/src/ControlPlane.cpp
+++ b/packages/gateway/src/ControlPlane.cpp
@@ -67,8 +67,14 @@
                       })
   , m_storeFollowing(policy::StoreFollowing::OptionsFor(m_settings.m_drainTime), m_settings.m_name)
   , m_leadWatcher({}, m_settings.m_name, aClock.Monotonic())
-  , m_readyServer(m_io, [this](std::string_view) { return OnReady(); })
-  , m_lookupServer(m_io, [this](std::string_view aTarget) { return OnLookup(aTarget); })
+  , m_readyServer(
+      m_io,
+      [this](std::string_view) { return OnReady(); },
+      InfoServer::MaxConnections(m_settings.m_maxDescriptors))
+  , m_lookupServer(
+      m_io,
+      [this](std::string_view aTarget) { return OnLookup(aTarget); },
+      InfoServer::MaxConnections(m_settings.m_maxDescriptors))
   , m_peerRetry(m_io, aClock, aLog, "peers (UDP)", {})
   , m_snapshotRetry(m_io, aClock, aLog, "peers (TCP)", {})
   , m_readyRetry(m_io, aClock, aLog, "readiness", {})
--- a/packages/gateway/src/Gateway.cpp
+++ b/packages/gateway/src/Gateway.cpp
@@ -150,10 +150,14 @@
                m_metrics,
                m_bodyBudget }
   , m_callerServer(m_context)
-  , m_metricsServer(m_io,
-                    [this](std::string_view) {
-                      return InfoResponse{ 200, "text/plain", m_metrics.ToText() };
-                    })
+  , m_metricsServer(
+      m_io,
+      [this](std::string_view) {
+        m_metrics.m_bodyBytes = m_bodyBudget.Used();
+        m_metrics.m_bodyEvictions = m_bodyBudget.Evictions();
+        return InfoResponse{ 200, "text/plain", m_metrics.ToText() };
+      },
+      InfoServer::MaxConnections(m_dependencies.m_settings.m_maxDescriptors))
   , m_callerRetry(m_io, m_dependencies.m_clock, m_dependencies.m_log, "callers", {})
   , m_metricsRetry(m_io, m_dependencies.m_clock, m_dependencies.m_log, "metrics", {})
   , m_loopMonitor(m_io, m_dependencies.m_clock, m_dependencies.m_log, "request")
--- a/packages/gateway/src/GatewayContext.h
+++ b/packages/gateway/src/GatewayContext.h
@@ -40,6 +40,9 @@
   std::optional<base::MonotonicTime> m_exitAt = std::nullopt;
   /// The number of caller connections is close to its limit; responses close their connections.
   bool m_isNearConnectionLimit = false;
+  /// Requests of all connections that are unanswered or whose responses wait for the caller, beyond
+  /// the first ones of each connection.
+  std::size_t m_pipelinedRequests = 0;
   /// Returns whether this VM knows that its view of the upstreams is too old to send requests on
   /// it.
   std::function<bool()> m_isViewOutdated = [] { return false; };
--- a/packages/gateway/src/GatewayMetrics.cpp
+++ b/packages/gateway/src/GatewayMetrics.cpp
@@ -31,6 +31,8 @@
   fmt::format_to(out, "jaylane_retries_total {}\n", m_retries);
   fmt::format_to(out, "jaylane_hedges_total {}\n", m_hedges);
   fmt::format_to(out, "jaylane_caller_connections {}\n", m_callerConnections);
+  fmt::format_to(out, "jaylane_body_bytes {}\n", m_bodyBytes);
+  fmt::format_to(out, "jaylane_body_evictions_total {}\n", m_bodyEvictions);
   fmt::format_to(out, "jaylane_requests_in_flight {}\n", m_inFlight);
   fmt::format_to(out, "jaylane_store_batches_total {}\n", m_storeBatches);
   fmt::format_to(out, "jaylane_store_failures_total {}\n", m_storeFailures);
--- a/packages/gateway/src/GatewayMetrics.h
+++ b/packages/gateway/src/GatewayMetrics.h
@@ -20,6 +20,9 @@
   /// Attempts that were started while another attempt of the same request was still running.
   std::uint64_t m_hedges = 0;
   std::uint64_t m_callerConnections = 0;
+  /// Bytes of requests and responses that are held, and bodies that made room for others.
+  std::uint64_t m_bodyBytes = 0;
+  std::uint64_t m_bodyEvictions = 0;
   std::uint64_t m_inFlight = 0;
   std::uint64_t m_storeBatches = 0;
   std::uint64_t m_storeFailures = 0;
--- a/packages/gateway/src/InfoServer.cpp
+++ b/packages/gateway/src/InfoServer.cpp
@@ -3,6 +3,7 @@
 #include "Listen.h"
 #include "SocketOptions.h"
 
+#include <algorithm>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -32,17 +33,41 @@
 /// thread would do nothing but fail to accept.
 constexpr std::chrono::milliseconds kAcceptRetryDelay{ 50 };
 
+/// Part of the descriptors that the connections of one server may take. There are four servers, and
+/// a third of the descriptors is reserved from callers, so that half of that part is left for
+/// upstreams, the store and files.
+constexpr std::size_t kDescriptorDivisor = 24;
+constexpr std::size_t kMinConnections = 8;
+
+} // namespace
+
 /// One connection, whose requests are answered one after the other.
-class Session : public std::enable_shared_from_this<Session>
+class InfoServer::Session : public std::enable_shared_from_this<Session>
 {
 public:
-  Session(asio::io_context& aIo, asio::ip::tcp::socket aSocket, const InfoServer::Handler& aHandler)
+  /// @param aServed counts the connections and responses of the server.
+  Session(asio::io_context& aIo,
+          asio::ip::tcp::socket aSocket,
+          const InfoServer::Handler& aHandler,
+          std::shared_ptr<std::uint64_t> aServed)
     : m_socket(std::move(aSocket))
     , m_timer(aIo)
     , m_handler(aHandler)
+    , m_served(std::move(aServed))
+    , m_lastServed(++*m_served)
   {
   }
 
+  /// @return a number that is smallest for the connection that was opened or answered first.
+  std::uint64_t LastServed() const { return m_lastServed; }
+
+  void Close()
+  {
+    m_timer.cancel();
+    boost::system::error_code ignored;
+    m_socket.close(ignored);
+  }
+
   void Read()
   {
     if (!m_parser) {
@@ -108,6 +133,8 @@
       m_socket,
       asio::buffer(m_responseText),
       [self = shared_from_this(), keepAlive](const boost::system::error_code& aError, std::size_t) {
+        self->m_lastServed = ++*self->m_served;
+        self->m_responseText = {};
         if (!aError && keepAlive) {
           self->Read();
         }
@@ -120,18 +147,24 @@
   boost::beast::flat_buffer m_buffer;
   std::optional<http::request_parser<http::string_body>> m_parser;
   std::string m_responseText;
+  std::shared_ptr<std::uint64_t> m_served;
+  std::uint64_t m_lastServed;
 };
 
-} // namespace
-
-InfoServer::InfoServer(asio::io_context& aIo, Handler aHandler)
+InfoServer::InfoServer(asio::io_context& aIo, Handler aHandler, std::size_t aMaxConnections)
   : m_io(aIo)
   , m_handler(std::move(aHandler))
+  , m_maxConnections(aMaxConnections)
   , m_acceptor(aIo)
   , m_acceptTimer(aIo)
 {
 }
 
+std::size_t InfoServer::MaxConnections(std::uint32_t aMaxDescriptors)
+{
+  return std::max(kMinConnections, aMaxDescriptors / kDescriptorDivisor);
+}
+
 base::Status InfoServer::Listen(const std::string& aAddress)
 {
   base::Status status = ListenOn(m_acceptor, aAddress);
@@ -154,10 +187,27 @@
       }
       Accept();
       SetTcpOptions(aSocket, {});
-      std::make_shared<Session>(m_io, std::move(aSocket), m_handler)->Read();
+      AddSession(std::move(aSocket));
     });
 }
 
+void InfoServer::AddSession(asio::ip::tcp::socket aSocket)
+{
+  std::erase_if(m_sessions,
+                [](const std::weak_ptr<Session>& aSession) { return aSession.expired(); });
+  if (m_sessions.size() >= m_maxConnections) {
+    const auto longest =
+      std::ranges::min_element(m_sessions, {}, [](const std::weak_ptr<Session>& aSession) {
+        return aSession.lock()->LastServed();
+      });
+    longest->lock()->Close();
+    m_sessions.erase(longest);
+  }
+  auto session = std::make_shared<Session>(m_io, std::move(aSocket), m_handler, m_served);
+  m_sessions.push_back(session);
+  session->Read();
+}
+
 void InfoServer::AcceptLater()
 {
   m_acceptTimer.expires_after(kAcceptRetryDelay);
--- a/packages/gateway/src/InfoServer.h
+++ b/packages/gateway/src/InfoServer.h
@@ -5,8 +5,11 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <cstdint>
 #include <functional>
+#include <memory>
 #include <string>
+#include <vector>
 
 namespace jaylane::gateway {
 
@@ -26,7 +29,13 @@
   /// @param aTarget request target.
   using Handler = std::function<InfoResponse(std::string_view aTarget)>;
 
-  InfoServer(boost::asio::io_context& aIo, Handler aHandler);
+  /// @param aMaxConnections limit on open connections. A further one takes the place of that which
+  ///        was opened, or answered, first.
+  InfoServer(boost::asio::io_context& aIo, Handler aHandler, std::size_t aMaxConnections);
+
+  /// @param aMaxDescriptors limit on the descriptors of the process.
+  /// @return limit on the connections of each of its servers.
+  static std::size_t MaxConnections(std::uint32_t aMaxDescriptors);
 
   /// @param aAddress "ip:port".
   /// May be called again after an error.
@@ -35,11 +44,19 @@
   void Close();
 
 private:
+  class Session;
+
   void Accept();
   void AcceptLater();
+  void AddSession(boost::asio::ip::tcp::socket aSocket);
 
   boost::asio::io_context& m_io;
   Handler m_handler;
+  const std::size_t m_maxConnections;
+  /// Includes connections that have ended since the last one was added.
+  std::vector<std::weak_ptr<Session>> m_sessions;
+  /// Shared with the connections, which may outlive the server.
+  std::shared_ptr<std::uint64_t> m_served = std::make_shared<std::uint64_t>(0);
   boost::asio::ip::tcp::acceptor m_acceptor;
   boost::asio::steady_timer m_acceptTimer;
 };
--- a/packages/gateway/src/ProcessSetup.cpp
+++ b/packages/gateway/src/ProcessSetup.cpp
@@ -8,6 +8,7 @@
 #include <csignal>
 #include <cstdlib>
 #include <exception>
+#include <malloc.h>
 #include <poll.h>
 #include <string>
 #include <unistd.h>
@@ -16,6 +17,11 @@
 
 namespace {
 
+/// Size from which on memory is mapped for one block alone, and free memory at the end of the heap
+/// that is kept. The default thresholds rise to 32 and 64 MiB once a large block is freed, after
+/// which the holes that bodies leave in the heap count against the memory of the machine.
+constexpr int kLargeBlockBytes = 128 * 1024;
+
 std::string CurrentExceptionReason()
 {
   const std::exception_ptr exception = std::current_exception();
@@ -56,6 +62,12 @@
   BlockHandledSignals();
 }
 
+void ReturnLargeBlocks()
+{
+  ::mallopt(M_MMAP_THRESHOLD, kLargeBlockBytes);
+  ::mallopt(M_TRIM_THRESHOLD, kLargeBlockBytes);
+}
+
 void LogTerminations()
 {
   std::set_terminate(OnTerminate);
--- a/packages/gateway/src/RequestExchange.cpp
+++ b/packages/gateway/src/RequestExchange.cpp
@@ -519,10 +519,20 @@
   }
   --m_context.m_metrics.m_inFlight;
   LogOutcome(aOutcome);
+  ReleaseRequest();
   const auto onResponse = std::move(m_hooks.m_onResponse);
   onResponse();
 }
 
+void RequestExchange::ReleaseRequest()
+{
+  auto rest = std::make_shared<CallerRequest>();
+  rest->m_id = m_request->m_id;
+  rest->m_method = m_request->m_method;
+  rest->m_receivedAt = m_request->m_receivedAt;
+  m_request = std::move(rest);
+}
+
 void RequestExchange::LogOutcome(std::string_view aOutcome) const
 {
   const auto latency = m_context.m_clock.Monotonic() - m_request->m_receivedAt;
--- a/packages/gateway/src/RequestExchange.h
+++ b/packages/gateway/src/RequestExchange.h
@@ -73,6 +73,8 @@
   void Reject(std::string_view aReason, std::chrono::milliseconds aRetryAfter);
   void Respond(unsigned aStatus, std::string_view aReason);
   void Finish(CallerResponse aResponse, std::string_view aOutcome);
+  /// Releases what the response does not need. The caller may take its time to read responses.
+  void ReleaseRequest();
   void LogOutcome(std::string_view aOutcome) const;
   policy::ServiceBalancer::Query MakeQuery() const;
   std::chrono::milliseconds Remaining() const;
--- a/packages/gateway/src/StoreSync.cpp
+++ b/packages/gateway/src/StoreSync.cpp
@@ -747,7 +747,10 @@
                   aLog,
                   ObjectKind::Evacuations,
                   m_hooks.m_evacuations)
-  , m_snapshotServer(m_io, [this](std::string_view aTarget) { return OnSnapshotRequest(aTarget); })
+  , m_snapshotServer(
+      m_io,
+      [this](std::string_view aTarget) { return OnSnapshotRequest(aTarget); },
+      InfoServer::MaxConnections(aSettings.m_maxDescriptors))
   , m_fetch(std::make_shared<HttpFetch>(m_io, aSettings.m_storeAddress))
   , m_timer(m_io)
 {
--- a/packages/gateway/tests/InfoServerTest.cpp
+++ b/packages/gateway/tests/InfoServerTest.cpp
@@ -16,15 +16,20 @@
 using namespace std::chrono_literals;
 using boost::asio::ip::tcp;
 
+constexpr std::size_t kMaxConnections = 4;
+
 /// A server of one response, on its own thread.
 class InfoServerTest : public testing::Test
 {
 protected:
   InfoServerTest()
     : m_address(FreeAddress())
-    , m_server(m_io, [](std::string_view) {
-      return InfoResponse{ 200, "text/plain", "ok" };
-    })
+    , m_server(
+        m_io,
+        [](std::string_view) {
+          return InfoResponse{ 200, "text/plain", "ok" };
+        },
+        kMaxConnections)
   {
     EXPECT_TRUE(m_server.Listen(m_address));
     m_thread = std::thread([this] { m_io.run(); });
@@ -105,5 +110,24 @@
   EXPECT_TRUE(response.starts_with("HTTP/1.1 200 OK")) << response;
 }
 
+// Guards against connections without end that take all descriptors, or the place of others.
+TEST_F(InfoServerTest, ClosesTheLongestWaitingConnectionAtTheLimit)
+{
+  const std::size_t colon = m_address.rfind(':');
+  const tcp::endpoint endpoint{ boost::asio::ip::make_address("127.0.0.1"),
+                                static_cast<std::uint16_t>(
+                                  std::stoi(m_address.substr(colon + 1))) };
+  boost::asio::io_context io;
+  std::vector<tcp::socket> sockets;
+  for (std::size_t i = 0; i <= kMaxConnections; ++i) {
+    sockets.emplace_back(io).connect(endpoint);
+  }
+  boost::system::error_code error;
+  char byte = 0;
+  sockets.front().read_some(boost::asio::buffer(&byte, 1), error);
+  EXPECT_TRUE(error);
+  EXPECT_TRUE(Exchange("GET / HTTP/1.1\r\n\r\n").starts_with("HTTP/1.1 200 OK"));
+}
+
 } // namespace
 } // namespace jaylane::gateway
--- a/packages/gateway/tests/RequestPathTest.cpp
+++ b/packages/gateway/tests/RequestPathTest.cpp
@@ -134,6 +134,26 @@
   return latencies;
 }
 
+// Guards against bodies that stop short of their end and keep ordinary requests from being served.
+TEST_F(RequestPathTest, AnUnfinishedBodyMakesRoomForASmallerOne)
+{
+  ScriptedUpstream upstream(
+    [](const SeenRequest& aRequest) { return Script{ OkResponse(aRequest, "x") }; });
+  Start({ upstream.Address() });
+  auto unfinished = Connect();
+  std::string post = Post("unfinished", 1000);
+  post.pop_back();
+  asio::write(unfinished, asio::buffer(post));
+  std::this_thread::sleep_for(50ms);
+  OnRequestThread([this] { ASSERT_GE(m_bodyBudget.Used(), 999U); });
+  EXPECT_EQ(Status(Exchange(Post("r1", 700))), "HTTP/1.1 200 OK");
+  std::string response(512, '\0');
+  response.resize(unfinished.read_some(asio::buffer(response)));
+  EXPECT_EQ(Status(response), "HTTP/1.1 503 Service Unavailable");
+  EXPECT_EQ(upstream.Seen().size(), 1U) << "it did not run";
+  OnRequestThread([this] { EXPECT_EQ(m_bodyBudget.Used(), 0U); });
+}
+
 // A faulty upstream sends bodies that do not end. Guards against failing the responses of others
 // because such a body holds the memory.
 TEST_F(RequestPathTest, ABodyWithoutEndMakesRoomForOthers)
