--- a/packages/gateway/include/jaylane/gateway/ProcessSetup.h
+++ b/packages/gateway/include/jaylane/gateway/ProcessSetup.h
@@ -7,8 +7,8 @@
 /// of ending the process.
 void HoldSignals();
 
-/// Makes the allocator return the memory of large blocks, as of bodies, to the system at once. To be
-/// called before there are threads.
+/// Makes the allocator return the memory of large blocks, as of bodies, to the system at once. To
+/// be called before there are threads.
 void ReturnLargeBlocks();
 
 /// Makes std::terminate() write the reason to standard output and standard error, as one JSON
--- a/packages/gateway/src/CallerConnection.cpp
+++ b/packages/gateway/src/CallerConnection.cpp
@@ -22,7 +22,8 @@
 /// The first is small because there are hundreds of idle or slow connections for each one that is
 /// being read.
 constexpr std::size_t kIdleReadBytes = 1024;
-constexpr std::size_t kReadBytes = 16 * 1024;
+/// With 16 KiB, a crowd of 1,900 that stops within bodies held 30 MB of empty buffers.
+constexpr std::size_t kReadBytes = 8 * 1024;
 /// Longest time from the first byte of a request to its last.
 constexpr std::chrono::seconds kMaxRequestTime{ 60 };
 /// Longest time in which the caller must read what is written at once.
--- a/packages/gateway/src/ProcessSetup.cpp
+++ b/packages/gateway/src/ProcessSetup.cpp
@@ -17,10 +17,13 @@
 
 namespace {
 
-/// Size from which on memory is mapped for one block alone, and free memory at the end of the heap
-/// that is kept. The default thresholds rise to 32 and 64 MiB once a large block is freed, after
-/// which the holes that bodies leave in the heap count against the memory of the machine.
-constexpr int kLargeBlockBytes = 128 * 1024;
+/// Size from which on memory is mapped for one block alone, so that only its used part is resident
+/// and it is returned when freed. By default, the threshold rises to 32 MiB once a large block is
+/// freed, and the holes that growing bodies leave in the heap count against the memory of the
+/// machine: with 128 KiB, 1,900 bodies in chunks took 114 MB where 56 MB were counted.
+constexpr int kLargeBlockBytes = 16 * 1024;
+/// Free memory at the end of the heap that is kept.
+constexpr int kTrimBytes = 128 * 1024;
 
 std::string CurrentExceptionReason()
 {
@@ -65,7 +68,7 @@
 void ReturnLargeBlocks()
 {
   ::mallopt(M_MMAP_THRESHOLD, kLargeBlockBytes);
-  ::mallopt(M_TRIM_THRESHOLD, kLargeBlockBytes);
+  ::mallopt(M_TRIM_THRESHOLD, kTrimBytes);
 }
 
 void LogTerminations()
