Write uploads to their end when the upstream responds early

An upstream may respond with 2xx before it has read the body. The write now goes on until the request's deadline or until the upstream's host counts as dead.

--- a/packages/gateway/src/UpstreamAttempt.cpp
+++ b/packages/gateway/src/UpstreamAttempt.cpp
@@ -112,6 +112,12 @@
 {
   m_ended = true;
   m_onDone = nullptr;
+  CloseConnection();
+}
+
+void UpstreamAttempt::CloseConnection()
+{
+  m_isFinishingWrite = false;
   m_connectTimer.cancel();
   m_livenessTimer.cancel();
   if (m_connection) {
@@ -120,6 +126,18 @@
   }
 }
 
+void UpstreamAttempt::FinishWrite()
+{
+  m_isFinishingWrite = true;
+  m_connectTimer.expires_after(RemainingTime());
+  m_connectTimer.async_wait([weak = weak_from_this()](const boost::system::error_code& aError) {
+    const auto self = weak.lock();
+    if (!aError && self) {
+      self->CloseConnection();
+    }
+  });
+}
+
 void UpstreamAttempt::Connect()
 {
   const auto endpoint = ParseEndpoint(m_address);
@@ -164,16 +182,21 @@
     });
 }
 
+std::chrono::milliseconds UpstreamAttempt::RemainingTime() const
+{
+  const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(
+    m_dependencies.m_clock.Monotonic() - m_startedAt);
+  return std::max(m_remaining - elapsed, std::chrono::milliseconds{ 1 });
+}
+
 std::string UpstreamAttempt::RequestHead() const
 {
   const WireFormat& wire = m_dependencies.m_wire;
   std::string head = m_request->m_method;
   head.append(" ").append(m_request->m_target).append(" HTTP/1.1\r\n");
   head.append(m_request->m_headerLines);
-  const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(
-    m_dependencies.m_clock.Monotonic() - m_startedAt);
-  const auto remaining = std::max(m_remaining - elapsed, std::chrono::milliseconds{ 1 });
-  head.append(wire.m_timeout).append(": ").append(std::to_string(remaining.count())).append("\r\n");
+  head.append(wire.m_timeout).append(": ");
+  head.append(std::to_string(RemainingTime().count())).append("\r\n");
   head.append(wire.m_targetUpstream).append(": ").append(m_upstreamId).append("\r\n");
   if (m_request->m_hasBody) {
     head.append("Content-Length: ").append(std::to_string(m_request->m_body.size()));
@@ -196,6 +219,9 @@
       // A failed write does not end the attempt: the upstream may already have responded, and the
       // pending read reports the end of the connection.
       self->m_writeResult = aError;
+      if (self->m_isFinishingWrite) {
+        self->CloseConnection();
+      }
     });
   ResetParser();
   StartLivenessTimer();
@@ -207,7 +233,7 @@
   m_livenessTimer.expires_after(kLivenessInterval);
   m_livenessTimer.async_wait([weak = weak_from_this()](const boost::system::error_code& aError) {
     const auto self = weak.lock();
-    if (!aError && self && !self->m_ended) {
+    if (!aError && self && (!self->m_ended || self->m_isFinishingWrite)) {
       self->CheckLiveness();
     }
   });
@@ -220,6 +246,10 @@
     return; // The system's own timeout applies.
   }
   if (m_liveness.IsDead(*observation, m_dependencies.m_clock.Monotonic())) {
+    if (m_isFinishingWrite) {
+      CloseConnection();
+      return;
+    }
     FailLostConnection("no acknowledgement from the upstream's host");
     return;
   }
@@ -455,7 +485,15 @@
   }
   aResult.m_connectTime = m_connectTime;
   const OnDone done = std::move(m_onDone);
-  Cancel();
+  // The caller is told that the request was accepted, so that the upstream must get all of it.
+  const bool isAccepted = !aResult.m_failure && aResult.m_response.m_status < 300;
+  if (isAccepted && m_connection && !m_writeResult) {
+    m_ended = true;
+    m_onDone = nullptr;
+    FinishWrite();
+  } else {
+    Cancel();
+  }
   done(std::move(aResult));
 }
 
--- a/packages/gateway/src/UpstreamAttempt.h
+++ b/packages/gateway/src/UpstreamAttempt.h
@@ -112,6 +112,13 @@
   void Finish(AttemptResult aResult);
   AttemptResult TakeResponse();
   std::string RequestHead() const;
+  /// @return time until the request's deadline, at least a millisecond.
+  std::chrono::milliseconds RemainingTime() const;
+  void CloseConnection();
+  /// Writes the rest of a request that the upstream has already responded to, and closes the
+  /// connection then, at the deadline, or when the upstream's host counts as dead. The body stays
+  /// reserved until then.
+  void FinishWrite();
   void ReturnToPool(const Parser::value_type& aMessage, bool aIsDelimitedByClose);
 
   Dependencies m_dependencies;
@@ -142,6 +149,8 @@
   bool m_hasForeignResponse = false;
   std::uint32_t m_skippedResponses = 0;
   bool m_ended = false;
+  /// The attempt has ended, but the rest of the request is still written.
+  bool m_isFinishingWrite = false;
 };
 
 } // namespace jaylane::gateway
--- a/packages/gateway/tests/UpstreamAttemptTest.cpp
+++ b/packages/gateway/tests/UpstreamAttemptTest.cpp
@@ -3,9 +3,13 @@
 #include "ScriptedUpstream.h"
 #include "TestWireFormat.h"
 
+#include <atomic>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <fmt/format.h>
 #include <gtest/gtest.h>
+#include <thread>
 
 namespace jaylane::gateway {
 namespace {
@@ -277,6 +281,41 @@
   }
 }
 
+// Guards against a truncated upload that the caller is told was accepted, because the upstream
+// responds before it has read the body.
+TEST_F(UpstreamAttemptTest, AnUploadThatIsAnsweredEarlyIsWrittenToItsEnd)
+{
+  namespace asio = boost::asio;
+  asio::io_context io;
+  asio::ip::tcp::acceptor acceptor(io, { asio::ip::make_address("127.0.0.1"), 0 });
+  std::atomic<std::size_t> received{ 0 };
+  std::thread server([&] {
+    asio::ip::tcp::socket socket = acceptor.accept();
+    std::vector<char> buffer(64 * 1024);
+    boost::system::error_code error;
+    received += socket.read_some(asio::buffer(buffer), error);
+    asio::write(
+      socket,
+      asio::buffer(std::string{ "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nContent-Length: 0\r\n\r\n" }),
+      error);
+    std::this_thread::sleep_for(300ms);
+    while (!error) {
+      received += socket.read_some(asio::buffer(buffer), error);
+    }
+  });
+  std::optional<AttemptResult> result;
+  MakeAttempt(
+    fmt::format("127.0.0.1:{}", acceptor.local_endpoint().port()), "r1", result, kUploadBytes)
+    ->Start();
+  RunUntil([&] { return received > kUploadBytes; }, 2s);
+  m_io.restart();
+  m_io.run_for(100ms);
+  server.join();
+  ASSERT_TRUE(result);
+  EXPECT_EQ(result->m_response.m_status, 200U);
+  EXPECT_GT(received, kUploadBytes);
+}
+
 // Guards against taking an upstream that pauses in reading a body for a dead one: the kernel's
 // timeout for unacknowledged data ended the upload after two seconds.
 TEST_F(UpstreamAttemptTest, AnUploadOutlastsAPauseInReading)
