--- a/packages/gateway/src/GatewayMetrics.h
+++ b/packages/gateway/src/GatewayMetrics.h
@@ -25,6 +25,9 @@
   /// Requests that were not sent at once because more urgent ones need the upstreams, by priority.
   std::map<std::uint32_t, std::uint64_t> m_limitedByUrgency;
   std::uint64_t m_callerConnections = 0;
+  /// Bytes of requests and responses that are held, and bodies that made room for others.
+  std::uint64_t m_bodyBytes = 0;
+  std::uint64_t m_bodyEvictions = 0;
   std::uint64_t m_inFlight = 0;
   std::uint64_t m_storeBatches = 0;
   std::uint64_t m_storeFailures = 0;
--- a/packages/gateway/src/ProcessSetup.cpp
+++ b/packages/gateway/src/ProcessSetup.cpp
@@ -8,6 +8,7 @@
 #include <csignal>
 #include <cstdlib>
 #include <exception>
+#include <malloc.h>
 #include <poll.h>
 #include <string>
 #include <unistd.h>
@@ -16,6 +17,14 @@
 
 namespace {
 
+/// Size from which on memory is mapped for one block alone, so that only its used part is resident
+/// and it is returned when freed. By default, the threshold rises to 32 MiB once a large block is
+/// freed, and the holes that growing bodies leave in the heap count against the memory of the
+/// machine: with 128 KiB, 1,900 bodies in chunks took 114 MB where 56 MB were counted.
+constexpr int kLargeBlockBytes = 16 * 1024;
+/// Free memory at the end of the heap that is kept.
+constexpr int kTrimBytes = 128 * 1024;
+
 std::string CurrentExceptionReason()
 {
   const std::exception_ptr exception = std::current_exception();
@@ -56,6 +65,12 @@
   BlockHandledSignals();
 }
 
+void ReturnLargeBlocks()
+{
+  ::mallopt(M_MMAP_THRESHOLD, kLargeBlockBytes);
+  ::mallopt(M_TRIM_THRESHOLD, kTrimBytes);
+}
+
 void LogTerminations()
 {
   std::set_terminate(OnTerminate);
