gateway: take a response whose status is out of range as lost

Cause: the parser accepts any three digits as a status. One below 100 counted as an interim response, so that the request waited for another response until its deadline; one above 599 was passed on to the caller as a response.

Change: a status below 100 or above 599 ends the attempt as lost. What the upstream did is unknown, so an idempotent request may be repeated and another gets 502.

Result: UpstreamAttemptTest.ReportsStatusesOutOfRangeAsLost fails on the code before for 000, 001, 099, 600 and 999, and passes with the change; all 24 tests of UpstreamAttempt pass.

--- a/packages/gateway/src/UpstreamAttempt.cpp
+++ b/packages/gateway/src/UpstreamAttempt.cpp
@@ -31,6 +31,10 @@
 constexpr std::size_t kMaxUnparsedBytes = kMaxResponseHeaderBytes;
 /// Response headers and framing that are not counted against the memory for bodies.
 constexpr std::size_t kUncountedBytes = kReadBytes;
+/// Statuses that a response may have. Others have no meaning in HTTP, so what they report is
+/// unknown.
+constexpr unsigned kMinStatus = 100;
+constexpr unsigned kMaxStatus = 599;
 /// Responses that may be skipped, interim ones and those to other requests.
 constexpr std::uint32_t kMaxSkippedResponses = 16;
 /// Time without an acknowledgement after which an upstream's host counts as dead.
@@ -71,6 +75,11 @@
     std::chrono::duration<double>(std::min(seconds, kMaxSeconds)));
 }
 
+bool IsStatusValid(unsigned aStatus)
+{
+  return aStatus >= kMinStatus && aStatus <= kMaxStatus;
+}
+
 std::string_view ToStringView(boost::beast::string_view aText)
 {
   return { aText.data(), aText.size() };
@@ -336,6 +345,10 @@
     const std::size_t used = m_parser->put(m_buffer.data(), error);
     m_buffer.consume(used);
     m_headBytes += isHead ? used : 0;
+    if (m_parser->is_header_done() && !IsStatusValid(m_parser->get().result_int())) {
+      Fail(AttemptFailure::Lost, "malformed response: status out of range");
+      return false;
+    }
     if (error == http::error::need_more) {
       if (m_buffer.size() > kMaxUnparsedBytes) {
         Fail(AttemptFailure::Lost, "response framing too long");
--- a/packages/gateway/tests/UpstreamAttemptTest.cpp
+++ b/packages/gateway/tests/UpstreamAttemptTest.cpp
@@ -241,6 +241,23 @@
   }
 }
 
+// Guards against passing on a status that HTTP does not define, and against taking one below 200
+// for an interim response, after which the request waits until its deadline.
+TEST_F(UpstreamAttemptTest, ReportsStatusesOutOfRangeAsLost)
+{
+  std::string status;
+  ScriptedUpstream upstream([&](const SeenRequest& aRequest) {
+    std::string response = OkResponse(aRequest, "abc");
+    return Script{ response.replace(response.find("200"), 3, status) };
+  });
+  for (const char* text : { "000", "001", "099", "600", "999" }) {
+    status = text;
+    EXPECT_EQ(Run(upstream).m_failure, AttemptFailure::Lost) << text;
+  }
+  status = "599";
+  EXPECT_EQ(Run(upstream).m_response.m_status, 599U);
+}
+
 TEST_F(UpstreamAttemptTest, AcceptsBodiesThatEndWithTheConnection)
 {
   ScriptedUpstream upstream([](const SeenRequest&) {
