--- a/packages/gateway/src/PeerLink.h
+++ b/packages/gateway/src/PeerLink.h
@@ -72,12 +72,6 @@
     std::function<std::optional<policy::ZoneDemand>()> m_zoneDemand;
     /// Receives the demand of a zone that a peer announced.
     std::function<void(const policy::ZoneDemand&)> m_onZoneDemand;
-    /// Receives a message that is no announcement, and a function that sends a datagram to its
-    /// sender; see QuotaLink.
-    std::function<void(const std::string& aMethod,
-                       const Json::Value& aParams,
-                       const std::function<void(const std::string&)>& aReply)>
-      m_onMessage = {};
     /// Returns up to aCount loads of upstreams to announce, in turn.
     std::function<std::vector<policy::LoadObservation>(std::size_t aCount)> m_loads =
       [](std::size_t) { return std::vector<policy::LoadObservation>{}; };
@@ -86,6 +80,12 @@
       [](const auto&) {};
     /// Loads were announced to one peer.
     std::function<void(std::size_t aCount)> m_onLoadsTold = [](std::size_t) {};
+    /// Receives a message that is no announcement, and a function that sends a datagram to its
+    /// sender; see QuotaLink.
+    std::function<void(const std::string& aMethod,
+                       const Json::Value& aParams,
+                       const std::function<void(const std::string&)>& aReply)>
+      m_onMessage = {};
   };
 
   struct Peer
