policy: leave more queueing time to patient kinds, and count the slowdown there

The queue behind urgent requests ignored how slow the upstream is at the moment.

Change: less urgent kinds may use 0.6 of the time that the urgent kind can queue, instead of 0.5; the slowdown scales that queue like all others.

--- a/packages/policy/include/jaylane/policy/UrgencyLimits.h
+++ b/packages/policy/include/jaylane/policy/UrgencyLimits.h
@@ -27,7 +27,7 @@
     std::chrono::milliseconds m_idleTime{ 20'000 };
     /// Queueing time left to less urgent kinds, as a fraction of the time that the urgent kind can
     /// queue and be in time. The rest covers load data that is older than the last requests.
-    double m_queueShare = 0.5;
+    double m_queueShare = 0.6;
     /// Fraction of the target latency that counts at least as time to queue, for kinds whose
     /// service time alone uses up the target.
     double m_minQueueRatio = 0.25;
--- a/packages/policy/src/ServiceBalancer.cpp
+++ b/packages/policy/src/ServiceBalancer.cpp
@@ -449,7 +449,7 @@
   const double slots = std::max(1U, aState.m_candidate.m_upstream.m_slots);
   const double reserved = share * std::clamp(m_meanExternalLoad, 0.0, 1.0) * slots;
   return QueuedPerSlot(aState, aNow, reserved) * WarmServiceTime(aQuery) *
-         aState.m_relativeServiceTime;
+         aState.m_relativeServiceTime * Slowdown(aState, aNow);
 }
 
 void ServiceBalancer::Accept(const Query& aQuery,
