Quotas: serve teams soon after a loss of power of all VMs

Cause: a broker that starts granted nothing for 1.2 s, and a VM that starts committed itself to no broker for 3.4 s at 87 VMs, because an earlier process may be committed elsewhere.

Change: a broker begins with empty buckets at once. A new process commits itself at once and says so; the commitment counts only at a broker that is new as well, whose rivals have lost their VMs together with it.

--- a/packages/gateway/src/QuotaLink.cpp
+++ b/packages/gateway/src/QuotaLink.cpp
@@ -22,7 +22,7 @@
 constexpr const char* kGrantMethod = "quota_grant";
 
 /// Numbers of a report and of a grant, before their teams.
-constexpr Json::ArrayIndex kReportNumbers = 7;
+constexpr Json::ArrayIndex kReportNumbers = 8;
 constexpr Json::ArrayIndex kGrantNumbers = 5;
 
 std::string WriteMessage(const char* aMethod, Json::Value aParams)
@@ -84,6 +84,7 @@
   params.append(Json::UInt64(aReport.m_commitment.count()));
   params.append(aReport.m_brokerInstance);
   params.append(Json::UInt64(aReport.m_echo.count()));
+  params.append(aReport.m_isNewProcess ? 1U : 0U);
   Json::Value teams(Json::arrayValue);
   for (const policy::QuotaReport::Team& team : aReport.m_teams) {
     Json::Value entry(Json::arrayValue);
@@ -134,6 +135,7 @@
   report.m_commitment = TimeAt(aParams, 5, kMaxCommitmentMs);
   report.m_brokerInstance = NumberAt(aParams, 6);
   report.m_echo = TimeAt(aParams, 7, kMaxStampMs);
+  report.m_isNewProcess = aParams[8].asUInt64() != 0;
   for (const Json::Value& entry : aParams[kReportNumbers + 1]) {
     report.m_teams.push_back({ entry[0].asString(),
                                NumberAt(entry, 1, kMaxCredits),
--- a/packages/policy/include/jaylane/policy/QuotaBroker.h
+++ b/packages/policy/include/jaylane/policy/QuotaBroker.h
@@ -23,8 +23,8 @@
 {
 public:
   /// @param aInstance differs between processes of this VM.
-  /// @param aNow start of the process. Nothing is granted until the credits of an earlier process
-  ///   have expired.
+  /// @param aNow start of the process. Its buckets are empty then: what an earlier process granted
+  ///   and what this one grants stay within the rate and one burst together.
   QuotaBroker(std::uint32_t aInstance, base::MonotonicTime aNow);
 
   /// Changes the quotas; a lower one applies to the next grant.
--- a/packages/policy/include/jaylane/policy/QuotaClient.h
+++ b/packages/policy/include/jaylane/policy/QuotaClient.h
@@ -73,8 +73,8 @@
 
   /// @param aName name of this VM.
   /// @param aInstance differs between processes of this VM.
-  /// @param aNow start of the process. It makes no commitment, and uses no reserve, until the
-  ///   commitment of an earlier process has ended.
+  /// @param aNow start of the process. It uses no reserve, and commits itself only to brokers that
+  ///   have just started as well, until the commitment of an earlier process has ended.
   QuotaClient(std::string aName, std::uint32_t aInstance, base::MonotonicTime aNow);
 
   /// @param aQuotas quotas in force; requests of other teams are admitted.
@@ -144,8 +144,8 @@
     bool m_isProbe = false;
   };
 
-  std::chrono::milliseconds ReportInterval() const;
-  std::chrono::milliseconds CommitmentTime() const;
+  std::chrono::milliseconds ReportInterval() const { return QuotaReportInterval(m_knownVms); }
+  std::chrono::milliseconds CommitmentTime() const { return QuotaCommitmentTime(m_knownVms); }
   /// @return requests per second of the last second.
   double DemandOf(const Team& aTeam, base::MonotonicTime aNow) const;
   static std::uint32_t HeldOf(const Team& aTeam);
--- a/packages/policy/include/jaylane/policy/QuotaMessages.h
+++ b/packages/policy/include/jaylane/policy/QuotaMessages.h
@@ -55,6 +55,9 @@
   std::chrono::milliseconds m_echo{ 0 };
   /// Teams whose state has changed or that need credit. Others are as reported before.
   std::vector<Team> m_teams;
+  /// Whether the process may be younger than a commitment of an earlier process of the VM. The
+  /// commitment then counts only at brokers that have just started, too.
+  bool m_isNewProcess = false;
 };
 
 /// Answer of a quota broker to one report.
@@ -88,4 +91,10 @@
 /// 0.95 of the quotas.
 inline constexpr double kQuotaReserve = 0.15;
 
+/// @param aKnownVms number of known VMs.
+/// @return time between two reports of a VM that needs no credit.
+std::chrono::milliseconds QuotaReportInterval(std::uint32_t aKnownVms);
+/// @return time for which a report commits its VM.
+std::chrono::milliseconds QuotaCommitmentTime(std::uint32_t aKnownVms);
+
 } // namespace jaylane::policy
--- a/packages/policy/src/QuotaBroker.cpp
+++ b/packages/policy/src/QuotaBroker.cpp
@@ -65,7 +65,7 @@
 
 double QuotaBroker::GrantedShare(base::MonotonicTime aNow) const
 {
-  if (m_knownVms == 0 || aNow - m_started < kQuotaCreditLifetime) {
+  if (m_knownVms == 0) {
     return 0;
   }
   const Commitments counts = CountCommitments(aNow);
@@ -75,11 +75,9 @@
 
 void QuotaBroker::Advance(base::MonotonicTime aNow)
 {
-  // After the start the share only falls between two reports, so that the present one is the
-  // lowest.
+  // The share only falls between two reports, so that the present one is the lowest.
   m_share = GrantedShare(aNow);
-  const auto since = std::max(m_advancedAt, m_started + kQuotaCreditLifetime);
-  const std::chrono::duration<double> elapsed = aNow - since;
+  const std::chrono::duration<double> elapsed = aNow - m_advancedAt;
   m_shareSeconds += std::max(elapsed.count(), 0.0) * m_share;
   m_advancedAt = aNow;
 }
@@ -122,7 +120,11 @@
   vm.m_committedUntil = {};
   // Credits granted while the commitment counts must expire before it ends.
   const milliseconds lifetime = aReport.m_commitment - kQuotaCreditLifetime;
-  if (aReport.m_brokerInstance == m_instance && lifetime.count() > 0) {
+  // An earlier process of the VM may be committed to another broker. If this process and the VM's
+  // have both just started, most VMs have, and the other broker has lost its majority with them.
+  const bool isCounted =
+    !aReport.m_isNewProcess || aNow - m_started < QuotaCommitmentTime(m_knownVms);
+  if (aReport.m_brokerInstance == m_instance && lifetime.count() > 0 && isCounted) {
     // The report may have been under way for long; it was sent after the time stamp it returns.
     const base::MonotonicTime stamp = m_started + aReport.m_echo;
     vm.m_committedUntil = std::min(stamp, aNow) + lifetime;
--- a/packages/policy/src/QuotaClient.cpp
+++ b/packages/policy/src/QuotaClient.cpp
@@ -52,6 +52,18 @@
 
 } // namespace
 
+milliseconds QuotaReportInterval(std::uint32_t aKnownVms)
+{
+  return std::clamp(
+    kReportIntervalPerVm * static_cast<int>(aKnownVms), kMinReportInterval, kMaxReportInterval);
+}
+
+milliseconds QuotaCommitmentTime(std::uint32_t aKnownVms)
+{
+  return kQuotaCreditLifetime +
+         std::chrono::floor<milliseconds>(kCommitmentIntervals * QuotaReportInterval(aKnownVms));
+}
+
 QuotaClient::QuotaClient(std::string aName, std::uint32_t aInstance, base::MonotonicTime aNow)
   : m_name(std::move(aName))
   , m_instance(aInstance)
@@ -81,18 +93,6 @@
   m_knownVms = aKnownVms;
 }
 
-milliseconds QuotaClient::ReportInterval() const
-{
-  return std::clamp(
-    kReportIntervalPerVm * static_cast<int>(m_knownVms), kMinReportInterval, kMaxReportInterval);
-}
-
-milliseconds QuotaClient::CommitmentTime() const
-{
-  return kQuotaCreditLifetime +
-         std::chrono::floor<milliseconds>(kCommitmentIntervals * ReportInterval());
-}
-
 double QuotaClient::DemandOf(const Team& aTeam, base::MonotonicTime aNow) const
 {
   const std::chrono::duration<double> age = aNow - aTeam.m_demandAt;
@@ -326,8 +326,8 @@
   report.m_brokerInstance = m_brokerInstance;
   report.m_echo = m_echo;
   const bool mayCommit = m_committedTo == aTo || aNow >= m_committedUntil;
-  if (m_brokerInstance != 0 && mayCommit && m_knownVms > 0 &&
-      aNow - m_started >= CommitmentTime()) {
+  if (m_brokerInstance != 0 && mayCommit && m_knownVms > 0) {
+    report.m_isNewProcess = aNow - m_started < CommitmentTime();
     report.m_commitment = CommitmentTime();
     m_committedTo = aTo;
     m_committedUntil = std::max(m_committedUntil, aNow + CommitmentTime());
