--- a/packages/gateway/tests/ControlPlaneTest.cpp
+++ b/packages/gateway/tests/ControlPlaneTest.cpp
@@ -3,11 +3,13 @@
 #include "TestStore.h"
 #include "TestWireFormat.h"
 
+#include <array>
 #include <atomic>
 #include <boost/asio/ip/udp.hpp>
 #include <condition_variable>
 #include <gtest/gtest.h>
 #include <mutex>
+#include <poll.h>
 
 namespace jaylane::gateway {
 namespace {
@@ -44,6 +46,17 @@
     hooks.m_onLimits = [](const std::vector<policy::LimitObservation>&) {};
     hooks.m_onStoreCall = [](bool) {};
     hooks.m_onQuarantines = [](const QuarantineStore::Contents&) {};
+    hooks.m_onQuotaGrant = [this](const policy::QuotaGrant&) {
+      const std::lock_guard lock(m_mutex);
+      ++m_grants;
+      m_changed.notify_all();
+    };
+    hooks.m_onQuotaFleet = [this](const std::vector<policy::QuotaClient::Candidate>& aCandidates,
+                                  std::uint32_t aKnownVms) {
+      const std::lock_guard lock(m_mutex);
+      m_candidates = aCandidates;
+      m_knownVms = aKnownVms;
+    };
     hooks.m_onStoreReachable = [this](bool aIsReachable) {
       const std::lock_guard lock(m_mutex);
       ++(aIsReachable ? m_recoveries : m_outages);
@@ -97,9 +110,45 @@
   std::condition_variable m_changed;
   int m_outages = 0;
   int m_recoveries = 0;
+  int m_grants = 0;
+  std::vector<policy::QuotaClient::Candidate> m_candidates;
+  std::uint32_t m_knownVms = 0;
   std::unique_ptr<ControlPlane> m_controlPlane;
 };
 
+// Guards against quota messages without any quota, and against reports, of this VM or another one,
+// that get no answer.
+TEST_F(ControlPlaneTest, AnswersQuotaReportsWhileThereAreQuotas)
+{
+  Start();
+  boost::asio::io_context io;
+  const auto loopback = boost::asio::ip::make_address("127.0.0.1");
+  boost::asio::ip::udp::socket peer(io, { loopback, 0 });
+  const std::size_t colon = m_settings.m_peerAddress.rfind(':');
+  const auto port =
+    static_cast<std::uint16_t>(std::stoi(m_settings.m_peerAddress.substr(colon + 1)));
+  std::array<char, 2000> buffer{};
+  const auto isAnswered = [&](std::uint32_t aNumber) {
+    policy::QuotaReport report;
+    report.m_vm = "p";
+    report.m_number = aNumber;
+    peer.send_to(boost::asio::buffer(detail::WriteQuotaMessage(report)), { loopback, port });
+    pollfd waited{ peer.native_handle(), POLLIN, 0 };
+    return ::poll(&waited, 1, 500) > 0 &&
+           std::string_view(buffer.data(), peer.receive(boost::asio::buffer(buffer)))
+               .find("quota_grant") != std::string_view::npos;
+  };
+  EXPECT_FALSE(isAnswered(1));
+  m_controlPlane->SetQuotas({ { "team", 1, 1 } });
+  EXPECT_TRUE(isAnswered(2));
+  m_controlPlane->SendQuotaReports({ { "vm", {} } }, {});
+  EXPECT_TRUE(WaitFor(m_grants, 500ms));
+  const std::lock_guard lock(m_mutex);
+  ASSERT_EQ(m_candidates.size(), 1U);
+  EXPECT_EQ(m_candidates[0].m_name, "vm");
+  EXPECT_EQ(m_knownVms, 1U);
+}
+
 // Guards against holding back the removals of upstreams because the store did not answer another
 // VM: this VM is in touch and must act on them within the drain time.
 TEST_F(ControlPlaneTest, AnOutageOfAnotherVmIsNoOutageOfThisOne)
