gateway, policy: findings of the review of the new parts

Cause: readers who had not written the parts found that a small body with a length was refused while the memory budget was full although it needs none of it; that a request which waited for a quota was sent without asking again whether the VM stops or its view is outdated, and got 504 at its deadline though it had not run; that one absurd load report, own or told, filled the mean load of a service; that the load in a 421 response, which is another upstream's, was taken; that held requests counted as rejected; and that a pass over held requests had no bound.

Change: the stated length counts as the bytes that it takes, and only while the body is read; the checks are made again and the deadline gives 429; loads are bounded at 16 requests a slot; the load of a 421 response is ignored; requests that may be held do not count as rejected; 16 held requests are tried at a time.

No test of its own was written for these findings.

--- a/packages/gateway/src/CallerConnection.cpp
+++ b/packages/gateway/src/CallerConnection.cpp
@@ -354,8 +354,11 @@
   // Only received bytes are reserved, so that a Content-Length alone takes no memory from other
   // requests that go on. A body that does not fit is rejected before it is read.
   const auto stated = m_parser->content_length();
-  return m_bodyReservation->GrowTo(bytes) &&
-         m_bodyReservation->EvictStalledFor(stated ? *stated : 0);
+  if (!m_bodyReservation->GrowTo(bytes)) {
+    return false;
+  }
+  return !stated || m_parser->is_done() ||
+         m_bodyReservation->EvictStalledFor(CountedBytes(*stated));
 }
 
 void CallerConnection::OnRequestEvicted()
@@ -511,7 +514,6 @@
     RejectInput(503, "too many pipelined requests");
     return;
   }
-  m_context.m_pipelinedRequests += isCounted ? 1 : 0;
   const bool isLastRequest = !m_parser->get().keep_alive();
   m_bodyReservation->SetEvictable({});
   auto exchange = std::make_shared<RequestExchange>(m_context, TakeRequest(), MakeExchangeHooks());
@@ -519,6 +521,7 @@
   m_isClosing = m_isClosing || isLastRequest || m_context.m_isNearConnectionLimit ||
                 m_context.m_phase != LifecyclePhase::Serving;
   m_pipeline.push_back({ exchange, std::nullopt, isCounted });
+  m_context.m_pipelinedRequests += isCounted ? 1 : 0;
   exchange->Start();
 }
 
--- a/packages/gateway/src/HeldRequests.cpp
+++ b/packages/gateway/src/HeldRequests.cpp
@@ -12,6 +12,8 @@
 
 /// Interval at which held requests are tried again without a response of their service.
 constexpr milliseconds kRetryInterval{ 20 };
+/// Requests that are tried at a time, the most urgent ones. Each try ranks all upstreams.
+constexpr std::size_t kMaxTriesPerRetry = 16;
 /// Shortest time between two tries. Each costs a ranking of all upstreams per held request, which
 /// bounds the work on a VM with a tenth of a core.
 constexpr milliseconds kMinRetryInterval{ 10 };
@@ -108,14 +110,19 @@
 
 void HeldRequests::RetryAll(Service& aService)
 {
-  aService.m_lastRetryAt = m_clock.Monotonic();
+  std::size_t tries = 0;
   for (const std::uint64_t id : aService.m_queue.InOrder()) {
+    if (++tries > kMaxTriesPerRetry) {
+      break;
+    }
     // A request that was tried before may have displaced this one.
     if (const auto hooks = aService.m_hooks.find(id); hooks != aService.m_hooks.end()) {
       const auto onRetry = hooks->second.m_onRetry;
       onRetry();
     }
   }
+  // After the tries, so that they take a bounded part of the processor time.
+  aService.m_lastRetryAt = m_clock.Monotonic();
   if (aService.m_queue.size() > 0) {
     Schedule(aService, kRetryInterval);
   }
--- a/packages/gateway/src/InfoServer.cpp
+++ b/packages/gateway/src/InfoServer.cpp
@@ -134,7 +134,7 @@
       asio::buffer(m_responseText),
       [self = shared_from_this(), keepAlive](const boost::system::error_code& aError, std::size_t) {
         self->m_lastServed = ++*self->m_served;
-        self->m_responseText = {};
+        std::string().swap(self->m_responseText);
         if (!aError && keepAlive) {
           self->Read();
         }
--- a/packages/gateway/src/RequestExchange.cpp
+++ b/packages/gateway/src/RequestExchange.cpp
@@ -24,6 +24,8 @@
 constexpr milliseconds kMaxTimeout{ 60'000 };
 /// Retry delay given to callers while a VM that has just started fetches the configuration.
 constexpr milliseconds kStartupRetryDelay{ 500 };
+/// The same when the quota broker has not answered before the deadline.
+constexpr milliseconds kQuotaRetryDelay{ 500 };
 /// The same when another VM can serve the request at once.
 constexpr milliseconds kOtherVmRetryDelay{ 50 };
 /// The same when the API key may be one that this VM does not know yet.
@@ -104,7 +106,9 @@
   if (m_isDone) {
     ReturnCredit();
   } else if (aAdmission.m_decision == policy::QuotaClient::Decision::Admitted) {
-    TryUpstream();
+    if (!RejectIfUnsafe()) {
+      TryUpstream();
+    }
   } else {
     RejectOverQuota(aAdmission.m_retryAfter);
   }
@@ -368,13 +372,22 @@
   if (CancelIfCallerLeft()) {
     return;
   }
+  if (!RejectIfUnsafe() && AdmitAttempt()) {
+    ApplyChoice(ChooseUpstream(MakeQuery()));
+  }
+}
+
+bool RequestExchange::RejectIfUnsafe()
+{
   if (m_context.m_exitAt && m_deadline + kDeadlineGrace > *m_context.m_exitAt) {
     Reject("stopping", milliseconds{ 0 });
-  } else if (m_context.m_isViewOutdated()) {
+    return true;
+  }
+  if (m_context.m_isViewOutdated()) {
     Reject("view_outdated", kOtherVmRetryDelay);
-  } else if (AdmitAttempt()) {
-    ApplyChoice(ChooseUpstream(MakeQuery()));
+    return true;
   }
+  return false;
 }
 
 void RequestExchange::EndHold(bool aIsSent)
@@ -569,8 +582,10 @@
     return;
   }
   if (aResult.m_failure) {
-    balancer.OnFailure(aUpstream, *aResult.m_failure, aResult.m_load, now);
-    if (aResult.m_response.m_status == 421) {
+    const bool isOtherUpstream = aResult.m_response.m_status == 421;
+    balancer.OnFailure(
+      aUpstream, *aResult.m_failure, isOtherUpstream ? std::nullopt : aResult.m_load, now);
+    if (isOtherUpstream) {
       m_context.m_steering.OnAddressReused(aUpstream);
     }
     if (*aResult.m_failure == AttemptFailure::Unreachable) {
@@ -660,6 +675,10 @@
 
 void RequestExchange::OnDeadline()
 {
+  if (m_quotaWaiter != 0) {
+    RejectOverQuota(kQuotaRetryDelay);
+    return;
+  }
   if (m_heldSince && !m_mayHaveRun) {
     Reject("hold_expired",
            RetryDelayFor(policy::RejectionCause::NoCapacity, m_route->m_targetLatency));
--- a/packages/gateway/src/RequestExchange.h
+++ b/packages/gateway/src/RequestExchange.h
@@ -69,6 +69,10 @@
   bool TryHold(const policy::ServiceBalancer::Choice& aChoice);
   /// Chooses an upstream again while the request is held.
   void RetryHeld();
+  /// Rejects a request that has waited if the VM stops too soon to serve it, or must not send
+  /// requests on its view.
+  /// @return whether it was rejected.
+  bool RejectIfUnsafe();
   /// The request is no longer held.
   void EndHold(bool aIsSent);
   /// Cancels the exchange if the caller has left.
--- a/packages/gateway/src/UpstreamAttempt.cpp
+++ b/packages/gateway/src/UpstreamAttempt.cpp
@@ -455,7 +455,7 @@
       std::string(ToStringView(message[http::field::content_length]));
   }
   result.m_response.m_body = std::move(message.body());
-  result.m_response.m_bodyReservation = m_bodyReservation;
+  result.m_response.m_bodyReservation = std::move(m_bodyReservation);
   return result;
 }
 
--- a/packages/policy/src/ServiceBalancer.cpp
+++ b/packages/policy/src/ServiceBalancer.cpp
@@ -30,6 +30,9 @@
 /// Weights of the newest load report: in the load of its upstream, and in the average over all.
 constexpr double kReportAlpha = 0.5;
 constexpr double kMeanLoadAlpha = 0.05;
+/// Largest load that is believed, in requests per slot. One wrong report must not make the whole
+/// service look full.
+constexpr double kMaxLoadPerSlot = 16;
 /// Weight of the newest decision in the rejection rate, which averages over about 100 requests.
 constexpr double kRejectionAlpha = 0.01;
 /// A load report's slowdown is used no longer than this; it changes many times per second.
@@ -488,8 +491,8 @@
   }
   // A kind that only makes way for more urgent ones does not shorten their limits.
   if (!aQuery.m_isCounted && !aChoice.m_isLimitedByUrgency) {
-    const double rejected = aChoice.m_decision == Decision::Overloaded ? 1 : 0;
-    m_rejectionRate += kRejectionAlpha * (rejected - m_rejectionRate);
+    const bool isRejected = aChoice.m_decision == Decision::Overloaded && !aChoice.m_mayHold;
+    m_rejectionRate += kRejectionAlpha * ((isRejected ? 1 : 0) - m_rejectionRate);
   }
 }
 
@@ -548,7 +551,8 @@
   if (!aReport) {
     return;
   }
-  ApplyLoad(aState, aReport->m_running + aReport->m_waiting, kReportAlpha, aNow);
+  ApplyLoad(
+    aState, static_cast<double>(aReport->m_running) + aReport->m_waiting, kReportAlpha, aNow);
   if (aReport->m_slowdown) {
     aState.m_slowdown = *aReport->m_slowdown;
     aState.m_slowdownAt = aNow;
@@ -560,10 +564,11 @@
                                 double aAlpha,
                                 base::MonotonicTime aSeenAt)
 {
+  const double slots = std::max(1U, aState.m_candidate.m_upstream.m_slots);
+  aLoad = std::min(aLoad, kMaxLoadPerSlot * slots);
   // A request that was sent after the load was read is not part of it.
   const std::uint32_t newer = aState.m_sentAt > aSeenAt && aState.m_inFlight > 0 ? 1 : 0;
   const double externalLoad = std::max(0.0, aLoad - (aState.m_inFlight - newer));
-  const double slots = std::max(1U, aState.m_candidate.m_upstream.m_slots);
   aState.m_externalLoad = ExternalLoad(aState, aSeenAt);
   aState.m_externalLoad += aAlpha * (externalLoad - aState.m_externalLoad);
   aState.m_reportedAt = aSeenAt;
