--- a/review/common-2/stand_in.h
+++ b/review/common-2/stand_in.h
@@ -338,31 +338,17 @@
 public:
   using Serve = std::function<void(Connection&)>;
 
-  Listener(const std::string& aIp, Serve aServe, std::uint16_t aPort = 0)
-    : m_serve(std::move(aServe))
+  Listener(const std::string& aIp, Serve aServe)
+    : m_ip(aIp)
+    , m_serve(std::move(aServe))
   {
-    m_fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    const int one = 1;
-    ::setsockopt(m_fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(aPort);
-    ::inet_pton(AF_INET, aIp.c_str(), &address.sin_addr);
-    socklen_t size = sizeof address;
-    if (::bind(m_fd, reinterpret_cast<sockaddr*>(&address), size) != 0 ||
-        ::listen(m_fd, 256) != 0) {
-      std::perror("listen");
-      std::exit(2);
-    }
-    ::getsockname(m_fd, reinterpret_cast<sockaddr*>(&address), &size);
-    m_port = ntohs(address.sin_port);
+    Open();
     m_address = aIp + ":" + std::to_string(m_port);
     m_thread = std::thread([this] { Accept(); });
   }
   ~Listener() { Stop(); }
 
   const std::string& Address() const { return m_address; }
-  std::uint16_t Port() const { return m_port; }
 
   /// Stops listening and ends all connections.
   void Stop()
@@ -370,14 +356,31 @@
     if (m_isStopping.exchange(true)) {
       return;
     }
-    ::shutdown(m_fd, SHUT_RDWR);
     m_thread.join();
-    ::close(m_fd);
-    EndConnections();
+    Suspend();
     std::unique_lock lock(m_mutex);
     m_ended.wait_for(lock, std::chrono::seconds{ 10 }, [this] { return m_open.empty(); });
   }
 
+  /// Ends all connections, and refuses new ones until Resume().
+  void Suspend()
+  {
+    {
+      std::lock_guard lock(m_mutex);
+      if (m_fd >= 0) {
+        ::close(m_fd);
+        m_fd = -1;
+      }
+    }
+    EndConnections();
+  }
+  /// Listens on the same address again.
+  void Resume()
+  {
+    std::lock_guard lock(m_mutex);
+    Open();
+  }
+
   void EndConnections()
   {
     std::lock_guard lock(m_mutex);
@@ -387,21 +390,40 @@
   }
 
 private:
+  void Open()
+  {
+    m_fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+    const int one = 1;
+    ::setsockopt(m_fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(m_port);
+    ::inet_pton(AF_INET, m_ip.c_str(), &address.sin_addr);
+    socklen_t size = sizeof address;
+    if (::bind(m_fd, reinterpret_cast<sockaddr*>(&address), size) != 0 ||
+        ::listen(m_fd, 256) != 0) {
+      std::perror("listen");
+      std::exit(2);
+    }
+    ::getsockname(m_fd, reinterpret_cast<sockaddr*>(&address), &size);
+    m_port = ntohs(address.sin_port);
+  }
+
   void Accept()
   {
     while (!m_isStopping) {
-      pollfd waited{ m_fd, POLLIN, 0 };
-      if (::poll(&waited, 1, 200) <= 0) {
-        continue;
+      int fd = -1;
+      {
+        std::lock_guard lock(m_mutex);
+        fd = m_fd < 0 ? -1 : ::accept4(m_fd, nullptr, nullptr, SOCK_CLOEXEC);
+        if (fd >= 0) {
+          m_open.insert(fd);
+        }
       }
-      const int fd = ::accept4(m_fd, nullptr, nullptr, SOCK_CLOEXEC);
       if (fd < 0) {
+        SleepMs(1);
         continue;
       }
-      {
-        std::lock_guard lock(m_mutex);
-        m_open.insert(fd);
-      }
       std::thread([this, fd] {
         Connection connection(fd);
         m_serve(connection);
@@ -413,6 +435,7 @@
     }
   }
 
+  const std::string m_ip;
   Serve m_serve;
   int m_fd = -1;
   std::uint16_t m_port = 0;
@@ -793,25 +816,14 @@
     , m_service(std::move(aService))
     , m_zone(std::move(aZone))
     , m_run(std::move(aRun))
-    , m_born(std::chrono::duration_cast<milliseconds>(
-               std::chrono::system_clock::now().time_since_epoch())
-               .count())
+    , m_born(WallMs())
     , m_listener(std::make_unique<Listener>(
         aIp,
         [this](Connection& aConnection) { Serve(aConnection); }))
     , m_address(m_listener->Address())
   {
     Beat();
-    m_heart = std::thread([this] {
-      while (!m_isStopping) {
-        for (int i = 0; i < 15 && !m_isStopping; ++i) {
-          SleepMs(100);
-        }
-        if (!m_isStopping) {
-          Beat();
-        }
-      }
-    });
+    m_heart = std::thread([this] { Live(); });
   }
   ~Server() { Stop(); }
 
@@ -835,6 +847,12 @@
     m_store.Remove("servers", m_id);
     m_listener->Stop();
   }
+  /// The process of the server ends, and starts again under its id and address.
+  void Crash(std::int64_t aDownMs)
+  {
+    m_backAt = NowMs() + aDownMs;
+    m_listener->Suspend();
+  }
   std::vector<RunSeen> Runs()
   {
     std::lock_guard lock(m_mutex);
@@ -851,6 +869,40 @@
   }
 
 private:
+  static std::int64_t WallMs()
+  {
+    return std::chrono::duration_cast<milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+  }
+
+  void Live()
+  {
+    constexpr std::int64_t kWarmupMs = 3000;
+    std::int64_t nextBeat = NowMs() + 1500;
+    std::int64_t warmAt = 0;
+    while (!m_isStopping) {
+      SleepMs(20);
+      const std::int64_t now = NowMs();
+      if (const std::int64_t backAt = m_backAt; backAt != 0) {
+        if (now < backAt) {
+          continue;
+        }
+        m_backAt = 0;
+        m_born = WallMs();
+        m_seq = 0;
+        warmAt = now + kWarmupMs;
+        m_listener->Resume();
+        nextBeat = now;
+      }
+      if (now >= nextBeat) {
+        nextBeat = now + 1500;
+        m_coldMs = std::max<std::int64_t>(0, warmAt - now);
+        Beat();
+      }
+    }
+  }
+
   bool Beat()
   {
     Json::Value entry;
@@ -860,9 +912,9 @@
     entry["version"] = "v1";
     entry["slots"] = 8;
     entry["state"] = m_state.load();
-    entry["coldRemainingMs"] = 0;
+    entry["coldRemainingMs"] = Json::Int64{ m_coldMs };
     entry["seq"] = Json::UInt64{ ++m_seq };
-    entry["born"] = Json::Int64{ m_born };
+    entry["born"] = Json::Int64{ m_born.load() };
     return m_store.Put("servers", m_id, entry) != 0;
   }
 
@@ -876,7 +928,8 @@
       if (request->Path() == "/health") {
         const bool isReady = std::string(m_state.load()) == "ready";
         if (!aConnection.Write(std::string("HTTP/1.1 ") + (isReady ? "200 OK" : "503 Leaving") +
-                               "\r\nInstance-Id: " + m_id + "\r\nContent-Length: 0\r\n\r\n")) {
+                               "\r\nInstance-Id: " + m_id + "\r\nCold-Remaining-Ms: " +
+                               std::to_string(m_coldMs) + "\r\nContent-Length: 0\r\n\r\n")) {
           return;
         }
         continue;
@@ -919,7 +972,10 @@
   const std::string m_service;
   const std::string m_zone;
   const Run m_run;
-  const std::int64_t m_born;
+  std::atomic<std::int64_t> m_born;
+  /// When a crashed server is back; 0 if it runs.
+  std::atomic<std::int64_t> m_backAt{ 0 };
+  std::atomic<std::int64_t> m_coldMs{ 0 };
   std::atomic<const char*> m_state{ "ready" };
   std::atomic<std::uint64_t> m_seq{ 0 };
   std::atomic<bool> m_isStopping{ false };
