--- /dev/null
+++ b/packages/gateway/tests/RecordingSync.h
@@ -0,0 +1,151 @@
+#pragma once
+
+#include "StoreSync.h"
+#include "TestStore.h"
+
+#include <boost/asio/post.hpp>
+#include <condition_variable>
+#include <future>
+#include <gtest/gtest.h>
+#include <mutex>
+#include <thread>
+
+namespace jaylane::gateway {
+
+/// The StoreSync of one VM, which records what its configuration hooks receive.
+class RecordingSync
+{
+public:
+  RecordingSync(const std::string& aStore, const std::string& aPeerAddress)
+  {
+    m_settings.m_name = aPeerAddress;
+    m_settings.m_storeAddress = aStore;
+    m_settings.m_peerAddress = aPeerAddress;
+    StoreSync::Hooks hooks;
+    for (auto* kind : { &hooks.m_configuration, &hooks.m_upstreams, &hooks.m_evacuations }) {
+      kind->m_onList = [](const std::vector<StoredObject>&) {};
+      kind->m_onChanges = [](const std::vector<StoredObject>&) {};
+      kind->m_onCallCompleted = [](bool) {};
+      kind->m_onRevision = [](std::uint64_t) {};
+    }
+    hooks.m_onMembers = [](const std::vector<StoredObject>&) {};
+    hooks.m_onStoreReachable = [this](bool aIsReachable) {
+      const std::lock_guard lock(m_mutex);
+      m_outages += aIsReachable ? 0 : 1;
+    };
+    hooks.m_onSilence = [this] {
+      const std::lock_guard lock(m_mutex);
+      ++m_silences;
+    };
+    hooks.m_onFollowing = [this](bool aIsFollowing) {
+      const std::lock_guard lock(m_mutex);
+      m_isFollowing = aIsFollowing;
+      m_changed.notify_all();
+    };
+    hooks.m_configuration.m_onList = [this](const std::vector<StoredObject>& aObjects) {
+      const std::lock_guard lock(m_mutex);
+      m_configurations = aObjects;
+      m_changed.notify_all();
+    };
+    hooks.m_configuration.m_onChanges = [this](const std::vector<StoredObject>& aObjects) {
+      const std::lock_guard lock(m_mutex);
+      m_changes += aObjects.size();
+      if (!aObjects.empty()) {
+        m_configurations = aObjects;
+      }
+      m_changed.notify_all();
+    };
+    m_sync = std::make_unique<StoreSync>(m_io,
+                                         m_settings,
+                                         m_dialect,
+                                         base::SystemClock::Get(),
+                                         m_log,
+                                         Json::Value(Json::objectValue),
+                                         std::move(hooks));
+    EXPECT_TRUE(m_sync->ListenForPeers());
+    m_sync->Start();
+    m_thread = std::thread([this] { m_io.run(); });
+  }
+
+  ~RecordingSync()
+  {
+    m_io.stop();
+    m_thread.join();
+  }
+
+  StoreSync& Sync() { return *m_sync; }
+
+  bool WaitForConfiguration(std::chrono::milliseconds aLimit)
+  {
+    std::unique_lock lock(m_mutex);
+    return m_changed.wait_for(lock, aLimit, [this] { return !m_configurations.empty(); });
+  }
+
+  /// Waits until the only configuration object has the revision.
+  bool WaitForRevision(std::uint64_t aRevision, std::chrono::milliseconds aLimit)
+  {
+    std::unique_lock lock(m_mutex);
+    return m_changed.wait_for(lock, aLimit, [this, aRevision] {
+      return m_configurations.size() == 1 && m_configurations[0].m_revision == aRevision;
+    });
+  }
+
+  bool WaitUntilFollowing(std::chrono::milliseconds aLimit)
+  {
+    std::unique_lock lock(m_mutex);
+    return m_changed.wait_for(lock, aLimit, [this] { return m_isFollowing; });
+  }
+
+  void SetLead(bool aIsLead)
+  {
+    boost::asio::post(m_io, [this, aIsLead] { m_sync->SetLead(aIsLead); });
+  }
+
+  std::chrono::milliseconds UpstreamsBehindFor()
+  {
+    std::promise<std::chrono::milliseconds> result;
+    boost::asio::post(m_io, [&] { result.set_value(m_sync->UpstreamsBehindFor()); });
+    return result.get_future().get();
+  }
+
+  int Silences()
+  {
+    const std::lock_guard lock(m_mutex);
+    return m_silences;
+  }
+
+  int Outages()
+  {
+    const std::lock_guard lock(m_mutex);
+    return m_outages;
+  }
+
+  std::size_t Changes()
+  {
+    const std::lock_guard lock(m_mutex);
+    return m_changes;
+  }
+
+  std::vector<StoredObject> Configurations()
+  {
+    const std::lock_guard lock(m_mutex);
+    return m_configurations;
+  }
+
+private:
+  GatewaySettings m_settings;
+  TestDialect m_dialect;
+  base::AsyncLog m_log{ "vm", base::SystemClock::Get(), { 64, 1000, [](std::string_view) {} } };
+  std::mutex m_mutex;
+  std::condition_variable m_changed;
+  std::vector<StoredObject> m_configurations;
+  std::size_t m_changes = 0;
+  int m_outages = 0;
+  int m_silences = 0;
+  bool m_isFollowing = false;
+  boost::asio::io_context m_io{ 1 };
+  std::unique_ptr<StoreSync> m_sync;
+  std::thread m_thread;
+};
+
+} // namespace jaylane::gateway
