--- a/packages/gateway/include/jaylane/gateway/StoreDialect.h
+++ b/packages/gateway/include/jaylane/gateway/StoreDialect.h
@@ -29,7 +29,7 @@
 struct StoredObject
 {
   std::string m_name;
-  std::uint64_t m_revision = 0;
+  policy::StoreRevision m_revision;
   bool m_deleted = false;
   Json::Value m_value;
 };
@@ -42,7 +42,16 @@
   std::uint32_t m_unreadable = 0;
   bool m_hasMore = false;
   /// Revision of the store that the batch reflects.
-  std::uint64_t m_revision = 0;
+  policy::StoreRevision m_revision;
+
+  /// Assigns the batch and its objects, which a response's body gives without an era, to one.
+  void SetEra(std::uint64_t aEra)
+  {
+    m_revision = m_revision.InEra(aEra);
+    for (StoredObject& object : m_objects) {
+      object.m_revision = object.m_revision.InEra(aEra);
+    }
+  }
 };
 
 /// How current the result of a read must be.
@@ -68,7 +77,7 @@
   /// @param aWait time after which the store responds without changes.
   /// @return request target of a long poll for changes since a revision.
   virtual std::string WatchTarget(ObjectKind aKind,
-                                  std::uint64_t aSince,
+                                  policy::StoreRevision aSince,
                                   std::chrono::milliseconds aWait) const = 0;
   /// @return request target that objects of a kind are created at.
   virtual std::string CreateTarget(ObjectKind aKind) const = 0;
@@ -78,8 +87,12 @@
   /// @return request target that removes an object unless it has changed since the revision.
   virtual std::string RemoveTarget(ObjectKind aKind,
                                    const std::string& aName,
-                                   std::uint64_t aRevision) const = 0;
+                                   policy::StoreRevision aRevision) const = 0;
+
+  /// @return name of the response header that holds the era, see policy::StoreRevision.
+  virtual std::string_view EraHeader() const = 0;
 
+  /// The results of the parsers have no era.
   /// @return the object, or InvalidStoreResponse.
   virtual base::Result<StoredObject> ParseObject(std::string_view aBody) const = 0;
   virtual base::Result<ObjectBatch> ParseList(std::string_view aBody) const = 0;
--- a/packages/gateway/src/ControlPlane.cpp
+++ b/packages/gateway/src/ControlPlane.cpp
@@ -154,13 +154,15 @@
 KindWatcher::Hooks ControlPlane::MakeWatcherHooks(
   std::function<void(std::vector<StoredObject>)> aOnList,
   std::function<void(std::vector<StoredObject>)> aOnChanges,
-  std::uint64_t StoreRevisions::*aKind)
+  policy::StoreRevision StoreRevisions::*aKind)
 {
   KindWatcher::Hooks hooks;
   hooks.m_onList = std::move(aOnList);
   hooks.m_onChanges = std::move(aOnChanges);
   hooks.m_onCallCompleted = m_hooks.m_onStoreCall;
-  hooks.m_onRevision = [this, aKind](std::uint64_t aRevision) { SetRevision(aKind, aRevision); };
+  hooks.m_onRevision = [this, aKind](policy::StoreRevision aRevision) {
+    SetRevision(aKind, aRevision);
+  };
   return hooks;
 }
 
@@ -185,6 +187,7 @@
     m_peerLink.SetStoreUnreachable(!aIsReachable);
     m_hooks.m_onStoreReachable(aIsReachable);
   };
+  hooks.m_onRestored = m_hooks.m_onStoreRestored;
   hooks.m_onMembers = [this](const std::vector<StoredObject>& aObjects) {
     std::vector<Json::Value> members;
     members.reserve(aObjects.size());
@@ -250,9 +253,14 @@
   return hooks;
 }
 
-void ControlPlane::SetRevision(std::uint64_t StoreRevisions::*aKind, std::uint64_t aRevision)
+void ControlPlane::SetRevision(policy::StoreRevision StoreRevisions::*aKind,
+                               policy::StoreRevision aRevision)
 {
+  const bool isOtherEra = (m_revisions.*aKind).Era() != aRevision.Era();
   m_revisions.*aKind = aRevision;
+  if (isOtherEra) {
+    m_hooks.m_onErasChanged(m_revisions);
+  }
   m_peerLink.SetRevisions(m_revisions);
   if (m_role == policy::StoreRole::Elected) {
     m_peerLink.AnnounceToZone();
--- a/packages/gateway/src/ControlPlane.h
+++ b/packages/gateway/src/ControlPlane.h
@@ -50,6 +50,11 @@
     std::function<void(std::size_t aCount)> m_onLoadsTold;
     /// The store no longer answers this VM, or does again.
     std::function<void(bool aIsReachable)> m_onStoreReachable;
+    /// The store has returned from an older copy. Called before objects of the new era are
+    /// reported.
+    std::function<void(std::uint64_t aEra)> m_onStoreRestored;
+    /// The revisions that this VM has seen belong to other eras than before.
+    std::function<void(const StoreRevisions&)> m_onErasChanged;
     std::function<void(bool aSucceeded)> m_onStoreCall;
     QuarantineStore::OnRead m_onQuarantines;
     /// Receives a grant of the quota broker.
@@ -135,11 +140,11 @@
 private:
   KindWatcher::Hooks MakeWatcherHooks(std::function<void(std::vector<StoredObject>)> aOnList,
                                       std::function<void(std::vector<StoredObject>)> aOnChanges,
-                                      std::uint64_t StoreRevisions::*aKind);
+                                      policy::StoreRevision StoreRevisions::*aKind);
   StoreSync::Hooks MakeStoreHooks();
   PeerLink::Hooks MakePeerHooks();
   base::Status Listen();
-  void SetRevision(std::uint64_t StoreRevisions::*aKind, std::uint64_t aRevision);
+  void SetRevision(policy::StoreRevision StoreRevisions::*aKind, policy::StoreRevision aRevision);
   /// Another VM announced that it watches the store successfully and has seen these revisions.
   void OnFollower(const StoreRevisions& aRevisions);
   /// Updates the role, the age of the view and what is announced.
--- a/packages/gateway/src/Gateway.cpp
+++ b/packages/gateway/src/Gateway.cpp
@@ -73,7 +73,7 @@
   struct UpstreamChange
   {
     std::string m_id;
-    std::uint64_t m_revision = 0;
+    policy::StoreRevision m_revision;
     /// Empty if the registration was removed or cannot be used.
     std::optional<policy::Upstream> m_upstream;
     bool m_isRejected = false;
@@ -335,6 +335,16 @@
   hooks.m_onStoreReachable = [this](bool aIsReachable) {
     asio::post(m_io, [this, aIsReachable] { m_steering.OnStoreReachable(aIsReachable); });
   };
+  hooks.m_onStoreRestored = [this](std::uint64_t) {
+    asio::post(m_io, [this] { ++m_metrics.m_storeRestores; });
+  };
+  hooks.m_onErasChanged = [this](const StoreRevisions& aRevisions) {
+    asio::post(m_io, [this, aRevisions] {
+      m_metrics.m_storeEras = { { "configuration", aRevisions.m_configuration.Era() },
+                                { "upstreams", aRevisions.m_upstreams.Era() },
+                                { "evacuations", aRevisions.m_evacuations.Era() } };
+    });
+  };
   hooks.m_onQuarantines = [this](QuarantineStore::Contents aContents) {
     asio::post(m_io, [this, contents = std::move(aContents)] {
       m_steering.OnStoredQuarantines(contents);
--- a/packages/gateway/src/GatewayMetrics.cpp
+++ b/packages/gateway/src/GatewayMetrics.cpp
@@ -42,6 +42,10 @@
   fmt::format_to(out, "jaylane_requests_in_flight {}\n", m_inFlight);
   fmt::format_to(out, "jaylane_store_batches_total {}\n", m_storeBatches);
   fmt::format_to(out, "jaylane_store_failures_total {}\n", m_storeFailures);
+  fmt::format_to(out, "jaylane_store_restores_total {}\n", m_storeRestores);
+  for (const auto& [kind, era] : m_storeEras) {
+    fmt::format_to(out, "jaylane_store_era{{kind=\"{}\"}} {}\n", kind, era);
+  }
   fmt::format_to(out, "jaylane_upstream_entries_rejected_total {}\n", m_rejectedEntries);
   fmt::format_to(out, "jaylane_quota_admitted_total {}\n", m_quotaAdmitted);
   fmt::format_to(out, "jaylane_quota_rejected_total {}\n", m_quotaRejected);
--- a/packages/gateway/src/GatewayMetrics.h
+++ b/packages/gateway/src/GatewayMetrics.h
@@ -31,6 +31,9 @@
   std::uint64_t m_inFlight = 0;
   std::uint64_t m_storeBatches = 0;
   std::uint64_t m_storeFailures = 0;
+  /// Returns of the store from an older copy, and the era that each kind of object is followed in.
+  std::uint64_t m_storeRestores = 0;
+  std::map<std::string, std::uint64_t> m_storeEras;
   /// Registrations of upstreams that could not be used, each time that one was read.
   std::uint64_t m_rejectedEntries = 0;
   /// Requests of teams with quotas: admitted and rejected by them, and held until the quota broker
--- a/packages/gateway/src/PeerLink.cpp
+++ b/packages/gateway/src/PeerLink.cpp
@@ -138,22 +138,50 @@
   return strikes;
 }
 
-Json::Value ToJson(const StoreRevisions& aRevisions)
+Json::Value ToJsonArray(std::initializer_list<std::uint64_t> aNumbers)
 {
   Json::Value json(Json::arrayValue);
-  json.append(Json::UInt64{ aRevisions.m_configuration });
-  json.append(Json::UInt64{ aRevisions.m_upstreams });
-  json.append(Json::UInt64{ aRevisions.m_evacuations });
+  for (const std::uint64_t number : aNumbers) {
+    json.append(Json::UInt64{ number });
+  }
   return json;
 }
 
-std::optional<StoreRevisions> RevisionsFrom(const Json::Value& aJson)
+/// Adds the revisions, and their eras unless the store names none.
+void AddRevisions(Json::Value& aParams, const StoreRevisions& aRevisions)
+{
+  const auto& [configuration, upstreams, evacuations] = aRevisions;
+  aParams["revisions"] =
+    ToJsonArray({ configuration.Number(), upstreams.Number(), evacuations.Number() });
+  if (configuration.Era() > 0 || upstreams.Era() > 0 || evacuations.Era() > 0) {
+    aParams["eras"] = ToJsonArray({ configuration.Era(), upstreams.Era(), evacuations.Era() });
+  }
+}
+
+bool IsArrayOfThreeNumbers(const Json::Value& aJson)
 {
-  if (!aJson.isArray() || aJson.size() != 3 || !aJson[0].isUInt64() || !aJson[1].isUInt64() ||
-      !aJson[2].isUInt64()) {
-    return std::nullopt; // Malformed, or sent by a VM of an older version.
+  return aJson.isArray() && aJson.size() == 3 && aJson[0].isUInt64() && aJson[1].isUInt64() &&
+         aJson[2].isUInt64();
+}
+
+/// @param aOwn revisions of this VM, whose eras are assumed if the message names none: a VM of an
+///   older version sent it.
+/// @return nothing if the message has no revisions.
+std::optional<StoreRevisions> RevisionsFrom(const Json::Value& aParams, const StoreRevisions& aOwn)
+{
+  const Json::Value& numbers = aParams["revisions"];
+  if (!IsArrayOfThreeNumbers(numbers)) {
+    return std::nullopt;
   }
-  return StoreRevisions{ aJson[0].asUInt64(), aJson[1].asUInt64(), aJson[2].asUInt64() };
+  const Json::Value& eras = aParams["eras"];
+  const bool hasEras = IsArrayOfThreeNumbers(eras);
+  const auto revision = [&](Json::ArrayIndex aIndex, policy::StoreRevision aOwnRevision) {
+    return policy::StoreRevision{ numbers[aIndex].asUInt64(),
+                                  hasEras ? eras[aIndex].asUInt64() : aOwnRevision.Era() };
+  };
+  return StoreRevisions{ revision(0, aOwn.m_configuration),
+                         revision(1, aOwn.m_upstreams),
+                         revision(2, aOwn.m_evacuations) };
 }
 
 std::optional<udp::endpoint> UdpEndpoint(std::string_view aText)
@@ -346,7 +374,7 @@
   if (params["store_unreachable"].isBool() && params["store_unreachable"].asBool()) {
     m_hooks.m_onStoreUnreachable();
   }
-  const auto revisions = RevisionsFrom(params["revisions"]);
+  const auto revisions = RevisionsFrom(params, m_revisions);
   if (!revisions) {
     return;
   }
@@ -370,7 +398,7 @@
   // Whatever has its usual value is left out, because announcements are a VM's steady traffic.
   Json::Value params = Describe(m_settings);
   params.removeMember("peer_address"); // The sender's address is the same.
-  params["revisions"] = ToJson(m_revisions);
+  AddRevisions(params, m_revisions);
   params["requests_per_second"] = Json::UInt(std::lround(m_requestsPerSecond));
   if (m_leaving) {
     params["leaving"] = true;
--- a/packages/gateway/src/QuarantineStore.cpp
+++ b/packages/gateway/src/QuarantineStore.cpp
@@ -179,7 +179,7 @@
     if (object.m_name.ends_with(kLiftSuffix)) {
       const auto fingerprint = FingerprintFrom(
         std::string_view(object.m_name).substr(0, object.m_name.size() - kLiftSuffix.size()));
-      std::uint64_t& applied = m_lifts[object.m_name];
+      policy::StoreRevision& applied = m_lifts[object.m_name];
       if (fingerprint && object.m_revision > applied) {
         applied = object.m_revision;
         contents.m_lifted.push_back(*fingerprint);
--- a/packages/gateway/src/QuarantineStore.h
+++ b/packages/gateway/src/QuarantineStore.h
@@ -68,14 +68,14 @@
     std::string m_name;
     policy::QuarantineRecord m_record;
     /// Revision of the object to remove.
-    std::uint64_t m_revision = 0;
+    policy::StoreRevision m_revision{};
   };
   /// A record that this VM has written.
   struct Written
   {
     std::string m_name;
     policy::QuarantineRecord m_record;
-    std::uint64_t m_revision = 0;
+    policy::StoreRevision m_revision{};
   };
 
   /// @param aAfter name that the page begins after; empty for the first page.
@@ -106,7 +106,7 @@
   std::chrono::milliseconds m_backoff{ 0 };
   std::vector<Written> m_written;
   /// Names and revisions of the lifts that were applied.
-  std::map<std::string, std::uint64_t> m_lifts;
+  std::map<std::string, policy::StoreRevision> m_lifts;
 };
 
 } // namespace jaylane::gateway
--- a/packages/gateway/src/RequestExchange.cpp
+++ b/packages/gateway/src/RequestExchange.cpp
@@ -422,7 +422,7 @@
                           .Add("expected_ms", aChoice.m_expectedLatency)
                           .Add("remaining_ms", Remaining())
                           .Add("config", m_routes->Config().m_version)
-                          .Add("entry_revision", aChoice.m_upstream->m_revision)
+                          .Add("entry_revision", aChoice.m_upstream->m_revision.Number())
                           .Add("suspect", m_isSuspect ? 1 : 0)
                           .Add("held_ms", m_holdTime));
   m_context.m_steering.Balancer(m_service->m_name)
--- a/packages/gateway/src/Steering.cpp
+++ b/packages/gateway/src/Steering.cpp
@@ -72,7 +72,7 @@
     (version == present && aConfiguration.m_revision > m_routes->Config().m_revision);
   m_log.Write(base::LogRecord("configuration")
                 .Add("version", version)
-                .Add("revision", aConfiguration.m_revision)
+                .Add("revision", aConfiguration.m_revision.Number())
                 .Add("present_version", present)
                 .Add("outcome", isNewer ? "applied" : "ignored: older"));
   if (!isNewer) {
@@ -103,14 +103,15 @@
                 .Add("service", aUpstream.m_service)
                 .Add("state", aUpstream.m_draining ? "draining" : "ready")
                 .Add("cold_ms", aUpstream.m_coldRemaining)
-                .Add("revision", aUpstream.m_revision));
+                .Add("revision", aUpstream.m_revision.Number()));
   m_registry.Put(std::move(aUpstream), m_clock.Monotonic());
   m_hasChanges = true;
 }
 
-void Steering::RemoveUpstream(const std::string& aId, std::uint64_t aRevision)
+void Steering::RemoveUpstream(const std::string& aId, policy::StoreRevision aRevision)
 {
-  m_log.Write(base::LogRecord("upstream_removed").Add("upstream", aId).Add("revision", aRevision));
+  m_log.Write(
+    base::LogRecord("upstream_removed").Add("upstream", aId).Add("revision", aRevision.Number()));
   m_registry.Remove(aId, aRevision, m_clock.Monotonic());
   m_hasChanges = true;
 }
--- a/packages/gateway/src/Steering.h
+++ b/packages/gateway/src/Steering.h
@@ -39,7 +39,7 @@
 
   void ReplaceUpstreams(std::vector<policy::Upstream> aUpstreams);
   void PutUpstream(policy::Upstream aUpstream);
-  void RemoveUpstream(const std::string& aId, std::uint64_t aRevision);
+  void RemoveUpstream(const std::string& aId, policy::StoreRevision aRevision);
   /// @param aZones evacuated zones; their upstreams get no requests.
   void SetEvacuations(std::set<std::string> aZones);
   /// @param aNames entry VMs that may send requests to upstreams; this VM is added if missing.
--- a/packages/gateway/src/StoreSnapshot.cpp
+++ b/packages/gateway/src/StoreSnapshot.cpp
@@ -23,9 +23,11 @@
 } // namespace
 
 std::vector<StoredObject> StoreSnapshot::Replace(const std::vector<StoredObject>& aObjects,
-                                                 std::uint64_t aRevision)
+                                                 policy::StoreRevision aRevision)
 {
-  if (m_revision == 0) {
+  const bool isFirst = m_revision == policy::StoreRevision{};
+  const bool isOfOtherEra = aRevision.Era() != m_revision.Era();
+  if (isFirst || isOfOtherEra) {
     m_changesKnownFrom = aRevision;
   }
   std::set<std::string_view> names;
@@ -34,13 +36,17 @@
   }
   std::vector<StoredObject> removals;
   AppendRemovals(names, aRevision, removals);
+  if (!isFirst && isOfOtherEra) {
+    m_removals.clear();
+    m_newestChange = aRevision;
+  }
   Apply(removals, aRevision);
   Apply(aObjects, aRevision);
   return removals;
 }
 
 void StoreSnapshot::AppendRemovals(const std::set<std::string_view>& aNames,
-                                   std::uint64_t aRevision,
+                                   policy::StoreRevision aRevision,
                                    std::vector<StoredObject>& aChanges) const
 {
   // A list does not say when an object that it lacks was removed. The list's revision is the latest
@@ -52,7 +58,8 @@
   }
 }
 
-void StoreSnapshot::Apply(const std::vector<StoredObject>& aChanges, std::uint64_t aRevision)
+void StoreSnapshot::Apply(const std::vector<StoredObject>& aChanges,
+                          policy::StoreRevision aRevision)
 {
   for (const StoredObject& change : aChanges) {
     ApplyChange(change);
@@ -76,7 +83,7 @@
   }
 }
 
-std::vector<StoredObject> StoreSnapshot::ChangesSince(std::uint64_t aRevision) const
+std::vector<StoredObject> StoreSnapshot::ChangesSince(policy::StoreRevision aRevision) const
 {
   std::vector<StoredObject> changes;
   for (const auto& [name, object] : m_objects) {
@@ -102,7 +109,7 @@
   return objects;
 }
 
-StoreChanges StoreSnapshot::MakeChanges(std::uint64_t aSince) const
+StoreChanges StoreSnapshot::MakeChanges(policy::StoreRevision aSince) const
 {
   StoreChanges changes{ aSince, m_revision, ChangesSince(aSince), std::nullopt };
   if (!HasChangesSince(aSince)) {
@@ -133,7 +140,8 @@
 std::optional<std::vector<StoredObject>> StoreSnapshot::ApplyPeerChanges(
   const StoreChanges& aChanges)
 {
-  if (aChanges.m_revision <= m_revision || aChanges.m_since > m_revision) {
+  if (aChanges.m_revision <= m_revision || aChanges.m_since > m_revision ||
+      aChanges.m_revision.Era() != m_revision.Era()) {
     return std::nullopt;
   }
   std::vector<StoredObject> changes = aChanges.m_objects;
@@ -154,7 +162,7 @@
   for (const StoredObject& object : aObjects) {
     Json::Value entry(Json::objectValue);
     entry["name"] = object.m_name;
-    entry["revision"] = Json::UInt64{ object.m_revision };
+    entry["revision"] = Json::UInt64{ object.m_revision.Number() };
     if (object.m_deleted) {
       entry["removed"] = true;
     } else {
@@ -167,7 +175,9 @@
 
 /// @param aTexts JSON texts of the objects. Each value is parsed on its own, as it was when it came
 ///   from the store, so that one which cannot be read costs no other.
-base::Result<std::vector<StoredObject>> ObjectsFrom(const std::vector<std::string_view>& aTexts)
+/// @param aEra era of the snapshot.
+base::Result<std::vector<StoredObject>> ObjectsFrom(const std::vector<std::string_view>& aTexts,
+                                                    std::uint64_t aEra)
 {
   std::vector<StoredObject> objects;
   for (const std::string_view text : aTexts) {
@@ -178,7 +188,7 @@
     }
     StoredObject object;
     object.m_name = name->asString();
-    object.m_revision = revision->asUInt64();
+    object.m_revision = { revision->asUInt64(), aEra };
     object.m_deleted = base::JsonMemberText(text, "removed") == "true";
     if (auto value = base::ParseJson(base::JsonMemberText(text, "value"))) {
       object.m_value = std::move(*value);
@@ -198,12 +208,29 @@
   return parsed;
 }
 
+/// Adds the revision of a snapshot. The era, which all of its revisions have, is left out if the
+/// store names none.
+void AddRevision(Json::Value& aJson, policy::StoreRevision aRevision)
+{
+  aJson["revision"] = Json::UInt64{ aRevision.Number() };
+  if (aRevision.Era() > 0) {
+    aJson["era"] = Json::UInt64{ aRevision.Era() };
+  }
+}
+
+/// @param aJson output of AddRevision().
+policy::StoreRevision RevisionFrom(const Json::Value& aJson)
+{
+  const Json::Value& era = aJson["era"];
+  return { aJson["revision"].asUInt64(), era.isUInt64() ? era.asUInt64() : 0 };
+}
+
 } // namespace
 
 std::string StoreSnapshot::ToJson() const
 {
   Json::Value json(Json::objectValue);
-  json["revision"] = Json::UInt64{ m_revision };
+  AddRevision(json, m_revision);
   json["objects"] = ToJsonArray(Objects());
   return base::WriteJson(json);
 }
@@ -214,20 +241,21 @@
   if (!parsed) {
     return parsed.GetError();
   }
-  const auto objects = ObjectsFrom(parsed->m_elements);
+  const policy::StoreRevision revision = RevisionFrom(parsed->m_object);
+  const auto objects = ObjectsFrom(parsed->m_elements, revision.Era());
   if (!objects) {
     return objects.GetError();
   }
   StoreSnapshot snapshot;
-  snapshot.Replace(*objects, parsed->m_object["revision"].asUInt64());
+  snapshot.Replace(*objects, revision);
   return snapshot;
 }
 
 std::string StoreChanges::ToJson() const
 {
   Json::Value json(Json::objectValue);
-  json["since"] = Json::UInt64{ m_since };
-  json["revision"] = Json::UInt64{ m_revision };
+  json["since"] = Json::UInt64{ m_since.Number() };
+  AddRevision(json, m_revision);
   json["objects"] = ToJsonArray(m_objects);
   if (m_allNames) {
     json["names"] = Json::Value(Json::arrayValue);
@@ -248,12 +276,13 @@
   if (!json["since"].isUInt64()) {
     return InvalidSnapshot("peer changes: since is missing");
   }
-  auto objects = ObjectsFrom(parsed->m_elements);
+  const policy::StoreRevision revision = RevisionFrom(json);
+  auto objects = ObjectsFrom(parsed->m_elements, revision.Era());
   if (!objects) {
     return objects.GetError();
   }
   StoreChanges changes{
-    json["since"].asUInt64(), json["revision"].asUInt64(), std::move(*objects), std::nullopt
+    { json["since"].asUInt64(), revision.Era() }, revision, std::move(*objects), std::nullopt
   };
   const Json::Value& names = json["names"];
   if (names.isArray()) {
--- a/packages/gateway/src/StoreSnapshot.h
+++ b/packages/gateway/src/StoreSnapshot.h
@@ -15,8 +15,9 @@
 /// Changes between two revisions of the store, as a peer sends them.
 struct StoreChanges
 {
-  std::uint64_t m_since = 0;
-  std::uint64_t m_revision = 0;
+  /// Both are of the same era.
+  policy::StoreRevision m_since;
+  policy::StoreRevision m_revision;
   std::vector<StoredObject> m_objects;
   /// Names of all objects at m_revision, if not all removals since m_since are known.
   std::optional<std::vector<std::string>> m_allNames;
@@ -33,31 +34,37 @@
 {
 public:
   /// Replaces all objects by a full list. Objects that it lacks count as removed at its revision,
-  /// so that peers learn of removals that this VM has not seen as changes.
+  /// so that peers learn of removals that this VM has not seen as changes. A list of another era
+  /// counts as a change even if its objects are the same, so that peers learn of the era.
   /// @return those removals.
   std::vector<StoredObject> Replace(const std::vector<StoredObject>& aObjects,
-                                    std::uint64_t aRevision);
+                                    policy::StoreRevision aRevision);
 
   /// Applies changes up to a revision, in their order.
-  void Apply(const std::vector<StoredObject>& aChanges, std::uint64_t aRevision);
+  void Apply(const std::vector<StoredObject>& aChanges, policy::StoreRevision aRevision);
 
   /// @return revision up to which the snapshot has every change, 0 before the first list. Single
-  ///         objects may be newer.
-  std::uint64_t Revision() const { return m_revision; }
+  ///         objects may be newer. All objects and removals are of its era.
+  policy::StoreRevision Revision() const { return m_revision; }
   /// @return revision of the newest change among the objects and removals.
-  std::uint64_t NewestChange() const { return m_newestChange; }
+  policy::StoreRevision NewestChange() const { return m_newestChange; }
   std::vector<StoredObject> Objects() const;
 
   /// @return whether ChangesSince() knows all removals after the revision.
-  bool HasChangesSince(std::uint64_t aRevision) const { return aRevision >= m_changesKnownFrom; }
+  bool HasChangesSince(policy::StoreRevision aRevision) const
+  {
+    return aRevision >= m_changesKnownFrom;
+  }
   /// @return changed and removed objects after the revision.
-  std::vector<StoredObject> ChangesSince(std::uint64_t aRevision) const;
+  std::vector<StoredObject> ChangesSince(policy::StoreRevision aRevision) const;
 
+  /// @param aSince revision of the snapshot's era.
   /// @return the changes since the revision, to be sent to a peer.
-  StoreChanges MakeChanges(std::uint64_t aSince) const;
+  StoreChanges MakeChanges(policy::StoreRevision aSince) const;
   /// @return whether changes of a peer differ from the objects here.
   bool HasNews(const StoreChanges& aChanges) const;
-  /// Applies the changes of a peer unless they start after this snapshot or are not newer.
+  /// Applies the changes of a peer unless they start after this snapshot, are not newer, or are of
+  /// another era.
   /// @return the changes and removals that were applied; nothing if they were ignored.
   std::optional<std::vector<StoredObject>> ApplyPeerChanges(const StoreChanges& aChanges);
 
@@ -70,16 +77,16 @@
   void ApplyChange(const StoredObject& aChange);
   /// Appends the removal of each object whose name is missing.
   void AppendRemovals(const std::set<std::string_view>& aNames,
-                      std::uint64_t aRevision,
+                      policy::StoreRevision aRevision,
                       std::vector<StoredObject>& aChanges) const;
 
-  std::uint64_t m_revision = 0;
-  std::uint64_t m_newestChange = 0;
+  policy::StoreRevision m_revision;
+  policy::StoreRevision m_newestChange;
   /// Removals after this revision are in m_removals.
-  std::uint64_t m_changesKnownFrom = 0;
+  policy::StoreRevision m_changesKnownFrom;
   std::map<std::string, StoredObject> m_objects;
   /// Revision of each removal, by name of the object.
-  std::map<std::string, std::uint64_t> m_removals;
+  std::map<std::string, policy::StoreRevision> m_removals;
 };
 
 } // namespace jaylane::gateway
--- a/packages/gateway/src/StoreSync.cpp
+++ b/packages/gateway/src/StoreSync.cpp
@@ -83,6 +83,7 @@
 constexpr std::uint64_t kMaxPeerBytes = 16ULL << 20;
 constexpr std::string_view kSnapshotPathPrefix = "/snapshots/";
 constexpr std::string_view kAfterQuery = "?after=";
+constexpr std::string_view kEraQuery = "&era=";
 
 const char* KindName(ObjectKind aKind)
 {
@@ -101,6 +102,19 @@
   return "unknown";
 }
 
+/// @return the number that follows a part of a request target; nothing if there is none.
+std::optional<std::uint64_t> NumberAfter(std::string_view aTarget, std::string_view aPart)
+{
+  const std::size_t begin = aTarget.find(aPart);
+  if (begin == aTarget.npos) {
+    return std::nullopt;
+  }
+  const std::string_view digits = aTarget.substr(begin + aPart.size());
+  std::uint64_t number = 0;
+  const auto parsed = std::from_chars(digits.data(), digits.data() + digits.size(), number);
+  return parsed.ec == std::errc{} ? std::optional(number) : std::nullopt;
+}
+
 /// Reports the watchers' calls to the probe in addition, and sets m_onFollowingChanged and
 /// m_onSilence.
 StoreSync::Hooks WithOwnHooks(StoreSync::Hooks aHooks,
@@ -127,12 +141,14 @@
                          const StoreDialect& aDialect,
                          const base::Clock& aClock,
                          base::AsyncLog& aLog,
+                         StoreEra& aEra,
                          ObjectKind aKind,
                          Hooks aHooks)
   : m_io(aIo)
   , m_dialect(aDialect)
   , m_clock(aClock)
   , m_log(aLog)
+  , m_era(aEra)
   , m_kind(aKind)
   , m_drainTime(aSettings.m_drainTime)
   , m_changeTime(std::min(aSettings.m_drainTime, aSettings.m_configurationTime))
@@ -173,6 +189,7 @@
 
 void KindWatcher::OnListed(const FetchResponse& aResponse, const std::string& aAfter)
 {
+  const std::uint64_t era = m_era.Observe(aResponse);
   base::Result<ObjectBatch> batch =
     aResponse.m_status == 200
       ? m_dialect.ParseList(aResponse.m_body)
@@ -184,9 +201,14 @@
   MeasureResponseDelay(
     std::chrono::duration_cast<milliseconds>(m_clock.Monotonic() - m_listStarted));
   LogUnreadable(batch->m_unreadable);
+  batch->SetEra(era);
   if (aAfter.empty()) {
     m_listRevision = batch->m_revision;
   }
+  if (era != m_listRevision.Era() || era < m_era.Current()) {
+    OnFailure(); // The store has returned from an older copy meanwhile.
+    return;
+  }
   std::ranges::move(batch->m_objects, std::back_inserter(m_listedObjects));
   if (batch->m_hasMore) {
     const std::string last =
@@ -200,7 +222,7 @@
   }
   OnSuccess();
   if (m_listRevision >= m_snapshot.Revision()) { // A peer's snapshot may be newer.
-    AdoptList(std::move(m_listedObjects), m_listRevision);
+    AdoptList(std::move(m_listedObjects), m_listRevision, "list");
     LogChange("list");
     ReportRevision();
   }
@@ -214,8 +236,20 @@
   }
 }
 
-void KindWatcher::AdoptList(std::vector<StoredObject> aObjects, std::uint64_t aRevision)
+void KindWatcher::AdoptList(std::vector<StoredObject> aObjects,
+                            policy::StoreRevision aRevision,
+                            const char* aSource)
 {
+  const policy::StoreRevision present = m_snapshot.Revision();
+  if (present != policy::StoreRevision{} && aRevision.Era() != present.Era()) {
+    m_log.Write(base::LogRecord("store_era_adopted")
+                  .Add("kind", KindName(m_kind))
+                  .Add("source", aSource)
+                  .Add("previous_era", present.Era())
+                  .Add("previous_revision", present.Number())
+                  .Add("era", aRevision.Era())
+                  .Add("revision", aRevision.Number()));
+  }
   std::vector<StoredObject> removals = m_snapshot.Replace(aObjects, aRevision);
   std::ranges::move(removals, std::back_inserter(aObjects));
   m_hooks.m_onList(std::move(aObjects));
@@ -242,7 +276,7 @@
 
 milliseconds KindWatcher::PeerTimeout() const
 {
-  return m_snapshot.Revision() == 0
+  return m_snapshot.Revision() == policy::StoreRevision{}
            ? kPeerTimeout
            : std::min(kPeerTimeout, m_drainTime / kPeerTimeoutDrainDivisor);
 }
@@ -364,8 +398,25 @@
   StartWatch(kRenewedWatchTime);
 }
 
+void KindWatcher::OnStoreRestored()
+{
+  // All other calls, and the watches that are planned, find out by themselves.
+  if (m_isWatching) {
+    m_fetch->Close();
+    m_isWatching = false;
+    m_behindTimer.cancel();
+    m_isBehindCheckPending = false;
+    List({});
+  }
+}
+
 void KindWatcher::StartWatch(milliseconds aWait)
 {
+  if (m_snapshot.Revision().Era() < m_era.Current()) {
+    m_isWatching = false;
+    List({});
+    return;
+  }
   ++m_watchNumber;
   m_isWatching = true;
   m_watchStarted = m_clock.Monotonic();
@@ -386,6 +437,7 @@
 void KindWatcher::OnWatched(const FetchResponse& aResponse)
 {
   m_isWatching = false;
+  const std::uint64_t era = m_era.Observe(aResponse);
   if (aResponse.m_status == 410) {
     m_log.Write(base::LogRecord("store_history_lost").Add("kind", KindName(m_kind)));
     List({});
@@ -413,6 +465,12 @@
   if (batch->m_objects.empty() || m_isRenewed) {
     MeasureResponseDelay(std::max(milliseconds{ 0 }, WatchAge() - m_watchTime));
   }
+  batch->SetEra(era);
+  if (era != m_watchRevision.Era()) {
+    // The store has given out the watch's revision anew, so that changes before it may be missing.
+    List({});
+    return;
+  }
   OnSuccess();
   CheckPeerRevision(batch->m_revision);
   LogUnreadable(batch->m_unreadable);
@@ -433,14 +491,14 @@
   ScheduleAfter(CoalesceDelay(), [this] { Watch(); });
 }
 
-void KindWatcher::CheckPeerRevision(std::uint64_t aRevision)
+void KindWatcher::CheckPeerRevision(policy::StoreRevision aRevision)
 {
   if (m_peerRevision == m_peerRevisionAtCall && m_peerRevision > aRevision) {
     m_log.Write(base::LogRecord("peer_revision_ignored")
                   .Add("kind", KindName(m_kind))
                   .Add("peer", m_newestPeer)
-                  .Add("peer_revision", m_peerRevision)
-                  .Add("revision", aRevision));
+                  .Add("peer_revision", m_peerRevision.Number())
+                  .Add("revision", aRevision.Number()));
     m_peerRevision = aRevision;
   }
   TrimAnnounced();
@@ -463,14 +521,14 @@
 void KindWatcher::ReportRevision()
 {
   TrimAnnounced();
-  const std::uint64_t newest = std::min(m_snapshot.NewestChange(), m_snapshot.Revision());
+  const policy::StoreRevision newest = std::min(m_snapshot.NewestChange(), m_snapshot.Revision());
   if (newest > m_reportedRevision) {
     m_reportedRevision = newest;
     m_hooks.m_onRevision(m_reportedRevision);
   }
 }
 
-void KindWatcher::OnPeerRevision(std::uint64_t aRevision, const std::string& aPeer)
+void KindWatcher::OnPeerRevision(policy::StoreRevision aRevision, const std::string& aPeer)
 {
   if (aRevision > m_peerRevision) {
     m_peerRevision = aRevision;
@@ -507,8 +565,8 @@
     }
     m_log.Write(base::LogRecord("store_watch_behind")
                   .Add("kind", KindName(m_kind))
-                  .Add("revision", m_watchRevision)
-                  .Add("peer_revision", m_peerRevision)
+                  .Add("revision", m_watchRevision.Number())
+                  .Add("peer_revision", m_peerRevision.Number())
                   .Add("checks", aChecks + 1));
     if (aChecks + 1 < kChecksBeforeRestart) {
       if (IsBehind()) {
@@ -582,10 +640,16 @@
     m_peerFetchAddress = aPeer;
   }
   m_isPeerFetchPending = true;
+  const policy::StoreRevision present = m_snapshot.Revision();
   m_peerFetch->Start(
     { "GET",
-      fmt::format(
-        "{}{}{}{}", kSnapshotPathPrefix, KindName(m_kind), kAfterQuery, m_snapshot.Revision()),
+      fmt::format("{}{}{}{}{}{}",
+                  kSnapshotPathPrefix,
+                  KindName(m_kind),
+                  kAfterQuery,
+                  present.Number(),
+                  kEraQuery,
+                  present.Era()),
       {},
       PeerTimeout(),
       kMaxPeerBytes },
@@ -619,8 +683,8 @@
   }
   m_log.Write(base::LogRecord("peers_without_change")
                 .Add("kind", KindName(m_kind))
-                .Add("revision", m_snapshot.Revision())
-                .Add("peer_revision", m_peerRevision));
+                .Add("revision", m_snapshot.Revision().Number())
+                .Add("peer_revision", m_peerRevision.Number()));
   m_peerFetchFailures = 0;
   m_isPaused = false;
   m_fetch->CloseIfIdle(); // Its connection has been idle for long and may be silent.
@@ -630,7 +694,7 @@
 
 bool KindWatcher::AdoptPeerResponse(const std::string& aPeer, const std::string& aBody)
 {
-  const std::uint64_t present = m_snapshot.Revision();
+  const policy::StoreRevision present = m_snapshot.Revision();
   if (const auto changes = StoreChanges::FromJson(aBody)) {
     const bool hasNews = m_snapshot.HasNews(*changes);
     auto applied = m_snapshot.ApplyPeerChanges(*changes);
@@ -655,24 +719,26 @@
       return false;
     }
     m_hasList = true;
-    AdoptList(snapshot->Objects(), snapshot->Revision());
+    m_era.ObserveAtPeer(snapshot->Revision().Era());
+    AdoptList(snapshot->Objects(), snapshot->Revision(), "peer");
   }
   m_log.Write(base::LogRecord("peer_snapshot")
                 .Add("peer", aPeer)
                 .Add("kind", KindName(m_kind))
-                .Add("present_revision", present)
-                .Add("revision", m_snapshot.Revision()));
+                .Add("present_revision", present.Number())
+                .Add("revision", m_snapshot.Revision().Number()));
   LogChange("peer");
   ReportRevision();
   return true;
 }
 
-std::optional<std::string> KindWatcher::SnapshotAfter(std::uint64_t aAfter) const
+std::optional<std::string> KindWatcher::SnapshotAfter(policy::StoreRevision aAfter) const
 {
   if (m_hasFailed || m_snapshot.Revision() <= aAfter) {
     return std::nullopt;
   }
-  return aAfter == 0 ? m_snapshot.ToJson() : m_snapshot.MakeChanges(aAfter).ToJson();
+  const bool hasOther = aAfter.Number() == 0 || aAfter.Era() != m_snapshot.Revision().Era();
+  return hasOther ? m_snapshot.ToJson() : m_snapshot.MakeChanges(aAfter).ToJson();
 }
 
 milliseconds KindWatcher::WatchAge() const
@@ -682,12 +748,12 @@
 
 void KindWatcher::LogChange(const char* aSource)
 {
-  const std::uint64_t newest = std::min(m_snapshot.NewestChange(), m_snapshot.Revision());
+  const policy::StoreRevision newest = std::min(m_snapshot.NewestChange(), m_snapshot.Revision());
   if (newest <= m_reportedRevision) {
     return;
   }
   base::LogRecord record("store_change");
-  record.Add("kind", KindName(m_kind)).Add("source", aSource).Add("revision", newest);
+  record.Add("kind", KindName(m_kind)).Add("source", aSource).Add("revision", newest.Number());
   if (m_watchNumber > 0) {
     record.Add("watch_age_ms", WatchAge());
   }
@@ -733,19 +799,29 @@
       m_probe,
       [this] { ReportFollowing(); },
       [this] { OnSilence(); }))
+  , m_era(aDialect, aLog, [this](std::uint64_t aEra) { OnRestored(aEra); })
   , m_configuration(m_io,
                     aSettings,
                     aDialect,
                     aClock,
                     aLog,
+                    m_era,
                     ObjectKind::Configuration,
                     m_hooks.m_configuration)
-  , m_upstreams(m_io, aSettings, aDialect, aClock, aLog, ObjectKind::Upstreams, m_hooks.m_upstreams)
+  , m_upstreams(m_io,
+                aSettings,
+                aDialect,
+                aClock,
+                aLog,
+                m_era,
+                ObjectKind::Upstreams,
+                m_hooks.m_upstreams)
   , m_evacuations(m_io,
                   aSettings,
                   aDialect,
                   aClock,
                   aLog,
+                  m_era,
                   ObjectKind::Evacuations,
                   m_hooks.m_evacuations)
   , m_snapshotServer(
@@ -814,6 +890,14 @@
   m_hooks.m_onSilence();
 }
 
+void StoreSync::OnRestored(std::uint64_t aEra)
+{
+  m_hooks.m_onRestored(aEra);
+  for (KindWatcher* watcher : { &m_configuration, &m_upstreams, &m_evacuations }) {
+    watcher->OnStoreRestored();
+  }
+}
+
 milliseconds StoreSync::ResponseDelay() const
 {
   return std::max({ m_configuration.ResponseDelay(),
@@ -860,9 +944,9 @@
   }
   const std::string_view kind =
     aTarget.substr(kSnapshotPathPrefix.size(), end - kSnapshotPathPrefix.size());
-  const std::string_view digits = aTarget.substr(end + kAfterQuery.size());
-  std::uint64_t after = 0;
-  std::from_chars(digits.data(), digits.data() + digits.size(), after);
+  const std::uint64_t number = NumberAfter(aTarget, kAfterQuery).value_or(0);
+  // A VM of an older version names no era.
+  const std::uint64_t era = NumberAfter(aTarget, kEraQuery).value_or(m_era.Current());
   const std::pair<ObjectKind, const KindWatcher*> watchers[] = {
     { ObjectKind::Configuration, &m_configuration },
     { ObjectKind::Upstreams, &m_upstreams },
@@ -872,7 +956,7 @@
     if (kind != KindName(watched)) {
       continue;
     }
-    if (auto snapshot = watcher->SnapshotAfter(after)) {
+    if (auto snapshot = watcher->SnapshotAfter({ number, era })) {
       return { 200, "application/json", std::move(*snapshot) };
     }
   }
--- a/packages/gateway/src/StoreSync.h
+++ b/packages/gateway/src/StoreSync.h
@@ -2,6 +2,7 @@
 
 #include "HttpFetch.h"
 #include "InfoServer.h"
+#include "StoreEra.h"
 #include "StoreProbe.h"
 #include "StoreSnapshot.h"
 #include "jaylane/base/AsyncLog.h"
@@ -25,17 +26,18 @@
 /// other, so that a VM notices when its connection to the store no longer delivers changes.
 struct StoreRevisions
 {
-  std::uint64_t m_configuration = 0;
-  std::uint64_t m_upstreams = 0;
-  std::uint64_t m_evacuations = 0;
+  policy::StoreRevision m_configuration;
+  policy::StoreRevision m_upstreams;
+  policy::StoreRevision m_evacuations;
 
   bool operator==(const StoreRevisions&) const = default;
 };
 
 /// Keeps a current copy of the objects of one kind: lists them, then watches for changes since the
-/// list's revision. While calls to the store fail, or peers announce a change that the watch has
-/// not delivered, it fetches the changes from peers that have them. A VM that relies on others for
-/// the watch fetches all changes that way.
+/// list's revision. Lists them anew when the store has returned from an older copy. While calls to
+/// the store fail, or peers announce a change that the watch has not delivered, it fetches the
+/// changes from peers that have them. A VM that relies on others for the watch fetches all changes
+/// that way.
 class KindWatcher
 {
 public:
@@ -48,7 +50,7 @@
     /// A call to the store has ended; called before its objects are reported.
     std::function<void(bool aSucceeded)> m_onCallCompleted;
     /// The revision of the newest change has risen.
-    std::function<void(std::uint64_t aRevision)> m_onRevision;
+    std::function<void(policy::StoreRevision aRevision)> m_onRevision;
     /// IsFollowing() may have changed.
     std::function<void()> m_onFollowingChanged;
     /// A watch has turned out to be silent. The other connections to the store may be, too.
@@ -60,6 +62,7 @@
               const StoreDialect& aDialect,
               const base::Clock& aClock,
               base::AsyncLog& aLog,
+              StoreEra& aEra,
               ObjectKind aKind,
               Hooks aHooks);
 
@@ -70,7 +73,10 @@
 
   /// A peer has seen a change with the revision.
   /// @param aPeer "ip:port" at which the peer serves snapshots.
-  void OnPeerRevision(std::uint64_t aRevision, const std::string& aPeer);
+  void OnPeerRevision(policy::StoreRevision aRevision, const std::string& aPeer);
+
+  /// The store has begun an era: what the pending watch delivers belongs to the one before.
+  void OnStoreRestored();
 
   /// @param aHasDependents whether other VMs rely on this one for changes.
   void SetRole(policy::StoreRole aRole, bool aHasDependents);
@@ -111,13 +117,12 @@
   std::optional<base::MonotonicTime> AnsweredAt() const { return m_answeredAt; }
 
   /// @return whether this VM has every change up to a revision.
-  bool HasSeen(std::uint64_t aRevision) const { return m_snapshot.Revision() >= aRevision; }
+  bool HasSeen(policy::StoreRevision aRevision) const { return m_snapshot.Revision() >= aRevision; }
 
   /// @param aAfter revision that the requesting peer has.
-  /// @return the changes after the revision, or all objects if the revision is 0, as JSON; nothing
-  /// if
-  ///         there is nothing newer or calls to the store fail.
-  std::optional<std::string> SnapshotAfter(std::uint64_t aAfter) const;
+  /// @return the changes after the revision as JSON, or all objects if the revision is 0 or of
+  ///         another era; nothing if there is nothing newer or calls to the store fail.
+  std::optional<std::string> SnapshotAfter(policy::StoreRevision aAfter) const;
 
 private:
   void List(const std::string& aAfter);
@@ -148,7 +153,7 @@
   void ReportRevision();
   /// The store has answered a call: corrects the announcement of a peer that is ahead of the store.
   /// @param aRevision revision of the response.
-  void CheckPeerRevision(std::uint64_t aRevision);
+  void CheckPeerRevision(policy::StoreRevision aRevision);
   /// @return whether a peer has announced a change that the pending watch has not delivered.
   bool IsWatchBehind() const { return m_peerRevision > m_watchRevision; }
   /// Forgets the announced changes that this VM has by now, or that do not exist.
@@ -163,7 +168,10 @@
   void FetchFromPeer(const std::string& aPeer);
   void OnPeerResponse(const std::string& aPeer, const FetchResponse& aResponse);
   /// Replaces the snapshot by a full list and reports it.
-  void AdoptList(std::vector<StoredObject> aObjects, std::uint64_t aRevision);
+  /// @param aSource "list" or "peer".
+  void AdoptList(std::vector<StoredObject> aObjects,
+                 policy::StoreRevision aRevision,
+                 const char* aSource);
   /// @return whether the response had newer changes.
   bool AdoptPeerResponse(const std::string& aPeer, const std::string& aBody);
   /// While this VM relies on others: fetches from the next peer until it is no longer behind, and
@@ -181,6 +189,7 @@
   const StoreDialect& m_dialect;
   const base::Clock& m_clock;
   base::AsyncLog& m_log;
+  StoreEra& m_era;
   ObjectKind m_kind;
   std::chrono::milliseconds m_drainTime;
   /// Time within which a change must be in force.
@@ -192,23 +201,23 @@
   /// Objects of the pages read so far, and the revision of the first page. A change between two
   /// pages may be missing, so the list as a whole is only as recent as its first page.
   std::vector<StoredObject> m_listedObjects;
-  std::uint64_t m_listRevision = 0;
+  policy::StoreRevision m_listRevision;
   base::MonotonicTime m_listStarted;
   StoreSnapshot m_snapshot;
-  std::uint64_t m_reportedRevision = 0;
+  policy::StoreRevision m_reportedRevision;
   /// Newest revision that a peer has announced, and that peer.
-  std::uint64_t m_peerRevision = 0;
+  policy::StoreRevision m_peerRevision;
   std::string m_newestPeer;
   /// m_peerRevision when the last call to the store started.
-  std::uint64_t m_peerRevisionAtCall = 0;
+  policy::StoreRevision m_peerRevisionAtCall;
   /// When a peer first announced a revision, for those that this VM still lacks.
-  std::map<std::uint64_t, base::MonotonicTime> m_announced;
+  std::map<policy::StoreRevision, base::MonotonicTime> m_announced;
   /// Number of the last watch request, and whether its response is pending.
   std::uint32_t m_watchNumber = 0;
   bool m_isWatching = false;
   base::MonotonicTime m_watchStarted;
   /// Revision that the last watch started from.
-  std::uint64_t m_watchRevision = 0;
+  policy::StoreRevision m_watchRevision;
   /// Time after which the store responds to the last watch without changes.
   std::chrono::milliseconds m_watchTime{ 0 };
   /// Smoothed time that the store needs to respond.
@@ -262,6 +271,9 @@
     /// The store no longer answers this VM, or does again. Called before the objects of the first
     /// answer are reported.
     StoreProbe::OnChanged m_onStoreReachable;
+    /// The store has returned from an older copy. Called before objects of the new era are
+    /// reported.
+    StoreEra::OnRestored m_onRestored;
   };
 
   /// @param aMember value under which this VM registers in the store.
@@ -302,7 +314,7 @@
     return m_configuration.AnsweredAt();
   }
   /// @return whether this VM has every change of the configuration up to a revision.
-  bool HasSeenConfiguration(std::uint64_t aRevision) const
+  bool HasSeenConfiguration(policy::StoreRevision aRevision) const
   {
     return m_configuration.HasSeen(aRevision);
   }
@@ -334,6 +346,7 @@
   /// @return time that the store has needed lately to respond.
   std::chrono::milliseconds ResponseDelay() const;
   void OnStoreReachable();
+  void OnRestored(std::uint64_t aEra);
   /// A watch of this VM has turned out to be silent: doubts the others.
   void OnSilence();
   void Register();
@@ -345,6 +358,7 @@
   boost::asio::io_context& m_io;
   StoreProbe m_probe;
   Hooks m_hooks;
+  StoreEra m_era;
   KindWatcher m_configuration;
   KindWatcher m_upstreams;
   KindWatcher m_evacuations;
--- a/packages/gateway/tests/RecordingSync.h
+++ b/packages/gateway/tests/RecordingSync.h
@@ -26,7 +26,7 @@
       kind->m_onList = [](const std::vector<StoredObject>&) {};
       kind->m_onChanges = [](const std::vector<StoredObject>&) {};
       kind->m_onCallCompleted = [](bool) {};
-      kind->m_onRevision = [](std::uint64_t) {};
+      kind->m_onRevision = [](policy::StoreRevision) {};
     }
     hooks.m_onMembers = [](const std::vector<StoredObject>&) {};
     hooks.m_onStoreReachable = [this](bool aIsReachable) {
@@ -37,6 +37,10 @@
       const std::lock_guard lock(m_mutex);
       ++m_silences;
     };
+    hooks.m_onRestored = [this](std::uint64_t) {
+      const std::lock_guard lock(m_mutex);
+      ++m_restores;
+    };
     hooks.m_onFollowing = [this](bool aIsFollowing) {
       const std::lock_guard lock(m_mutex);
       m_isFollowing = aIsFollowing;
@@ -82,7 +86,7 @@
   }
 
   /// Waits until the only configuration object has the revision.
-  bool WaitForRevision(std::uint64_t aRevision, std::chrono::milliseconds aLimit)
+  bool WaitForRevision(policy::StoreRevision aRevision, std::chrono::milliseconds aLimit)
   {
     std::unique_lock lock(m_mutex);
     return m_changed.wait_for(lock, aLimit, [this, aRevision] {
@@ -114,6 +118,13 @@
     return m_silences;
   }
 
+  /// @return number of returns of the store from an older copy that were reported.
+  int Restores()
+  {
+    const std::lock_guard lock(m_mutex);
+    return m_restores;
+  }
+
   int Outages()
   {
     const std::lock_guard lock(m_mutex);
@@ -141,6 +152,7 @@
   std::vector<StoredObject> m_configurations;
   std::size_t m_changes = 0;
   int m_outages = 0;
+  int m_restores = 0;
   int m_silences = 0;
   bool m_isFollowing = false;
   boost::asio::io_context m_io{ 1 };
--- a/packages/gateway/tests/StoreSnapshotTest.cpp
+++ b/packages/gateway/tests/StoreSnapshotTest.cpp
@@ -68,7 +68,7 @@
   ASSERT_TRUE(ahead.HasChangesSince(behind.Revision()));
   behind.Apply(ahead.ChangesSince(behind.Revision()), ahead.Revision());
   EXPECT_EQ(behind.Objects().size(), 1U);
-  const std::uint64_t newest = ahead.NewestChange();
+  const policy::StoreRevision newest = ahead.NewestChange();
   ahead.Replace(ahead.Objects(), 12);
   EXPECT_EQ(ahead.NewestChange(), newest) << "an equal list is no change";
 }
@@ -146,5 +146,40 @@
   }
 }
 
+// Guards against a snapshot that stays at the state of before the store returned from an older
+// copy, because its revision is the higher one.
+TEST(StoreSnapshotTest, AListOfALaterEraReplacesAll)
+{
+  StoreSnapshot snapshot;
+  snapshot.Replace({ { "a", 60, false, 1 }, { "b", 70, false, 2 } }, 80);
+  snapshot.Apply({ { "c", 85, true, {} } }, 85);
+  const auto removals = snapshot.Replace({ { "a", { 20, 2 }, false, 3 } }, { 50, 2 });
+  ASSERT_EQ(removals.size(), 1U);
+  EXPECT_EQ(removals[0].m_name, "b");
+  EXPECT_EQ(snapshot.Revision(), policy::StoreRevision(50, 2));
+  EXPECT_EQ(snapshot.Objects()[0].m_value.asInt(), 3);
+  EXPECT_EQ(snapshot.NewestChange(), snapshot.Revision()) << "peers must see that they are behind";
+  EXPECT_FALSE(snapshot.HasChangesSince(85)) << "a peer of the earlier era needs all objects";
+}
+
+// Guards against a peer that takes changes of one era for those since a revision of another.
+TEST(StoreSnapshotTest, ChangesOfAnotherEraAreIgnored)
+{
+  StoreSnapshot ahead;
+  ahead.Replace({ { "a", { 20, 2 }, false, 3 } }, { 50, 2 });
+  ahead.Apply({ { "b", { 55, 2 }, false, 4 } }, { 55, 2 });
+  const auto changes = StoreChanges::FromJson(ahead.MakeChanges({ 52, 2 }).ToJson());
+  ASSERT_TRUE(changes);
+  EXPECT_EQ(changes->m_revision, policy::StoreRevision(55, 2));
+  EXPECT_EQ(changes->m_objects[0].m_revision, policy::StoreRevision(55, 2));
+  StoreSnapshot behind;
+  behind.Replace({ { "a", { 20, 1 }, false, 1 } }, { 52, 1 });
+  EXPECT_FALSE(behind.ApplyPeerChanges(*changes));
+  const auto copy = StoreSnapshot::FromJson(ahead.ToJson());
+  ASSERT_TRUE(copy);
+  EXPECT_EQ(copy->Revision(), policy::StoreRevision(55, 2));
+  EXPECT_EQ(copy->Objects()[0].m_revision, policy::StoreRevision(20, 2));
+}
+
 } // namespace
 } // namespace jaylane::gateway
--- a/packages/gateway/tests/TestStore.h
+++ b/packages/gateway/tests/TestStore.h
@@ -23,10 +23,10 @@
                           : fmt::format("/list/after/{}/{}", aAfter, static_cast<int>(aKind));
   }
   std::string WatchTarget(ObjectKind aKind,
-                          std::uint64_t aSince,
+                          policy::StoreRevision aSince,
                           std::chrono::milliseconds) const override
   {
-    return fmt::format("/watch/{}/{}", aSince, static_cast<int>(aKind));
+    return fmt::format("/watch/{}/{}", aSince.Number(), static_cast<int>(aKind));
   }
   std::string CreateTarget(ObjectKind aKind) const override
   {
@@ -41,10 +41,11 @@
   }
   std::string RemoveTarget(ObjectKind aKind,
                            const std::string& aName,
-                           std::uint64_t aRevision) const override
+                           policy::StoreRevision aRevision) const override
   {
-    return fmt::format("/object/{}/{}/{}", static_cast<int>(aKind), aRevision, aName);
+    return fmt::format("/object/{}/{}/{}", static_cast<int>(aKind), aRevision.Number(), aName);
   }
+  std::string_view EraHeader() const override { return "Era"; }
   base::Result<StoredObject> ParseObject(std::string_view aBody) const override
   {
     const auto batch = ParseList(aBody);
--- a/packages/policy/include/jaylane/policy/Fleet.h
+++ b/packages/policy/include/jaylane/policy/Fleet.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "jaylane/policy/StoreRevision.h"
+
 #include <chrono>
 #include <cstdint>
 #include <optional>
@@ -98,7 +100,7 @@
 {
   std::uint64_t m_version = 0;
   /// Revision of the store at which this version was written.
-  std::uint64_t m_revision = 0;
+  StoreRevision m_revision;
   std::vector<Route> m_routes;
   std::unordered_map<std::string, Service> m_services;
   /// Empty if requests need no API keys.
@@ -122,7 +124,7 @@
   /// Start of the incarnation in milliseconds since the Unix epoch.
   std::int64_t m_startedAtMs = 0;
   /// Revision of the store at which the entry last changed.
-  std::uint64_t m_revision = 0;
+  StoreRevision m_revision;
 };
 
 } // namespace jaylane::policy
--- a/packages/policy/include/jaylane/policy/UpstreamRegistry.h
+++ b/packages/policy/include/jaylane/policy/UpstreamRegistry.h
@@ -44,7 +44,7 @@
 
   /// Applies the removal of an entry.
   /// @param aRevision revision of the removal; ignored if the present entry is newer.
-  void Remove(const std::string& aId, std::uint64_t aRevision, base::MonotonicTime aNow);
+  void Remove(const std::string& aId, StoreRevision aRevision, base::MonotonicTime aNow);
 
   /// Records that the store does not answer this VM.
   void OnStoreUnreachable() { m_isStoreUnreachable = true; }
--- a/packages/policy/src/UpstreamRegistry.cpp
+++ b/packages/policy/src/UpstreamRegistry.cpp
@@ -67,7 +67,7 @@
 }
 
 void UpstreamRegistry::Remove(const std::string& aId,
-                              std::uint64_t aRevision,
+                              StoreRevision aRevision,
                               base::MonotonicTime aNow)
 {
   const auto record = m_records.find(aId);
