policy: an older copy of the store takes nothing back from upstreams

After a return from an older copy, callers' requests could reach upstreams that had left: one that had been draining when this VM last read it counted as ready again, and one that had been removed was registered again (DRAIN). Upstreams that the copy lacks got no requests until they had registered again, unless the VM itself had seen an outage. An upstream whose entry was the same as before counted as cold again.

Cause: with eras in place every entry of the copy is newer than what the VM knows, and UpstreamRegistry knew no other reason to doubt an entry.

UpstreamRegistry::OnStoreRestored() now begins the grace period of an outage. An entry of a later era keeps an upstream of the same incarnation draining, and keeps the age of an unchanged one. Removals are remembered for 60 s; an upstream that was removed in an earlier era and stands in a list is held back until it writes in the new era, or until its entry has stayed for four heartbeats, after which the store has removed those of ended upstreams (heartbeat_ms, from the platform's settings).

--- a/packages/gateway/src/Gateway.cpp
+++ b/packages/gateway/src/Gateway.cpp
@@ -335,8 +335,11 @@
   hooks.m_onStoreReachable = [this](bool aIsReachable) {
     asio::post(m_io, [this, aIsReachable] { m_steering.OnStoreReachable(aIsReachable); });
   };
-  hooks.m_onStoreRestored = [this](std::uint64_t) {
-    asio::post(m_io, [this] { ++m_metrics.m_storeRestores; });
+  hooks.m_onStoreRestored = [this](std::uint64_t aEra) {
+    asio::post(m_io, [this, aEra] {
+      ++m_metrics.m_storeRestores;
+      m_steering.OnStoreRestored(aEra);
+    });
   };
   hooks.m_onErasChanged = [this](const StoreRevisions& aRevisions) {
     asio::post(m_io, [this, aRevisions] {
--- a/packages/gateway/src/GatewaySettings.cpp
+++ b/packages/gateway/src/GatewaySettings.cpp
@@ -145,6 +145,7 @@
   reader.ReadSeconds("stop_grace_seconds", settings.m_stopGrace);
   reader.ReadSeconds("lookup_lifetime_seconds", settings.m_lookupLifetime);
   reader.ReadMillis("drain_ms", settings.m_drainTime);
+  reader.ReadMillis("heartbeat_ms", settings.m_heartbeat);
   reader.ReadMillis("configuration_ms", settings.m_configurationTime);
   reader.ReadNumber("retry_share", settings.m_retryShare);
   reader.ReadNumber("retry_slack", settings.m_retrySlack);
--- a/packages/gateway/src/Steering.cpp
+++ b/packages/gateway/src/Steering.cpp
@@ -32,6 +32,10 @@
 /// ended. A late copy of the registration may bring it back.
 constexpr std::chrono::minutes kLeavingMemory{ 10 };
 
+/// Heartbeats after which the store has removed the entry of an upstream that has ended: three that
+/// are missed, and one as a margin.
+constexpr int kEntryLifetimeHeartbeats = 4;
+
 /// Longest time for which a VM that could serve requests waits for the quarantine records.
 constexpr milliseconds kMaxQuarantineWait{ 1000 };
 
@@ -49,6 +53,13 @@
   return XXH64(aText.data(), aText.size(), 0);
 }
 
+policy::UpstreamRegistry::Options RegistryOptionsFor(const GatewaySettings& aSettings)
+{
+  policy::UpstreamRegistry::Options options;
+  options.m_entryLifetime = aSettings.m_heartbeat * kEntryLifetimeHeartbeats;
+  return options;
+}
+
 } // namespace
 
 Steering::Steering(const GatewaySettings& aSettings,
@@ -57,7 +68,7 @@
   : m_settings(aSettings)
   , m_clock(aClock)
   , m_log(aLog)
-  , m_registry({})
+  , m_registry(RegistryOptionsFor(aSettings))
   , m_regions({})
   , m_containment(policy::QuarantineOptions::MakeForSharedPaths(), std::random_device{}())
 {
@@ -153,6 +164,11 @@
   }
 }
 
+void Steering::OnStoreRestored(std::uint64_t aEra)
+{
+  m_registry.OnStoreRestored(aEra, m_clock.Monotonic());
+}
+
 void Steering::OnStoredQuarantines(const QuarantineStore::Contents& aContents)
 {
   m_awaitsQuarantines = false;
--- a/packages/gateway/src/Steering.h
+++ b/packages/gateway/src/Steering.h
@@ -46,6 +46,8 @@
   void SetMembers(std::set<std::string> aNames);
   /// The store no longer answers this VM, or does again.
   void OnStoreReachable(bool aIsReachable);
+  /// The store has returned from an older copy.
+  void OnStoreRestored(std::uint64_t aEra);
 
   /// Expires registry entries, and updates the balancers if anything has changed. Called a few
   /// times per second.
--- a/packages/gateway/tests/GatewaySettingsTest.cpp
+++ b/packages/gateway/tests/GatewaySettingsTest.cpp
@@ -49,12 +49,14 @@
                                                    "max_descriptors: 292.86\n"
                                                    "memory_mb: 36.5\n"
                                                    "drain_ms: 2500.5\n"
+                                                   "heartbeat_ms: 750.5\n"
                                                    "retry_window_seconds: 0.7\n");
   ASSERT_TRUE(settings) << settings.GetError().Message();
   EXPECT_NEAR(settings->m_retrySlack, 30.714, 0.001);
   EXPECT_NEAR(settings->m_coldSlack, 0.714, 0.0001);
   EXPECT_NEAR(settings->m_cores, 0.2, 1e-9);
   EXPECT_EQ(settings->m_maxDescriptors, 292U);
+  EXPECT_EQ(settings->m_heartbeat, std::chrono::milliseconds{ 750 });
 }
 
 TEST(GatewaySettingsTest, RejectsNegativeLimits)
--- a/packages/gateway/tests/SteeringTest.cpp
+++ b/packages/gateway/tests/SteeringTest.cpp
@@ -179,6 +179,27 @@
   });
 }
 
+// The store returns from a copy in which an upstream that has left is registered. Guards against
+// sending requests to it before the store can have removed its entry again (DRAIN).
+TEST_F(SteeringTest, AnUpstreamThatHasLeftDoesNotReturnWithAnOlderCopy)
+{
+  Start({ "127.0.0.1:1" });
+  OnRequestThread([&] {
+    policy::Upstream upstream;
+    upstream.m_id = "left";
+    upstream.m_service = "s";
+    upstream.m_zone = "z";
+    upstream.m_revision = { 5, 1 };
+    m_steering->PutUpstream(upstream);
+    m_steering->RemoveUpstream("left", { 6, 1 });
+    m_steering->OnStoreRestored(2);
+    upstream.m_revision = { 5, 2 };
+    m_steering->ReplaceUpstreams({ upstream });
+    EXPECT_FALSE(m_steering->MayReceive("left"));
+    EXPECT_TRUE(m_steering->MayReceive("i-0")) << "not in the copy, and may register again";
+  });
+}
+
 // Guards against going back to an older configuration that arrives late.
 TEST_F(SteeringTest, OlderConfigurationsAreIgnored)
 {
--- a/packages/policy/include/jaylane/policy/Fleet.h
+++ b/packages/policy/include/jaylane/policy/Fleet.h
@@ -125,6 +125,8 @@
   std::int64_t m_startedAtMs = 0;
   /// Revision of the store at which the entry last changed.
   StoreRevision m_revision;
+
+  bool operator==(const Upstream&) const = default;
 };
 
 } // namespace jaylane::policy
--- a/packages/policy/tests/UpstreamRegistryTest.cpp
+++ b/packages/policy/tests/UpstreamRegistryTest.cpp
@@ -7,7 +7,7 @@
 
 using namespace std::chrono_literals;
 
-Upstream Entry(const std::string& aId, std::uint64_t aRevision, bool aIsDraining = false)
+Upstream Entry(const std::string& aId, StoreRevision aRevision, bool aIsDraining = false)
 {
   Upstream upstream;
   upstream.m_id = aId;
@@ -118,5 +118,134 @@
   EXPECT_TRUE(m_registry.Records().at("u0").m_upstream.m_draining);
 }
 
+/// Upstreams that are registered in the first era of the store, which then returns from an older
+/// copy.
+class RestoredUpstreamsTest : public UpstreamRegistryTest
+{
+protected:
+  void SetUp() override
+  {
+    m_registry.Replace({ Entry("u0", { 10, 1 }), Entry("u1", { 11, 1 }), Entry("u2", { 12, 1 }) },
+                       m_clock.Monotonic());
+  }
+
+  /// @param aEntries what the copy has.
+  void Restore(std::uint64_t aEra, std::vector<Upstream> aEntries)
+  {
+    m_clock.Advance(1s);
+    m_registry.OnStoreRestored(aEra, m_clock.Monotonic());
+    m_registry.Replace(std::move(aEntries), m_clock.Monotonic());
+  }
+
+  bool Has(const std::string& aId) const { return m_registry.Records().contains(aId); }
+
+  bool IsDraining(const std::string& aId) const
+  {
+    return m_registry.Records().at(aId).m_upstream.m_draining;
+  }
+
+  /// @return whether anything has changed after the time.
+  bool Advance(std::chrono::milliseconds aTime)
+  {
+    m_clock.Advance(aTime);
+    return m_registry.RemoveExpired(m_clock.Monotonic());
+  }
+};
+
+// Guards against ignoring entries whose revisions have gone back.
+TEST_F(RestoredUpstreamsTest, EntriesOfALaterEraAreNewer)
+{
+  Restore(2, { Entry("u0", { 5, 2 }, true), Entry("u1", { 6, 2 }), Entry("u2", { 7, 2 }) });
+  EXPECT_TRUE(IsDraining("u0"));
+  m_registry.Put(Entry("u1", { 8, 2 }, true), m_clock.Monotonic());
+  EXPECT_TRUE(IsDraining("u1"));
+  m_registry.Put(Entry("u2", { 90, 1 }, true), m_clock.Monotonic());
+  EXPECT_FALSE(IsDraining("u2")) << "an entry of the earlier era";
+}
+
+// Guards against a cold time that starts anew for upstreams that the return does not concern.
+TEST_F(RestoredUpstreamsTest, AnUnchangedEntryKeepsItsAge)
+{
+  const auto readAt = m_registry.Records().at("u0").m_readAt;
+  Restore(2, { Entry("u0", { 10, 2 }), Entry("u1", { 11, 2 }), Entry("u2", { 12, 2 }) });
+  EXPECT_EQ(m_registry.Records().at("u0").m_readAt, readAt);
+  EXPECT_EQ(m_registry.Records().at("u0").m_upstream.m_revision, StoreRevision(10, 2));
+}
+
+// Guards against upstreams without requests until they have registered again, without an outage
+// that this VM has seen.
+TEST_F(RestoredUpstreamsTest, UpstreamsThatTheCopyLacksAreKeptForAWhile)
+{
+  Restore(2, { Entry("u0", { 10, 2 }), Entry("u1", { 11, 2 }) });
+  EXPECT_FALSE(Advance(2s));
+  EXPECT_TRUE(Has("u2"));
+  m_registry.Put(Entry("u2", { 15, 2 }), m_clock.Monotonic());
+  Advance(10s);
+  EXPECT_TRUE(Has("u2"));
+  Restore(3, { Entry("u0", { 10, 3 }), Entry("u1", { 11, 3 }) });
+  EXPECT_TRUE(Advance(2300ms));
+  EXPECT_FALSE(Has("u2")) << "has not registered again";
+}
+
+// Guards against requests to an upstream that was draining when the copy was made to look ready
+// (DRAIN).
+TEST_F(RestoredUpstreamsTest, ADrainingUpstreamStaysDraining)
+{
+  m_registry.Put(Entry("u0", { 20, 1 }, true), m_clock.Monotonic());
+  Restore(2, { Entry("u0", { 10, 2 }), Entry("u1", { 11, 2 }), Entry("u2", { 12, 2 }) });
+  EXPECT_TRUE(IsDraining("u0"));
+  Upstream restarted = Entry("u0", { 16, 2 });
+  restarted.m_startedAtMs = 1;
+  m_registry.Put(restarted, m_clock.Monotonic());
+  EXPECT_FALSE(IsDraining("u0")) << "another incarnation";
+}
+
+// Guards against requests to an upstream that was removed after the copy was made (DRAIN).
+TEST_F(RestoredUpstreamsTest, ARemovedUpstreamIsHeldBack)
+{
+  m_registry.Remove("u0", { 20, 1 }, m_clock.Monotonic());
+  const std::vector<Upstream> copy{ Entry("u0", { 10, 2 }),
+                                    Entry("u1", { 11, 2 }),
+                                    Entry("u2", { 12, 2 }) };
+  Restore(2, copy);
+  EXPECT_FALSE(Has("u0"));
+  Advance(3s);
+  m_registry.Replace(copy, m_clock.Monotonic());
+  EXPECT_FALSE(Has("u0")) << "the same entry again";
+  m_registry.Remove("u0", { 16, 2 }, m_clock.Monotonic());
+  Advance(10s);
+  EXPECT_FALSE(Has("u0"));
+  Restore(3, { Entry("u0", { 10, 3 }), Entry("u1", { 11, 3 }), Entry("u2", { 12, 3 }) });
+  EXPECT_FALSE(Has("u0")) << "a second return from a copy that has it";
+}
+
+// A registration had expired, for example, although the upstream goes on. Guards against an
+// upstream that is never used again.
+TEST_F(RestoredUpstreamsTest, ARemovedUpstreamReturnsWithASignOfLife)
+{
+  for (const char* id : { "u0", "u1", "u2" }) {
+    m_registry.Remove(id, { 20, 1 }, m_clock.Monotonic());
+  }
+  Restore(2, { Entry("u0", { 10, 2 }), Entry("u1", { 11, 2 }), Entry("u2", { 12, 2 }) });
+  EXPECT_TRUE(m_registry.Records().empty());
+  m_registry.Put(Entry("u0", { 14, 2 }), m_clock.Monotonic());
+  EXPECT_TRUE(Has("u0")) << "has written";
+  m_registry.Replace({ Entry("u0", { 14, 2 }), Entry("u1", { 15, 2 }), Entry("u2", { 12, 2 }) },
+                     m_clock.Monotonic());
+  EXPECT_TRUE(Has("u1")) << "has written before this list";
+  EXPECT_FALSE(Advance(5999ms));
+  EXPECT_TRUE(Advance(1ms));
+  EXPECT_TRUE(Has("u2")) << "would have been removed by now if it had ended";
+}
+
+// Guards against holding back an upstream that registers again while the store goes on.
+TEST_F(RestoredUpstreamsTest, AListOfTheSameEraBringsAnUpstreamBack)
+{
+  m_registry.Remove("u0", { 20, 1 }, m_clock.Monotonic());
+  m_registry.Replace({ Entry("u0", { 21, 1 }), Entry("u1", { 11, 1 }), Entry("u2", { 12, 1 }) },
+                     m_clock.Monotonic());
+  EXPECT_TRUE(Has("u0"));
+}
+
 } // namespace
 } // namespace jaylane::policy
