policy: keep evacuations that an older copy of the store lacks

After a return of the store from a copy of before an evacuation, requests were sent to upstreams of the evacuated zone until the operator had written the evacuation again (EVAC).

Cause: the first list of the new era replaced the set of zones, whatever it lacked.

policy::EvacuatedZones holds such an evacuation for 5 s after the return. In that time a new entry makes it last, and a removal by the operator ends it at once. An evacuation that had ended and stands in the copy counts until the operator removes it again: a zone without requests costs less than requests to one that is evacuated.

--- a/packages/gateway/src/Gateway.cpp
+++ b/packages/gateway/src/Gateway.cpp
@@ -13,6 +13,7 @@
 #include "SocketOptions.h"
 #include "jaylane/base/ContainErrors.h"
 #include "jaylane/gateway/GatewayError.h"
+#include "jaylane/policy/EvacuatedZones.h"
 #include "jaylane/policy/StopSequence.h"
 
 #include <algorithm>
@@ -136,7 +137,7 @@
   /// queued signals in the order of their numbers, so that SIGHUPs which take long keep a SIGTERM
   /// waiting.
   bool m_isReloadDue = false;
-  std::set<std::string> m_evacuatedZones;
+  policy::EvacuatedZones m_evacuatedZones{ {} };
   /// Set while the process shuts down.
   std::optional<policy::StopSequence> m_stop;
   std::optional<policy::StopSequence::Step> m_loggedStopStep;
@@ -339,6 +340,7 @@
     asio::post(m_io, [this, aEra] {
       ++m_metrics.m_storeRestores;
       m_steering.OnStoreRestored(aEra);
+      m_evacuatedZones.OnStoreRestored(m_dependencies.m_clock.Monotonic());
     });
   };
   hooks.m_onErasChanged = [this](const StoreRevisions& aRevisions) {
@@ -515,20 +517,26 @@
 
 void Gateway::Impl::OnEvacuationList(const std::vector<StoredObject>& aObjects)
 {
-  m_evacuatedZones.clear();
-  OnEvacuationChanges(aObjects);
+  std::set<std::string> zones;
+  for (const StoredObject& object : aObjects) {
+    if (!object.m_deleted) {
+      zones.insert(object.m_name);
+    }
+  }
+  m_evacuatedZones.Replace(zones, m_dependencies.m_clock.Monotonic());
+  m_steering.SetEvacuations(m_evacuatedZones.Zones());
 }
 
 void Gateway::Impl::OnEvacuationChanges(const std::vector<StoredObject>& aObjects)
 {
   for (const StoredObject& object : aObjects) {
     if (object.m_deleted) {
-      m_evacuatedZones.erase(object.m_name);
+      m_evacuatedZones.Remove(object.m_name);
     } else {
-      m_evacuatedZones.insert(object.m_name);
+      m_evacuatedZones.Put(object.m_name);
     }
   }
-  m_steering.SetEvacuations(m_evacuatedZones);
+  m_steering.SetEvacuations(m_evacuatedZones.Zones());
 }
 
 void Gateway::Impl::Tick()
@@ -545,6 +553,9 @@
 void Gateway::Impl::UpdateState()
 {
   m_steering.SetDemandShare(m_controlPlane.DemandShare());
+  if (m_evacuatedZones.RemoveExpired(m_dependencies.m_clock.Monotonic())) {
+    m_steering.SetEvacuations(m_evacuatedZones.Zones());
+  }
   m_steering.Tick();
   RecordQuarantines();
   ProbeDueUpstreams();
