gateway: register again if the store's older copy lacks this VM

A VM that started after a return of the store from an older copy read too few objects of VMs, and so took too large a part of the bounds that all VMs share: connections to upstreams, and the constant part of the retry budget. Seen by reading, and in the test below.

Cause: a VM creates its object once, at its start. The object of a VM that had started after the copy was lost for good.

After a return each VM reads the list of VMs once, at a random time of 0.5 to 5 s so that a fleet does not write at the same moment, and creates its object again if the list lacks it. The list is a cheap read that may be old: one from before the return is read again.

AVmRegistersAgainIfTheCopyLacksIt failed on (no object, one call to create it) and passes now; it also checks that a VM whose object is in the copy writes nothing.

--- a/packages/gateway/src/StoreSync.cpp
+++ b/packages/gateway/src/StoreSync.cpp
@@ -58,6 +58,10 @@
 /// registered, and then only now and then, because new VMs announce themselves to their peers.
 constexpr milliseconds kInitialMemberListDelay{ 6000 };
 constexpr milliseconds kMemberListInterval{ 30'000 };
+/// Time after a return of the store from an older copy within which a VM looks for its own object.
+/// VMs that are lost together register again spread over this time, since the store limits writes.
+constexpr milliseconds kMinRegistrationCheckDelay{ 500 };
+constexpr milliseconds kMaxRegistrationCheckDelay{ 5000 };
 /// Consecutive failed calls after which peers are asked as well. Single failures are common.
 constexpr std::uint32_t kFailuresBeforeAskingPeers = 2;
 /// Time limit of a fetch of all objects from a peer. Changes are smaller: their limit is a part of
@@ -779,6 +783,7 @@
                      Hooks aHooks)
   : m_settings(aSettings)
   , m_dialect(aDialect)
+  , m_log(aLog)
   , m_member(std::move(aMember))
   , m_io(aIo)
   , m_probe(
@@ -830,6 +835,7 @@
       InfoServer::MaxConnections(aSettings.m_maxDescriptors))
   , m_fetch(std::make_shared<HttpFetch>(m_io, aSettings.m_storeAddress))
   , m_timer(m_io)
+  , m_random(std::random_device{}())
 {
 }
 
@@ -896,6 +902,16 @@
   for (KindWatcher* watcher : { &m_configuration, &m_upstreams, &m_evacuations }) {
     watcher->OnStoreRestored();
   }
+  m_mayBeUnregistered = true;
+  if (m_isRegistered) {
+    ScheduleMemberList(RegistrationCheckDelay());
+  }
+}
+
+milliseconds StoreSync::RegistrationCheckDelay()
+{
+  return milliseconds{ std::uniform_int_distribution<milliseconds::rep>(
+    kMinRegistrationCheckDelay.count(), kMaxRegistrationCheckDelay.count())(m_random) };
 }
 
 milliseconds StoreSync::ResponseDelay() const
@@ -970,8 +986,10 @@
                         m_dialect.CreateBody(m_settings.m_name, m_member),
                         kListTimeout };
   m_fetch->Start(std::move(request), [this](const FetchResponse& aResponse) {
-    const bool isRegistered = aResponse.m_status == 409 || (aResponse.m_status / 100 == 2);
-    if (isRegistered) {
+    const std::uint64_t era = m_era.Observe(aResponse);
+    m_isRegistered = aResponse.m_status == 409 || (aResponse.m_status / 100 == 2);
+    if (m_isRegistered) {
+      m_mayBeUnregistered = era < m_era.Current();
       ListMembers(kInitialMemberListDelay);
       return;
     }
@@ -990,20 +1008,44 @@
                    m_dialect.ListTarget(ObjectKind::Members, {}, Freshness::MayBeStale),
                    {},
                    kListTimeout },
-                 [this, aDelay](const FetchResponse& aResponse) {
-                   if (aResponse.m_status == 200) {
-                     if (auto batch = m_dialect.ParseList(aResponse.m_body)) {
-                       m_hooks.m_onMembers(std::move(batch->m_objects));
-                     }
-                   }
-                   const bool hasFailed = aResponse.m_status != 200;
-                   m_timer.expires_after(hasFailed ? kMaxBackoff : aDelay);
-                   m_timer.async_wait([this](const boost::system::error_code& aError) {
-                     if (!aError) {
-                       ListMembers(kMemberListInterval);
-                     }
-                   });
-                 });
+                 [this, aDelay](const FetchResponse& aResponse) { OnMembers(aResponse, aDelay); });
+}
+
+void StoreSync::OnMembers(const FetchResponse& aResponse, milliseconds aDelay)
+{
+  const std::uint64_t era = m_era.Observe(aResponse);
+  auto batch = aResponse.m_status == 200
+                 ? m_dialect.ParseList(aResponse.m_body)
+                 : base::Result<ObjectBatch>(std::make_error_code(std::errc::io_error));
+  if (!batch) {
+    ScheduleMemberList(aResponse.m_status == 200 ? aDelay : kMaxBackoff);
+    return;
+  }
+  const bool isListed = std::ranges::any_of(batch->m_objects, [this](const StoredObject& aObject) {
+    return aObject.m_name == m_settings.m_name && !aObject.m_deleted;
+  });
+  m_hooks.m_onMembers(std::move(batch->m_objects));
+  if (!m_mayBeUnregistered) {
+    ScheduleMemberList(aDelay);
+  } else if (era < m_era.Current()) {
+    ScheduleMemberList(RegistrationCheckDelay()); // The list is from before the return.
+  } else if (isListed) {
+    m_mayBeUnregistered = false;
+    ScheduleMemberList(aDelay);
+  } else {
+    m_log.Write(base::LogRecord("registration_lost").Add("era", era));
+    Register();
+  }
+}
+
+void StoreSync::ScheduleMemberList(milliseconds aDelay)
+{
+  m_timer.expires_after(aDelay);
+  m_timer.async_wait([this](const boost::system::error_code& aError) {
+    if (!aError) {
+      ListMembers(kMemberListInterval);
+    }
+  });
 }
 
 } // namespace jaylane::gateway
--- a/packages/gateway/src/StoreSync.h
+++ b/packages/gateway/src/StoreSync.h
@@ -350,10 +350,16 @@
   /// A watch of this VM has turned out to be silent: doubts the others.
   void OnSilence();
   void Register();
+  /// @param aDelay time until the next list.
   void ListMembers(std::chrono::milliseconds aDelay);
+  void OnMembers(const FetchResponse& aResponse, std::chrono::milliseconds aDelay);
+  void ScheduleMemberList(std::chrono::milliseconds aDelay);
+  /// Random, so that VMs do not look and register at the same moment.
+  std::chrono::milliseconds RegistrationCheckDelay();
 
   const GatewaySettings& m_settings;
   const StoreDialect& m_dialect;
+  base::AsyncLog& m_log;
   Json::Value m_member;
   boost::asio::io_context& m_io;
   StoreProbe m_probe;
@@ -366,6 +372,10 @@
   bool m_isFollowing = false;
   std::shared_ptr<HttpFetch> m_fetch;
   boost::asio::steady_timer m_timer;
+  std::minstd_rand m_random;
+  bool m_isRegistered = false;
+  /// The store has returned from an older copy, which may lack this VM's own object.
+  bool m_mayBeUnregistered = false;
 };
 
 } // namespace jaylane::gateway
--- a/packages/gateway/tests/StoreRestoreTest.cpp
+++ b/packages/gateway/tests/StoreRestoreTest.cpp
@@ -6,6 +6,8 @@
 #include <fmt/format.h>
 #include <gtest/gtest.h>
 #include <mutex>
+#include <set>
+#include <string>
 
 namespace jaylane::gateway {
 namespace {
@@ -13,7 +15,8 @@
 using namespace std::chrono_literals;
 using policy::StoreRevision;
 
-/// A store with the configuration object "main" that returns from older copies.
+/// A store with the configuration object "main", and objects of VMs, that returns from older
+/// copies.
 class RestorableStore
 {
 public:
@@ -42,6 +45,19 @@
     m_namesEra = false;
   }
 
+  /// Loses the objects of VMs.
+  void ForgetVms()
+  {
+    const std::lock_guard lock(m_mutex);
+    m_vms.clear();
+  }
+
+  std::size_t VmCount()
+  {
+    const std::lock_guard lock(m_mutex);
+    return m_vms.size();
+  }
+
   /// @return number of calls so far whose target has a part.
   std::size_t Calls(const std::string& aPart) const
   {
@@ -55,22 +71,42 @@
   Script Serve(const SeenRequest& aRequest)
   {
     const std::lock_guard lock(m_mutex);
+    const bool isForVms = aRequest.m_head.find("/3 ") != std::string::npos;
+    Script script = isForVms ? ServeVms(aRequest) : ServeConfiguration(aRequest);
+    if (m_namesEra) {
+      script.m_bytes.insert(script.m_bytes.find("\r\n") + 2, fmt::format("Era: {}\r\n", m_era));
+    }
+    return script;
+  }
+
+  Script ServeVms(const SeenRequest& aRequest)
+  {
+    if (aRequest.m_head.starts_with("POST")) {
+      m_vms.insert((*base::ParseJson(aRequest.m_body))["name"].asString());
+      return Text("201 Created", "{}");
+    }
+    std::string objects;
+    for (const std::string& vm : m_vms) {
+      objects += fmt::format(
+        R"({}{{"name":"{}","revision":1,"value":{{}}}})", objects.empty() ? "" : ",", vm);
+    }
+    return Text("200 OK", fmt::format(R"({{"revision":{},"objects":[{}]}})", m_revision, objects));
+  }
+
+  Script ServeConfiguration(const SeenRequest& aRequest) const
+  {
     const std::size_t watch = aRequest.m_head.find("/watch/");
     const bool isWatch = watch != std::string::npos;
     const bool isConfiguration = aRequest.m_head.find("/0 ") != std::string::npos;
     const std::uint64_t since = isWatch ? std::stoull(aRequest.m_head.substr(watch + 7)) : 0;
     const bool isNews = isConfiguration && m_object > since;
-    Script script =
-      Text(since > m_revision ? "410 Gone" : "200 OK",
-           fmt::format(
-             R"({{"revision":{},"objects":[{}]}})",
-             m_revision,
-             isNews ? fmt::format(R"({{"name":"main","revision":{},"value":1}})", m_object) : ""),
-           isWatch && since <= m_revision && !isNews ? 200ms : 0ms);
-    if (m_namesEra) {
-      script.m_bytes.insert(script.m_bytes.find("\r\n") + 2, fmt::format("Era: {}\r\n", m_era));
-    }
-    return script;
+    return Text(
+      since > m_revision ? "410 Gone" : "200 OK",
+      fmt::format(R"({{"revision":{},"objects":[{}]}})",
+                  m_revision,
+                  isNews ? fmt::format(R"({{"name":"main","revision":{},"value":1}})", m_object)
+                         : ""),
+      isWatch && since <= m_revision && !isNews ? 200ms : 0ms);
   }
 
   std::mutex m_mutex;
@@ -78,6 +114,7 @@
   std::uint64_t m_revision = 50;
   std::uint64_t m_object = 50;
   bool m_namesEra = true;
+  std::set<std::string> m_vms;
   ScriptedUpstream m_store{ [this](const SeenRequest& aRequest) { return Serve(aRequest); } };
 };
 
@@ -160,5 +197,20 @@
   EXPECT_EQ(m_vm.UpstreamsBehindFor(), 0ms);
 }
 
+// VMs that start read the objects of all VMs, and divide bounds by their number. Guards against a
+// VM whose object is lost for good, and against writes that are not needed.
+TEST_F(StoreRestoreTest, AVmRegistersAgainIfTheCopyLacksIt)
+{
+  ASSERT_EQ(m_store.VmCount(), 1U);
+  m_store.Restore(20, 15);
+  std::this_thread::sleep_for(5500ms);
+  EXPECT_EQ(m_store.Calls("POST "), 1U) << "the copy has its object";
+  m_store.ForgetVms();
+  m_store.Restore(10, 8);
+  std::this_thread::sleep_for(5500ms);
+  EXPECT_EQ(m_store.VmCount(), 1U);
+  EXPECT_EQ(m_store.Calls("POST "), 2U);
+}
+
 } // namespace
 } // namespace jaylane::gateway
