gateway: call a store that goes back unannounced with a backoff

A store whose revisions go back without a new era was called without a pause by each VM that watches it: 52,494 lists by one VM in 2 s. Such calls use up the rate of calls that all VMs share, so that callers of other VMs would wait for changes.

Once the revisions have caught up, the VM follows the store again.

StoreRestoreTest.AStoreThatGoesBackUnannouncedIsCalledWithBackoff failed on (52,494 lists, 30 allowed by the delays of the backoff) and passes now; 25 tests of StoreRestore, StoreSync and ControlPlane pass.

--- a/packages/gateway/src/StoreSync.cpp
+++ b/packages/gateway/src/StoreSync.cpp
@@ -179,6 +179,7 @@
 {
   if (aAfter.empty()) {
     m_listedObjects.clear();
+    m_revisionAtList = m_snapshot.Revision();
   }
   m_peerRevisionAtCall = m_peerRevision;
   m_listStarted = m_clock.Monotonic();
@@ -224,6 +225,15 @@
     }
     return;
   }
+  if (m_listRevision < m_revisionAtList) {
+    // A list reflects all writes of before its call, so the store has lost some and names no era.
+    m_log.Write(base::LogRecord("store_list_outdated")
+                  .Add("kind", KindName(m_kind))
+                  .Add("present_revision", m_revisionAtList.Number())
+                  .Add("revision", m_listRevision.Number()));
+    OnFailure();
+    return;
+  }
   OnSuccess();
   if (m_listRevision >= m_snapshot.Revision()) { // A peer's snapshot may be newer.
     AdoptList(std::move(m_listedObjects), m_listRevision, "list");
--- a/packages/gateway/src/StoreSync.h
+++ b/packages/gateway/src/StoreSync.h
@@ -202,6 +202,8 @@
   /// pages may be missing, so the list as a whole is only as recent as its first page.
   std::vector<StoredObject> m_listedObjects;
   policy::StoreRevision m_listRevision;
+  /// Revision of the snapshot when the list started.
+  policy::StoreRevision m_revisionAtList;
   base::MonotonicTime m_listStarted;
   StoreSnapshot m_snapshot;
   policy::StoreRevision m_reportedRevision;
--- a/packages/gateway/tests/StoreRestoreTest.cpp
+++ b/packages/gateway/tests/StoreRestoreTest.cpp
@@ -197,6 +197,20 @@
   EXPECT_EQ(m_vm.UpstreamsBehindFor(), 0ms);
 }
 
+// A store that names no era goes back all the same. Guards against calls without a pause, which
+// would use up the rate of calls that all VMs share.
+TEST_F(StoreRestoreTest, AStoreThatGoesBackUnannouncedIsCalledWithBackoff)
+{
+  m_store.NameNoEra();
+  m_store.Set(20, 15);
+  std::this_thread::sleep_for(2s);
+  constexpr std::size_t kKinds = 3;
+  constexpr std::size_t kMaxListsPerKind = 10; // Those with delays of 100 to 800 ms, with a margin.
+  EXPECT_LE(m_store.Calls("/list/"), kKinds * kMaxListsPerKind);
+  m_store.Set(60, 55);
+  EXPECT_TRUE(m_vm.WaitForRevision({ 55, 1 }, 3s));
+}
+
 // VMs that start read the objects of all VMs, and divide bounds by their number. Guards against a
 // VM whose object is lost for good, and against writes that are not needed.
 TEST_F(StoreRestoreTest, AVmRegistersAgainIfTheCopyLacksIt)
