gateway: keep quarantines in the store when it returns from an older copy

A request that crashes upstreams was unknown again if all VMs ended after a return of the store, and could crash up to three more upstreams before it was quarantined again (BUDGET). Seen by reading, and in the tests below.

Cause: each record is written once, and the copy may lack it. A VM also removed its expired record by its revision of before the return, which may by then belong to another VM's record of the same request. An operator's lift with a low revision was ignored.

QuarantineStore writes its own records again after a return. If the copy has one, the response to the creation tells its present revision. A removal with a revision of an earlier era is not sent. A lift in a list of a later era counts as the known one only if it has the same number, which an object of the copy keeps.

--- a/packages/gateway/src/ControlPlane.cpp
+++ b/packages/gateway/src/ControlPlane.cpp
@@ -72,6 +72,7 @@
                       aDialect,
                       aClock,
                       aLog,
+                      m_storeSync.Era(),
                       [this](QuarantineStore::Contents aContents) {
                         m_hooks.m_onQuarantines(std::move(aContents));
                       })
@@ -187,7 +188,10 @@
     m_peerLink.SetStoreUnreachable(!aIsReachable);
     m_hooks.m_onStoreReachable(aIsReachable);
   };
-  hooks.m_onRestored = m_hooks.m_onStoreRestored;
+  hooks.m_onRestored = [this](std::uint64_t aEra) {
+    m_hooks.m_onStoreRestored(aEra);
+    m_quarantineStore.OnStoreRestored();
+  };
   hooks.m_onMembers = [this](const std::vector<StoredObject>& aObjects) {
     std::vector<Json::Value> members;
     members.reserve(aObjects.size());
--- a/packages/gateway/src/QuarantineStore.cpp
+++ b/packages/gateway/src/QuarantineStore.cpp
@@ -106,10 +106,12 @@
                                  const StoreDialect& aDialect,
                                  const base::Clock& aClock,
                                  base::AsyncLog& aLog,
+                                 StoreEra& aEra,
                                  OnRead aOnRead)
   : m_dialect(aDialect)
   , m_clock(aClock)
   , m_log(aLog)
+  , m_era(aEra)
   , m_onRead(std::move(aOnRead))
   , m_readFetch(std::make_shared<HttpFetch>(aIo, aStoreAddress))
   , m_changeFetch(std::make_shared<HttpFetch>(aIo, aStoreAddress))
@@ -149,12 +151,14 @@
     return;
   }
   m_readBackoff = milliseconds{ 0 };
+  const std::uint64_t era = m_era.Observe(aResponse);
   base::Result<ObjectBatch> batch = m_dialect.ParseList(aResponse.m_body);
   if (aResponse.m_status != 200 || !batch) {
     // A store that knows no such objects has none.
     m_log.Write(base::LogRecord("quarantines_unreadable").Add("status", aResponse.m_status));
     batch = ObjectBatch{};
   }
+  batch->SetEra(era);
   std::ranges::move(batch->m_objects, std::back_inserter(m_page));
   const std::string last = m_page.empty() ? std::string{} : m_page.back().m_name;
   if (batch->m_hasMore && last != aAfter && m_page.size() < kMaxObjects) {
@@ -179,9 +183,7 @@
     if (object.m_name.ends_with(kLiftSuffix)) {
       const auto fingerprint = FingerprintFrom(
         std::string_view(object.m_name).substr(0, object.m_name.size() - kLiftSuffix.size()));
-      policy::StoreRevision& applied = m_lifts[object.m_name];
-      if (fingerprint && object.m_revision > applied) {
-        applied = object.m_revision;
+      if (fingerprint && TakeLift(object)) {
         contents.m_lifted.push_back(*fingerprint);
       }
       continue;
@@ -204,6 +206,29 @@
   m_onRead(std::move(contents));
 }
 
+bool QuarantineStore::TakeLift(const StoredObject& aObject)
+{
+  policy::StoreRevision& applied = m_lifts[aObject.m_name];
+  if (aObject.m_revision <= applied) {
+    return false;
+  }
+  // An object of an older copy keeps the number of its revision.
+  const bool isSame = aObject.m_revision.Number() == applied.Number();
+  applied = aObject.m_revision;
+  return !isSame;
+}
+
+void QuarantineStore::OnStoreRestored()
+{
+  // The revisions in m_written do not count any more. If the copy has a record, the response to its
+  // creation tells the present revision.
+  for (const Written& written : std::exchange(m_written, {})) {
+    if (!m_journal.IsExpired(written.m_record, m_clock.Wall())) {
+      Enqueue({ Change::Kind::Create, written.m_name, written.m_record });
+    }
+  }
+}
+
 void QuarantineStore::ScheduleRead(milliseconds aDelay)
 {
   m_readTimer.expires_after(aDelay);
@@ -239,6 +264,11 @@
 
 void QuarantineStore::SendNext()
 {
+  // A removal is bound to a revision, which the store may have given out to another object since.
+  while (!m_isChanging && !m_changes.empty() && m_changes.front().m_kind == Change::Kind::Remove &&
+         m_changes.front().m_revision.Era() < m_era.Current()) {
+    m_changes.pop_front();
+  }
   if (m_isChanging || m_changes.empty()) {
     return;
   }
@@ -266,6 +296,7 @@
 
 void QuarantineStore::OnChangeEnded(const FetchResponse& aResponse)
 {
+  const std::uint64_t era = m_era.Observe(aResponse);
   if (aResponse.IsTransientFailure() &&
       !m_journal.IsExpired(m_changes.front().m_record, m_clock.Wall())) {
     m_backoff = std::clamp(m_backoff * 2, kInitialBackoff, kMaxBackoff);
@@ -287,14 +318,20 @@
                 .Add("object", change.m_name)
                 .Add("change", kind)
                 .Add("status", aResponse.m_status));
-  const auto object = m_dialect.ParseObject(aResponse.m_body);
+  auto object = m_dialect.ParseObject(aResponse.m_body);
+  if (object) {
+    object->m_revision = object->m_revision.InEra(era);
+  }
   if (change.m_kind != Change::Kind::Remove && aResponse.m_status / 100 == 2 && object) {
     m_written.push_back({ change.m_name, change.m_record, object->m_revision });
   }
   if (change.m_kind == Change::Kind::Create && aResponse.m_status == 409) {
     const auto existing = object ? RecordFrom(*object) : std::nullopt;
-    // Another VM has just written the same, or the record is one of an earlier time.
-    if (existing && m_journal.IsExpired(*existing, m_clock.Wall())) {
+    // This VM wrote it before a return of the store, another VM has just written the same, or the
+    // record is one of an earlier time.
+    if (existing && existing->m_writtenAt == change.m_record.m_writtenAt) {
+      m_written.push_back({ change.m_name, change.m_record, object->m_revision });
+    } else if (existing && m_journal.IsExpired(*existing, m_clock.Wall())) {
       m_changes.push_front({ Change::Kind::Replace, change.m_name, change.m_record });
       m_changes.push_front(
         { Change::Kind::Remove, change.m_name, change.m_record, object->m_revision });
--- a/packages/gateway/src/QuarantineStore.h
+++ b/packages/gateway/src/QuarantineStore.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "HttpFetch.h"
+#include "StoreEra.h"
 #include "jaylane/base/AsyncLog.h"
 #include "jaylane/base/Clock.h"
 #include "jaylane/gateway/StoreDialect.h"
@@ -24,6 +25,8 @@
 /// while there is a quarantine. An operator lifts a quarantine by an object named after the
 /// fingerprint with the suffix "-lift". Expired records are removed. The store may be away, or know
 /// no removals; writes are repeated for as long as the record counts, and nothing waits for them.
+/// When the store has returned from an older copy, which may lack records, each VM writes its own
+/// again.
 class QuarantineStore
 {
 public:
@@ -40,6 +43,7 @@
                   const StoreDialect& aDialect,
                   const base::Clock& aClock,
                   base::AsyncLog& aLog,
+                  StoreEra& aEra,
                   OnRead aOnRead);
   ~QuarantineStore();
   QuarantineStore(const QuarantineStore&) = delete;
@@ -53,6 +57,9 @@
 
   void Write(const std::vector<policy::QuarantineRecord>& aRecords);
 
+  /// The store has returned from an older copy.
+  void OnStoreRestored();
+
 private:
   /// A call that changes the store.
   struct Change
@@ -87,10 +94,13 @@
   void SendNext();
   void OnChangeEnded(const FetchResponse& aResponse);
   void RemoveExpired();
+  /// @return whether the object is a lift that was not applied yet.
+  bool TakeLift(const StoredObject& aObject);
 
   const StoreDialect& m_dialect;
   const base::Clock& m_clock;
   base::AsyncLog& m_log;
+  StoreEra& m_era;
   OnRead m_onRead;
   policy::QuarantineJournal m_journal{ {} };
   std::shared_ptr<HttpFetch> m_readFetch;
--- a/packages/gateway/src/StoreSync.h
+++ b/packages/gateway/src/StoreSync.h
@@ -323,6 +323,9 @@
   /// @return whether a peer has announced a configuration that this VM lacks.
   bool IsConfigurationBehind() const { return m_configuration.IsBehind(); }
 
+  /// The era of the store, for other calls to it. To be used on the loop's thread.
+  StoreEra& Era() { return m_era; }
+
   /// Sets how this VM learns of changes. May be called on any thread.
   /// @param aHasDependents whether other VMs rely on this one for changes.
   void SetRole(policy::StoreRole aRole, bool aHasDependents);
--- a/packages/gateway/tests/QuarantineStoreTest.cpp
+++ b/packages/gateway/tests/QuarantineStoreTest.cpp
@@ -25,9 +25,13 @@
   void Start()
   {
     m_quarantines = std::make_unique<QuarantineStore>(
-      m_io, m_store.Address(), m_dialect, m_clock, m_log, [this](QuarantineStore::Contents aRead) {
-        m_contents = std::move(aRead);
-      });
+      m_io,
+      m_store.Address(),
+      m_dialect,
+      m_clock,
+      m_log,
+      m_era,
+      [this](QuarantineStore::Contents aRead) { m_contents = std::move(aRead); });
     m_quarantines->Start();
   }
 
@@ -42,6 +46,13 @@
   Script Serve(const SeenRequest& aRequest)
   {
     const std::lock_guard lock(m_mutex);
+    Script script = Respond(aRequest);
+    script.m_bytes.insert(script.m_bytes.find("\r\n") + 2, fmt::format("Era: {}\r\n", m_storeEra));
+    return script;
+  }
+
+  Script Respond(const SeenRequest& aRequest)
+  {
     if (m_isAway) {
       return Text("503 Service Unavailable", "");
     }
@@ -106,6 +117,21 @@
     m_objects[aName] = { ++m_revision, aValue };
   }
 
+  /// The store returns from a copy with one object at most, given by its name.
+  void Restore(std::uint64_t aRevision, const std::string& aName, const std::string& aValue)
+  {
+    {
+      const std::lock_guard lock(m_mutex);
+      ++m_storeEra;
+      m_objects.clear();
+      m_revision = aRevision;
+      if (!aName.empty()) {
+        m_objects[aName] = { aRevision, aValue };
+      }
+    }
+    m_era.ObserveAtPeer(m_storeEra);
+  }
+
   std::size_t ObjectCount()
   {
     const std::lock_guard lock(m_mutex);
@@ -116,6 +142,7 @@
   bool m_isAway = false;
   bool m_knowsRemovals = true;
   bool m_knowsKind = true;
+  std::uint64_t m_storeEra = 1;
   std::uint64_t m_revision = 5;
   /// Revisions and values by name.
   std::map<std::string, std::pair<std::uint64_t, std::string>> m_objects;
@@ -125,6 +152,7 @@
   base::AsyncLog m_log{ "vm", base::SystemClock::Get(), { 64, 1000, [](std::string_view) {} } };
   boost::asio::io_context m_io;
   std::optional<QuarantineStore::Contents> m_contents;
+  StoreEra m_era{ m_dialect, m_log, [this](std::uint64_t) { m_quarantines->OnStoreRestored(); } };
   std::unique_ptr<QuarantineStore> m_quarantines;
 };
 
@@ -264,5 +292,53 @@
   EXPECT_TRUE(m_contents->m_lifted.empty()) << "the second read";
 }
 
+// Guards against a crashing request that is unknown again after a return of the store from an older
+// copy and a kill of all VMs.
+TEST_F(QuarantineStoreTest, WritesItsRecordsAgainAfterAReturn)
+{
+  Start();
+  m_quarantines->Write({ Convicted() });
+  RunFor(100ms);
+  ASSERT_EQ(ObjectCount(), 1U);
+  Restore(2, {}, {});
+  RunFor(100ms);
+  EXPECT_EQ(ObjectCount(), 1U);
+  m_clock.Advance(6min);
+  RunFor(5300ms);
+  EXPECT_EQ(ObjectCount(), 0U) << "by its revision of after the return";
+}
+
+// Guards against removing the record of another VM that has got the revision of this VM's anew.
+TEST_F(QuarantineStoreTest, RemovesNoRecordOfAnotherEra)
+{
+  Start();
+  m_quarantines->Write({ Convicted() });
+  RunFor(100ms);
+  m_clock.Advance(2min);
+  Restore(6, kConvictedName, ConvictionOf(0min));
+  m_clock.Advance(4min);
+  RunFor(5300ms);
+  EXPECT_EQ(ObjectCount(), 1U);
+}
+
+// Guards against a quarantine that ends because the copy has the lift of an earlier one, and
+// against a lift that has no effect because its revision is low.
+TEST_F(QuarantineStoreTest, ALiftOfTheCopyIsNoNewOne)
+{
+  const std::string lift = "00000000000000ab0000000000000001-lift";
+  Put(lift, "{}");
+  Start();
+  RunFor(100ms);
+  ASSERT_EQ(m_contents->m_lifted, std::vector{ kRequest });
+  Restore(6, lift, "{}");
+  RunFor(5200ms);
+  EXPECT_TRUE(m_contents->m_lifted.empty());
+  Start();
+  RunFor(100ms);
+  Restore(4, lift, "{}");
+  RunFor(5200ms);
+  EXPECT_EQ(m_contents->m_lifted, std::vector{ kRequest });
+}
+
 } // namespace
 } // namespace jaylane::gateway
