gateway: leave the first era of the store out of messages

Each announcement had grown by 17 bytes for the eras of three kinds. The announcements of a VM are bounded at 6,900 bytes a second, and what the eras take is missing for the loads of upstreams from 87 VMs on. A kind without any change yet counted as one of another era.

The first era is implied, in messages as for a store that names none. Later ones are told as one number unless the kinds differ, which they do for a moment after a return only. A revision without a number has no era. VMs of an older version, which name no era, are understood as long as the store has not returned.

--- a/packages/gateway/src/PeerLink.cpp
+++ b/packages/gateway/src/PeerLink.cpp
@@ -8,10 +8,12 @@
 #include "jaylane/gateway/GatewayError.h"
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 #include <cmath>
 #include <fmt/format.h>
 #include <iterator>
+#include <set>
 #include <tuple>
 #include <xxhash.h>
 
@@ -138,23 +140,25 @@
   return strikes;
 }
 
-Json::Value ToJsonArray(std::initializer_list<std::uint64_t> aNumbers)
-{
-  Json::Value json(Json::arrayValue);
-  for (const std::uint64_t number : aNumbers) {
-    json.append(Json::UInt64{ number });
-  }
-  return json;
-}
-
-/// Adds the revisions, and their eras unless the store names none.
+/// Adds the revisions, and their eras as "era" if it is the same for all kinds.
 void AddRevisions(Json::Value& aParams, const StoreRevisions& aRevisions)
 {
-  const auto& [configuration, upstreams, evacuations] = aRevisions;
-  aParams["revisions"] =
-    ToJsonArray({ configuration.Number(), upstreams.Number(), evacuations.Number() });
-  if (configuration.Era() > 0 || upstreams.Era() > 0 || evacuations.Era() > 0) {
-    aParams["eras"] = ToJsonArray({ configuration.Era(), upstreams.Era(), evacuations.Era() });
+  const std::array revisions{ aRevisions.m_configuration,
+                              aRevisions.m_upstreams,
+                              aRevisions.m_evacuations };
+  std::set<std::uint64_t> eras;
+  for (const policy::StoreRevision revision : revisions) {
+    aParams["revisions"].append(Json::UInt64{ revision.Number() });
+    if (revision.Number() > 0) {
+      eras.insert(revision.Era());
+    }
+  }
+  if (eras.size() == 1 && *eras.begin() != policy::StoreRevision::kImpliedEra) {
+    aParams["era"] = Json::UInt64{ *eras.begin() };
+  } else if (eras.size() > 1) {
+    for (const policy::StoreRevision revision : revisions) {
+      aParams["eras"].append(Json::UInt64{ revision.Era() });
+    }
   }
 }
 
@@ -164,24 +168,23 @@
          aJson[2].isUInt64();
 }
 
-/// @param aOwn revisions of this VM, whose eras are assumed if the message names none: a VM of an
-///   older version sent it.
 /// @return nothing if the message has no revisions.
-std::optional<StoreRevisions> RevisionsFrom(const Json::Value& aParams, const StoreRevisions& aOwn)
+std::optional<StoreRevisions> RevisionsFrom(const Json::Value& aParams)
 {
   const Json::Value& numbers = aParams["revisions"];
   if (!IsArrayOfThreeNumbers(numbers)) {
     return std::nullopt;
   }
   const Json::Value& eras = aParams["eras"];
+  const Json::Value& era = aParams["era"];
   const bool hasEras = IsArrayOfThreeNumbers(eras);
-  const auto revision = [&](Json::ArrayIndex aIndex, policy::StoreRevision aOwnRevision) {
+  const std::uint64_t sameEra =
+    era.isUInt64() ? era.asUInt64() : policy::StoreRevision::kImpliedEra;
+  const auto revision = [&](Json::ArrayIndex aIndex) {
     return policy::StoreRevision{ numbers[aIndex].asUInt64(),
-                                  hasEras ? eras[aIndex].asUInt64() : aOwnRevision.Era() };
+                                  hasEras ? eras[aIndex].asUInt64() : sameEra };
   };
-  return StoreRevisions{ revision(0, aOwn.m_configuration),
-                         revision(1, aOwn.m_upstreams),
-                         revision(2, aOwn.m_evacuations) };
+  return StoreRevisions{ revision(0), revision(1), revision(2) };
 }
 
 std::optional<udp::endpoint> UdpEndpoint(std::string_view aText)
@@ -374,7 +377,7 @@
   if (params["store_unreachable"].isBool() && params["store_unreachable"].asBool()) {
     m_hooks.m_onStoreUnreachable();
   }
-  const auto revisions = RevisionsFrom(params, m_revisions);
+  const auto revisions = RevisionsFrom(params);
   if (!revisions) {
     return;
   }
--- a/packages/gateway/src/StoreEra.h
+++ b/packages/gateway/src/StoreEra.h
@@ -28,8 +28,7 @@
   /// A peer has sent objects of an era.
   void ObserveAtPeer(std::uint64_t aEra) { Advance(aEra, "peer"); }
 
-  /// @return the era; 0 while none is known.
-  std::uint64_t Current() const { return m_era.value_or(0); }
+  std::uint64_t Current() const { return m_era.value_or(policy::StoreRevision::kImpliedEra); }
 
 private:
   /// @param aSource "store" or "peer".
--- a/packages/gateway/src/StoreSnapshot.cpp
+++ b/packages/gateway/src/StoreSnapshot.cpp
@@ -208,12 +208,11 @@
   return parsed;
 }
 
-/// Adds the revision of a snapshot. The era, which all of its revisions have, is left out if the
-/// store names none.
+/// Adds the revision of a snapshot, and the era that all of its revisions have.
 void AddRevision(Json::Value& aJson, policy::StoreRevision aRevision)
 {
   aJson["revision"] = Json::UInt64{ aRevision.Number() };
-  if (aRevision.Era() > 0) {
+  if (aRevision.Era() != policy::StoreRevision::kImpliedEra) {
     aJson["era"] = Json::UInt64{ aRevision.Era() };
   }
 }
@@ -222,7 +221,8 @@
 policy::StoreRevision RevisionFrom(const Json::Value& aJson)
 {
   const Json::Value& era = aJson["era"];
-  return { aJson["revision"].asUInt64(), era.isUInt64() ? era.asUInt64() : 0 };
+  return { aJson["revision"].asUInt64(),
+           era.isUInt64() ? era.asUInt64() : policy::StoreRevision::kImpliedEra };
 }
 
 } // namespace
--- a/packages/gateway/src/StoreSync.cpp
+++ b/packages/gateway/src/StoreSync.cpp
@@ -971,8 +971,8 @@
   const std::string_view kind =
     aTarget.substr(kSnapshotPathPrefix.size(), end - kSnapshotPathPrefix.size());
   const std::uint64_t number = NumberAfter(aTarget, kAfterQuery).value_or(0);
-  // A VM of an older version names no era.
-  const std::uint64_t era = NumberAfter(aTarget, kEraQuery).value_or(m_era.Current());
+  const std::uint64_t era =
+    NumberAfter(aTarget, kEraQuery).value_or(policy::StoreRevision::kImpliedEra);
   const std::pair<ObjectKind, const KindWatcher*> watchers[] = {
     { ObjectKind::Configuration, &m_configuration },
     { ObjectKind::Upstreams, &m_upstreams },
--- a/packages/gateway/tests/ControlPlaneTest.cpp
+++ b/packages/gateway/tests/ControlPlaneTest.cpp
@@ -45,6 +45,7 @@
     hooks.m_onStrikes = [](const std::vector<policy::Strike>&) {};
     hooks.m_onLimits = [](const std::vector<policy::LimitObservation>&) {};
     hooks.m_onStoreCall = [](bool) {};
+    hooks.m_onErasChanged = [](const StoreRevisions&) {};
     hooks.m_onQuarantines = [](const QuarantineStore::Contents&) {};
     hooks.m_onQuotaGrant = [this](const policy::QuotaGrant&) {
       const std::lock_guard lock(m_mutex);
--- a/packages/policy/include/jaylane/policy/StoreRevision.h
+++ b/packages/policy/include/jaylane/policy/StoreRevision.h
@@ -13,12 +13,17 @@
 class StoreRevision
 {
 public:
+  /// Era of a store, and of a message between VMs, that names none. Messages leave it out, so that
+  /// they do not grow before the first return.
+  static constexpr std::uint64_t kImpliedEra = 1;
+
+  /// Precedes all others.
   constexpr StoreRevision() = default;
 
   /// @param aNumber revision number that the store has given out; 0 before the first one.
-  /// @param aEra number of the era; 0 if the store names none.
-  constexpr StoreRevision(std::uint64_t aNumber, std::uint64_t aEra = 0)
-    : m_era(aEra)
+  /// @param aEra number of the era.
+  constexpr StoreRevision(std::uint64_t aNumber, std::uint64_t aEra = kImpliedEra)
+    : m_era(aNumber == 0 ? 0 : aEra)
     , m_number(aNumber)
   {
   }
