policy, gateway: names and comments of the parts for store eras

What stopped a reader who had not seen the parts: the map of evacuated zones was named after the times in it, the registry's new members had no comments, and one header was not formatted. No change of behaviour.

--- a/packages/gateway/include/jaylane/gateway/GatewaySettings.h
+++ b/packages/gateway/include/jaylane/gateway/GatewaySettings.h
@@ -41,8 +41,8 @@
   std::chrono::milliseconds m_lookupLifetime{ 1000 };
   /// Time for which an upstream keeps serving after it announced that it is draining.
   std::chrono::milliseconds m_drainTime{ 1800 };
-  /// Time between two signs of life of an upstream in the store, which removes its entry after three
-  /// that it has missed.
+  /// Time between two signs of life of an upstream in the store, which removes its entry after
+  /// three that it has missed.
   std::chrono::milliseconds m_heartbeat{ 1500 };
   /// Time within which a change of the configuration must be in force.
   std::chrono::milliseconds m_configurationTime{ 2500 };
--- a/packages/gateway/src/QuarantineStore.cpp
+++ b/packages/gateway/src/QuarantineStore.cpp
@@ -220,8 +220,8 @@
 
 void QuarantineStore::OnStoreRestored()
 {
-  // The revisions in m_written do not count any more. If the copy has a record, the response to its
-  // creation tells the present revision.
+  // The revisions in m_written are of the earlier era. If the copy has a record, the response to
+  // its creation tells the present one.
   for (const Written& written : std::exchange(m_written, {})) {
     if (!m_journal.IsExpired(written.m_record, m_clock.Wall())) {
       Enqueue({ Change::Kind::Create, written.m_name, written.m_record });
--- a/packages/policy/include/jaylane/policy/EvacuatedZones.h
+++ b/packages/policy/include/jaylane/policy/EvacuatedZones.h
@@ -35,8 +35,8 @@
   void Replace(const std::set<std::string>& aZones, base::MonotonicTime aNow);
 
   /// The operator evacuates a zone, or takes that back.
-  void Put(const std::string& aZone) { m_heldUntil[aZone] = std::nullopt; }
-  void Remove(const std::string& aZone) { m_heldUntil.erase(aZone); }
+  void Put(const std::string& aZone) { m_zones[aZone] = std::nullopt; }
+  void Remove(const std::string& aZone) { m_zones.erase(aZone); }
 
   /// The store has returned from an older copy.
   void OnStoreRestored(base::MonotonicTime aNow) { m_restoredAt = aNow; }
@@ -50,8 +50,8 @@
 private:
   const Options m_options;
   std::optional<base::MonotonicTime> m_restoredAt;
-  /// The evacuated zones. Those with a time are missing from the store.
-  std::map<std::string, std::optional<base::MonotonicTime>> m_heldUntil;
+  /// The evacuated zones, and until when those stay evacuated that the store lacks.
+  std::map<std::string, std::optional<base::MonotonicTime>> m_zones;
 };
 
 } // namespace jaylane::policy
--- a/packages/policy/include/jaylane/policy/UpstreamRegistry.h
+++ b/packages/policy/include/jaylane/policy/UpstreamRegistry.h
@@ -103,20 +103,23 @@
   bool IsInGracePeriod(base::MonotonicTime aNow) const;
   void StartGracePeriod(base::MonotonicTime aNow);
   void MarkStale(Record& aRecord, base::MonotonicTime aNow);
-  /// Applies an entry of a list.
+  /// Applies an entry of a list, or holds it back.
   void PutListed(Upstream aEntry, base::MonotonicTime aNow);
   /// @return whether a list's entry may be what an older copy says of an upstream that was removed.
   bool IsFromCopy(const Upstream& aEntry, base::MonotonicTime aNow) const;
+  /// Adds the entry, or changes the record of its upstream by it.
   void Insert(Upstream aEntry, base::MonotonicTime aNow);
-  /// Removes a record and remembers that.
-  /// @return the record behind it.
+  /// Removes a record and remembers the removal.
+  /// @return the next record.
   std::map<std::string, Record>::iterator Erase(std::map<std::string, Record>::iterator aRecord,
                                                 base::MonotonicTime aNow);
 
   Options m_options;
   std::map<std::string, Record> m_records;
+  /// Removals of the last m_maxCopyAge, by id.
   std::map<std::string, Removal> m_removals;
   std::map<std::string, HeldEntry> m_held;
+  /// Era that the last return of the store has begun; 0 before the first one.
   std::uint64_t m_era = 0;
   bool m_isStoreUnreachable = false;
   bool m_hasRecovered = false;
--- a/packages/policy/src/EvacuatedZones.cpp
+++ b/packages/policy/src/EvacuatedZones.cpp
@@ -6,10 +6,10 @@
 {
   const auto holdEnd =
     m_restoredAt ? std::optional(*m_restoredAt + m_options.m_hold) : std::nullopt;
-  std::erase_if(m_heldUntil, [&](const auto& aEntry) {
+  std::erase_if(m_zones, [&](const auto& aEntry) {
     return !aZones.contains(aEntry.first) && !(holdEnd && aNow < *holdEnd);
   });
-  for (auto& [zone, heldUntil] : m_heldUntil) {
+  for (auto& [zone, heldUntil] : m_zones) {
     heldUntil = holdEnd;
   }
   for (const std::string& zone : aZones) {
@@ -19,7 +19,7 @@
 
 bool EvacuatedZones::RemoveExpired(base::MonotonicTime aNow)
 {
-  return std::erase_if(m_heldUntil, [aNow](const auto& aEntry) {
+  return std::erase_if(m_zones, [aNow](const auto& aEntry) {
            return aEntry.second && aNow >= *aEntry.second;
          }) > 0;
 }
@@ -27,7 +27,7 @@
 std::set<std::string> EvacuatedZones::Zones() const
 {
   std::set<std::string> zones;
-  for (const auto& [zone, heldUntil] : m_heldUntil) {
+  for (const auto& [zone, heldUntil] : m_zones) {
     zones.insert(zone);
   }
   return zones;
