--- a/packages/gateway/src/Gateway.cpp
+++ b/packages/gateway/src/Gateway.cpp
@@ -68,6 +68,8 @@
   /// An address that this VM needs cannot be listened on: ends the process.
   void OnListenFailed(const base::Error& aError);
   ControlPlane::Hooks MakeControlHooks();
+  /// Adds the hooks that tell whether the store answers, and of its eras.
+  void AddStoreHooks(ControlPlane::Hooks& aHooks);
   void OnConfiguration(const StoredObject& aObject);
   void OnConfigurations(const std::vector<StoredObject>& aObjects);
   /// A new, changed or removed registration of an upstream.
@@ -283,6 +285,27 @@
   return base::Success{};
 }
 
+void Gateway::Impl::AddStoreHooks(ControlPlane::Hooks& aHooks)
+{
+  aHooks.m_onStoreReachable = [this](bool aIsReachable) {
+    asio::post(m_io, [this, aIsReachable] { m_steering.OnStoreReachable(aIsReachable); });
+  };
+  aHooks.m_onStoreRestored = [this](std::uint64_t aEra) {
+    asio::post(m_io, [this, aEra] {
+      ++m_metrics.m_storeRestores;
+      m_steering.OnStoreRestored(aEra);
+      m_evacuatedZones.OnStoreRestored(m_dependencies.m_clock.Monotonic());
+    });
+  };
+  aHooks.m_onErasChanged = [this](const StoreRevisions& aRevisions) {
+    asio::post(m_io, [this, aRevisions] {
+      m_metrics.m_storeEras = { { "configuration", aRevisions.m_configuration.Era() },
+                                { "upstreams", aRevisions.m_upstreams.Era() },
+                                { "evacuations", aRevisions.m_evacuations.Era() } };
+    });
+  };
+}
+
 ControlPlane::Hooks Gateway::Impl::MakeControlHooks()
 {
   // The hooks run on the control thread and post their arguments to the request thread.
@@ -333,23 +356,7 @@
   hooks.m_onLoadsTold = [this](std::size_t aCount) {
     asio::post(m_io, [this, aCount] { m_metrics.m_observationsTold += aCount; });
   };
-  hooks.m_onStoreReachable = [this](bool aIsReachable) {
-    asio::post(m_io, [this, aIsReachable] { m_steering.OnStoreReachable(aIsReachable); });
-  };
-  hooks.m_onStoreRestored = [this](std::uint64_t aEra) {
-    asio::post(m_io, [this, aEra] {
-      ++m_metrics.m_storeRestores;
-      m_steering.OnStoreRestored(aEra);
-      m_evacuatedZones.OnStoreRestored(m_dependencies.m_clock.Monotonic());
-    });
-  };
-  hooks.m_onErasChanged = [this](const StoreRevisions& aRevisions) {
-    asio::post(m_io, [this, aRevisions] {
-      m_metrics.m_storeEras = { { "configuration", aRevisions.m_configuration.Era() },
-                                { "upstreams", aRevisions.m_upstreams.Era() },
-                                { "evacuations", aRevisions.m_evacuations.Era() } };
-    });
-  };
+  AddStoreHooks(hooks);
   hooks.m_onQuarantines = [this](QuarantineStore::Contents aContents) {
     asio::post(m_io, [this, contents = std::move(aContents)] {
       m_steering.OnStoredQuarantines(contents);
