gateway: log and count where restricted requests run, and by which version

An attempt named neither the place of its upstream nor the regions that bound the request, a configuration did not say which allowed regions it changes, and an upstream's entry and replacement had no place. Change: "attempt" has zone and region and, for restricted requests, the route, its allowed regions and the active version; "allowed_regions_changed" tells each change (policy::RegionChange); "upstream_changed" and "upstream_replaced" have address and place; two counters of restricted attempts.

--- a/packages/gateway/src/GatewayMetrics.cpp
+++ b/packages/gateway/src/GatewayMetrics.cpp
@@ -30,6 +30,9 @@
   fmt::format_to(out, "jaylane_attempts_total {}\n", m_attempts);
   fmt::format_to(out, "jaylane_retries_total {}\n", m_retries);
   fmt::format_to(out, "jaylane_hedges_total {}\n", m_hedges);
+  fmt::format_to(out, "jaylane_restricted_attempts_total {}\n", m_restrictedAttempts);
+  fmt::format_to(
+    out, "jaylane_outdated_restricted_attempts_total {}\n", m_outdatedRestrictedAttempts);
   fmt::format_to(out, "jaylane_held_requests_total {}\n", m_heldTotal);
   fmt::format_to(out, "jaylane_held_requests {}\n", m_held);
   for (const auto& [priority, count] : m_limitedByUrgency) {
--- a/packages/gateway/src/GatewayMetrics.h
+++ b/packages/gateway/src/GatewayMetrics.h
@@ -19,6 +19,10 @@
   std::uint64_t m_retries = 0;
   /// Attempts that were started while another attempt of the same request was still running.
   std::uint64_t m_hedges = 0;
+  /// Attempts of requests that only some regions may run, and those of them whose configuration was
+  /// no longer the active one when they were sent.
+  std::uint64_t m_restrictedAttempts = 0;
+  std::uint64_t m_outdatedRestrictedAttempts = 0;
   /// Requests that were held before they were sent or rejected, and those held now.
   std::uint64_t m_heldTotal = 0;
   std::uint64_t m_held = 0;
--- a/packages/gateway/src/RequestExchange.cpp
+++ b/packages/gateway/src/RequestExchange.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <fmt/ranges.h>
 #include <utility>
 #include <xxhash.h>
 
@@ -412,19 +413,8 @@
   const std::string& upstream = aChoice.m_upstream->m_id;
   m_tried.push_back(upstream);
   ++m_context.m_metrics.m_attempts;
-  m_context.m_log.Write(base::LogRecord("attempt")
-                          .Add("id", m_request->m_id)
-                          .Add("upstream", upstream)
-                          .Add("affinity", m_request->m_affinityKey)
-                          .Add("rank", aChoice.m_rank)
-                          .Add("known", aChoice.m_hasServedKey ? 1 : 0)
-                          .Add("cold", aChoice.m_isCold ? 1 : 0)
-                          .Add("expected_ms", aChoice.m_expectedLatency)
-                          .Add("remaining_ms", Remaining())
-                          .Add("config", m_routes->Config().m_version)
-                          .Add("entry_revision", aChoice.m_upstream->m_revision.Number())
-                          .Add("suspect", m_isSuspect ? 1 : 0)
-                          .Add("held_ms", m_holdTime));
+  LogAttempt(aChoice);
+  CountRestrictedAttempt();
   m_context.m_steering.Balancer(m_service->m_name)
     .OnSent(upstream, query, m_context.m_clock.Monotonic());
   auto attempt = std::make_shared<UpstreamAttempt>(
@@ -452,6 +442,41 @@
   StartOverdueTimer(aChoice.m_overdueAfter);
 }
 
+void RequestExchange::LogAttempt(const ServiceBalancer::Choice& aChoice) const
+{
+  const policy::Upstream& upstream = *aChoice.m_upstream;
+  base::LogRecord record("attempt");
+  record.Add("id", m_request->m_id)
+    .Add("upstream", upstream.m_id)
+    .Add("zone", upstream.m_zone)
+    .Add("region", upstream.m_region)
+    .Add("affinity", m_request->m_affinityKey)
+    .Add("rank", aChoice.m_rank)
+    .Add("known", aChoice.m_hasServedKey ? 1 : 0)
+    .Add("cold", aChoice.m_isCold ? 1 : 0)
+    .Add("expected_ms", aChoice.m_expectedLatency)
+    .Add("remaining_ms", Remaining())
+    .Add("config", m_routes->Config().m_version)
+    .Add("entry_revision", upstream.m_revision.Number())
+    .Add("suspect", m_isSuspect ? 1 : 0)
+    .Add("held_ms", m_holdTime);
+  if (const std::set<std::string>* allowed = m_allowedRegions.Get()) {
+    record.Add("route", m_route->m_name)
+      .Add("allowed_regions", fmt::format("{}", fmt::join(*allowed, " ")))
+      .Add("active_config", m_context.m_steering.Routes()->Config().m_version);
+  }
+  m_context.m_log.Write(record);
+}
+
+void RequestExchange::CountRestrictedAttempt() const
+{
+  if (m_allowedRegions.Get()) {
+    ++m_context.m_metrics.m_restrictedAttempts;
+    const bool isActive = m_routes == m_context.m_steering.Routes();
+    m_context.m_metrics.m_outdatedRestrictedAttempts += isActive ? 0 : 1;
+  }
+}
+
 void RequestExchange::StartOverdueTimer(milliseconds aOverdue)
 {
   m_overdueTimer.cancel(); // May still be set for an attempt that has ended.
--- a/packages/gateway/src/RequestExchange.h
+++ b/packages/gateway/src/RequestExchange.h
@@ -83,6 +83,9 @@
   /// @return the balancer's choice among the upstreams that may receive requests now.
   policy::ServiceBalancer::Choice ChooseUpstream(const policy::ServiceBalancer::Query& aQuery);
   void SendTo(const policy::ServiceBalancer::Choice& aChoice);
+  void LogAttempt(const policy::ServiceBalancer::Choice& aChoice) const;
+  /// Counts an attempt of a request that only some regions may run.
+  void CountRestrictedAttempt() const;
   void StartOverdueTimer(std::chrono::milliseconds aOverdue);
   /// The response to the only attempt is overdue: reports an unresponsive upstream, and sends a
   /// hedged attempt to another one if the request is idempotent.
--- a/packages/gateway/src/Steering.cpp
+++ b/packages/gateway/src/Steering.cpp
@@ -1,11 +1,14 @@
 #include "Steering.h"
 
 #include "jaylane/policy/ColdStartPacing.h"
+#include "jaylane/policy/RegionChange.h"
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <fmt/ranges.h>
 #include <limits>
 #include <random>
+#include <span>
 #include <xxhash.h>
 
 namespace jaylane::gateway {
@@ -39,6 +42,9 @@
 /// Longest time for which a VM that could serve requests waits for the quarantine records.
 constexpr milliseconds kMaxQuarantineWait{ 1000 };
 
+/// Changes of allowed regions that are logged for one configuration.
+constexpr std::size_t kMaxLoggedRegionChanges = 16;
+
 /// Requests kept per upstream until its crash probe ends. Few are open at one upstream at a time.
 constexpr std::size_t kMaxSuspectedRequests = 64;
 
@@ -94,12 +100,29 @@
   auto routes = std::make_shared<policy::RouteTable>(std::move(aConfiguration), seed);
   if (m_routes) {
     routes->ContinueFrom(*m_routes);
+    LogRegionChanges(m_routes->Config(), routes->Config());
   }
   m_routes = std::move(routes);
   UpdateBalancers();
   return true;
 }
 
+void Steering::LogRegionChanges(const policy::Configuration& aPrevious,
+                                const policy::Configuration& aNext) const
+{
+  const std::vector<policy::RegionChange> changes = policy::RegionChangesBetween(aPrevious, aNext);
+  for (const policy::RegionChange& change :
+       std::span(changes).first(std::min(changes.size(), kMaxLoggedRegionChanges))) {
+    m_log.Write(base::LogRecord("allowed_regions_changed")
+                  .Add("version", aNext.m_version)
+                  .Add("route", change.m_route)
+                  .Add("team", change.m_team)
+                  .Add("previous", fmt::format("{}", fmt::join(change.m_previous, " ")))
+                  .Add("allowed", fmt::format("{}", fmt::join(change.m_allowed, " ")))
+                  .Add("changes", changes.size()));
+  }
+}
+
 void Steering::ReplaceUpstreams(std::vector<policy::Upstream> aUpstreams)
 {
   m_registry.Replace(std::move(aUpstreams), m_clock.Monotonic());
@@ -112,6 +135,9 @@
   m_log.Write(base::LogRecord("upstream_changed")
                 .Add("upstream", aUpstream.m_id)
                 .Add("service", aUpstream.m_service)
+                .Add("zone", aUpstream.m_zone)
+                .Add("region", aUpstream.m_region)
+                .Add("address", aUpstream.m_address)
                 .Add("state", aUpstream.m_draining ? "draining" : "ready")
                 .Add("cold_ms", aUpstream.m_coldRemaining)
                 .Add("revision", aUpstream.m_revision.Number()));
@@ -514,7 +540,13 @@
 
 void Steering::OnAddressReused(const std::string& aId)
 {
-  m_log.Write(base::LogRecord("upstream_replaced").Add("upstream", aId));
+  base::LogRecord record("upstream_replaced");
+  record.Add("upstream", aId);
+  if (const auto entry = m_registry.Records().find(aId); entry != m_registry.Records().end()) {
+    record.Add("address", entry->second.m_upstream.m_address)
+      .Add("region", entry->second.m_upstream.m_region);
+  }
+  m_log.Write(record);
   m_replaced.insert(aId);
   UpdateBalancers();
 }
--- a/packages/gateway/src/Steering.h
+++ b/packages/gateway/src/Steering.h
@@ -159,6 +159,8 @@
   };
   using ProbedUpstreams = std::unordered_map<std::string, ProbeState>;
 
+  void LogRegionChanges(const policy::Configuration& aPrevious,
+                        const policy::Configuration& aNext) const;
   void UpdateBalancers();
   /// @return whether the upstream may get new requests at all, apart from its connections.
   bool IsInService(const policy::Upstream& aUpstream) const;
