gateway tests: show attempts in regions that a newer version forbids

A request keeps the allowed regions of the version that was active when it arrived, through retries and hedges, and nothing makes a VM doubt its configuration where an outdated one sends restricted requests to forbidden regions.

--- a/packages/gateway/src/GatewayContext.h
+++ b/packages/gateway/src/GatewayContext.h
@@ -51,6 +51,9 @@
   std::function<bool()> m_isViewOutdated = [] { return false; };
   /// Returns whether this VM can be sure that its configuration is the newest.
   std::function<bool()> m_isConfigurationConfirmed = [] { return true; };
+  /// Returns whether requests that only some regions may run can be sent: not if this VM may have
+  /// missed a version that was to be in force by now.
+  std::function<bool()> m_mayServeRestricted = [] { return true; };
   /// Quotas of the teams; without it, all requests are admitted.
   QuotaGate* m_quotas = nullptr;
   /// Requests that no upstream accepts now.
--- /dev/null
+++ b/packages/gateway/tests/RegionBindingPathTest.cpp
@@ -0,0 +1,124 @@
+#include "GatewayFixture.h"
+
+#include <boost/asio/write.hpp>
+
+namespace jaylane::gateway {
+namespace {
+
+using namespace std::chrono_literals;
+
+/// Upstreams 0 and 1 are in region "r", 2 is in region "other".
+class RegionBindingPathTest : public GatewayFixture
+{
+protected:
+  /// @param aFirst regions of the route /a/ in the first configuration.
+  void StartWith(const std::set<std::string>& aFirst)
+  {
+    Start({ m_first.Address(), m_second.Address() });
+    OnRequestThread([&] {
+      policy::Upstream other = MakeUpstream("i-2", m_other.Address(), 1);
+      other.m_zone = "y";
+      other.m_region = "other";
+      m_steering->PutUpstream(other);
+      m_steering->Tick();
+    });
+    SetRegions(aFirst);
+  }
+
+  /// Puts a configuration in force that allows other regions.
+  void SetRegions(const std::set<std::string>& aRegions)
+  {
+    OnRequestThread([&] {
+      policy::Configuration configuration = m_steering->Routes()->Config();
+      ++configuration.m_version;
+      configuration.m_routes[0].m_allowedRegions = aRegions;
+      configuration.m_routes[0].m_attempts = 3;
+      ASSERT_TRUE(m_steering->ApplyConfiguration(std::move(configuration)));
+    });
+  }
+
+  std::size_t SeenInOwnRegion() const { return m_first.Seen().size() + m_second.Seen().size(); }
+
+  /// Rejects each request after a while.
+  static Script RejectLater(const SeenRequest& aRequest)
+  {
+    Script script{ "HTTP/1.1 503 Service Unavailable\r\nRequest-Id: " +
+                   aRequest.Header("Request-Id") +
+                   "\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n" };
+    script.m_pause = 300ms;
+    return script;
+  }
+
+  std::string ExchangeDuring(const std::function<void()>& aChange)
+  {
+    auto socket = Connect();
+    const std::string request = Request("/a/x", "r1", "Connection: close\r\n");
+    boost::asio::write(socket, boost::asio::buffer(request));
+    const auto deadline = std::chrono::steady_clock::now() + 2s;
+    while (SeenInOwnRegion() == 0 && std::chrono::steady_clock::now() < deadline) {
+      std::this_thread::sleep_for(5ms);
+    }
+    aChange();
+    std::string response(2048, '\0');
+    response.resize(socket.read_some(boost::asio::buffer(response)));
+    return response;
+  }
+
+  std::function<Script(const SeenRequest&)> m_answer = RejectLater;
+  ScriptedUpstream m_first{ [this](const SeenRequest& aRequest) { return m_answer(aRequest); } };
+  ScriptedUpstream m_second{ [this](const SeenRequest& aRequest) { return m_answer(aRequest); } };
+  ScriptedUpstream m_other{ [](const SeenRequest& aRequest) {
+    return Script{ OkResponse(aRequest, "x") };
+  } };
+};
+
+// Guards against a retry in a region that a newer version forbids: the request kept the regions of
+// the version that was active when it arrived.
+TEST_F(RegionBindingPathTest, ARetryIsBoundByVersionsThatCameMeanwhile)
+{
+  StartWith({ "r" });
+  const std::string response = ExchangeDuring([this] { SetRegions({ "other" }); });
+  EXPECT_EQ(Status(response), "HTTP/1.1 503 Service Unavailable");
+  EXPECT_NE(response.find("Retry-After: "), std::string::npos);
+  EXPECT_EQ(SeenInOwnRegion(), 1U);
+  EXPECT_EQ(m_other.Seen().size(), 0U) << "forbidden when the request arrived";
+}
+
+// Guards against rejecting requests that may still run somewhere.
+TEST_F(RegionBindingPathTest, ARetryGoesToARegionThatAllVersionsAllow)
+{
+  StartWith({ "r", "other" });
+  const std::string response = ExchangeDuring([this] { SetRegions({ "other" }); });
+  EXPECT_EQ(Status(response), "HTTP/1.1 200 OK");
+  EXPECT_EQ(SeenInOwnRegion(), 1U);
+  EXPECT_EQ(m_other.Seen().size(), 1U);
+}
+
+// Guards against a hedged attempt in a region that a newer version forbids.
+TEST_F(RegionBindingPathTest, AHedgeIsBoundByVersionsThatCameMeanwhile)
+{
+  m_answer = [](const SeenRequest& aRequest) {
+    Script script{ OkResponse(aRequest, "x") };
+    script.m_pause = 900ms;
+    return script;
+  };
+  StartWith({});
+  ExchangeDuring([this] { SetRegions({ "other" }); });
+  EXPECT_EQ(SeenInOwnRegion(), 1U);
+}
+
+// Guards against restricted requests on a configuration that a cut-off or suspended VM holds on to
+// after it has been replaced.
+TEST_F(RegionBindingPathTest, AVmThatMayHaveMissedAVersionRejectsRestrictedRequests)
+{
+  m_answer = [](const SeenRequest& aRequest) { return Script{ OkResponse(aRequest, "x") }; };
+  StartWith({ "r" });
+  OnRequestThread([this] { m_context->m_mayServeRestricted = [] { return false; }; });
+  const std::string response = Exchange(Request("/a/x", "r1", "Connection: close\r\n"));
+  EXPECT_EQ(Status(response), "HTTP/1.1 503 Service Unavailable");
+  EXPECT_EQ(SeenInOwnRegion(), 0U);
+  EXPECT_EQ(Status(Exchange(Request("/b/x", "r2", "Connection: close\r\n"))), "HTTP/1.1 200 OK");
+}
+
+} // namespace
+} // namespace jaylane::gateway
