gateway: bind a request to the regions of all versions of its time

Cause: the allowed regions were those of the version that was active when the request arrived, kept until its last attempt, up to the route's timeout. Change: policy::RegionBinding takes the intersection of the regions of all versions from the arrival to the attempt. It is brought up to date before each attempt, retry, hedge and second look after a hold, and after connecting. A request that no region may run any more is rejected at once as not run (503), so that its caller's repeat is bound by the newest version alone; one that may have run gets 502 or the failure it had. The balancer takes an empty set of regions for none instead of all. Why it works: whichever of the versions between sending and arrival counts, the region is one that it allows.

--- a/packages/gateway/src/RequestExchange.cpp
+++ b/packages/gateway/src/RequestExchange.cpp
@@ -160,14 +160,58 @@
   }
   m_team = decision.m_team;
   m_request->m_team = m_team ? m_team->m_name : std::string{};
-  m_allowedRegions = policy::AllowedRegions(*m_route, m_team);
-  if (m_allowedRegions.IsNone()) {
+  m_boundRoutes = m_routes;
+  m_regions.Add(policy::AllowedRegions(*m_route, m_team));
+  if (m_regions.IsNone()) {
     Reject("no_region", kMaxTimeout);
     return false;
   }
   return true;
 }
 
+void RequestExchange::BindToActiveConfiguration()
+{
+  auto active = m_context.m_steering.Routes();
+  if (active == m_boundRoutes) {
+    return;
+  }
+  m_boundRoutes = std::move(active);
+  const policy::Route* route = m_boundRoutes->Find(m_request->m_host, m_request->m_target);
+  if (!route) {
+    return; // The versions before, which still bind the request, had a route for it.
+  }
+  const auto& teams = m_boundRoutes->Config().m_teams;
+  const policy::Team* team = nullptr;
+  if (teams && m_team) {
+    const auto found = std::ranges::find(*teams, m_team->m_name, &policy::Team::m_name);
+    team = found == teams->end() ? nullptr : &*found;
+  }
+  m_regions.Add(policy::AllowedRegions(*route, team));
+}
+
+bool RequestExchange::AreRegionsCertain() const
+{
+  return !m_regions.IsRestricted() || m_context.m_mayServeRestricted();
+}
+
+bool RequestExchange::RejectIfForbidden()
+{
+  BindToActiveConfiguration();
+  const bool isCertain = AreRegionsCertain();
+  if (isCertain && !m_regions.IsNone()) {
+    return false;
+  }
+  if (m_failureResponse) {
+    Finish(std::move(*m_failureResponse), "upstream_failure");
+  } else if (m_mayHaveRun) {
+    Respond(502, kOutcomeLost);
+  } else {
+    // Another VM, or the same one as a new request, may serve it by the newest version.
+    Reject(isCertain ? "regions_changed" : "regions_unconfirmed", kOtherVmRetryDelay);
+  }
+  return true;
+}
+
 std::uint32_t RequestExchange::Priority() const
 {
   const std::uint32_t ofRoute = m_route ? m_route->m_priority : 0;
@@ -251,7 +295,7 @@
   // All VMs choose the same upstream for a suspect, so that its copies end few of them.
   query.m_key = m_isSuspect && !m_route->m_sticky ? m_fingerprint.m_low : m_key;
   query.m_hasAffinity = m_route->m_sticky && !m_request->m_affinityKey.empty();
-  query.m_allowedRegions = m_allowedRegions.Get();
+  query.m_allowedRegions = m_regions.Get();
   query.m_triedUpstreams = &m_tried;
   query.m_isBulk = m_route->m_kind == RequestKind::Upload;
   query.m_remaining = Remaining();
@@ -285,14 +329,16 @@
   return m_isDone;
 }
 
-bool RequestExchange::MaySend(const std::string& aUpstream)
+bool RequestExchange::MaySend(const std::string& aUpstream, const std::string& aRegion)
 {
-  return !m_isDone && !m_hooks.m_hasCallerLeft() && m_context.m_steering.MayReceive(aUpstream);
+  BindToActiveConfiguration();
+  return m_regions.Allows(aRegion) && AreRegionsCertain() && !m_isDone &&
+         !m_hooks.m_hasCallerLeft() && m_context.m_steering.MayReceive(aUpstream);
 }
 
 void RequestExchange::TryUpstream()
 {
-  if (CancelIfCallerLeft() || !AdmitAttempt()) {
+  if (CancelIfCallerLeft() || RejectIfForbidden() || !AdmitAttempt()) {
     return;
   }
   const ServiceBalancer::Choice choice = ChooseUpstream(MakeQuery());
@@ -373,7 +419,7 @@
   if (CancelIfCallerLeft()) {
     return;
   }
-  if (!RejectIfUnsafe() && AdmitAttempt()) {
+  if (!RejectIfUnsafe() && !RejectIfForbidden() && AdmitAttempt()) {
     ApplyChoice(ChooseUpstream(MakeQuery()));
   }
 }
@@ -423,9 +469,10 @@
                                    m_context.m_clock,
                                    m_context.m_wire,
                                    m_context.m_bodyBudget,
-                                   [weak = weak_from_this()](const std::string& aUpstream) {
+                                   [weak = weak_from_this(), region = aChoice.m_upstream->m_region](
+                                     const std::string& aUpstream) {
                                      const auto self = weak.lock();
-                                     return self && self->MaySend(aUpstream);
+                                     return self && self->MaySend(aUpstream, region);
                                    } },
     *aChoice.m_upstream,
     m_request,
@@ -460,7 +507,7 @@
     .Add("entry_revision", upstream.m_revision.Number())
     .Add("suspect", m_isSuspect ? 1 : 0)
     .Add("held_ms", m_holdTime);
-  if (const std::set<std::string>* allowed = m_allowedRegions.Get()) {
+  if (const std::set<std::string>* allowed = m_regions.Get()) {
     record.Add("route", m_route->m_name)
       .Add("allowed_regions", fmt::format("{}", fmt::join(*allowed, " ")))
       .Add("active_config", m_context.m_steering.Routes()->Config().m_version);
@@ -470,7 +517,7 @@
 
 void RequestExchange::CountRestrictedAttempt() const
 {
-  if (m_allowedRegions.Get()) {
+  if (m_regions.IsRestricted()) {
     ++m_context.m_metrics.m_restrictedAttempts;
     const bool isActive = m_routes == m_context.m_steering.Routes();
     m_context.m_metrics.m_outdatedRestrictedAttempts += isActive ? 0 : 1;
@@ -524,6 +571,10 @@
                        policy::CrashContainment::Admission::Ordinary) {
     return false;
   }
+  BindToActiveConfiguration();
+  if (m_regions.IsNone() || !AreRegionsCertain()) {
+    return false;
+  }
   ServiceBalancer::Query query = MakeQuery();
   query.m_isHedge = true;
   const ServiceBalancer::Choice choice = ChooseUpstream(query);
--- a/packages/gateway/src/RequestExchange.h
+++ b/packages/gateway/src/RequestExchange.h
@@ -4,7 +4,7 @@
 #include "GatewayContext.h"
 #include "UpstreamAttempt.h"
 #include "jaylane/policy/AccessDecision.h"
-#include "jaylane/policy/AllowedRegions.h"
+#include "jaylane/policy/RegionBinding.h"
 #include "jaylane/policy/RetryDelay.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -61,6 +61,14 @@
   void StopWaitingForQuota();
   /// The request has not run and will not.
   void ReturnCredit();
+  /// Binds the request to the regions of the active configuration as well.
+  void BindToActiveConfiguration();
+  /// Rejects a request that no region may run any more, or only some while the allowed regions are
+  /// not certain.
+  /// @return whether it was rejected.
+  bool RejectIfForbidden();
+  /// @return whether the regions that m_regions allows are certain.
+  bool AreRegionsCertain() const;
   void TryUpstream();
   /// Sends the request to the chosen upstream, or holds or rejects it.
   void ApplyChoice(const policy::ServiceBalancer::Choice& aChoice);
@@ -79,7 +87,7 @@
   /// @return whether it has.
   bool CancelIfCallerLeft();
   /// @return whether an upstream may receive the request now.
-  bool MaySend(const std::string& aUpstream);
+  bool MaySend(const std::string& aUpstream, const std::string& aRegion);
   /// @return the balancer's choice among the upstreams that may receive requests now.
   policy::ServiceBalancer::Choice ChooseUpstream(const policy::ServiceBalancer::Query& aQuery);
   void SendTo(const policy::ServiceBalancer::Choice& aChoice);
@@ -132,7 +140,9 @@
   const policy::Service* m_service = nullptr;
   /// Team of the caller; null if the configuration has no teams or the route is public.
   const policy::Team* m_team = nullptr;
-  policy::AllowedRegions m_allowedRegions;
+  /// Newest configuration that m_regions takes into account.
+  std::shared_ptr<policy::RouteTable> m_boundRoutes;
+  policy::RegionBinding m_regions;
   /// The request while it waits for the quota broker; 0 if it does not.
   std::uint64_t m_quotaWaiter = 0;
   std::optional<policy::QuotaClient::Credit> m_credit;
--- a/packages/policy/src/ServiceBalancer.cpp
+++ b/packages/policy/src/ServiceBalancer.cpp
@@ -182,8 +182,7 @@
                                base::MonotonicTime aNow) const
 {
   const Upstream& upstream = aState.m_candidate.m_upstream;
-  if (aQuery.m_allowedRegions && !aQuery.m_allowedRegions->empty() &&
-      !aQuery.m_allowedRegions->contains(upstream.m_region)) {
+  if (aQuery.m_allowedRegions && !aQuery.m_allowedRegions->contains(upstream.m_region)) {
     return false;
   }
   if (aState.m_inFlight >= aState.m_candidate.m_maxInFlight) {
