gateway: let configurations overtake the requests that wait for the thread

Change: as with removals of upstreams, the versions wait in PendingConfigurations, and each new request applies those that do before it looks for its route.

--- a/packages/gateway/src/Gateway.cpp
+++ b/packages/gateway/src/Gateway.cpp
@@ -8,6 +8,7 @@
 #include "InfoServer.h"
 #include "ListenRetry.h"
 #include "LoopMonitor.h"
+#include "PendingConfigurations.h"
 #include "QuotaGate.h"
 #include "RunLoop.h"
 #include "SocketOptions.h"
@@ -71,7 +72,10 @@
   /// Adds the hooks that tell whether the store answers, and of its eras.
   void AddStoreHooks(ControlPlane::Hooks& aHooks);
   void OnConfiguration(const StoredObject& aObject);
-  void OnConfigurations(const std::vector<StoredObject>& aObjects);
+  /// Applies the configurations that the control thread has learned of.
+  void ApplyConfigurations();
+  /// Applies them, and tells the control plane what follows from them.
+  void OnConfigurations();
   /// A new, changed or removed registration of an upstream.
   struct UpstreamChange
   {
@@ -121,6 +125,7 @@
   GatewayMetrics m_metrics;
   BodyMemoryBudget m_bodyBudget;
   QuotaGate m_quotaGate;
+  PendingConfigurations m_pendingConfigurations;
   GatewayContext m_context;
   CallerServer m_callerServer;
   InfoServer m_metricsServer;
@@ -208,6 +213,7 @@
   m_context.m_isConfigurationConfirmed = [this] {
     return m_controlPlane.IsConfigurationConfirmed();
   };
+  m_context.m_applyConfigurations = [this] { ApplyConfigurations(); };
   m_steering.SetOnProbeDue([this] { asio::post(m_io, [this] { ProbeDueUpstreams(); }); });
 }
 
@@ -316,7 +322,10 @@
     };
   };
   ControlPlane::Hooks hooks;
-  hooks.m_onConfigurations = posted(&Impl::OnConfigurations);
+  hooks.m_onConfigurations = [this](const std::vector<StoredObject>& aObjects) {
+    m_pendingConfigurations.Add(aObjects);
+    asio::post(m_io, [this] { OnConfigurations(); });
+  };
   hooks.m_onUpstreamList = [this](const std::vector<StoredObject>& aObjects) {
     PostUpstreams(aObjects, &Impl::OnUpstreamList);
   };
@@ -435,14 +444,18 @@
   }
 }
 
-void Gateway::Impl::OnConfigurations(const std::vector<StoredObject>& aObjects)
+void Gateway::Impl::ApplyConfigurations()
 {
-  for (const StoredObject& object : aObjects) {
-    if (object.m_deleted) {
-      continue;
+  for (const StoredObject& object : m_pendingConfigurations.TakeAll()) {
+    if (!object.m_deleted) {
+      base::ContainErrors(m_dependencies.m_log, "configuration", [&] { OnConfiguration(object); });
     }
-    base::ContainErrors(m_dependencies.m_log, "configuration", [&] { OnConfiguration(object); });
   }
+}
+
+void Gateway::Impl::OnConfigurations()
+{
+  ApplyConfigurations();
   if (const auto routes = m_steering.Routes()) {
     if (auto quotas = m_quotaGate.SetConfiguration(routes->Config())) {
       m_dependencies.m_log.Write(base::LogRecord("quotas").Add("teams", quotas->size()));
--- a/packages/gateway/src/GatewayContext.h
+++ b/packages/gateway/src/GatewayContext.h
@@ -51,6 +51,9 @@
   std::function<bool()> m_isViewOutdated = [] { return false; };
   /// Returns whether this VM can be sure that its configuration is the newest.
   std::function<bool()> m_isConfigurationConfirmed = [] { return true; };
+  /// Applies configurations that wait for the request thread, so that they overtake the requests
+  /// that wait for it, too.
+  std::function<void()> m_applyConfigurations = [] {};
   /// Returns whether requests that only some regions may run can be sent: not if this VM may have
   /// missed a version that was to be in force by now.
   std::function<bool()> m_mayServeRestricted = [] { return true; };
--- a/packages/gateway/src/RequestExchange.cpp
+++ b/packages/gateway/src/RequestExchange.cpp
@@ -47,6 +47,12 @@
   return fmt::format("Retry-After: {:.3f}\r\n", std::chrono::duration<double>(aDelay).count());
 }
 
+std::shared_ptr<policy::RouteTable> NewestRoutes(GatewayContext& aContext)
+{
+  aContext.m_applyConfigurations();
+  return aContext.m_steering.Routes();
+}
+
 bool IsServerFailure(unsigned aStatus)
 {
   return aStatus >= 500;
@@ -58,7 +64,7 @@
   : m_context(aContext)
   , m_request(std::make_shared<CallerRequest>(std::move(aRequest)))
   , m_hooks(std::move(aHooks))
-  , m_routes(aContext.m_steering.Routes())
+  , m_routes(NewestRoutes(aContext))
   , m_deadlineTimer(aContext.m_io)
   , m_overdueTimer(aContext.m_io)
 {
