gateway: serve restricted requests only on a recent configuration

What callers saw: a VM that has learned of nothing for longer than a change may take went on sending restricted requests by old regions: cut off from the store and its peers, suspended, or with too much work to learn of changes in time. Cause: whether a configuration is recent decided on unknown API keys only. Change: policy::ConfirmedView tells until when a configuration may be acted on where an outdated one does harm: seven eighths of the time for a change after the last proof that it was the newest. Contact to most availability zones counts as well, so that an outage of the store for all VMs rejects nothing (policy::MostZonesHeardAt). The time is compared with the clock before each attempt, so it has passed when a suspended process goes on. Without it, or while a newer version waits for the request thread, restricted requests are rejected at once as not run. Why it works: the regions used were the newest ones less than the time for a change before.

--- a/packages/gateway/src/ControlPlane.cpp
+++ b/packages/gateway/src/ControlPlane.cpp
@@ -357,6 +357,12 @@
       m_configurationView.OnConfirmed(std::min(*leadAnsweredAt, *m_followerHeardAt));
     }
   }
+  const auto zonesHeardAt = m_peerLink.MostZonesHeardAt();
+  // Without the list of members, this VM may know its own zone only.
+  if (zonesHeardAt && m_hasMembers && !m_storeSync.IsConfigurationBehind()) {
+    m_configurationView.OnMostZonesHeard(*zonesHeardAt);
+  }
+  m_configurationUsableUntil = m_configurationView.UsableUntil().value_or(base::MonotonicTime{});
   m_isConfigurationConfirmed =
     m_configurationView.IsConfirmed(m_storeSync.IsConfigurationBehind(), now);
 }
--- a/packages/gateway/src/ControlPlane.h
+++ b/packages/gateway/src/ControlPlane.h
@@ -133,6 +133,10 @@
   ///   that need not be in force yet. May be called on any thread.
   bool IsConfigurationConfirmed() const { return m_isConfigurationConfirmed; }
 
+  /// @return until when this VM may act on its configuration where an outdated one does harm, see
+  ///   policy::ConfirmedView; the start of the clock without evidence. May be called on any thread.
+  base::MonotonicTime ConfigurationUsableUntil() const { return m_configurationUsableUntil; }
+
   /// @return part of all requests that arrives at this VM; 0 until it is known. May be called on
   ///   any thread.
   double DemandShare() const { return m_share; }
@@ -206,6 +210,7 @@
   std::atomic<bool> m_isViewOutdated{ false };
   policy::ConfirmedView m_configurationView;
   std::atomic<bool> m_isConfigurationConfirmed{ false };
+  std::atomic<base::MonotonicTime> m_configurationUsableUntil{ base::MonotonicTime{} };
   policy::DemandShare m_demandShare;
   std::atomic<double> m_share{ 0 };
   std::thread m_thread;
--- a/packages/gateway/src/Gateway.cpp
+++ b/packages/gateway/src/Gateway.cpp
@@ -76,6 +76,8 @@
   void ApplyConfigurations();
   /// Applies them, and tells the control plane what follows from them.
   void OnConfigurations();
+  /// @return whether requests that only some regions may run can be sent.
+  bool MayServeRestricted() const;
   /// A new, changed or removed registration of an upstream.
   struct UpstreamChange
   {
@@ -214,6 +216,7 @@
     return m_controlPlane.IsConfigurationConfirmed();
   };
   m_context.m_applyConfigurations = [this] { ApplyConfigurations(); };
+  m_context.m_mayServeRestricted = [this] { return MayServeRestricted(); };
   m_steering.SetOnProbeDue([this] { asio::post(m_io, [this] { ProbeDueUpstreams(); }); });
 }
 
@@ -453,6 +456,13 @@
   }
 }
 
+bool Gateway::Impl::MayServeRestricted() const
+{
+  // In this order: the control thread adds a configuration before it extends the time.
+  const base::MonotonicTime until = m_controlPlane.ConfigurationUsableUntil();
+  return m_dependencies.m_clock.Monotonic() <= until && m_pendingConfigurations.IsEmpty();
+}
+
 void Gateway::Impl::OnConfigurations()
 {
   ApplyConfigurations();
--- a/packages/gateway/src/PeerLink.cpp
+++ b/packages/gateway/src/PeerLink.cpp
@@ -6,6 +6,7 @@
 #include "jaylane/base/ContainErrors.h"
 #include "jaylane/base/JsonText.h"
 #include "jaylane/gateway/GatewayError.h"
+#include "jaylane/policy/ZoneContact.h"
 
 #include <algorithm>
 #include <array>
@@ -808,6 +809,22 @@
   return vms;
 }
 
+std::optional<base::MonotonicTime> PeerLink::MostZonesHeardAt() const
+{
+  std::map<std::string, std::optional<base::MonotonicTime>> heardAt;
+  for (const auto& [name, peer] : m_peers) {
+    auto& ofZone = heardAt[peer.m_zone];
+    if (peer.m_hasBeenHeard) {
+      ofZone = std::max(ofZone, std::optional{ peer.m_lastHeard });
+    }
+  }
+  heardAt.try_emplace(m_settings.m_zone, m_clock.Monotonic());
+  std::vector<std::optional<base::MonotonicTime>> times;
+  std::ranges::transform(
+    heardAt, std::back_inserter(times), [](const auto& aZone) { return aZone.second; });
+  return policy::MostZonesHeardAt(std::move(times));
+}
+
 void PeerLink::SendToPeer(const std::string& aName, const std::string& aMessage)
 {
   if (const auto peer = m_peers.find(aName); peer != m_peers.end()) {
--- a/packages/gateway/src/PeerLink.h
+++ b/packages/gateway/src/PeerLink.h
@@ -171,6 +171,10 @@
   /// @return number of known VMs of each zone, running or not, this one included.
   std::map<std::string, std::size_t> KnownZoneVms() const;
 
+  /// @return the latest time at or after which VMs of most known zones were heard. A zone without
+  ///   another VM than this one counts as heard.
+  std::optional<base::MonotonicTime> MostZonesHeardAt() const;
+
   /// Sends a datagram to a VM; does nothing if it is not known.
   void SendToPeer(const std::string& aName, const std::string& aMessage);
 
--- a/packages/policy/include/jaylane/policy/ConfirmedView.h
+++ b/packages/policy/include/jaylane/policy/ConfirmedView.h
@@ -13,6 +13,7 @@
 /// VMs or from both, or their connections are open but silent.
 ///
 /// A VM that is cut off from everything hears of nothing newer, so only recent evidence counts.
+/// The same holds for one that was suspended or has too much work to learn of changes in time.
 class ConfirmedView
 {
 public:
@@ -28,6 +29,23 @@
     m_confirmedAt = m_confirmedAt ? std::max(*m_confirmedAt, aSeenAt) : aSeenAt;
   }
 
+  /// VMs of most availability zones were heard at a time, and none of them knows a change that this
+  /// VM lacks. A store that does not answer is out of service for most then, and nothing changes.
+  void OnMostZonesHeard(base::MonotonicTime aHeardAt)
+  {
+    m_zonesHeardAt = m_zonesHeardAt ? std::max(*m_zonesHeardAt, aHeardAt) : aHeardAt;
+  }
+
+  /// @return until when this VM may act on its configuration where an outdated one does harm, such
+  ///   as sending data to a region that has been forbidden. Somewhat earlier than a change must be
+  ///   in force, since what is sent arrives later. Nothing if there is no evidence.
+  std::optional<base::MonotonicTime> UsableUntil() const
+  {
+    const auto evidence = std::max(m_confirmedAt, m_zonesHeardAt);
+    return evidence ? std::optional(*evidence + m_maxAge - m_maxAge / kArrivalDivisor)
+                    : std::nullopt;
+  }
+
   /// @param aIsBehind whether another VM has announced a change that this one lacks.
   bool IsConfirmed(bool aIsBehind, base::MonotonicTime aNow) const
   {
@@ -35,8 +53,12 @@
   }
 
 private:
+  /// Part of the time for a change that is left for a request to arrive at its upstream.
+  static constexpr int kArrivalDivisor = 8;
+
   std::chrono::milliseconds m_maxAge;
   std::optional<base::MonotonicTime> m_confirmedAt;
+  std::optional<base::MonotonicTime> m_zonesHeardAt;
 };
 
 } // namespace jaylane::policy
--- a/packages/policy/tests/ConfirmedViewTest.cpp
+++ b/packages/policy/tests/ConfirmedViewTest.cpp
@@ -21,5 +21,20 @@
   EXPECT_FALSE(view.IsConfirmed(true, start));
 }
 
+// Guards against acting on a configuration that may have been replaced for longer than a change may
+// take, and against rejecting requests because the store is out of service for all VMs.
+TEST(ConfirmedViewTest, AViewIsUsableForLessThanAChangeMayTake)
+{
+  const base::MonotonicTime start{ 100s };
+  ConfirmedView view(2400ms);
+  EXPECT_EQ(view.UsableUntil(), std::nullopt);
+  view.OnConfirmed(start);
+  EXPECT_EQ(view.UsableUntil(), start + 2100ms);
+  view.OnMostZonesHeard(start + 9s);
+  view.OnMostZonesHeard(start + 8s);
+  EXPECT_EQ(view.UsableUntil(), start + 9s + 2100ms);
+  EXPECT_FALSE(view.IsConfirmed(false, start + 9s)) << "needs the store's word";
+}
+
 } // namespace
 } // namespace jaylane::policy
