gateway: compare the chosen upstream with its entry before sending

Callers of a route with allowed regions could have their request sent to another region, and others to an upstream that is not the one named: an upstream is chosen by the balancer's copy of its entry, but the checks right before a request is sent looked up the id alone. If the id was registered again elsewhere or as another incarnation, during the connect for example, the request went to the former address.

policy::UpstreamIdentity names the incarnation and place of an entry. Both checks compare that of the chosen entry with that of the registered one; if they differ, nothing is sent, and the request goes to another upstream or is rejected.

UpstreamPlaceTest.AnEntryThatHasMovedGetsNothingAtItsFormerPlace failed before ("HTTP/1.1 200 OK" from the former address, expected 503 and no request seen) and passes now, as do the Steering, UpstreamAttempt and UpstreamSignals tests.

--- a/packages/gateway/src/RequestExchange.cpp
+++ b/packages/gateway/src/RequestExchange.cpp
@@ -270,7 +270,7 @@
   while (true) {
     const ServiceBalancer::Choice choice = balancer.Choose(aQuery, m_context.m_clock.Monotonic());
     if (choice.m_decision != ServiceBalancer::Decision::Send ||
-        steering.MayReceive(choice.m_upstream->m_id)) {
+        steering.MayReceive(*choice.m_upstream)) {
       return choice;
     }
     balancer.Withdraw(choice.m_upstream->m_id);
@@ -285,7 +285,7 @@
   return m_isDone;
 }
 
-bool RequestExchange::MaySend(const std::string& aUpstream)
+bool RequestExchange::MaySend(const policy::Upstream& aUpstream)
 {
   return !m_isDone && !m_hooks.m_hasCallerLeft() && m_context.m_steering.MayReceive(aUpstream);
 }
@@ -423,7 +423,7 @@
                                    m_context.m_clock,
                                    m_context.m_wire,
                                    m_context.m_bodyBudget,
-                                   [weak = weak_from_this()](const std::string& aUpstream) {
+                                   [weak = weak_from_this()](const policy::Upstream& aUpstream) {
                                      const auto self = weak.lock();
                                      return self && self->MaySend(aUpstream);
                                    } },
--- a/packages/gateway/src/RequestExchange.h
+++ b/packages/gateway/src/RequestExchange.h
@@ -79,7 +79,7 @@
   /// @return whether it has.
   bool CancelIfCallerLeft();
   /// @return whether an upstream may receive the request now.
-  bool MaySend(const std::string& aUpstream);
+  bool MaySend(const policy::Upstream& aUpstream);
   /// @return the balancer's choice among the upstreams that may receive requests now.
   policy::ServiceBalancer::Choice ChooseUpstream(const policy::ServiceBalancer::Query& aQuery);
   void SendTo(const policy::ServiceBalancer::Choice& aChoice);
--- a/packages/gateway/src/Steering.cpp
+++ b/packages/gateway/src/Steering.cpp
@@ -2,6 +2,7 @@
 
 #include "jaylane/policy/ColdStartPacing.h"
 #include "jaylane/policy/RegionChange.h"
+#include "jaylane/policy/UpstreamIdentity.h"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -725,6 +726,15 @@
          !m_pauses.IsPaused(IncarnationOf(record->second.m_upstream), m_clock.Monotonic());
 }
 
+bool Steering::MayReceive(const policy::Upstream& aChosen) const
+{
+  const auto record = m_registry.Records().find(aChosen.m_id);
+  return record != m_registry.Records().end() &&
+         policy::UpstreamIdentity::Of(record->second.m_upstream) ==
+           policy::UpstreamIdentity::Of(aChosen) &&
+         MayReceive(aChosen.m_id);
+}
+
 void Steering::UpdateBalancers()
 {
   m_hasChanges = false;
--- a/packages/gateway/src/Steering.h
+++ b/packages/gateway/src/Steering.h
@@ -124,6 +124,9 @@
   PendingRemovals& Pending() { return m_pendingRemovals; }
   /// @return whether the upstream may receive a request that is sent now.
   bool MayReceive(const std::string& aId) const;
+  /// @param aChosen the entry by which the upstream was chosen.
+  /// @return the same; false if the upstream is registered as another incarnation or elsewhere now.
+  bool MayReceive(const policy::Upstream& aChosen) const;
 
   /// @return the active routes, or null before the first configuration.
   std::shared_ptr<policy::RouteTable> Routes() const { return m_routes; }
--- a/packages/gateway/src/UpstreamAttempt.cpp
+++ b/packages/gateway/src/UpstreamAttempt.cpp
@@ -93,8 +93,7 @@
                                  std::chrono::milliseconds aRemaining,
                                  OnDone aOnDone)
   : m_dependencies(aDependencies)
-  , m_upstreamId(aUpstream.m_id)
-  , m_address(aUpstream.m_address)
+  , m_upstream(aUpstream)
   , m_request(std::move(aRequest))
   , m_remaining(aRemaining)
   , m_onDone(std::move(aOnDone))
@@ -108,7 +107,7 @@
 {
   m_startedAt = m_dependencies.m_clock.Monotonic();
   // On a new connection, the response to a request without an id cannot be another request's.
-  m_connection = m_request->m_id.empty() ? nullptr : m_dependencies.m_pool.Take(m_upstreamId);
+  m_connection = m_request->m_id.empty() ? nullptr : m_dependencies.m_pool.Take(m_upstream.m_id);
   if (m_connection) {
     m_isConnectionKept = true;
     Send();
@@ -149,7 +148,7 @@
 
 void UpstreamAttempt::Connect()
 {
-  const auto endpoint = ParseEndpoint(m_address);
+  const auto endpoint = ParseEndpoint(m_upstream.m_address);
   if (!endpoint) {
     asio::post(m_dependencies.m_io, [self = shared_from_this()] {
       self->Fail(AttemptFailure::Unreachable, "malformed address");
@@ -157,7 +156,7 @@
     return;
   }
   m_connection = std::make_unique<UpstreamConnection>(m_dependencies.m_io);
-  m_connection->m_upstream = m_upstreamId;
+  m_connection->m_upstream = m_upstream.m_id;
   m_connectTimer.expires_after(kConnectTimeout);
   m_connectTimer.async_wait([self = shared_from_this()](const boost::system::error_code& aError) {
     // The timeout and the connection may complete in the same turn of the event loop. Once the
@@ -179,8 +178,8 @@
       }
       self->m_connectTime = self->m_dependencies.m_clock.Monotonic() - self->m_startedAt;
       const auto& mayReceive = self->m_dependencies.m_mayReceive;
-      if (mayReceive && !mayReceive(self->m_upstreamId)) {
-        self->Fail(AttemptFailure::Withdrawn, "upstream or caller left during the connect");
+      if (mayReceive && !mayReceive(self->m_upstream)) {
+        self->Fail(AttemptFailure::Withdrawn, "upstream or caller left, or upstream moved");
         return;
       }
       TcpTimeouts timeouts;
@@ -206,7 +205,7 @@
   head.append(m_request->m_headerLines);
   head.append(wire.m_timeout).append(": ");
   head.append(std::to_string(RemainingTime().count())).append("\r\n");
-  head.append(wire.m_targetUpstream).append(": ").append(m_upstreamId).append("\r\n");
+  head.append(wire.m_targetUpstream).append(": ").append(m_upstream.m_id).append("\r\n");
   if (!m_request->m_team.empty()) {
     head.append(wire.m_team).append(": ").append(m_request->m_team).append("\r\n");
   }
--- a/packages/gateway/src/UpstreamAttempt.h
+++ b/packages/gateway/src/UpstreamAttempt.h
@@ -63,7 +63,7 @@
     BodyMemoryBudget& m_bodyBudget;
     /// Returns whether an upstream may receive a request that is sent now. Asked after connecting,
     /// which takes time; empty: always.
-    std::function<bool(const std::string& aUpstream)> m_mayReceive;
+    std::function<bool(const policy::Upstream& aUpstream)> m_mayReceive;
   };
 
   /// @param aRemaining time until the request's deadline; sent to the upstream as its time limit.
@@ -81,7 +81,7 @@
 
   /// @return whether any byte of the request may have reached the upstream.
   bool WasSent() const { return m_isSendStarted; }
-  const std::string& UpstreamId() const { return m_upstreamId; }
+  const std::string& UpstreamId() const { return m_upstream.m_id; }
   base::MonotonicTime StartedAt() const { return m_startedAt; }
 
 private:
@@ -124,8 +124,7 @@
   void ReturnToPool(const Parser::value_type& aMessage, bool aIsDelimitedByClose);
 
   Dependencies m_dependencies;
-  std::string m_upstreamId;
-  std::string m_address;
+  policy::Upstream m_upstream;
   std::shared_ptr<const CallerRequest> m_request;
   std::chrono::milliseconds m_remaining;
   OnDone m_onDone;
--- a/packages/gateway/tests/UpstreamAttemptTest.cpp
+++ b/packages/gateway/tests/UpstreamAttemptTest.cpp
@@ -66,7 +66,7 @@
                                      base::SystemClock::Get(),
                                      m_wire,
                                      m_bodyBudget,
-                                     [this](const std::string&) { return m_mayReceive; } },
+                                     [this](const policy::Upstream&) { return m_mayReceive; } },
       upstream,
       request,
       2000ms,
