gateway: use a kept connection for the incarnation it was opened to only

Requests could run at a process that their upstream's entry no longer names, in another region for example: kept connections were found by the upstream's id. When the id was registered again elsewhere or as another incarnation, a connection that the former process still held open carried the request there.

A connection keeps the UpstreamIdentity of the entry by which it was opened, and Take() closes those of another one. The kept connections of an upstream are closed, too, when its address turns out to belong to another upstream.

UpstreamPlaceTest.AKeptConnectionIsNotUsedForAnotherIncarnation failed before (the former process saw 2 requests, the new one 0; expected 1 and 1) and passes now, as do the Steering, UpstreamAttempt and UpstreamSignals tests.

--- a/packages/gateway/src/Gateway.cpp
+++ b/packages/gateway/src/Gateway.cpp
@@ -614,6 +614,7 @@
                    m_steering.OnProbeSucceeded(id, health->m_coldRemaining);
                  } else if (health) {
                    m_steering.OnAddressReused(id);
+                   m_pool.Drop(id);
                  }
                });
 }
--- a/packages/gateway/src/UpstreamAttempt.cpp
+++ b/packages/gateway/src/UpstreamAttempt.cpp
@@ -107,7 +107,9 @@
 {
   m_startedAt = m_dependencies.m_clock.Monotonic();
   // On a new connection, the response to a request without an id cannot be another request's.
-  m_connection = m_request->m_id.empty() ? nullptr : m_dependencies.m_pool.Take(m_upstream.m_id);
+  if (!m_request->m_id.empty()) {
+    m_connection = m_dependencies.m_pool.Take(policy::UpstreamIdentity::Of(m_upstream));
+  }
   if (m_connection) {
     m_isConnectionKept = true;
     Send();
@@ -156,7 +158,7 @@
     return;
   }
   m_connection = std::make_unique<UpstreamConnection>(m_dependencies.m_io);
-  m_connection->m_upstream = m_upstream.m_id;
+  m_connection->m_upstream = policy::UpstreamIdentity::Of(m_upstream);
   m_connectTimer.expires_after(kConnectTimeout);
   m_connectTimer.async_wait([self = shared_from_this()](const boost::system::error_code& aError) {
     // The timeout and the connection may complete in the same turn of the event loop. Once the
--- a/packages/gateway/src/UpstreamConnectionPool.cpp
+++ b/packages/gateway/src/UpstreamConnectionPool.cpp
@@ -4,16 +4,17 @@
 
 namespace jaylane::gateway {
 
-std::unique_ptr<UpstreamConnection> UpstreamConnectionPool::Take(const std::string& aUpstream)
+std::unique_ptr<UpstreamConnection> UpstreamConnectionPool::Take(
+  const policy::UpstreamIdentity& aUpstream)
 {
-  const auto idle = m_idle.find(aUpstream);
+  const auto idle = m_idle.find(aUpstream.m_id);
   if (idle == m_idle.end()) {
     return nullptr;
   }
   while (!idle->second.empty()) {
     std::unique_ptr<UpstreamConnection> connection = std::move(idle->second.back());
     idle->second.pop_back();
-    if (IsUsable(*connection)) {
+    if (connection->m_upstream == aUpstream && IsUsable(*connection)) {
       return connection;
     }
   }
@@ -30,7 +31,7 @@
 void UpstreamConnectionPool::Put(std::unique_ptr<UpstreamConnection> aConnection)
 {
   aConnection->m_idleSince = m_clock.Monotonic();
-  m_idle[aConnection->m_upstream].push_back(std::move(aConnection));
+  m_idle[aConnection->m_upstream.m_id].push_back(std::move(aConnection));
 }
 
 void UpstreamConnectionPool::CloseUnusable(const std::unordered_set<std::string>& aUpstreams)
--- a/packages/gateway/src/UpstreamConnectionPool.h
+++ b/packages/gateway/src/UpstreamConnectionPool.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "jaylane/base/Clock.h"
+#include "jaylane/policy/UpstreamIdentity.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -21,14 +22,16 @@
   }
 
   boost::asio::ip::tcp::socket m_socket;
-  std::string m_upstream;
+  /// The upstream as it was registered when the connection was opened.
+  policy::UpstreamIdentity m_upstream;
   base::MonotonicTime m_idleSince;
   /// Idle time after which the upstream closes the connection.
   std::chrono::milliseconds m_idleTimeout{ 0 };
 };
 
 /// Idle connections to upstreams, by upstream id rather than address, because an address may be
-/// reused by another upstream.
+/// reused by another upstream. An upstream that is registered as another incarnation or elsewhere
+/// gets none of the connections that were opened before.
 class UpstreamConnectionPool
 {
 public:
@@ -37,8 +40,9 @@
   {
   }
 
+  /// Closes the idle connections to other incarnations or addresses of the upstream's id.
   /// @return an idle connection that is still open, or null.
-  std::unique_ptr<UpstreamConnection> Take(const std::string& aUpstream);
+  std::unique_ptr<UpstreamConnection> Take(const policy::UpstreamIdentity& aUpstream);
 
   /// Adds a connection whose last response is complete.
   void Put(std::unique_ptr<UpstreamConnection> aConnection);
--- a/packages/gateway/tests/UpstreamPlaceTest.cpp
+++ b/packages/gateway/tests/UpstreamPlaceTest.cpp
@@ -47,5 +47,22 @@
   EXPECT_TRUE(m_other.Seen().empty());
 }
 
+// An upstream starts again under its id at another address, while the process that had the id
+// still keeps its connections. Guards against requests to the former process.
+TEST_F(UpstreamPlaceTest, AKeptConnectionIsNotUsedForAnotherIncarnation)
+{
+  EXPECT_EQ(Get("r1"), "HTTP/1.1 200 OK");
+  OnRequestThread([this] {
+    EXPECT_EQ(m_pool.size(), 1U);
+    policy::Upstream upstream = MakeUpstream("i-0", m_other.Address(), 10);
+    upstream.m_startedAtMs = 5;
+    m_steering->PutUpstream(upstream);
+    m_steering->Tick();
+  });
+  EXPECT_EQ(Get("r2"), "HTTP/1.1 200 OK");
+  EXPECT_EQ(m_near.Seen().size(), 1U);
+  EXPECT_EQ(m_other.Seen().size(), 1U);
+}
+
 } // namespace
 } // namespace jaylane::gateway
