gateway: remember the replaced incarnation of an upstream, not its id

An upstream whose address had been passed on was marked by its id until the id was no longer registered. Callers saw 503 or fewer free slots when a new incarnation registered under the id without a gap: it was never used. In the other direction, a late copy of the former incarnation's entry brought that back into service, so that requests reached the other upstream at its address once more. A late 421 to a request of the former incarnation marked the new one.

Steering keeps the UpstreamIdentity that was found to be replaced, for ten minutes after the end of its registration, as it does for incarnations that leave. A report about an identity that is no longer the registered one is ignored.

UpstreamPlaceTest.AReplacedUpstreamReturnsAsAnotherIncarnationOnly failed before in three places (2 requests seen at the passed-on address, expected 1; 503 from the new incarnation, twice, expected 200) and passes now, as do the CrashedUpstreams, Steering, UpstreamAttempt and UpstreamSignals tests.

--- a/packages/gateway/src/Gateway.cpp
+++ b/packages/gateway/src/Gateway.cpp
@@ -589,13 +589,14 @@
 void Gateway::Impl::Probe(const Steering::ProbeTarget& aTarget)
 {
   if (aTarget.m_healthPath.empty()) {
-    m_steering.OnProbeEnded(aTarget.m_id, false); // The upstream cannot be probed.
+    m_steering.OnProbeEnded(aTarget.m_upstream.m_id, false); // The upstream cannot be probed.
     AnnounceNews();
     return;
   }
-  const auto fetch = std::make_shared<HttpFetch>(m_io, aTarget.m_address);
+  const auto fetch = std::make_shared<HttpFetch>(m_io, aTarget.m_upstream.m_address);
   fetch->Start({ "GET", aTarget.m_healthPath, {}, kProbeTimeout, kMaxProbeBytes },
-               [this, id = aTarget.m_id](const FetchResponse& aResponse) {
+               [this, upstream = aTarget.m_upstream](const FetchResponse& aResponse) {
+                 const std::string& id = upstream.m_id;
                  const auto health =
                    m_dependencies.m_wire.m_parseHealth(aResponse.m_status, aResponse.m_fields);
                  // A failed health check still shows that the upstream is alive; a response of
@@ -613,7 +614,7 @@
                  if (health && health->m_upstream == id) {
                    m_steering.OnProbeSucceeded(id, health->m_coldRemaining);
                  } else if (health) {
-                   m_steering.OnAddressReused(id);
+                   m_steering.OnAddressReused(upstream);
                    m_pool.Drop(id);
                  }
                });
--- a/packages/gateway/src/RequestExchange.cpp
+++ b/packages/gateway/src/RequestExchange.cpp
@@ -611,7 +611,7 @@
     balancer.OnFailure(
       aUpstream, *aResult.m_failure, isOtherUpstream ? std::nullopt : aResult.m_load, now);
     if (isOtherUpstream) {
-      m_context.m_steering.OnAddressReused(aUpstream);
+      m_context.m_steering.OnAddressReused(policy::UpstreamIdentity::Of(attempt->Upstream()));
       m_context.m_pool.Drop(aUpstream);
     }
     if (*aResult.m_failure == AttemptFailure::Unreachable) {
--- a/packages/gateway/src/Steering.cpp
+++ b/packages/gateway/src/Steering.cpp
@@ -2,7 +2,6 @@
 
 #include "jaylane/policy/ColdStartPacing.h"
 #include "jaylane/policy/RegionChange.h"
-#include "jaylane/policy/UpstreamIdentity.h"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -32,9 +31,9 @@
 
 /// Requests per second that all VMs together send whatever the limit is, to notice when it ends.
 constexpr double kMinLimit = 0.1;
-/// Time for which an upstream that said that it leaves is remembered after its registration has
-/// ended. A late copy of the registration may bring it back.
-constexpr std::chrono::minutes kLeavingMemory{ 10 };
+/// Time for which an incarnation that said that it leaves, or whose address was passed on, is
+/// remembered after its registration has ended. A late copy of the registration may bring it back.
+constexpr std::chrono::minutes kEndedMemory{ 10 };
 
 /// Heartbeats after which the store has removed the entry of an upstream that has ended: three that
 /// are missed, and one as a margin.
@@ -374,7 +373,7 @@
     if (!suspected.m_isProbed) {
       suspected.m_isProbed = true;
       const policy::Upstream& upstream = m_registry.Records().at(id).m_upstream;
-      aDue.push_back({ id, upstream.m_address, HealthPath(upstream) });
+      aDue.push_back({ policy::UpstreamIdentity::Of(upstream), HealthPath(upstream) });
     }
   }
 }
@@ -539,16 +538,19 @@
   return shortest;
 }
 
-void Steering::OnAddressReused(const std::string& aId)
+void Steering::OnAddressReused(const policy::UpstreamIdentity& aUpstream)
 {
-  base::LogRecord record("upstream_replaced");
-  record.Add("upstream", aId);
-  if (const auto entry = m_registry.Records().find(aId); entry != m_registry.Records().end()) {
-    record.Add("address", entry->second.m_upstream.m_address)
-      .Add("region", entry->second.m_upstream.m_region);
+  const auto record = m_registry.Records().find(aUpstream.m_id);
+  if (record != m_registry.Records().end() &&
+      policy::UpstreamIdentity::Of(record->second.m_upstream) != aUpstream) {
+    return;
   }
-  m_log.Write(record);
-  m_replaced.insert(aId);
+  m_log.Write(base::LogRecord("upstream_replaced")
+                .Add("upstream", aUpstream.m_id)
+                .Add("address", aUpstream.m_address)
+                .Add("region", aUpstream.m_region));
+  m_replaced.insert_or_assign(aUpstream.m_id,
+                              ReplacedIncarnation{ aUpstream, m_clock.Monotonic() });
   UpdateBalancers();
 }
 
@@ -572,8 +574,8 @@
     }
     state.m_interval = std::min(state.m_interval * 2, kMaxProbeInterval);
     state.m_nextProbe = now + state.m_interval;
-    aDue.push_back(
-      { id, record->second.m_upstream.m_address, HealthPath(record->second.m_upstream) });
+    const policy::Upstream& upstream = record->second.m_upstream;
+    aDue.push_back({ policy::UpstreamIdentity::Of(upstream), HealthPath(upstream) });
   }
 }
 
@@ -700,22 +702,29 @@
   return leaving != m_leaving.end() && leaving->second.m_startedAtMs == aUpstream.m_startedAtMs;
 }
 
-void Steering::ForgetLeaving(base::MonotonicTime aNow)
+bool Steering::IsReplaced(const policy::Upstream& aUpstream) const
 {
-  for (auto& [id, leaving] : m_leaving) {
+  const auto replaced = m_replaced.find(aUpstream.m_id);
+  return replaced != m_replaced.end() &&
+         replaced->second.m_identity == policy::UpstreamIdentity::Of(aUpstream);
+}
+
+void Steering::ForgetEnded(auto& aIncarnations, base::MonotonicTime aNow)
+{
+  for (auto& [id, incarnation] : aIncarnations) {
     if (m_registry.Records().contains(id)) {
-      leaving.m_lastRegistered = aNow;
+      incarnation.m_lastRegistered = aNow;
     }
   }
-  std::erase_if(m_leaving, [aNow](const auto& aEntry) {
-    return aNow - aEntry.second.m_lastRegistered > kLeavingMemory;
+  std::erase_if(aIncarnations, [aNow](const auto& aEntry) {
+    return aNow - aEntry.second.m_lastRegistered > kEndedMemory;
   });
 }
 
 bool Steering::IsInService(const policy::Upstream& aUpstream) const
 {
   return !aUpstream.m_draining && !IsLeaving(aUpstream) &&
-         !m_evacuatedZones.contains(aUpstream.m_zone) && !m_replaced.contains(aUpstream.m_id);
+         !m_evacuatedZones.contains(aUpstream.m_zone) && !IsReplaced(aUpstream);
 }
 
 bool Steering::MayReceive(const std::string& aId) const
@@ -766,13 +775,12 @@
   const auto isGone = [this](const auto& aEntry) {
     return !m_registry.Records().contains(aEntry.first);
   };
-  ForgetLeaving(now);
+  ForgetEnded(m_leaving, now);
+  ForgetEnded(m_replaced, now);
   std::erase_if(m_unreachable, isGone);
   std::erase_if(m_unresponsive, isGone);
-  for (auto* ids : { &m_replaced, &m_unreadableLoads }) {
-    std::erase_if(*ids,
-                  [this](const std::string& aId) { return !m_registry.Records().contains(aId); });
-  }
+  std::erase_if(m_unreadableLoads,
+                [this](const std::string& aId) { return !m_registry.Records().contains(aId); });
   std::erase_if(m_probedColdUntil, [now](const auto& aEntry) { return now >= aEntry.second; });
 }
 
--- a/packages/gateway/src/Steering.h
+++ b/packages/gateway/src/Steering.h
@@ -13,6 +13,7 @@
 #include "jaylane/policy/RoundTripTimes.h"
 #include "jaylane/policy/RouteTable.h"
 #include "jaylane/policy/ServiceBalancer.h"
+#include "jaylane/policy/UpstreamIdentity.h"
 #include "jaylane/policy/UpstreamLimits.h"
 #include "jaylane/policy/UpstreamRegistry.h"
 
@@ -107,13 +108,15 @@
   /// @return shortest time until an upstream of the service that asked for a pause may get requests
   ///         again; 0 if none has asked.
   std::chrono::milliseconds ShortestPause(const std::string& aService) const;
-  /// The address of an upstream is now used by another upstream.
-  void OnAddressReused(const std::string& aId);
+  /// The address of an upstream is now used by another upstream. The incarnation gets no more
+  /// requests there, whatever its registration says.
+  /// @param aUpstream the upstream that was expected there; ignored if its id is registered as
+  ///   another incarnation or elsewhere meanwhile.
+  void OnAddressReused(const policy::UpstreamIdentity& aUpstream);
 
   struct ProbeTarget
   {
-    std::string m_id;
-    std::string m_address;
+    policy::UpstreamIdentity m_upstream;
     std::string m_healthPath;
   };
   /// Schedules the next probe of each upstream that it returns.
@@ -168,7 +171,9 @@
   /// @return whether the upstream may get new requests at all, apart from its connections.
   bool IsInService(const policy::Upstream& aUpstream) const;
   bool IsLeaving(const policy::Upstream& aUpstream) const;
-  void ForgetLeaving(base::MonotonicTime aNow);
+  bool IsReplaced(const policy::Upstream& aUpstream) const;
+  /// Forgets incarnations of m_leaving or m_replaced that were registered long ago.
+  void ForgetEnded(auto& aIncarnations, base::MonotonicTime aNow);
   void Observe(const policy::LimitObservation& aObservation);
   /// Sets this VM's part of an upstream's limit.
   void ApplyLimit(const std::string& aId);
@@ -239,8 +244,13 @@
   std::vector<policy::LoadObservation> m_loads;
   /// Upstreams whose unreadable load report was logged.
   std::set<std::string> m_unreadableLoads;
-  /// Upstreams whose address is now used by another upstream.
-  std::set<std::string> m_replaced;
+  /// An incarnation of an upstream whose address is now used by another upstream.
+  struct ReplacedIncarnation
+  {
+    policy::UpstreamIdentity m_identity;
+    base::MonotonicTime m_lastRegistered;
+  };
+  std::unordered_map<std::string, ReplacedIncarnation> m_replaced;
   std::unordered_map<std::string, policy::ServiceBalancer> m_balancers;
   std::unordered_map<std::string, policy::RetryBudget> m_retries;
   policy::CrashContainment m_containment;
--- a/packages/gateway/src/UpstreamAttempt.h
+++ b/packages/gateway/src/UpstreamAttempt.h
@@ -81,6 +81,7 @@
 
   /// @return whether any byte of the request may have reached the upstream.
   bool WasSent() const { return m_isSendStarted; }
+  const policy::Upstream& Upstream() const { return m_upstream; }
   const std::string& UpstreamId() const { return m_upstream.m_id; }
   base::MonotonicTime StartedAt() const { return m_startedAt; }
 
--- a/packages/gateway/tests/SteeringTest.cpp
+++ b/packages/gateway/tests/SteeringTest.cpp
@@ -126,7 +126,7 @@
       m_steering->OnSuspectedCrash(aUpstream, aRequest);
       const auto due = m_steering->TakeDueProbes();
       ASSERT_EQ(due.size(), 1U);
-      EXPECT_EQ(due[0].m_id, aUpstream);
+      EXPECT_EQ(due[0].m_upstream.m_id, aUpstream);
       EXPECT_TRUE(m_steering->TakeDueProbes().empty()) << "one probe at a time";
       m_steering->OnProbeEnded(aUpstream, aIsAlive);
     };
--- a/packages/gateway/tests/UpstreamPlaceTest.cpp
+++ b/packages/gateway/tests/UpstreamPlaceTest.cpp
@@ -64,5 +64,44 @@
   EXPECT_EQ(m_other.Seen().size(), 1U);
 }
 
+// An upstream's address was passed on, and a new incarnation registers under its id. Guards against
+// an upstream that is never used, and against using the former incarnation again.
+TEST_F(UpstreamPlaceTest, AReplacedUpstreamReturnsAsAnotherIncarnationOnly)
+{
+  ScriptedUpstream replaced([](const SeenRequest& aRequest) {
+    return Script{ "HTTP/1.1 421 Misdirected Request\r\nRequest-Id: " +
+                   aRequest.Header("Request-Id") +
+                   "\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n" };
+  });
+  const auto put = [this](const std::string& aAddress, std::int64_t aStartedAtMs, int aRevision) {
+    OnRequestThread([&] {
+      policy::Upstream upstream = MakeUpstream("i-0", aAddress, aRevision);
+      upstream.m_startedAtMs = aStartedAtMs;
+      m_steering->PutUpstream(upstream);
+      m_steering->Tick();
+    });
+  };
+  put(replaced.Address(), 1, 10);
+  EXPECT_EQ(Get("r1"), "HTTP/1.1 503 Service Unavailable");
+  EXPECT_EQ(replaced.Seen().size(), 1U);
+  put(replaced.Address(), 1, 11);
+  EXPECT_EQ(Get("r2"), "HTTP/1.1 503 Service Unavailable");
+  OnRequestThread([&] {
+    m_steering->RemoveUpstream("i-0", 12);
+    m_steering->Tick();
+  });
+  put(replaced.Address(), 1, 13);
+  EXPECT_EQ(Get("r3"), "HTTP/1.1 503 Service Unavailable") << "a late copy of its entry";
+  EXPECT_EQ(replaced.Seen().size(), 1U);
+  put(m_other.Address(), 2, 14);
+  EXPECT_EQ(Get("r4"), "HTTP/1.1 200 OK");
+  OnRequestThread([&] {
+    const policy::Upstream former = MakeUpstream("i-0", replaced.Address(), 13);
+    m_steering->OnAddressReused(policy::UpstreamIdentity::Of(former));
+    m_steering->Tick();
+  });
+  EXPECT_EQ(Get("r5"), "HTTP/1.1 200 OK") << "a late response to a request of the former one";
+}
+
 } // namespace
 } // namespace jaylane::gateway
