--- a/packages/gateway/src/RequestExchange.cpp
+++ b/packages/gateway/src/RequestExchange.cpp
@@ -320,7 +320,7 @@
   while (true) {
     const ServiceBalancer::Choice choice = balancer.Choose(aQuery, m_context.m_clock.Monotonic());
     if (choice.m_decision != ServiceBalancer::Decision::Send ||
-        steering.MayReceive(choice.m_upstream->m_id)) {
+        steering.MayReceive(*choice.m_upstream)) {
       return choice;
     }
     balancer.Withdraw(choice.m_upstream->m_id);
@@ -335,10 +335,10 @@
   return m_isDone;
 }
 
-bool RequestExchange::MaySend(const std::string& aUpstream, const std::string& aRegion)
+bool RequestExchange::MaySend(const policy::Upstream& aUpstream)
 {
   BindToActiveConfiguration();
-  return m_regions.Allows(aRegion) && AreRegionsCertain() && !m_isDone &&
+  return m_regions.Allows(aUpstream.m_region) && AreRegionsCertain() && !m_isDone &&
          !m_hooks.m_hasCallerLeft() && m_context.m_steering.MayReceive(aUpstream);
 }
 
@@ -475,10 +475,9 @@
                                    m_context.m_clock,
                                    m_context.m_wire,
                                    m_context.m_bodyBudget,
-                                   [weak = weak_from_this(), region = aChoice.m_upstream->m_region](
-                                     const std::string& aUpstream) {
+                                   [weak = weak_from_this()](const policy::Upstream& aUpstream) {
                                      const auto self = weak.lock();
-                                     return self && self->MaySend(aUpstream, region);
+                                     return self && self->MaySend(aUpstream);
                                    } },
     *aChoice.m_upstream,
     m_request,
@@ -668,7 +667,8 @@
     balancer.OnFailure(
       aUpstream, *aResult.m_failure, isOtherUpstream ? std::nullopt : aResult.m_load, now);
     if (isOtherUpstream) {
-      m_context.m_steering.OnAddressReused(aUpstream);
+      m_context.m_steering.OnAddressReused(policy::UpstreamIdentity::Of(attempt->Upstream()));
+      m_context.m_pool.Drop(aUpstream);
     }
     if (*aResult.m_failure == AttemptFailure::Unreachable) {
       ++m_connectFailures;
--- /dev/null
+++ b/packages/gateway/tests/UpstreamPlaceTest.cpp
@@ -0,0 +1,107 @@
+#include "GatewayFixture.h"
+
+namespace jaylane::gateway {
+namespace {
+
+/// Requests on a route that only region "r" may run. The entries of upstreams change.
+class UpstreamPlaceTest : public GatewayFixture
+{
+protected:
+  void SetUp() override
+  {
+    Start({ m_near.Address() });
+    OnRequestThread([this] {
+      policy::Configuration configuration = m_steering->Routes()->Config();
+      configuration.m_version = 2;
+      configuration.m_services["s"].m_healthPath = "/health";
+      for (policy::Route& route : configuration.m_routes) {
+        route.m_allowedRegions = { "r" };
+      }
+      ASSERT_TRUE(m_steering->ApplyConfiguration(std::move(configuration)));
+    });
+  }
+
+  static Script Respond(const SeenRequest& aRequest) { return { OkResponse(aRequest, "x") }; }
+
+  static policy::Upstream FarUpstream(const std::string& aId, const std::string& aAddress)
+  {
+    policy::Upstream upstream = MakeUpstream(aId, aAddress, 10);
+    upstream.m_zone = "far-zone";
+    upstream.m_region = "far";
+    return upstream;
+  }
+
+  std::string Get(const std::string& aId) { return Status(Exchange(Request("/a/x", aId))); }
+
+  ScriptedUpstream m_near{ Respond };
+  ScriptedUpstream m_other{ Respond };
+};
+
+// An entry comes again with another region and address, and the balancers are not updated yet.
+// Guards against a restricted request to where the upstream was.
+TEST_F(UpstreamPlaceTest, AnEntryThatHasMovedGetsNothingAtItsFormerPlace)
+{
+  OnRequestThread([this] { m_steering->PutUpstream(FarUpstream("i-0", m_other.Address())); });
+  EXPECT_EQ(Get("r1"), "HTTP/1.1 503 Service Unavailable");
+  EXPECT_TRUE(m_near.Seen().empty());
+  EXPECT_TRUE(m_other.Seen().empty());
+}
+
+// An upstream starts again under its id at another address, while the process that had the id
+// still keeps its connections. Guards against requests to the former process.
+TEST_F(UpstreamPlaceTest, AKeptConnectionIsNotUsedForAnotherIncarnation)
+{
+  EXPECT_EQ(Get("r1"), "HTTP/1.1 200 OK");
+  OnRequestThread([this] {
+    EXPECT_EQ(m_pool.size(), 1U);
+    policy::Upstream upstream = MakeUpstream("i-0", m_other.Address(), 10);
+    upstream.m_startedAtMs = 5;
+    m_steering->PutUpstream(upstream);
+    m_steering->Tick();
+  });
+  EXPECT_EQ(Get("r2"), "HTTP/1.1 200 OK");
+  EXPECT_EQ(m_near.Seen().size(), 1U);
+  EXPECT_EQ(m_other.Seen().size(), 1U);
+}
+
+// An upstream's address was passed on, and a new incarnation registers under its id. Guards against
+// an upstream that is never used, and against using the former incarnation again.
+TEST_F(UpstreamPlaceTest, AReplacedUpstreamReturnsAsAnotherIncarnationOnly)
+{
+  ScriptedUpstream replaced([](const SeenRequest& aRequest) {
+    return Script{ "HTTP/1.1 421 Misdirected Request\r\nRequest-Id: " +
+                   aRequest.Header("Request-Id") +
+                   "\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n" };
+  });
+  const auto put = [this](const std::string& aAddress, std::int64_t aStartedAtMs, int aRevision) {
+    OnRequestThread([&] {
+      policy::Upstream upstream = MakeUpstream("i-0", aAddress, aRevision);
+      upstream.m_startedAtMs = aStartedAtMs;
+      m_steering->PutUpstream(upstream);
+      m_steering->Tick();
+    });
+  };
+  put(replaced.Address(), 1, 10);
+  EXPECT_EQ(Get("r1"), "HTTP/1.1 503 Service Unavailable");
+  EXPECT_EQ(replaced.Seen().size(), 1U);
+  put(replaced.Address(), 1, 11);
+  EXPECT_EQ(Get("r2"), "HTTP/1.1 503 Service Unavailable");
+  OnRequestThread([&] {
+    m_steering->RemoveUpstream("i-0", 12);
+    m_steering->Tick();
+  });
+  put(replaced.Address(), 1, 13);
+  EXPECT_EQ(Get("r3"), "HTTP/1.1 503 Service Unavailable") << "a late copy of its entry";
+  EXPECT_EQ(replaced.Seen().size(), 1U);
+  put(m_other.Address(), 2, 14);
+  EXPECT_EQ(Get("r4"), "HTTP/1.1 200 OK");
+  OnRequestThread([&] {
+    const policy::Upstream former = MakeUpstream("i-0", replaced.Address(), 13);
+    m_steering->OnAddressReused(policy::UpstreamIdentity::Of(former));
+    m_steering->Tick();
+  });
+  EXPECT_EQ(Get("r5"), "HTTP/1.1 200 OK") << "a late response to a request of the former one";
+}
+
+} // namespace
+} // namespace jaylane::gateway
