gateway: date what a VM reads after standing still by when it stopped

Cause: evidence that a configuration is recent was dated when it was read, not when it can have arrived. Change: policy::StallHistory notes the gaps between ticks of the control thread that are longer than two intervals; what is read in or right after one counts as of its beginning. A configuration is usable for three quarters of the time for a change after the evidence instead of seven eighths, since evidence passes through other VMs.

--- a/packages/gateway/src/ControlPlane.cpp
+++ b/packages/gateway/src/ControlPlane.cpp
@@ -93,6 +93,7 @@
   , m_tickTimer(m_io)
   , m_lookupLifetime(m_settings.m_lookupLifetime)
   , m_configurationView(m_settings.m_configurationTime)
+  , m_stalls(kTickInterval * 2, m_settings.m_configurationTime)
 {
 }
 
@@ -344,23 +345,25 @@
 void ControlPlane::UpdateConfigurationView()
 {
   const base::MonotonicTime now = m_clock.Monotonic();
+  m_stalls.OnTick(now);
   if (const auto answeredAt = m_storeSync.ConfigurationAnsweredAt()) {
-    m_configurationView.OnConfirmed(*answeredAt);
+    m_configurationView.OnConfirmed(m_stalls.ArrivedAt(*answeredAt));
   }
   // A pending watch may be silent, here or at the VM that this one relies on. Those of the lead
   // watcher are short, and it tells the others when they are not answered.
   if (const auto leadAnsweredAt = m_leadWatcher.OtherRoseAt(now)) {
     if (m_isFollowing && m_storeSync.IsAnswered()) {
-      m_configurationView.OnConfirmed(*leadAnsweredAt);
+      m_configurationView.OnConfirmed(m_stalls.ArrivedAt(*leadAnsweredAt));
     } else if (m_followerHeardAt &&
                m_storeSync.HasSeenConfiguration(m_followerRevisions.m_configuration)) {
-      m_configurationView.OnConfirmed(std::min(*leadAnsweredAt, *m_followerHeardAt));
+      m_configurationView.OnConfirmed(
+        m_stalls.ArrivedAt(std::min(*leadAnsweredAt, *m_followerHeardAt)));
     }
   }
   const auto zonesHeardAt = m_peerLink.MostZonesHeardAt();
   // Without the list of members, this VM may know its own zone only.
   if (zonesHeardAt && m_hasMembers && !m_storeSync.IsConfigurationBehind()) {
-    m_configurationView.OnMostZonesHeard(*zonesHeardAt);
+    m_configurationView.OnMostZonesHeard(m_stalls.ArrivedAt(*zonesHeardAt));
   }
   m_configurationUsableUntil = m_configurationView.UsableUntil().value_or(base::MonotonicTime{});
   m_isConfigurationConfirmed =
--- a/packages/gateway/src/ControlPlane.h
+++ b/packages/gateway/src/ControlPlane.h
@@ -11,6 +11,7 @@
 #include "jaylane/policy/ConfirmedView.h"
 #include "jaylane/policy/LeadWatcher.h"
 #include "jaylane/policy/LoadObservations.h"
+#include "jaylane/policy/StallHistory.h"
 #include "jaylane/policy/StoreFollowing.h"
 
 #include <atomic>
@@ -209,6 +210,7 @@
   bool m_isFollowing = false;
   std::atomic<bool> m_isViewOutdated{ false };
   policy::ConfirmedView m_configurationView;
+  policy::StallHistory m_stalls;
   std::atomic<bool> m_isConfigurationConfirmed{ false };
   std::atomic<base::MonotonicTime> m_configurationUsableUntil{ base::MonotonicTime{} };
   policy::DemandShare m_demandShare;
--- a/packages/policy/include/jaylane/policy/ConfirmedView.h
+++ b/packages/policy/include/jaylane/policy/ConfirmedView.h
@@ -37,12 +37,12 @@
   }
 
   /// @return until when this VM may act on its configuration where an outdated one does harm, such
-  ///   as sending data to a region that has been forbidden. Somewhat earlier than a change must be
-  ///   in force, since what is sent arrives later. Nothing if there is no evidence.
+  ///   as sending data to a region that has been forbidden. Earlier than a change must be in force,
+  ///   since evidence and requests take time to arrive. Nothing if there is no evidence.
   std::optional<base::MonotonicTime> UsableUntil() const
   {
     const auto evidence = std::max(m_confirmedAt, m_zonesHeardAt);
-    return evidence ? std::optional(*evidence + m_maxAge - m_maxAge / kArrivalDivisor)
+    return evidence ? std::optional(*evidence + m_maxAge - m_maxAge / kTransferDivisor)
                     : std::nullopt;
   }
 
@@ -53,8 +53,9 @@
   }
 
 private:
-  /// Part of the time for a change that is left for a request to arrive at its upstream.
-  static constexpr int kArrivalDivisor = 8;
+  /// Part of the time for a change that is left for evidence that has passed through other VMs, and
+  /// for a request to arrive at its upstream.
+  static constexpr int kTransferDivisor = 4;
 
   std::chrono::milliseconds m_maxAge;
   std::optional<base::MonotonicTime> m_confirmedAt;
--- a/packages/policy/tests/ConfirmedViewTest.cpp
+++ b/packages/policy/tests/ConfirmedViewTest.cpp
@@ -29,10 +29,10 @@
   ConfirmedView view(2400ms);
   EXPECT_EQ(view.UsableUntil(), std::nullopt);
   view.OnConfirmed(start);
-  EXPECT_EQ(view.UsableUntil(), start + 2100ms);
+  EXPECT_EQ(view.UsableUntil(), start + 1800ms);
   view.OnMostZonesHeard(start + 9s);
   view.OnMostZonesHeard(start + 8s);
-  EXPECT_EQ(view.UsableUntil(), start + 9s + 2100ms);
+  EXPECT_EQ(view.UsableUntil(), start + 9s + 1800ms);
   EXPECT_FALSE(view.IsConfirmed(false, start + 9s)) << "needs the store's word";
 }
 
