gateway: send nothing to an upstream whose address a later entry states

The entry of an upstream that crashed stays for three heartbeats. When an upstream of another service, zone or region registered with its address meanwhile, requests that were meant for the former one reached the new one, also those whose route or team allows other regions only; the VM took the former one out of use only after a 421.

policy::SupersededUpstreams() tells which entries are superseded: an upstream that has ended writes nothing, so the entry written last holds the address. Steering takes the others out of use as soon as it learns of the later entry. An entry of a service that no configuration names supersedes nothing. An entry with a wrong address takes a live upstream out of use until that one writes again or the wrong entry ends; if both stay for four heartbeats, a health probe tells which one runs there. It is not sent earlier, since it would mostly reach an upstream that has just started.

UpstreamPlaceTest.AnAddressThatWasPassedOnGetsNothingForItsFormerUpstream and AProbeConfirmsAnUpstreamWhoseAddressAnotherEntryStates failed before ("HTTP/1.1 200 OK" and 2 requests seen at the address, expected 503 and 1; no probe due, expected 1) and pass now, as do the CrashedUpstreams, Steering and UpstreamSignals tests.

--- a/packages/gateway/src/Gateway.cpp
+++ b/packages/gateway/src/Gateway.cpp
@@ -612,6 +612,7 @@
                    m_steering.OnResponsive(id);
                  }
                  if (health && health->m_upstream == id) {
+                   m_steering.OnIdentityConfirmed(upstream);
                    m_steering.OnProbeSucceeded(id, health->m_coldRemaining);
                  } else if (health) {
                    m_steering.OnAddressReused(upstream);
--- a/packages/gateway/src/Steering.cpp
+++ b/packages/gateway/src/Steering.cpp
@@ -1,5 +1,6 @@
 #include "Steering.h"
 
+#include "jaylane/policy/AddressClaims.h"
 #include "jaylane/policy/ColdStartPacing.h"
 #include "jaylane/policy/RegionChange.h"
 
@@ -554,11 +555,26 @@
   UpdateBalancers();
 }
 
+void Steering::OnIdentityConfirmed(const policy::UpstreamIdentity& aUpstream)
+{
+  const auto record = m_registry.Records().find(aUpstream.m_id);
+  if (!m_superseded.contains(aUpstream.m_id) || record == m_registry.Records().end() ||
+      policy::UpstreamIdentity::Of(record->second.m_upstream) != aUpstream) {
+    return;
+  }
+  for (const auto& [id, other] : m_registry.Records()) {
+    if (id != aUpstream.m_id && other.m_upstream.m_address == aUpstream.m_address) {
+      OnAddressReused(policy::UpstreamIdentity::Of(other.m_upstream));
+    }
+  }
+}
+
 std::vector<Steering::ProbeTarget> Steering::TakeDueProbes()
 {
   std::vector<ProbeTarget> due;
   AddDueProbes(m_unreachable, due);
   AddDueProbes(m_unresponsive, due);
+  AddDueProbes(m_superseded, due);
   AddCrashProbes(due);
   return due;
 }
@@ -721,10 +737,45 @@
   });
 }
 
+void Steering::UpdateSuperseded(base::MonotonicTime aNow)
+{
+  std::vector<const policy::Upstream*> entries;
+  for (const auto& [id, record] : m_registry.Records()) {
+    // An entry of a service that no configuration names may come from another writer.
+    const std::string& service = record.m_upstream.m_service;
+    if (m_routes && m_routes->Config().m_services.contains(service) &&
+        !IsReplaced(record.m_upstream)) {
+      entries.push_back(&record.m_upstream);
+    }
+  }
+  const std::map<std::string, std::string> superseded = policy::SupersededUpstreams(entries);
+  std::erase_if(m_superseded,
+                [&](const auto& aEntry) { return !superseded.contains(aEntry.first); });
+  for (const auto& [id, holder] : superseded) {
+    const auto [entry, isNew] = m_superseded.try_emplace(id);
+    if (!isNew) {
+      continue;
+    }
+    // The entry of an upstream that has ended is removed by then. An earlier probe would only reach
+    // the holder of its address, which may be cold.
+    entry->second = { aNow + m_settings.m_heartbeat * kEntryLifetimeHeartbeats,
+                      kInitialProbeInterval,
+                      {} };
+    const policy::Upstream& upstream = m_registry.Records().at(id).m_upstream;
+    m_log.Write(base::LogRecord("upstream_superseded")
+                  .Add("upstream", id)
+                  .Add("address", upstream.m_address)
+                  .Add("region", upstream.m_region)
+                  .Add("holder", holder)
+                  .Add("holder_region", RegionOf(holder)));
+  }
+}
+
 bool Steering::IsInService(const policy::Upstream& aUpstream) const
 {
   return !aUpstream.m_draining && !IsLeaving(aUpstream) &&
-         !m_evacuatedZones.contains(aUpstream.m_zone) && !IsReplaced(aUpstream);
+         !m_evacuatedZones.contains(aUpstream.m_zone) && !IsReplaced(aUpstream) &&
+         !m_superseded.contains(aUpstream.m_id);
 }
 
 bool Steering::MayReceive(const std::string& aId) const
@@ -748,6 +799,7 @@
 {
   m_hasChanges = false;
   const auto now = m_clock.Monotonic();
+  UpdateSuperseded(now);
   std::unordered_map<std::string, std::vector<policy::ServiceBalancer::Candidate>> candidates;
   for (const auto& [id, record] : m_registry.Records()) {
     const policy::Upstream& upstream = record.m_upstream;
--- a/packages/gateway/src/Steering.h
+++ b/packages/gateway/src/Steering.h
@@ -114,13 +114,18 @@
   ///   another incarnation or elsewhere meanwhile.
   void OnAddressReused(const policy::UpstreamIdentity& aUpstream);
 
+  /// An upstream has named its id at its address, so that other entries which state this address
+  /// are wrong or outdated.
+  void OnIdentityConfirmed(const policy::UpstreamIdentity& aUpstream);
+
   struct ProbeTarget
   {
     policy::UpstreamIdentity m_upstream;
     std::string m_healthPath;
   };
   /// Schedules the next probe of each upstream that it returns.
-  /// @return unreachable, unresponsive and possibly crashed upstreams whose probe is due.
+  /// @return unreachable, unresponsive, possibly crashed and superseded upstreams whose probe is
+  ///   due.
   std::vector<ProbeTarget> TakeDueProbes();
 
   /// Removals that were posted to the request thread and wait there. May be used on any thread.
@@ -172,6 +177,7 @@
   bool IsInService(const policy::Upstream& aUpstream) const;
   bool IsLeaving(const policy::Upstream& aUpstream) const;
   bool IsReplaced(const policy::Upstream& aUpstream) const;
+  void UpdateSuperseded(base::MonotonicTime aNow);
   /// Forgets incarnations of m_leaving or m_replaced that were registered long ago.
   void ForgetEnded(auto& aIncarnations, base::MonotonicTime aNow);
   void Observe(const policy::LimitObservation& aObservation);
@@ -218,6 +224,8 @@
   /// Unlike unreachable upstreams, these stay candidates of their balancer, so that it keeps their
   /// statistics.
   ProbedUpstreams m_unresponsive;
+  /// Upstreams whose address a later entry states, see policy::SupersededUpstreams().
+  ProbedUpstreams m_superseded;
   /// Requests whose connections to an upstream ended before the response was complete, kept until a
   /// probe tells whether it crashed.
   struct SuspectedCrash
--- a/packages/gateway/tests/UpstreamPlaceTest.cpp
+++ b/packages/gateway/tests/UpstreamPlaceTest.cpp
@@ -103,5 +103,53 @@
   EXPECT_EQ(Get("r5"), "HTTP/1.1 200 OK") << "a late response to a request of the former one";
 }
 
+// An upstream crashes, and one in another region registers with its address before the entry of the
+// former has ended. Guards against restricted requests that reach the other region.
+TEST_F(UpstreamPlaceTest, AnAddressThatWasPassedOnGetsNothingForItsFormerUpstream)
+{
+  policy::Upstream unusable = FarUpstream("unusable", m_near.Address());
+  unusable.m_service = "no such service";
+  const auto put = [this](const policy::Upstream& aUpstream) {
+    OnRequestThread([&] {
+      m_steering->PutUpstream(aUpstream);
+      m_steering->Tick();
+    });
+  };
+  put(unusable);
+  EXPECT_EQ(Get("r1"), "HTTP/1.1 200 OK") << "another entry must not take an upstream out of use";
+  put(FarUpstream("i-1", m_near.Address()));
+  EXPECT_EQ(Get("r2"), "HTTP/1.1 503 Service Unavailable");
+  EXPECT_EQ(m_near.Seen().size(), 1U);
+  OnRequestThread([this] {
+    EXPECT_TRUE(m_steering->MayReceive("i-1"));
+    EXPECT_TRUE(m_steering->TakeDueProbes().empty()) << "it may be cold, and the former entry ends";
+    m_steering->RemoveUpstream("i-1", 11);
+    m_steering->Tick();
+  });
+  EXPECT_EQ(Get("r3"), "HTTP/1.1 200 OK") << "the other entry was wrong";
+}
+
+// Another entry states the address of a live upstream and stays. Guards against an upstream that
+// never gets requests again.
+TEST_F(UpstreamPlaceTest, AProbeConfirmsAnUpstreamWhoseAddressAnotherEntryStates)
+{
+  m_settings.m_heartbeat = std::chrono::milliseconds{ 50 };
+  OnRequestThread([this] {
+    m_steering->PutUpstream(FarUpstream("wrong", m_near.Address()));
+    m_steering->Tick();
+  });
+  std::this_thread::sleep_for(std::chrono::milliseconds{ 250 });
+  OnRequestThread([this] {
+    const auto due = m_steering->TakeDueProbes();
+    ASSERT_EQ(due.size(), 1U);
+    EXPECT_EQ(due[0].m_upstream.m_id, "i-0");
+    EXPECT_EQ(due[0].m_healthPath, "/health");
+    EXPECT_FALSE(m_steering->MayReceive("i-0"));
+    m_steering->OnIdentityConfirmed(due[0].m_upstream);
+    EXPECT_FALSE(m_steering->MayReceive("wrong"));
+  });
+  EXPECT_EQ(Get("r1"), "HTTP/1.1 200 OK");
+}
+
 } // namespace
 } // namespace jaylane::gateway
