gateway: log and count lookups by where the returned VMs are

The record lookup_outside_zone (one a second at most) has the caller's place, the zones returned, and the VMs of the caller's region by what is known of them. jaylane_lookups_total counts all lookups by scope. The choice moves unchanged from PeerLink into policy::LookupScope, whose decision the record and the counter report.

--- a/packages/gateway/src/ControlPlane.cpp
+++ b/packages/gateway/src/ControlPlane.cpp
@@ -243,6 +243,7 @@
     m_hooks.m_onLoads(std::move(aLoads));
   };
   hooks.m_onLoadsTold = [this](std::size_t aCount) { m_hooks.m_onLoadsTold(aCount); };
+  hooks.m_onLookup = [this](policy::LookupScope::Kind aKind) { m_hooks.m_onLookup(aKind); };
   hooks.m_zoneDemand = [this] { return m_demandShare.NextToTell(m_clock.Monotonic()); };
   hooks.m_onZoneDemand = [this](const policy::ZoneDemand& aDemand) {
     if (aDemand.m_zone != m_settings.m_zone) {
--- a/packages/gateway/src/ControlPlane.h
+++ b/packages/gateway/src/ControlPlane.h
@@ -48,6 +48,8 @@
     std::function<void(std::optional<std::vector<policy::LoadObservation>>)> m_onLoads;
     /// Loads of upstreams were sent to other VMs.
     std::function<void(std::size_t aCount)> m_onLoadsTold;
+    /// A lookup was answered with VMs of this kind.
+    std::function<void(policy::LookupScope::Kind)> m_onLookup = [](policy::LookupScope::Kind) {};
     /// The store no longer answers this VM, or does again.
     std::function<void(bool aIsReachable)> m_onStoreReachable;
     /// The store has returned from an older copy. Called before objects of the new era are
--- a/packages/gateway/src/Gateway.cpp
+++ b/packages/gateway/src/Gateway.cpp
@@ -353,6 +353,9 @@
   hooks.m_onLoads = [this](std::optional<std::vector<policy::LoadObservation>> aLoads) {
     asio::post(m_io, [this, loads = std::move(aLoads)] { OnPeerLoads(loads); });
   };
+  hooks.m_onLookup = [this](policy::LookupScope::Kind aKind) {
+    asio::post(m_io, [this, aKind] { ++m_metrics.m_lookups[aKind]; });
+  };
   hooks.m_onLoadsTold = [this](std::size_t aCount) {
     asio::post(m_io, [this, aCount] { m_metrics.m_observationsTold += aCount; });
   };
--- a/packages/gateway/src/GatewayMetrics.cpp
+++ b/packages/gateway/src/GatewayMetrics.cpp
@@ -39,6 +39,9 @@
     fmt::format_to(
       out, "jaylane_limited_by_urgency_total{{priority=\"{}\"}} {}\n", priority, count);
   }
+  for (const auto& [kind, count] : m_lookups) {
+    fmt::format_to(out, "jaylane_lookups_total{{scope=\"{}\"}} {}\n", policy::ToText(kind), count);
+  }
   fmt::format_to(out, "jaylane_caller_connections {}\n", m_callerConnections);
   fmt::format_to(out, "jaylane_body_bytes {}\n", m_bodyBytes);
   fmt::format_to(out, "jaylane_body_evictions_total {}\n", m_bodyEvictions);
--- a/packages/gateway/src/GatewayMetrics.h
+++ b/packages/gateway/src/GatewayMetrics.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "jaylane/base/LatencyHistogram.h"
+#include "jaylane/policy/LookupScope.h"
 
 #include <cstdint>
 #include <map>
@@ -28,6 +29,8 @@
   std::uint64_t m_held = 0;
   /// Requests that were not sent at once because more urgent ones need the upstreams, by priority.
   std::map<std::uint32_t, std::uint64_t> m_limitedByUrgency;
+  /// Lookups by where the VMs are that they returned.
+  std::map<policy::LookupScope::Kind, std::uint64_t> m_lookups;
   std::uint64_t m_callerConnections = 0;
   /// Bytes of requests and responses that are held, and bodies that made room for others.
   std::uint64_t m_bodyBytes = 0;
--- a/packages/gateway/src/PeerLink.cpp
+++ b/packages/gateway/src/PeerLink.cpp
@@ -228,6 +228,8 @@
   , m_timer(aIo)
   , m_random(std::random_device{}())
   , m_nextZonePeer(m_random())
+  , m_lookupScope(aSettings.m_zone)
+  , m_lookupLog(aClock, aLog)
 {
 }
 
@@ -705,72 +707,64 @@
   return names;
 }
 
-std::vector<PeerLink::Entry> PeerLink::RunningVms() const
+std::vector<policy::LookupScope::Vm> PeerLink::KnownVms() const
 {
-  std::vector<Entry> vms;
-  if (!m_leaving) {
-    vms.push_back({ m_settings.m_name,
-                    m_settings.m_zone,
-                    m_settings.m_region,
-                    m_settings.m_callerAddress,
-                    m_isReady,
-                    m_settings.m_cores,
-                    m_requestsPerSecond });
-  }
+  const base::MonotonicTime now = m_clock.Monotonic();
+  std::vector<policy::LookupScope::Vm> vms{ { m_settings.m_name,
+                                              m_settings.m_zone,
+                                              m_settings.m_region,
+                                              m_isReady,
+                                              m_leaving,
+                                              std::chrono::nanoseconds{ 0 },
+                                              kPeerTimeout } };
   for (const auto& [name, peer] : m_peers) {
-    if (IsRunning(peer)) {
-      vms.push_back({ name,
-                      peer.m_zone,
-                      peer.m_region,
-                      peer.m_callerAddress,
-                      peer.m_isReady,
-                      peer.m_cores,
-                      peer.m_requestsPerSecond });
-    }
+    vms.push_back({ name,
+                    peer.m_zone,
+                    peer.m_region,
+                    peer.m_isReady,
+                    peer.m_leaving,
+                    peer.m_hasBeenHeard ? std::optional{ now - peer.m_lastHeard } : std::nullopt,
+                    TimeoutOf(peer) });
   }
   return vms;
 }
 
-std::vector<std::string> PeerLink::SelectedAddresses(const std::vector<Entry>& aZoneVms)
+PeerLink::Entry PeerLink::EntryOf(const std::string& aName) const
 {
-  std::vector<policy::EntrySelection::Vm> candidates;
-  std::map<std::string, std::string> addresses;
-  for (const Entry& vm : aZoneVms) {
-    candidates.push_back({ vm.m_name, vm.m_cores, vm.m_requestsPerSecond });
-    addresses[vm.m_name] = vm.m_callerAddress;
+  if (aName == m_settings.m_name) {
+    return { m_settings.m_callerAddress, m_settings.m_cores, m_requestsPerSecond };
   }
-  std::vector<std::string> selected;
-  for (const std::string& name :
-       m_entrySelection.Select(std::move(candidates), m_clock.Monotonic())) {
-    selected.push_back(addresses[name]);
+  const Peer& peer = m_peers.at(aName);
+  return { peer.m_callerAddress, peer.m_cores, peer.m_requestsPerSecond };
+}
+
+std::vector<std::string> PeerLink::Selected(const std::vector<std::string>& aZoneVms)
+{
+  std::vector<policy::EntrySelection::Vm> candidates;
+  for (const std::string& name : aZoneVms) {
+    const Entry entry = EntryOf(name);
+    candidates.push_back({ name, entry.m_cores, entry.m_requestsPerSecond });
   }
-  return selected;
+  return m_entrySelection.Select(std::move(candidates), m_clock.Monotonic());
 }
 
 std::vector<std::string> PeerLink::AddressesFor(const std::string& aZone,
                                                 const std::string& aRegion)
 {
-  std::vector<Entry> vms = RunningVms();
-  if (std::ranges::any_of(vms, &Entry::m_isReady)) {
-    std::erase_if(vms, [](const Entry& aVm) { return !aVm.m_isReady; });
-  }
-  const auto inZone = [&vms](const std::string& aName) {
-    std::vector<Entry> matching;
-    std::ranges::copy_if(
-      vms, std::back_inserter(matching), [&](const Entry& aVm) { return aVm.m_zone == aName; });
-    return matching;
-  };
-  const auto addressesOf = [](const std::vector<Entry>& aVms) {
-    std::vector<std::string> addresses;
-    std::ranges::transform(aVms, std::back_inserter(addresses), &Entry::m_callerAddress);
-    return addresses;
-  };
-  if (const auto own = inZone(aZone); !own.empty()) {
-    return aZone == m_settings.m_zone ? SelectedAddresses(own) : addressesOf(own);
-  }
-  std::vector<Entry> inRegion = vms;
-  std::erase_if(inRegion, [&](const Entry& aVm) { return aVm.m_region != aRegion; });
-  return addressesOf(inRegion.empty() ? inZone(m_settings.m_zone) : inRegion);
+  const std::vector<policy::LookupScope::Vm> vms = KnownVms();
+  const policy::LookupScope::Place caller{ aZone, aRegion };
+  policy::LookupScope::Decision decision = m_lookupScope.Decide(vms, caller);
+  m_lookupLog.OnDecision(vms, caller, decision);
+  m_hooks.m_onLookup(decision.m_kind);
+  if (decision.m_kind == policy::LookupScope::Kind::Zone && aZone == m_settings.m_zone) {
+    decision.m_names = Selected(decision.m_names);
+  }
+  std::vector<std::string> addresses;
+  std::ranges::transform(
+    decision.m_names, std::back_inserter(addresses), [this](const std::string& aName) {
+      return EntryOf(aName).m_callerAddress;
+    });
+  return addresses;
 }
 
 std::vector<std::string> PeerLink::RunningPeers()
--- a/packages/gateway/src/PeerLink.h
+++ b/packages/gateway/src/PeerLink.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "LookupLog.h"
 #include "StoreSync.h"
 #include "jaylane/base/AsyncLog.h"
 #include "jaylane/base/Clock.h"
@@ -8,6 +9,7 @@
 #include "jaylane/policy/EntrySelection.h"
 #include "jaylane/policy/LeadWatcher.h"
 #include "jaylane/policy/LoadObservation.h"
+#include "jaylane/policy/LookupScope.h"
 #include "jaylane/policy/QuarantineList.h"
 #include "jaylane/policy/QuotaClient.h"
 #include "jaylane/policy/UpstreamLimits.h"
@@ -80,6 +82,8 @@
       [](const auto&) {};
     /// Loads were announced to one peer.
     std::function<void(std::size_t aCount)> m_onLoadsTold = [](std::size_t) {};
+    /// A lookup was answered with VMs of this kind.
+    std::function<void(policy::LookupScope::Kind)> m_onLookup = [](policy::LookupScope::Kind) {};
     /// Receives a message that is no announcement, and a function that sends a datagram to its
     /// sender; see QuotaLink.
     std::function<void(const std::string& aMethod,
@@ -205,21 +209,19 @@
   void ReadLeadHeartbeat(const Json::Value& aParams);
   void SendTo(const std::string& aMessage, const boost::asio::ip::udp::endpoint& aEndpoint);
   bool IsRunning(const Peer& aPeer) const;
-  /// A VM that lookups may return.
+  /// What is known of this VM or another one.
   struct Entry
   {
-    std::string m_name;
-    std::string m_zone;
-    std::string m_region;
     std::string m_callerAddress;
-    bool m_isReady = false;
     double m_cores = 0;
     double m_requestsPerSecond = 0;
   };
-  /// @return the running VMs, this one included unless it is stopping.
-  std::vector<Entry> RunningVms() const;
-  /// @return caller addresses of the VMs that the selection for this VM's zone has.
-  std::vector<std::string> SelectedAddresses(const std::vector<Entry>& aZoneVms);
+  /// @return all known VMs, this one included.
+  std::vector<policy::LookupScope::Vm> KnownVms() const;
+  /// @return what is known of a known VM.
+  Entry EntryOf(const std::string& aName) const;
+  /// @return those of these VMs, of this VM's zone, that the selection has.
+  std::vector<std::string> Selected(const std::vector<std::string>& aZoneVms);
   /// @return all known VMs of the own zone, in the order of their names.
   std::vector<const Peer*> ZonePeers() const;
   /// @return the VMs of the own zone whose turn it is.
@@ -254,6 +256,8 @@
   bool m_isReady = false;
   double m_requestsPerSecond = 0;
   policy::EntrySelection m_entrySelection{ {} };
+  policy::LookupScope m_lookupScope;
+  LookupLog m_lookupLog;
   StoreRevisions m_revisions;
 };
 
--- /dev/null
+++ b/packages/policy/include/jaylane/policy/LookupScope.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace jaylane::policy {
+
+/// Decides which of the VMs that this VM knows a lookup may return to a caller.
+/// Load pattern: VMs of other regions announce themselves here every few seconds only, while
+/// planned stops, starts and additions change which VMs run.
+class LookupScope
+{
+public:
+  /// Where the returned VMs are, seen from the caller.
+  enum class Kind
+  {
+    Zone,
+    Region,
+    OtherRegion,
+    /// No VM can be returned.
+    None
+  };
+
+  /// Where the caller is.
+  struct Place
+  {
+    std::string m_zone;
+    std::string m_region;
+  };
+
+  /// What is known of a VM.
+  struct Vm
+  {
+    std::string m_name;
+    std::string m_zone;
+    std::string m_region;
+    bool m_isReady = false;
+    bool m_isLeaving = false;
+    /// Time since its last announcement; empty if there has been none.
+    std::optional<std::chrono::nanoseconds> m_silence;
+    /// Silence after which it counts as not running.
+    std::chrono::nanoseconds m_timeout{ 0 };
+
+    bool IsRunning() const { return !m_isLeaving && m_silence && *m_silence < m_timeout; }
+  };
+
+  /// VMs of the caller's region by what is known of them.
+  struct RegionCounts
+  {
+    std::size_t m_known = 0;
+    std::size_t m_ready = 0;
+    /// Running, but not ready.
+    std::size_t m_notReady = 0;
+    std::size_t m_leaving = 0;
+    std::size_t m_overdue = 0;
+    std::size_t m_neverHeard = 0;
+  };
+
+  struct Decision
+  {
+    Kind m_kind = Kind::None;
+    /// Names of the VMs to return, in the order in which they were given.
+    std::vector<std::string> m_names;
+  };
+
+  /// @param aOwnZone zone of this VM.
+  explicit LookupScope(std::string aOwnZone)
+    : m_ownZone(std::move(aOwnZone))
+  {
+  }
+
+  /// @param aVms all known VMs, this one included.
+  /// @param aCaller place of the caller.
+  Decision Decide(const std::vector<Vm>& aVms, const Place& aCaller) const;
+
+  static RegionCounts Count(const std::vector<Vm>& aVms, const std::string& aRegion);
+
+private:
+  std::string m_ownZone;
+};
+
+/// @return the name of the kind in log records and metrics.
+const char* ToText(LookupScope::Kind aKind);
+
+} // namespace jaylane::policy
