gateway: lookups name VMs of the caller's region between announcements

What callers would see: a caller that reached no VM of its region and asked one of another region was sent to that VM's zone although VMs of its own region were ready; its requests on routes with allowed regions then arrive in a region that is neither allowed nor its own.

Cause: VMs of another region announce themselves here now and then, and counted as not running 1.8 s later. A VM that had just started had heard none at all. Both emptied the caller's region.

Change: policy::LookupScope decides by what is known of each VM: ready in the zone, ready in the region, running, heard less than 5 s ago unless the whole region is silent for 3 s; then another region. In the first 5 s after its start, a VM does not take a region for lost and gives no answer, so that callers ask another VM.

--- a/packages/gateway/src/PeerLink.cpp
+++ b/packages/gateway/src/PeerLink.cpp
@@ -201,6 +201,15 @@
   return fmt::format("{}:{}", aEndpoint.address().to_string(), aEndpoint.port());
 }
 
+policy::LookupScope::Options LookupOptions(const GatewaySettings& aSettings)
+{
+  policy::LookupScope::Options options{ aSettings.m_zone, aSettings.m_region, {} };
+  for (const auto& [zone, region] : aSettings.m_zones) {
+    options.m_regions.insert(region);
+  }
+  return options;
+}
+
 std::string TextOf(const Json::Value& aObject, const char* aKey)
 {
   const Json::Value& value = aObject[aKey];
@@ -228,7 +237,7 @@
   , m_timer(aIo)
   , m_random(std::random_device{}())
   , m_nextZonePeer(m_random())
-  , m_lookupScope(aSettings.m_zone)
+  , m_lookupScope(LookupOptions(aSettings))
   , m_lookupLog(aClock, aLog)
 {
 }
@@ -270,6 +279,7 @@
       m_seeds.emplace_back(endpoint->address(), own->port());
     }
   }
+  m_startedAt = m_clock.Monotonic();
   Receive();
   SendAnnouncements();
   return base::Success{};
@@ -753,7 +763,8 @@
 {
   const std::vector<policy::LookupScope::Vm> vms = KnownVms();
   const policy::LookupScope::Place caller{ aZone, aRegion };
-  policy::LookupScope::Decision decision = m_lookupScope.Decide(vms, caller);
+  policy::LookupScope::Decision decision =
+    m_lookupScope.Decide(vms, caller, m_clock.Monotonic() - m_startedAt);
   m_lookupLog.OnDecision(vms, caller, decision);
   m_hooks.m_onLookup(decision.m_kind);
   if (decision.m_kind == policy::LookupScope::Kind::Zone && aZone == m_settings.m_zone) {
--- a/packages/gateway/src/PeerLink.h
+++ b/packages/gateway/src/PeerLink.h
@@ -160,9 +160,8 @@
 
   /// @param aZone zone of the caller.
   /// @param aRegion region of the caller.
-  /// @return caller addresses of VMs in the caller's zone that are running and ready; if there are
-  ///         none, in its region; if there are none, in this VM's zone. In this VM's zone, as many
-  ///         as policy::EntrySelection selects. This VM counts as running until it stops.
+  /// @return caller addresses of the VMs that policy::LookupScope chooses. In this VM's zone, as
+  ///         many as policy::EntrySelection selects. This VM counts as running until it stops.
   std::vector<std::string> AddressesFor(const std::string& aZone, const std::string& aRegion);
 
   /// @return peer addresses of a few random running VMs of the own zone, followed by a few of
@@ -257,6 +256,7 @@
   double m_requestsPerSecond = 0;
   policy::EntrySelection m_entrySelection{ {} };
   policy::LookupScope m_lookupScope;
+  base::MonotonicTime m_startedAt;
   LookupLog m_lookupLog;
   StoreRevisions m_revisions;
 };
--- a/packages/gateway/tests/PeerLinkTest.cpp
+++ b/packages/gateway/tests/PeerLinkTest.cpp
@@ -63,6 +63,7 @@
     vm->m_settings.m_name = "vm-" + std::to_string(aNumber);
     vm->m_settings.m_zone = aZone;
     vm->m_settings.m_region = aRegion;
+    vm->m_settings.m_zones = m_zones;
     vm->m_settings.m_callerAddress = ip + ":80";
     vm->m_settings.m_peerAddress = ip + ":28761";
     vm->m_settings.m_seeds = { aSeed };
@@ -125,6 +126,8 @@
 
   base::AsyncLog m_log{ "t", base::SystemClock::Get(), { 64, 1000, [](std::string_view) {} } };
   boost::asio::io_context m_io;
+  /// Region of each zone in the settings of VMs that are added.
+  std::map<std::string, std::string> m_zones;
   std::vector<std::unique_ptr<Vm>> m_vms;
 };
 
@@ -143,6 +146,35 @@
   EXPECT_EQ(first.m_link->KnownVmNames().size(), 3U);
 }
 
+// VMs of other regions announce themselves here every few seconds only. Guards against lookups that
+// name another region than the caller's, which requests may not enter, after a gap between them.
+TEST_F(PeerLinkTest, LookupsNameTheCallersRegionBetweenItsAnnouncements)
+{
+  Vm& near = Add(1, "a", "r", Ip(2) + ":99");
+  Add(2, "b", "far", Ip(1) + ":99").m_link->SetLoad(true, 0);
+  near.m_link->SetLoad(true, 0);
+  RunFor(900ms);
+  m_vms.pop_back();
+  m_io.restart();
+  RunFor(2200ms);
+  EXPECT_EQ(near.m_link->AddressesFor("b", "far"), std::vector<std::string>{ Ip(2) + ":80" });
+  RunFor(1200ms);
+  EXPECT_EQ(near.m_link->AddressesFor("b", "far"), std::vector<std::string>{ Ip(1) + ":80" })
+    << "the region is lost";
+}
+
+// Guards against a VM that sends callers of other regions to itself because it has just started and
+// has heard no VM yet. Without an answer they ask another VM.
+TEST_F(PeerLinkTest, AStartingVmDoesNotTakeARegionForLost)
+{
+  m_zones = { { "a", "r" }, { "b", "far" } };
+  Vm& starting = Add(1, "a", "r", Ip(2) + ":99");
+  EXPECT_TRUE(starting.m_link->AddressesFor("b", "far").empty());
+  EXPECT_EQ(starting.m_link->AddressesFor("a", "r"), std::vector<std::string>{ Ip(1) + ":80" });
+  RunFor(5100ms);
+  EXPECT_EQ(starting.m_link->AddressesFor("b", "far"), std::vector<std::string>{ Ip(1) + ":80" });
+}
+
 // Guards against VMs that decide on the load of an upstream as they met it a quarter of a minute
 // ago.
 TEST_F(PeerLinkTest, AnnouncesLoads)
--- a/packages/policy/include/jaylane/policy/LookupScope.h
+++ b/packages/policy/include/jaylane/policy/LookupScope.h
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <cstddef>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -11,6 +12,9 @@
 /// Decides which of the VMs that this VM knows a lookup may return to a caller.
 /// Load pattern: VMs of other regions announce themselves here every few seconds only, while
 /// planned stops, starts and additions change which VMs run.
+///
+/// VMs of the caller's region come first, even those whose state is uncertain, because requests may
+/// be restricted to the region.
 class LookupScope
 {
 public:
@@ -66,20 +70,40 @@
     std::vector<std::string> m_names;
   };
 
-  /// @param aOwnZone zone of this VM.
-  explicit LookupScope(std::string aOwnZone)
-    : m_ownZone(std::move(aOwnZone))
+  struct Options
+  {
+    /// Zone and region of this VM.
+    std::string m_zone;
+    std::string m_region;
+    /// Regions that are expected to have VMs.
+    std::set<std::string> m_regions;
+    /// Silence of a VM of the caller's region until which it may be returned if no other VM of the
+    /// region can be. Shorter than the time after which a VM that has ended must not be returned.
+    std::chrono::milliseconds m_memory{ 5000 };
+    /// Silence of all VMs of a region after which the region counts as lost. Its VMs together
+    /// announce themselves here about once per 400 ms.
+    std::chrono::milliseconds m_regionTimeout{ 3000 };
+    /// Time after its start in which this VM may not have heard a region that runs. It returns
+    /// none then, so that the caller asks another VM.
+    std::chrono::milliseconds m_startTime{ 5000 };
+  };
+
+  explicit LookupScope(Options aOptions)
+    : m_options(std::move(aOptions))
   {
   }
 
   /// @param aVms all known VMs, this one included.
   /// @param aCaller place of the caller.
-  Decision Decide(const std::vector<Vm>& aVms, const Place& aCaller) const;
+  /// @param aUptime time since this VM has begun to announce itself.
+  Decision Decide(const std::vector<Vm>& aVms,
+                  const Place& aCaller,
+                  std::chrono::nanoseconds aUptime) const;
 
   static RegionCounts Count(const std::vector<Vm>& aVms, const std::string& aRegion);
 
 private:
-  std::string m_ownZone;
+  Options m_options;
 };
 
 /// @return the name of the kind in log records and metrics.
--- a/packages/policy/src/LookupScope.cpp
+++ b/packages/policy/src/LookupScope.cpp
@@ -8,41 +8,48 @@
 
 using Vm = LookupScope::Vm;
 
-template<typename Predicate>
-std::vector<std::string> NamesOf(const std::vector<Vm>& aVms, Predicate aPredicate)
-{
-  std::vector<std::string> names;
-  for (const Vm& vm : aVms) {
-    if (aPredicate(vm)) {
-      names.push_back(vm.m_name);
-    }
-  }
-  return names;
-}
-
 } // namespace
 
-LookupScope::Decision LookupScope::Decide(const std::vector<Vm>& aVms, const Place& aCaller) const
+LookupScope::Decision LookupScope::Decide(const std::vector<Vm>& aVms,
+                                          const Place& aCaller,
+                                          std::chrono::nanoseconds aUptime) const
 {
-  const bool isAnyReady =
-    std::ranges::any_of(aVms, [](const Vm& aVm) { return aVm.IsRunning() && aVm.m_isReady; });
-  const auto inZone = [&](const std::string& aZone) {
-    return NamesOf(aVms, [&](const Vm& aVm) {
-      return aVm.IsRunning() && (aVm.m_isReady || !isAnyReady) && aVm.m_zone == aZone;
-    });
+  const bool isRegionSilent = std::ranges::none_of(aVms, [&](const Vm& aVm) {
+    return aVm.m_region == aCaller.m_region && aVm.m_silence &&
+           *aVm.m_silence < m_options.m_regionTimeout;
+  });
+  const auto isReady = [](const Vm& aVm) { return aVm.IsRunning() && aVm.m_isReady; };
+  const auto isRunning = [](const Vm& aVm) { return aVm.IsRunning(); };
+  const auto isOverdue = [&](const Vm& aVm) {
+    return aVm.m_isReady && !aVm.m_isLeaving && !isRegionSilent && aVm.m_silence &&
+           *aVm.m_silence < m_options.m_memory;
+  };
+  const auto isNearCaller = [&](const Vm& aVm) { return aVm.m_zone == aCaller.m_zone; };
+  const auto isInRegion = [&](const Vm& aVm) { return aVm.m_region == aCaller.m_region; };
+  const auto isNearThisVm = [&](const Vm& aVm) { return aVm.m_zone == m_options.m_zone; };
+
+  Decision decision;
+  const auto choose = [&](Kind aKind, const auto& aIsThere, const auto& aIsUsable) {
+    for (const Vm& vm : aVms) {
+      if (aIsThere(vm) && aIsUsable(vm)) {
+        decision.m_names.push_back(vm.m_name);
+      }
+    }
+    decision.m_kind = decision.m_names.empty() ? Kind::None : aKind;
+    return !decision.m_names.empty();
   };
-  Decision decision{ Kind::Zone, inZone(aCaller.m_zone) };
-  if (decision.m_names.empty()) {
-    decision = { Kind::Region, NamesOf(aVms, [&](const Vm& aVm) {
-                   return aVm.IsRunning() && (aVm.m_isReady || !isAnyReady) &&
-                          aVm.m_region == aCaller.m_region;
-                 }) };
+  if (choose(Kind::Zone, isNearCaller, isReady) || choose(Kind::Region, isInRegion, isReady) ||
+      choose(Kind::Zone, isNearCaller, isRunning) || choose(Kind::Region, isInRegion, isRunning) ||
+      choose(Kind::Region, isInRegion, isOverdue)) {
+    return decision;
   }
-  if (decision.m_names.empty()) {
-    decision = { Kind::OtherRegion, inZone(m_ownZone) };
+  const bool isStarting = aUptime < m_options.m_startTime;
+  if (aCaller.m_region == m_options.m_region ||
+      (isStarting && m_options.m_regions.contains(aCaller.m_region))) {
+    return decision;
   }
-  if (decision.m_names.empty()) {
-    decision.m_kind = Kind::None;
+  if (!choose(Kind::OtherRegion, isNearThisVm, isReady)) {
+    choose(Kind::OtherRegion, isNearThisVm, isRunning);
   }
   return decision;
 }
