gateway: callers of a lost region are spread over the next region

What callers would see: when no VM of a caller's region runs, a lookup named the VMs of the answering VM's zone alone. Callers ask the nearest VM that answers, so one zone could get the requests of a whole region while the other zones of its region got none.

Change: all VMs of the answering VM's region that are ready are named.

--- a/packages/gateway/src/PeerLink.cpp
+++ b/packages/gateway/src/PeerLink.cpp
@@ -203,7 +203,7 @@
 
 policy::LookupScope::Options LookupOptions(const GatewaySettings& aSettings)
 {
-  policy::LookupScope::Options options{ aSettings.m_zone, aSettings.m_region, {} };
+  policy::LookupScope::Options options{ aSettings.m_region, {} };
   for (const auto& [zone, region] : aSettings.m_zones) {
     options.m_regions.insert(region);
   }
--- a/packages/policy/include/jaylane/policy/LookupScope.h
+++ b/packages/policy/include/jaylane/policy/LookupScope.h
@@ -72,8 +72,8 @@
 
   struct Options
   {
-    /// Zone and region of this VM.
-    std::string m_zone;
+    /// Region of this VM. Callers ask the nearest VM that answers, so it is the nearest one to
+    /// callers whose own region is lost.
     std::string m_region;
     /// Regions that are expected to have VMs.
     std::set<std::string> m_regions;
--- a/packages/policy/src/LookupScope.cpp
+++ b/packages/policy/src/LookupScope.cpp
@@ -26,7 +26,7 @@
   };
   const auto isNearCaller = [&](const Vm& aVm) { return aVm.m_zone == aCaller.m_zone; };
   const auto isInRegion = [&](const Vm& aVm) { return aVm.m_region == aCaller.m_region; };
-  const auto isNearThisVm = [&](const Vm& aVm) { return aVm.m_zone == m_options.m_zone; };
+  const auto isInThisRegion = [&](const Vm& aVm) { return aVm.m_region == m_options.m_region; };
 
   Decision decision;
   const auto choose = [&](Kind aKind, const auto& aIsThere, const auto& aIsUsable) {
@@ -48,8 +48,8 @@
       (isStarting && m_options.m_regions.contains(aCaller.m_region))) {
     return decision;
   }
-  if (!choose(Kind::OtherRegion, isNearThisVm, isReady)) {
-    choose(Kind::OtherRegion, isNearThisVm, isRunning);
+  if (!choose(Kind::OtherRegion, isInThisRegion, isReady)) {
+    choose(Kind::OtherRegion, isInThisRegion, isRunning);
   }
   return decision;
 }
--- a/packages/policy/tests/AnnouncementModel.h
+++ b/packages/policy/tests/AnnouncementModel.h
@@ -59,6 +59,9 @@
   /// Forgets the counts.
   void ResetCounts() { m_own = m_other = {}; }
 
+  /// @return the answer of a VM to a caller of a zone.
+  LookupScope::Decision Decide(std::size_t aVm, std::size_t aZone) const;
+
   /// Lookups at VMs of the caller's region, and of other regions.
   const Counts& Own() const { return m_own; }
   const Counts& Other() const { return m_other; }
