policy tests: no division of integers in the model of announcements

clang-tidy on AnnouncementModel.cpp reported bugprone-integer-division in the computation of the time-out of a zone. The result is the same.

--- a/packages/policy/tests/AnnouncementModel.cpp
+++ b/packages/policy/tests/AnnouncementModel.cpp
@@ -143,8 +143,8 @@
   const auto zonePeers = static_cast<std::size_t>(
     std::ranges::count_if(m_vms, [&](const Vm& aOther) { return aOther.m_zone == own.m_zone; }) -
     1);
-  const double turn = static_cast<double>((zonePeers + kZonePeers - 1) / kZonePeers *
-                                          static_cast<std::size_t>(kAnnounceInterval.count()));
+  const auto rounds = static_cast<Time::rep>((zonePeers + kZonePeers - 1) / kZonePeers);
+  const auto turn = static_cast<double>(rounds * kAnnounceInterval.count());
   const Time zoneTimeout = std::max(kTimeout, Time{ static_cast<Time::rep>(turn * kMissedTurns) });
   std::vector<LookupScope::Vm> vms;
   for (std::size_t i = 0; i < m_vms.size(); ++i) {
