policy: a stall ends with the first tick in time

Cause: found by the review. A VM that waits for the processor for 0.5 s again and again, with ticks in between, dated all that it read by the first of these waits and never counted as informed again. Change: StallHistory takes what has arrived as read by the first tick that comes in time; only stalls in a row are one. Result: RepeatedShortStallsDoNotMakeAllMessagesOld failed before and passes now.

--- a/packages/policy/include/jaylane/policy/StallHistory.h
+++ b/packages/policy/include/jaylane/policy/StallHistory.h
@@ -32,9 +32,9 @@
 private:
   struct Stall
   {
-    base::MonotonicTime m_began;
-    /// Includes the time for which messages of the stall may still be read.
-    base::MonotonicTime m_ended;
+    base::MonotonicTime m_beganAt;
+    /// The first tick that came in time again. By then, what had arrived was read.
+    std::optional<base::MonotonicTime> m_endedAt;
   };
 
   std::chrono::milliseconds m_maxGap;
