gateway: the lead watcher's beat confirms no configuration that is behind

While a VM knew of a newer version that it could not fetch, each beat of the lead watcher extended the time for which it served restricted requests by the old one. Change: evidence from other VMs counts only while no announced version is missing. Result: AMissingChangeEndsTheUseOfTheConfiguration failed before and passes now.

--- a/packages/gateway/src/ControlPlane.cpp
+++ b/packages/gateway/src/ControlPlane.cpp
@@ -352,7 +352,8 @@
   }
   // A pending watch may be silent, here or at the VM that this one relies on. Those of the lead
   // watcher are short, and it tells the others when they are not answered.
-  if (const auto leadAnsweredAt = m_leadWatcher.OtherRoseAt(now)) {
+  const bool isBehind = m_storeSync.IsConfigurationBehind();
+  if (const auto leadAnsweredAt = m_leadWatcher.OtherRoseAt(now); leadAnsweredAt && !isBehind) {
     if (m_isFollowing && m_storeSync.IsAnswered()) {
       m_configurationView.OnConfirmed(m_stalls.ArrivedAt(*leadAnsweredAt));
     } else if (m_followerHeardAt &&
@@ -363,12 +364,11 @@
   }
   const auto zonesHeardAt = m_peerLink.MostZonesHeardAt();
   // Without the list of members, this VM may know its own zone only.
-  if (zonesHeardAt && m_hasMembers && !m_storeSync.IsConfigurationBehind()) {
+  if (zonesHeardAt && m_hasMembers && !isBehind) {
     m_configurationView.OnMostZonesHeard(m_stalls.ArrivedAt(*zonesHeardAt));
   }
   m_configurationUsableUntil = m_configurationView.UsableUntil().value_or(base::MonotonicTime{});
-  m_isConfigurationConfirmed =
-    m_configurationView.IsConfirmed(m_storeSync.IsConfigurationBehind(), now);
+  m_isConfigurationConfirmed = m_configurationView.IsConfirmed(isBehind, now);
 }
 
 void ControlPlane::UpdateDemand()
--- a/packages/gateway/tests/ControlPlaneTest.cpp
+++ b/packages/gateway/tests/ControlPlaneTest.cpp
@@ -308,5 +308,22 @@
   EXPECT_FALSE(m_controlPlane->IsConfigurationConfirmed()) << "lacks a change";
 }
 
+// Guards against acting on a configuration although this VM has known for longer than a change may
+// take that it lacks a newer one.
+TEST_F(ControlPlaneTest, AMissingChangeEndsTheUseOfTheConfiguration)
+{
+  Start();
+  m_state = Store::Silent;
+  Announce(R"("following":true,"lead":[0,1,0])", 20);
+  const base::MonotonicTime behindSince = base::SystemClock::Get().Monotonic();
+  for (int beat = 2; beat <= 12; ++beat) {
+    Announce(fmt::format(R"("following":true,"lead":[0,{},0])", beat), 20);
+    std::this_thread::sleep_for(300ms);
+    EXPECT_LE(m_controlPlane->ConfigurationUsableUntil() - behindSince,
+              m_settings.m_configurationTime)
+      << "beat " << beat;
+  }
+}
+
 } // namespace
 } // namespace jaylane::gateway
