gateway: bind a request to versions that came and went or are not applied

A request looked at the active version only before each attempt, so that one which had been replaced again did not bind it; nor did one that waited for the request thread and restricted a route for the first time, nor the team of its key if its route had been public. Change: each RouteTable knows the next one, and a request goes through all of them, after those that wait were applied. A request whose team would bind it and is not known is rejected as not run. Result: ARetryIsBoundByAVersionThatHasBeenReplacedAgain, ARetryIsBoundByAVersionThatWaitsForTheThread and ARetryIsBoundByTheTeamOfItsKeyInTheNewVersion failed before and pass now.

--- a/packages/gateway/src/RequestExchange.cpp
+++ b/packages/gateway/src/RequestExchange.cpp
@@ -47,12 +47,6 @@
   return fmt::format("Retry-After: {:.3f}\r\n", std::chrono::duration<double>(aDelay).count());
 }
 
-std::shared_ptr<policy::RouteTable> NewestRoutes(GatewayContext& aContext)
-{
-  aContext.m_applyConfigurations();
-  return aContext.m_steering.Routes();
-}
-
 bool IsServerFailure(unsigned aStatus)
 {
   return aStatus >= 500;
@@ -64,7 +58,7 @@
   : m_context(aContext)
   , m_request(std::make_shared<CallerRequest>(std::move(aRequest)))
   , m_hooks(std::move(aHooks))
-  , m_routes(NewestRoutes(aContext))
+  , m_routes(aContext.m_steering.Routes())
   , m_deadlineTimer(aContext.m_io)
   , m_overdueTimer(aContext.m_io)
 {
@@ -175,26 +169,35 @@
   return true;
 }
 
-void RequestExchange::BindToActiveConfiguration()
+void RequestExchange::BindTo(const policy::RouteTable& aRoutes)
 {
-  auto active = m_context.m_steering.Routes();
-  if (active == m_boundRoutes) {
-    return;
-  }
-  m_boundRoutes = std::move(active);
-  const policy::Route* route = m_boundRoutes->Find(m_request->m_host, m_request->m_target);
+  const policy::Route* route = aRoutes.Find(m_request->m_host, m_request->m_target);
   if (!route) {
     return; // The versions before, which still bind the request, had a route for it.
   }
-  const auto& teams = m_boundRoutes->Config().m_teams;
+  const auto& teams = aRoutes.Config().m_teams;
+  const bool hasTeam = teams && !route->m_isPublic;
+  if (hasTeam && !m_team) {
+    m_regions.ForbidAll(); // Its key, which tells the team, is not kept.
+    return;
+  }
   const policy::Team* team = nullptr;
-  if (teams && m_team) {
+  if (hasTeam) {
     const auto found = std::ranges::find(*teams, m_team->m_name, &policy::Team::m_name);
     team = found == teams->end() ? nullptr : &*found;
   }
   m_regions.Add(policy::AllowedRegions(*route, team));
 }
 
+void RequestExchange::BindToActiveConfiguration()
+{
+  m_context.m_applyConfigurations();
+  while (m_boundRoutes->Next()) {
+    m_boundRoutes = m_boundRoutes->Next();
+    BindTo(*m_boundRoutes);
+  }
+}
+
 bool RequestExchange::AreRegionsCertain() const
 {
   return !m_regions.IsRestricted() || m_context.m_mayServeRestricted();
--- a/packages/gateway/src/RequestExchange.h
+++ b/packages/gateway/src/RequestExchange.h
@@ -61,7 +61,9 @@
   void StopWaitingForQuota();
   /// The request has not run and will not.
   void ReturnCredit();
-  /// Binds the request to the regions of the active configuration as well.
+  /// Binds the request to the regions of one more version.
+  void BindTo(const policy::RouteTable& aRoutes);
+  /// Binds the request to the regions of all versions up to the active one.
   void BindToActiveConfiguration();
   /// Rejects a request that no region may run any more, or only some while the allowed regions are
   /// not certain.
@@ -141,7 +143,7 @@
   /// Team of the caller; null if the configuration has no teams or the route is public.
   const policy::Team* m_team = nullptr;
   /// Newest configuration that m_regions takes into account.
-  std::shared_ptr<policy::RouteTable> m_boundRoutes;
+  std::shared_ptr<const policy::RouteTable> m_boundRoutes;
   policy::RegionBinding m_regions;
   /// The request while it waits for the quota broker; 0 if it does not.
   std::uint64_t m_quotaWaiter = 0;
--- a/packages/gateway/src/Steering.cpp
+++ b/packages/gateway/src/Steering.cpp
@@ -102,6 +102,7 @@
   if (m_routes) {
     routes->ContinueFrom(*m_routes);
     LogRegionChanges(m_routes->Config(), routes->Config());
+    m_routes->SetNext(routes);
   }
   m_routes = std::move(routes);
   UpdateBalancers();
--- a/packages/gateway/tests/RegionBindingPathTest.cpp
+++ b/packages/gateway/tests/RegionBindingPathTest.cpp
@@ -49,10 +49,10 @@
     return script;
   }
 
-  std::string ExchangeDuring(const std::function<void()>& aChange)
+  std::string ExchangeDuring(const std::function<void()>& aChange, const std::string& aLines = {})
   {
     auto socket = Connect();
-    const std::string request = Request("/a/x", "r1", "Connection: close\r\n");
+    const std::string request = Request("/a/x", "r1", aLines + "Connection: close\r\n");
     boost::asio::write(socket, boost::asio::buffer(request));
     const auto deadline = std::chrono::steady_clock::now() + 2s;
     while (SeenInOwnRegion() == 0 && std::chrono::steady_clock::now() < deadline) {
@@ -120,5 +120,61 @@
   EXPECT_EQ(Status(Exchange(Request("/b/x", "r2", "Connection: close\r\n"))), "HTTP/1.1 200 OK");
 }
 
+// Guards against a retry in a region that a version between the arrival and the retry forbade.
+TEST_F(RegionBindingPathTest, ARetryIsBoundByAVersionThatHasBeenReplacedAgain)
+{
+  StartWith({ "r" });
+  ExchangeDuring([this] {
+    SetRegions({ "other" });
+    SetRegions({ "r" });
+  });
+  EXPECT_EQ(SeenInOwnRegion(), 1U);
+}
+
+// A version that restricts a route waits for the request thread. Guards against a retry that
+// neither waits for that version nor is bound by it.
+TEST_F(RegionBindingPathTest, ARetryIsBoundByAVersionThatWaitsForTheThread)
+{
+  StartWith({});
+  ExchangeDuring([this] {
+    OnRequestThread([this] {
+      const auto isPending = std::make_shared<bool>(true);
+      m_context->m_mayServeRestricted = [isPending] { return !*isPending; };
+      m_context->m_applyConfigurations = [this, isPending] {
+        if (!std::exchange(*isPending, false)) {
+          return;
+        }
+        policy::Configuration configuration = m_steering->Routes()->Config();
+        ++configuration.m_version;
+        configuration.m_routes[0].m_allowedRegions = { "other" };
+        EXPECT_TRUE(m_steering->ApplyConfiguration(std::move(configuration)));
+      };
+    });
+  });
+  EXPECT_EQ(SeenInOwnRegion(), 1U);
+}
+
+// A route was public when the request arrived, and needs a key when it is retried. Guards against a
+// retry in a region that the team of the request's key does not allow.
+TEST_F(RegionBindingPathTest, ARetryIsBoundByTheTeamOfItsKeyInTheNewVersion)
+{
+  StartWith({});
+  const auto setPublic = [this](bool aIsPublic) {
+    OnRequestThread([&] {
+      policy::Configuration configuration = m_steering->Routes()->Config();
+      ++configuration.m_version;
+      policy::Team& team = configuration.m_teams.emplace(1).front();
+      team.m_name = "owls";
+      team.m_apiKeys = { "good" };
+      team.m_allowedRegions = { "other" };
+      configuration.m_routes[0].m_isPublic = aIsPublic;
+      ASSERT_TRUE(m_steering->ApplyConfiguration(std::move(configuration)));
+    });
+  };
+  setPublic(true);
+  ExchangeDuring([&] { setPublic(false); }, "Authorization: Bearer good\r\n");
+  EXPECT_EQ(SeenInOwnRegion(), 1U);
+}
+
 } // namespace
 } // namespace jaylane::gateway
--- a/packages/policy/include/jaylane/policy/RegionBinding.h
+++ b/packages/policy/include/jaylane/policy/RegionBinding.h
@@ -21,6 +21,9 @@
   /// Restricts the request to the regions of one more version.
   void Add(const AllowedRegions& aAllowed);
 
+  /// No region may execute the request, since the regions of a version are not known.
+  void ForbidAll() { m_regions.emplace(); }
+
   /// @return the allowed regions; null if all are allowed.
   const std::set<std::string>* Get() const { return m_regions ? &*m_regions : nullptr; }
   /// @return whether only some regions may execute the request.
--- a/packages/policy/include/jaylane/policy/RouteTable.h
+++ b/packages/policy/include/jaylane/policy/RouteTable.h
@@ -4,8 +4,10 @@
 #include "jaylane/policy/Fleet.h"
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string_view>
+#include <utility>
 
 namespace jaylane::policy {
 
@@ -28,6 +30,12 @@
 
   const Configuration& Config() const { return m_configuration; }
 
+  /// @param aNext table of the version that has replaced this one. Requests that keep this table
+  ///   find the versions after it from here, also those that were active for a moment only.
+  void SetNext(std::shared_ptr<const RouteTable> aNext) { m_next = std::move(aNext); }
+  /// @return table of the next version; null if this one is active.
+  const std::shared_ptr<const RouteTable>& Next() const { return m_next; }
+
   /// @return the API keys of the teams; null if the configuration has no teams.
   const ApiKeyTable* ApiKeys() const { return m_apiKeys ? &*m_apiKeys : nullptr; }
 
@@ -50,6 +58,7 @@
   std::optional<std::size_t> Advance(std::size_t aRoute);
 
   Configuration m_configuration;
+  std::shared_ptr<const RouteTable> m_next;
   /// Refers to the teams of m_configuration, which moves keep in place and copies would not.
   std::optional<ApiKeyTable> m_apiKeys;
   std::unordered_map<std::string, std::vector<std::size_t>> m_routesByHost;
