gateway: apply waiting configurations before a request is read

RequestExchange applied a configuration that waited for the request thread after CallerConnection had read the request by the former one: a configuration that introduces teams rejected the request as if it had no key, and a public route passed on its key and the team that it claims. Change: CallerConnection applies them before it checks the access and before it takes the request. Result: ARequestThatAppliesTheFirstTeamsIsReadByThem failed before and passes now.

--- a/packages/gateway/src/CallerConnection.cpp
+++ b/packages/gateway/src/CallerConnection.cpp
@@ -440,6 +440,7 @@
     return true;
   }
   m_isAccessChecked = true;
+  m_context.m_applyConfigurations();
   const auto routes = m_context.m_steering.Routes();
   if (!routes || !routes->ApiKeys()) {
     return true;
@@ -470,6 +471,8 @@
 
 CallerRequest CallerConnection::TakeRequest()
 {
+  // Before the request is read, since the configuration decides how.
+  m_context.m_applyConfigurations();
   const WireFormat& wire = m_context.m_wire;
   Parser::value_type& message = m_parser->get();
   CallerRequest request;
--- a/packages/gateway/tests/TeamAccessTest.cpp
+++ b/packages/gateway/tests/TeamAccessTest.cpp
@@ -199,5 +199,42 @@
               "Timeout-Ms: " + seen.Header("Timeout-Ms") + "\r\nTarget-Instance: i-0\r\n\r\n");
 }
 
+// A configuration that introduces teams waits for the request thread while a request is read.
+// Guards against a request that is read by the former version and judged by the new one: it was
+// rejected as if it had no key, and a public route passed on its key and the team that it claims.
+TEST_F(TeamAccessTest, ARequestThatAppliesTheFirstTeamsIsReadByThem)
+{
+  Start({ m_upstream.Address() });
+  for (const char* target : { "/a/x", "/b/x" }) {
+    OnRequestThread([this] {
+      // The version without teams, in force again for each request.
+      policy::Configuration plain = m_steering->Routes()->Config();
+      ++plain.m_version;
+      plain.m_teams.reset();
+      ASSERT_TRUE(m_steering->ApplyConfiguration(std::move(plain)));
+      m_context->m_applyConfigurations = [this] {
+        if (m_steering->Routes()->Config().m_teams) {
+          return;
+        }
+        policy::Configuration configuration = m_steering->Routes()->Config();
+        ++configuration.m_version;
+        policy::Team& team = configuration.m_teams.emplace(1).front();
+        team.m_name = "owls";
+        team.m_apiKeys = { "good" };
+        configuration.m_routes[1].m_isPublic = true;
+        EXPECT_TRUE(m_steering->ApplyConfiguration(std::move(configuration)));
+      };
+    });
+    EXPECT_EQ(Status(Exchange(Request(
+                target, "r1", std::string{ kGoodKey } + "Tenant: dogs\r\nConnection: close\r\n"))),
+              "HTTP/1.1 200 OK")
+      << target;
+  }
+  for (const SeenRequest& request : m_upstream.Seen()) {
+    EXPECT_EQ(request.m_head.find("good"), std::string::npos) << request.m_head;
+    EXPECT_EQ(request.m_head.find("dogs"), std::string::npos) << request.m_head;
+  }
+}
+
 } // namespace
 } // namespace jaylane::gateway
