gateway: confirm the upstream before restricted requests in a store outage

While the store is down, or cut off from a VM, an upstream may crash and its address may go to one in another region that cannot register. Callers of a route with allowed regions could have their request sent there: the VM had no way to know, and the first request on a new connection found out by a 421.

At other times and for other requests nothing changes. The price is a round trip and a short use of a slot for such a request on a new connection.

UpstreamPlaceTest.DuringAnOutageOfTheStoreTheUpstreamMustNameItself failed before (4 requests at the address, expected 2; 200 where the address was passed on or its upstream unknown, expected 503) and passes now.

--- a/packages/gateway/src/RequestExchange.cpp
+++ b/packages/gateway/src/RequestExchange.cpp
@@ -426,7 +426,10 @@
                                    [weak = weak_from_this()](const policy::Upstream& aUpstream) {
                                      const auto self = weak.lock();
                                      return self && self->MaySend(aUpstream);
-                                   } },
+                                   },
+                                   m_allowedRegions.Get()
+                                     ? m_context.m_steering.ConfirmationPath(*aChoice.m_upstream)
+                                     : std::string{} },
     *aChoice.m_upstream,
     m_request,
     Remaining(),
@@ -601,21 +604,23 @@
   if (!aResult.m_cause.empty()) {
     LogAttemptFailure(aUpstream, aResult);
   }
+  if (aResult.m_isOtherUpstream) {
+    m_context.m_steering.OnAddressReused(policy::UpstreamIdentity::Of(attempt->Upstream()));
+    m_context.m_pool.Drop(aUpstream);
+  }
+  m_connectFailures += aResult.m_isUnconfirmed ? 1 : 0;
   if (aResult.m_failure == AttemptFailure::Withdrawn) {
     balancer.OnCancelled(aUpstream);
     OnAttemptFailure(std::move(aResult));
     return;
   }
   if (aResult.m_failure) {
-    const bool isOtherUpstream = aResult.m_response.m_status == 421;
-    balancer.OnFailure(
-      aUpstream, *aResult.m_failure, isOtherUpstream ? std::nullopt : aResult.m_load, now);
-    if (isOtherUpstream) {
-      m_context.m_steering.OnAddressReused(policy::UpstreamIdentity::Of(attempt->Upstream()));
-      m_context.m_pool.Drop(aUpstream);
-    }
+    balancer.OnFailure(aUpstream,
+                       *aResult.m_failure,
+                       aResult.m_isOtherUpstream ? std::nullopt : aResult.m_load,
+                       now);
     if (*aResult.m_failure == AttemptFailure::Unreachable) {
-      ++m_connectFailures;
+      m_connectFailures += aResult.m_isUnconfirmed ? 0 : 1;
       m_context.m_steering.OnUnreachable(aUpstream);
     }
     if (aResult.m_connectionEnded) {
--- a/packages/gateway/src/Steering.cpp
+++ b/packages/gateway/src/Steering.cpp
@@ -795,6 +795,15 @@
          MayReceive(aChosen.m_id);
 }
 
+std::string Steering::ConfirmationPath(const policy::Upstream& aUpstream) const
+{
+  const auto record = m_registry.Records().find(aUpstream.m_id);
+  return record != m_registry.Records().end() &&
+             m_registry.MayBeOutdated(record->second, m_clock.Monotonic())
+           ? HealthPath(aUpstream)
+           : std::string{};
+}
+
 void Steering::UpdateBalancers()
 {
   m_hasChanges = false;
--- a/packages/gateway/src/Steering.h
+++ b/packages/gateway/src/Steering.h
@@ -136,6 +136,12 @@
   /// @return the same; false if the upstream is registered as another incarnation or elsewhere now.
   bool MayReceive(const policy::Upstream& aChosen) const;
 
+  /// @return path of the health check by which the upstream must name its id on a new connection
+  ///         before it gets a request that only some regions may run; empty if it need not, or if
+  ///         it has no health check. Another upstream may run at its address unnoticed while its
+  ///         entry may be outdated.
+  std::string ConfirmationPath(const policy::Upstream& aUpstream) const;
+
   /// @return the active routes, or null before the first configuration.
   std::shared_ptr<policy::RouteTable> Routes() const { return m_routes; }
   policy::ServiceBalancer& Balancer(const std::string& aService);
--- a/packages/gateway/src/UpstreamAttempt.cpp
+++ b/packages/gateway/src/UpstreamAttempt.cpp
@@ -19,6 +19,9 @@
 /// Longest time to establish a connection. Round trips between regions take less than 0.1 s, and an
 /// upstream that drops the SYN packet is overloaded or gone.
 constexpr std::chrono::milliseconds kConnectTimeout{ 350 };
+/// Longest time for the health check before a request, and its largest response body.
+constexpr std::chrono::milliseconds kConfirmationTimeout{ 500 };
+constexpr std::uint64_t kMaxConfirmationBytes = 64 * 1024;
 /// Response bodies are buffered whole, so that a truncated one is never passed on as complete.
 constexpr std::uint64_t kMaxResponseBytes = 64ULL << 20;
 constexpr std::uint32_t kMaxResponseHeaderBytes = 64 * 1024;
@@ -113,11 +116,45 @@
   if (m_connection) {
     m_isConnectionKept = true;
     Send();
+  } else if (!m_dependencies.m_confirmationPath.empty()) {
+    Confirm();
   } else {
     Connect();
   }
 }
 
+void UpstreamAttempt::Confirm()
+{
+  m_confirmation = std::make_shared<HttpFetch>(m_dependencies.m_io, m_upstream.m_address);
+  m_confirmation->Start({ "GET",
+                          m_dependencies.m_confirmationPath,
+                          {},
+                          std::min(kConfirmationTimeout, RemainingTime()),
+                          kMaxConfirmationBytes },
+                        [self = shared_from_this()](const FetchResponse& aResponse) {
+                          if (!self->m_ended) {
+                            self->OnConfirmation(aResponse);
+                          }
+                        });
+}
+
+void UpstreamAttempt::OnConfirmation(const FetchResponse& aResponse)
+{
+  const auto health = m_dependencies.m_wire.m_parseHealth(aResponse.m_status, aResponse.m_fields);
+  if (health && health->m_upstream == m_upstream.m_id) {
+    Connect();
+    return;
+  }
+  AttemptResult result;
+  result.m_failure =
+    aResponse.m_status == 0 ? AttemptFailure::Unreachable : AttemptFailure::Withdrawn;
+  result.m_isUnconfirmed = true;
+  result.m_isOtherUpstream = health.has_value();
+  result.m_cause = health ? "health check answered by another upstream" : "health check failed";
+  result.m_latency = m_dependencies.m_clock.Monotonic() - m_startedAt;
+  Finish(std::move(result));
+}
+
 void UpstreamAttempt::Cancel()
 {
   m_ended = true;
@@ -128,6 +165,9 @@
 void UpstreamAttempt::CloseConnection()
 {
   m_isFinishingWrite = false;
+  if (m_confirmation) {
+    m_confirmation->Close();
+  }
   m_connectTimer.cancel();
   m_livenessTimer.cancel();
   if (m_connection) {
@@ -150,6 +190,7 @@
 
 void UpstreamAttempt::Connect()
 {
+  m_connectStartedAt = m_dependencies.m_clock.Monotonic();
   const auto endpoint = ParseEndpoint(m_upstream.m_address);
   if (!endpoint) {
     asio::post(m_dependencies.m_io, [self = shared_from_this()] {
@@ -178,7 +219,7 @@
         self->Fail(AttemptFailure::Unreachable, "connect: " + aError.message());
         return;
       }
-      self->m_connectTime = self->m_dependencies.m_clock.Monotonic() - self->m_startedAt;
+      self->m_connectTime = self->m_dependencies.m_clock.Monotonic() - self->m_connectStartedAt;
       const auto& mayReceive = self->m_dependencies.m_mayReceive;
       if (mayReceive && !mayReceive(self->m_upstream)) {
         self->Fail(AttemptFailure::Withdrawn, "upstream or caller left, or upstream moved");
@@ -445,7 +486,8 @@
     result.m_isLoadUnreadable = !result.m_load;
   }
   // 421 Misdirected Request: the address belongs to another upstream, which did not run it.
-  if (message.count(wire.m_notExecuted) > 0 || message.result_int() == 421) {
+  result.m_isOtherUpstream = message.result_int() == 421;
+  if (message.count(wire.m_notExecuted) > 0 || result.m_isOtherUpstream) {
     result.m_failure = AttemptFailure::Rejected;
   }
   result.m_response.m_status = message.result_int();
--- a/packages/gateway/src/UpstreamAttempt.h
+++ b/packages/gateway/src/UpstreamAttempt.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "CallerRequest.h"
+#include "HttpFetch.h"
 #include "UpstreamConnectionPool.h"
 #include "jaylane/gateway/WireFormat.h"
 #include "jaylane/policy/PeerLiveness.h"
@@ -24,6 +25,10 @@
   /// The connection ended after the request was sent and before the response was complete; the
   /// upstream may have crashed.
   bool m_connectionEnded = false;
+  /// Another upstream responded, to the request (421) or to the health check before it.
+  bool m_isOtherUpstream = false;
+  /// The health check before the request did not show that the upstream is there. Nothing was sent.
+  bool m_isUnconfirmed = false;
   /// Why the attempt failed, for the log: an error of the connection or a limit of the gateway.
   std::string m_cause;
   /// The upstream's response, also if it rejects the request; status 0 if there was none.
@@ -64,6 +69,9 @@
     /// Returns whether an upstream may receive a request that is sent now. Asked after connecting,
     /// which takes time; empty: always.
     std::function<bool(const policy::Upstream& aUpstream)> m_mayReceive;
+    /// Path of a health check by which the upstream must name its id before a new connection is
+    /// used; empty: it need not. A kept connection leads to the process that has responded on it.
+    std::string m_confirmationPath = {};
   };
 
   /// @param aRemaining time until the request's deadline; sent to the upstream as its time limit.
@@ -88,6 +96,9 @@
 private:
   using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
 
+  /// Sends the health check, and connects if the upstream names its id.
+  void Confirm();
+  void OnConfirmation(const FetchResponse& aResponse);
   void Connect();
   void Send();
   void StartLivenessTimer();
@@ -129,6 +140,8 @@
   std::shared_ptr<const CallerRequest> m_request;
   std::chrono::milliseconds m_remaining;
   OnDone m_onDone;
+  /// Health check before the request.
+  std::shared_ptr<HttpFetch> m_confirmation;
   std::unique_ptr<UpstreamConnection> m_connection;
   boost::asio::steady_timer m_connectTimer;
   boost::asio::steady_timer m_livenessTimer;
@@ -140,6 +153,7 @@
   std::size_t m_headBytes = 0;
   std::string m_head;
   base::MonotonicTime m_startedAt;
+  base::MonotonicTime m_connectStartedAt;
   std::optional<std::chrono::nanoseconds> m_connectTime;
   bool m_isSendStarted = false;
   /// Result of writing the request; empty while that is in progress.
--- a/packages/gateway/tests/UpstreamPlaceTest.cpp
+++ b/packages/gateway/tests/UpstreamPlaceTest.cpp
@@ -1,5 +1,8 @@
 #include "GatewayFixture.h"
 
+#include <algorithm>
+#include <fmt/format.h>
+
 namespace jaylane::gateway {
 namespace {
 
@@ -9,6 +12,11 @@
 protected:
   void SetUp() override
   {
+    m_wire.m_parseHealth = [](unsigned aStatus, const boost::beast::http::fields& aFields) {
+      const auto id = aFields["Instance-Id"];
+      return aStatus == 200 ? std::optional{ WireFormat::Health{ { id.data(), id.size() }, {} } }
+                            : std::nullopt;
+    };
     Start({ m_near.Address() });
     OnRequestThread([this] {
       policy::Configuration configuration = m_steering->Routes()->Config();
@@ -21,7 +29,24 @@
     });
   }
 
-  static Script Respond(const SeenRequest& aRequest) { return { OkResponse(aRequest, "x") }; }
+  /// Responds to requests and health checks.
+  Script Respond(const SeenRequest& aRequest) const
+  {
+    if (!aRequest.m_head.starts_with("GET /health ")) {
+      return { OkResponse(aRequest, "x") };
+    }
+    return { fmt::format("HTTP/1.1 {} x\r\nInstance-Id: {}\r\nContent-Length: 0\r\n\r\n",
+                         m_healthStatus.load(),
+                         m_isPassedOn ? "i-1" : "i-0") };
+  }
+
+  /// @return number of requests, without health checks, that reached the first upstream's address.
+  std::size_t RequestsAtNear() const
+  {
+    const auto seen = m_near.Seen();
+    return static_cast<std::size_t>(std::ranges::count_if(
+      seen, [](const SeenRequest& aRequest) { return !aRequest.Header("Request-Id").empty(); }));
+  }
 
   static policy::Upstream FarUpstream(const std::string& aId, const std::string& aAddress)
   {
@@ -33,8 +58,11 @@
 
   std::string Get(const std::string& aId) { return Status(Exchange(Request("/a/x", aId))); }
 
-  ScriptedUpstream m_near{ Respond };
-  ScriptedUpstream m_other{ Respond };
+  /// What health checks get.
+  std::atomic<unsigned> m_healthStatus{ 200 };
+  std::atomic<bool> m_isPassedOn{ false };
+  ScriptedUpstream m_near{ [this](const SeenRequest& aRequest) { return Respond(aRequest); } };
+  ScriptedUpstream m_other{ [this](const SeenRequest& aRequest) { return Respond(aRequest); } };
 };
 
 // An entry comes again with another region and address, and the balancers are not updated yet.
@@ -151,5 +179,25 @@
   EXPECT_EQ(Get("r1"), "HTTP/1.1 200 OK");
 }
 
+// The store is down, and an upstream's address goes to one in another region, which cannot
+// register. Guards against a restricted request that reaches the other region.
+TEST_F(UpstreamPlaceTest, DuringAnOutageOfTheStoreTheUpstreamMustNameItself)
+{
+  OnRequestThread([this] { m_steering->OnStoreReachable(false); });
+  EXPECT_EQ(Get("r1"), "HTTP/1.1 200 OK");
+  EXPECT_EQ(m_near.Seen().size(), 2U) << "health check and request";
+  EXPECT_EQ(Get("r2"), "HTTP/1.1 200 OK");
+  EXPECT_EQ(m_near.Seen().size(), 3U) << "the kept connection leads to the same process";
+  OnRequestThread([this] { m_pool.Drop("i-0"); });
+  m_healthStatus = 503;
+  EXPECT_EQ(Get("r3"), "HTTP/1.1 503 Service Unavailable") << "does not tell who runs there";
+  OnRequestThread([this] { EXPECT_TRUE(m_steering->MayReceive("i-0")); });
+  m_healthStatus = 200;
+  m_isPassedOn = true;
+  EXPECT_EQ(Get("r4"), "HTTP/1.1 503 Service Unavailable");
+  EXPECT_EQ(RequestsAtNear(), 2U);
+  OnRequestThread([this] { EXPECT_FALSE(m_steering->MayReceive("i-0")) << "replaced"; });
+}
+
 } // namespace
 } // namespace jaylane::gateway
--- a/packages/policy/include/jaylane/policy/UpstreamRegistry.h
+++ b/packages/policy/include/jaylane/policy/UpstreamRegistry.h
@@ -84,6 +84,12 @@
 
   const std::map<std::string, Record>& Records() const { return m_records; }
 
+  /// @return whether the upstream may have ended, and its address may belong to another one,
+  /// without
+  ///         this VM being told: during an outage of the store and until all had time to register
+  ///         after it, or while the entry is missing.
+  bool MayBeOutdated(const Record& aRecord, base::MonotonicTime aNow) const;
+
 private:
   /// An upstream that was removed.
   struct Removal
--- a/packages/policy/src/UpstreamRegistry.cpp
+++ b/packages/policy/src/UpstreamRegistry.cpp
@@ -27,6 +27,11 @@
   return m_isStoreUnreachable || (m_hasRecovered && aNow - m_recoveredAt < m_options.m_gracePeriod);
 }
 
+bool UpstreamRegistry::MayBeOutdated(const Record& aRecord, base::MonotonicTime aNow) const
+{
+  return IsInGracePeriod(aNow) || aRecord.m_isStale;
+}
+
 void UpstreamRegistry::MarkStale(Record& aRecord, base::MonotonicTime aNow)
 {
   if (aRecord.m_isStale) {
--- a/packages/policy/tests/UpstreamRegistryTest.cpp
+++ b/packages/policy/tests/UpstreamRegistryTest.cpp
@@ -88,6 +88,27 @@
   EXPECT_EQ(m_registry.Records().size(), 2U);
 }
 
+// During an outage of the store an upstream ends, and its address goes to another one that cannot
+// register. Guards against taking the entry for current before the other one could register.
+TEST_F(UpstreamRegistryTest, EntriesMayBeOutdatedUntilAllHaveRegisteredAfterAnOutage)
+{
+  FillWith(3);
+  const auto mayBeOutdated = [this](const std::string& aId) {
+    return m_registry.MayBeOutdated(m_registry.Records().at(aId), m_clock.Monotonic());
+  };
+  EXPECT_FALSE(mayBeOutdated("u0"));
+  m_registry.OnStoreUnreachable();
+  EXPECT_TRUE(mayBeOutdated("u0"));
+  m_registry.OnStoreRecovered(m_clock.Monotonic());
+  m_clock.Advance(2s);
+  EXPECT_TRUE(mayBeOutdated("u0"));
+  m_clock.Advance(1s);
+  EXPECT_FALSE(mayBeOutdated("u0"));
+  m_registry.Replace({ Entry("u1", 20) }, m_clock.Monotonic());
+  EXPECT_TRUE(mayBeOutdated("u0")) << "most entries are missing";
+  EXPECT_FALSE(mayBeOutdated("u1"));
+}
+
 // An upstream that was draining before the outage must not be kept after its entry disappears.
 TEST_F(UpstreamRegistryTest, DoesNotKeepDrainingEntries)
 {
