gateway tests: restricted requests and upstreams in an unknown zone

An upstream whose zone the settings do not name has no region. No test said that a request with allowed regions must not go there, and that others may.

UpstreamPlaceTest.AnUpstreamInAnUnknownZoneGetsUnrestrictedRequestsOnly passes on the code as it is.

--- a/packages/gateway/tests/UpstreamPlaceTest.cpp
+++ b/packages/gateway/tests/UpstreamPlaceTest.cpp
@@ -199,5 +199,25 @@
   OnRequestThread([this] { EXPECT_FALSE(m_steering->MayReceive("i-0")) << "replaced"; });
 }
 
+// The settings do not know the zone of an upstream. Guards against restricted requests to wherever
+// it runs, and against an upstream that no request may use.
+TEST_F(UpstreamPlaceTest, AnUpstreamInAnUnknownZoneGetsUnrestrictedRequestsOnly)
+{
+  OnRequestThread([this] {
+    policy::Configuration configuration = m_steering->Routes()->Config();
+    configuration.m_version = 3;
+    configuration.m_routes[1].m_allowedRegions = {};
+    ASSERT_TRUE(m_steering->ApplyConfiguration(std::move(configuration)));
+    policy::Upstream upstream = MakeUpstream("i-0", m_near.Address(), 10);
+    upstream.m_zone = "unknown";
+    upstream.m_region = "";
+    m_steering->PutUpstream(upstream);
+    m_steering->Tick();
+  });
+  EXPECT_EQ(Get("r1"), "HTTP/1.1 503 Service Unavailable");
+  EXPECT_EQ(RequestsAtNear(), 0U);
+  EXPECT_EQ(Status(Exchange(Request("/b/x", "r2"))), "HTTP/1.1 200 OK");
+}
+
 } // namespace
 } // namespace jaylane::gateway
