--- a/packages/gateway/tests/UpstreamPlaceTest.cpp
+++ b/packages/gateway/tests/UpstreamPlaceTest.cpp
@@ -199,6 +199,22 @@
   OnRequestThread([this] { EXPECT_FALSE(m_steering->MayReceive("i-0")) << "replaced"; });
 }
 
+// During an outage of the store no upstream accepts more. Guards against one request that sends
+// health checks to all of them.
+TEST_F(UpstreamPlaceTest, FewUpstreamsAreAskedForTheirNamesByOneRequest)
+{
+  m_healthStatus = 503;
+  OnRequestThread([this] {
+    for (const char* id : { "i-1", "i-2", "i-3", "i-4" }) {
+      m_steering->PutUpstream(MakeUpstream(id, m_other.Address(), 10));
+    }
+    m_steering->Tick();
+    m_steering->OnStoreReachable(false);
+  });
+  EXPECT_EQ(Get("r1"), "HTTP/1.1 503 Service Unavailable");
+  EXPECT_EQ(m_near.Seen().size() + m_other.Seen().size(), 3U);
+}
+
 // The settings do not know the zone of an upstream. Guards against restricted requests to wherever
 // it runs, and against an upstream that no request may use.
 TEST_F(UpstreamPlaceTest, AnUpstreamInAnUnknownZoneGetsUnrestrictedRequestsOnly)
