gateway: a late health check must not take an upstream out of use

The health check before a restricted request in a store outage counted as an unreachable upstream when it timed out. A busy upstream, at which the check waits for a slot, then got no requests of any caller until a probe succeeded, and several such upstreams in a row would have counted as a cut region.

After a timeout the request goes elsewhere, and the upstream stays in use. Only a refused or broken connection counts as unreachable.

--- a/packages/gateway/src/UpstreamAttempt.cpp
+++ b/packages/gateway/src/UpstreamAttempt.cpp
@@ -146,8 +146,9 @@
     return;
   }
   AttemptResult result;
-  result.m_failure =
-    aResponse.m_status == 0 ? AttemptFailure::Unreachable : AttemptFailure::Withdrawn;
+  // A busy upstream may respond late; that must not take it out of use for all requests.
+  const bool isUnreachable = aResponse.m_status == 0 && !aResponse.m_hasTimedOut;
+  result.m_failure = isUnreachable ? AttemptFailure::Unreachable : AttemptFailure::Withdrawn;
   result.m_isUnconfirmed = true;
   result.m_isOtherUpstream = health.has_value();
   result.m_cause = health ? "health check answered by another upstream" : "health check failed";
--- a/packages/gateway/tests/UpstreamPlaceTest.cpp
+++ b/packages/gateway/tests/UpstreamPlaceTest.cpp
@@ -37,7 +37,10 @@
     }
     return { fmt::format("HTTP/1.1 {} x\r\nInstance-Id: {}\r\nContent-Length: 0\r\n\r\n",
                          m_healthStatus.load(),
-                         m_isPassedOn ? "i-1" : "i-0") };
+                         m_isPassedOn ? "i-1" : "i-0"),
+             false,
+             false,
+             std::chrono::milliseconds{ m_healthDelayMs.load() } };
   }
 
   /// @return number of requests, without health checks, that reached the first upstream's address.
@@ -61,6 +64,7 @@
   /// What health checks get.
   std::atomic<unsigned> m_healthStatus{ 200 };
   std::atomic<bool> m_isPassedOn{ false };
+  std::atomic<int> m_healthDelayMs{ 0 };
   ScriptedUpstream m_near{ [this](const SeenRequest& aRequest) { return Respond(aRequest); } };
   ScriptedUpstream m_other{ [this](const SeenRequest& aRequest) { return Respond(aRequest); } };
 };
@@ -191,11 +195,15 @@
   OnRequestThread([this] { m_pool.Drop("i-0"); });
   m_healthStatus = 503;
   EXPECT_EQ(Get("r3"), "HTTP/1.1 503 Service Unavailable") << "does not tell who runs there";
-  OnRequestThread([this] { EXPECT_TRUE(m_steering->MayReceive("i-0")); });
   m_healthStatus = 200;
+  m_healthDelayMs = 800;
+  EXPECT_EQ(Get("r5"), "HTTP/1.1 503 Service Unavailable") << "busy";
+  m_healthDelayMs = 0;
+  EXPECT_EQ(Get("r6"), "HTTP/1.1 200 OK") << "must not be out of use";
+  OnRequestThread([this] { m_pool.Drop("i-0"); });
   m_isPassedOn = true;
   EXPECT_EQ(Get("r4"), "HTTP/1.1 503 Service Unavailable");
-  EXPECT_EQ(RequestsAtNear(), 2U);
+  EXPECT_EQ(RequestsAtNear(), 3U);
   OnRequestThread([this] { EXPECT_FALSE(m_steering->MayReceive("i-0")) << "replaced"; });
 }
 
