policy: compare the identities of entries without copying them

The check right before a request is sent copied ten strings to compare two entries. UpstreamIdentity::IsSame() compares the fields in place. No change of behaviour; UpstreamIdentityTest covers both ways.

--- a/packages/gateway/src/Steering.cpp
+++ b/packages/gateway/src/Steering.cpp
@@ -790,8 +790,7 @@
 {
   const auto record = m_registry.Records().find(aChosen.m_id);
   return record != m_registry.Records().end() &&
-         policy::UpstreamIdentity::Of(record->second.m_upstream) ==
-           policy::UpstreamIdentity::Of(aChosen) &&
+         policy::UpstreamIdentity::IsSame(record->second.m_upstream, aChosen) &&
          MayReceive(aChosen.m_id);
 }
 
--- a/packages/policy/include/jaylane/policy/UpstreamIdentity.h
+++ b/packages/policy/include/jaylane/policy/UpstreamIdentity.h
@@ -16,6 +16,10 @@
   /// @return the identity that a registry entry states.
   static UpstreamIdentity Of(const Upstream& aEntry);
 
+  /// @return whether two entries state the same identity. Spares the copies of Of(), as it is asked
+  ///         for each request.
+  static bool IsSame(const Upstream& aFirst, const Upstream& aSecond);
+
   std::string m_id;
   std::string m_service;
   std::string m_address;
--- a/packages/policy/tests/UpstreamIdentityTest.cpp
+++ b/packages/policy/tests/UpstreamIdentityTest.cpp
@@ -23,6 +23,7 @@
   changed.m_coldRemaining = std::chrono::seconds{ 1 };
   changed.m_revision = 7;
   EXPECT_EQ(UpstreamIdentity::Of(changed), identity);
+  EXPECT_TRUE(UpstreamIdentity::IsSame(changed, known));
   for (std::string Upstream::*field : { &Upstream::m_id,
                                         &Upstream::m_service,
                                         &Upstream::m_address,
@@ -31,10 +32,12 @@
     changed = known;
     changed.*field = "other";
     EXPECT_NE(UpstreamIdentity::Of(changed), identity);
+    EXPECT_FALSE(UpstreamIdentity::IsSame(changed, known));
   }
   changed = known;
   changed.m_startedAtMs = 2;
   EXPECT_NE(UpstreamIdentity::Of(changed), identity);
+  EXPECT_FALSE(UpstreamIdentity::IsSame(changed, known));
 }
 
 } // namespace
