--- a/packages/gateway/src/Steering.cpp
+++ b/packages/gateway/src/Steering.cpp
@@ -791,11 +791,19 @@
 {
   const auto record = m_registry.Records().find(aChosen.m_id);
   return record != m_registry.Records().end() &&
-         policy::UpstreamIdentity::Of(record->second.m_upstream) ==
-           policy::UpstreamIdentity::Of(aChosen) &&
+         policy::UpstreamIdentity::IsSame(record->second.m_upstream, aChosen) &&
          MayReceive(aChosen.m_id);
 }
 
+std::string Steering::ConfirmationPath(const policy::Upstream& aUpstream) const
+{
+  const auto record = m_registry.Records().find(aUpstream.m_id);
+  return record != m_registry.Records().end() &&
+             m_registry.MayBeOutdated(record->second, m_clock.Monotonic())
+           ? HealthPath(aUpstream)
+           : std::string{};
+}
+
 void Steering::UpdateBalancers()
 {
   m_hasChanges = false;
