gateway: report the numbers of lookups to the request thread in batches

Each lookup posted one event to the request thread. While that thread has more work than processor time, crowds of lookups would have queued events without a bound.

A gateway process with lookups of callers in its zone, its region and another region, asked 0.5 s later: jaylane_lookups_total 1, 1 and, for "none" of two lookups within the start time, 2.

--- a/packages/gateway/src/ControlPlane.cpp
+++ b/packages/gateway/src/ControlPlane.cpp
@@ -243,7 +243,7 @@
     m_hooks.m_onLoads(std::move(aLoads));
   };
   hooks.m_onLoadsTold = [this](std::size_t aCount) { m_hooks.m_onLoadsTold(aCount); };
-  hooks.m_onLookup = [this](policy::LookupScope::Kind aKind) { m_hooks.m_onLookup(aKind); };
+  hooks.m_onLookup = [this](policy::LookupScope::Kind aKind) { ++m_newLookups[aKind]; };
   hooks.m_zoneDemand = [this] { return m_demandShare.NextToTell(m_clock.Monotonic()); };
   hooks.m_onZoneDemand = [this](const policy::ZoneDemand& aDemand) {
     if (aDemand.m_zone != m_settings.m_zone) {
@@ -391,6 +391,9 @@
   UpdateViewAge();
   UpdateConfigurationView();
   m_peerLink.SetLoad(IsReady(), m_requestState.m_requestsPerSecond);
+  if (!m_newLookups.empty()) {
+    m_hooks.m_onLookups(std::exchange(m_newLookups, {}));
+  }
   if (++m_tickCount % kMaintenanceTicks == 0) {
     m_storeSync.SetPeers(m_peerLink.RunningPeers());
     UpdateDemand();
--- a/packages/gateway/src/ControlPlane.h
+++ b/packages/gateway/src/ControlPlane.h
@@ -14,7 +14,9 @@
 #include "jaylane/policy/StoreFollowing.h"
 
 #include <atomic>
+#include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -48,8 +50,10 @@
     std::function<void(std::optional<std::vector<policy::LoadObservation>>)> m_onLoads;
     /// Loads of upstreams were sent to other VMs.
     std::function<void(std::size_t aCount)> m_onLoadsTold;
-    /// A lookup was answered with VMs of this kind.
-    std::function<void(policy::LookupScope::Kind)> m_onLookup = [](policy::LookupScope::Kind) {};
+    /// Receives the numbers of lookups since the last call, by where the VMs are that they
+    /// returned. Called a few times a second at most, however many lookups there are.
+    std::function<void(std::map<policy::LookupScope::Kind, std::uint64_t>)> m_onLookups =
+      [](const auto&) {};
     /// The store no longer answers this VM, or does again.
     std::function<void(bool aIsReachable)> m_onStoreReachable;
     /// The store has returned from an older copy. Called before objects of the new era are
@@ -209,6 +213,8 @@
   policy::ConfirmedView m_configurationView;
   std::atomic<bool> m_isConfigurationConfirmed{ false };
   policy::DemandShare m_demandShare;
+  /// Lookups that were not reported yet.
+  std::map<policy::LookupScope::Kind, std::uint64_t> m_newLookups;
   std::atomic<double> m_share{ 0 };
   std::thread m_thread;
 };
--- a/packages/gateway/src/Gateway.cpp
+++ b/packages/gateway/src/Gateway.cpp
@@ -353,8 +353,12 @@
   hooks.m_onLoads = [this](std::optional<std::vector<policy::LoadObservation>> aLoads) {
     asio::post(m_io, [this, loads = std::move(aLoads)] { OnPeerLoads(loads); });
   };
-  hooks.m_onLookup = [this](policy::LookupScope::Kind aKind) {
-    asio::post(m_io, [this, aKind] { ++m_metrics.m_lookups[aKind]; });
+  hooks.m_onLookups = [this](std::map<policy::LookupScope::Kind, std::uint64_t> aCounts) {
+    asio::post(m_io, [this, counts = std::move(aCounts)] {
+      for (const auto& [kind, count] : counts) {
+        m_metrics.m_lookups[kind] += count;
+      }
+    });
   };
   hooks.m_onLoadsTold = [this](std::size_t aCount) {
     asio::post(m_io, [this, aCount] { m_metrics.m_observationsTold += aCount; });
