check-regions.py: time until each VM has a version, also where its log line was dropped

Cause: few requests are restricted, so that their attempts show the age of a version only by chance, and a busy VM drops records, among them that of the applied configuration (200 records a second).

Change: the judge prints the longest times from the first application of a version by any VM to the moment at which a VM had it, and takes the versions that requests name as evidence.

--- a/deploy/days/check-regions.py
+++ b/deploy/days/check-regions.py
@@ -23,7 +23,7 @@
 
 # Only lines with one of these are parsed.
 EVENTS = tuple(f'"event":"{name}"' for name in
-               ("start", "configuration", "allowed_regions_changed", "attempt", "log_dropped"))
+               ("start", "configuration", "allowed_regions_changed", "attempt", "request", "log_dropped"))
 
 
 class Attempt:
@@ -79,6 +79,8 @@
         self.truncated_steps = set()
         self.present = {}
         self.starts = {}
+        # VM -> (time, version), in the order of application; a start is version 0.
+        self.applied = collections.defaultdict(list)
         self.dropped = 0
         self.lines = 0
 
@@ -97,15 +99,21 @@
     def add(self, time, record):
         event = record.get("event")
         vm = record.get("vm", "")
+        # The record of an application may have been dropped: requests tell the version as well.
+        version_in_use = record.get("active_config", record.get("config", 0))
+        if version_in_use > (self.applied[vm][-1][1] if self.applied[vm] else 0):
+            self.applied[vm].append((time, version_in_use))
         if event == "start":
             self.starts[vm] = time
             self.present.pop(vm, None)
+            self.applied[vm].append((time, 0))
         elif event == "configuration" and record.get("outcome") == "applied":
             version = record["version"]
             if version not in self.first_applied or time < self.first_applied[version][0]:
                 self.first_applied[version] = (time, vm)
             previous = record.get("present_version", 0)
             self.present[vm] = (previous, version)
+            self.applied[vm].append((time, version))
             if previous:
                 self.steps[(previous, version)]  # A step without a change counts as well.
         elif event == "allowed_regions_changed" and record.get("route"):
@@ -135,9 +143,35 @@
             for vm, spans in out.items()}
 
 
+def is_in_touch(spans, vm, time):
+    return not any(begin <= time <= end for begin, end in spans.get(vm, ()))
+
+
 def set_in_touch(log, spans):
     for attempt in log.attempts:
-        attempt.is_in_touch = not any(begin <= attempt.time <= end for begin, end in spans.get(attempt.vm, ()))
+        attempt.is_in_touch = is_in_touch(spans, attempt.vm, attempt.time)
+
+
+def application_delays(log, spans):
+    """Returns (delay, time, VM, version, whether the VM was in touch), the longest delay first.
+
+    The delay is the time from the first application of a version by any VM to the moment at which this VM had
+    that version or a newer one. A VM that starts in between is left out.
+    """
+    delays = []
+    for version, (first, _) in log.first_applied.items():
+        for vm, steps in log.applied.items():
+            has_started = False
+            for time, applied in steps:
+                if time < first:
+                    has_started = True
+                elif applied == 0:
+                    break
+                elif applied >= version:
+                    if has_started:
+                        delays.append((time - first, time, vm, version, is_in_touch(spans, vm, time)))
+                    break
+    return sorted(delays, reverse=True)
 
 
 def time_of(prefix, record):
@@ -237,7 +271,7 @@
     return "; ".join(parts)
 
 
-def report(log, worst):
+def report(log, spans, worst):
     attempts = log.attempts
     wrong = [a for a in attempts if a.region not in a.allowed]
     later = [a for a in attempts if a.number > 1]
@@ -266,6 +300,12 @@
           f"with the active version of the VM {sum(a.config == a.active for a in forbidden)}")
     print(f"region forbidden by the newest version that any VM had applied "
           f"{sum(a.newest_allows is False for a in attempts)}, not known {sum(a.newest_allows is None for a in attempts)}")
+    delays = application_delays(log, spans or {})
+    for title, cases in (("all VMs", delays), ("VMs in touch", [d for d in delays if d[4]])):
+        if cases and (spans is not None or title == "all VMs"):
+            print(f"until a VM had a version that another had applied, {title}, longest: " + ", ".join(
+                f"{delay:.3f} s ({vm} version {version} at {time:.1f})"
+                for delay, time, vm, version, _ in cases[:worst]))
     for title, cases in (
             ("outside the regions of the binding version", wrong),
             ("longest after the first VM had applied a version that forbids the region",
@@ -290,9 +330,10 @@
         with open(arguments.log, encoding="utf-8", errors="replace") as stream:
             log.read(stream)
     judge(log)
-    if arguments.report:
-        set_in_touch(log, read_spans(arguments.report))
-    return report(log, arguments.worst)
+    spans = read_spans(arguments.report) if arguments.report else None
+    if spans is not None:
+        set_in_touch(log, spans)
+    return report(log, spans, arguments.worst)
 
 
 if __name__ == "__main__":
