--- a/packages/gateway/src/RequestExchange.cpp
+++ b/packages/gateway/src/RequestExchange.cpp
@@ -482,7 +482,7 @@
                                      const auto self = weak.lock();
                                      return self && self->MaySend(aUpstream);
                                    },
-                                   m_allowedRegions.Get()
+                                   m_regions.IsRestricted()
                                      ? m_context.m_steering.ConfirmationPath(*aChoice.m_upstream)
                                      : std::string{} },
     *aChoice.m_upstream,
