gateway: count ticks only for stalls, and messages read before a late one

An announcement counts as a tick as well, so the first one that was read after a suspension ended the stall, and what was read before the first tick was not dated back. Change: only the control thread's own tick is one; a message that is read long after the last tick counts as of that tick.

--- a/packages/gateway/src/ControlPlane.cpp
+++ b/packages/gateway/src/ControlPlane.cpp
@@ -346,7 +346,6 @@
 void ControlPlane::UpdateConfigurationView()
 {
   const base::MonotonicTime now = m_clock.Monotonic();
-  m_stalls.OnTick(now);
   if (const auto answeredAt = m_storeSync.ConfigurationAnsweredAt()) {
     m_configurationView.OnConfirmed(m_stalls.ArrivedAt(*answeredAt));
   }
@@ -393,6 +392,7 @@
 
 void ControlPlane::UpdateState()
 {
+  m_stalls.OnTick(m_clock.Monotonic());
   ConfirmView();
   UpdateRole();
   UpdateLead();
--- a/packages/policy/src/StallHistory.cpp
+++ b/packages/policy/src/StallHistory.cpp
@@ -21,7 +21,8 @@
 
 base::MonotonicTime StallHistory::ArrivedAt(base::MonotonicTime aReadAt) const
 {
-  base::MonotonicTime arrivedAt = aReadAt;
+  const bool isInGap = m_lastTick && aReadAt - *m_lastTick > m_maxGap;
+  base::MonotonicTime arrivedAt = isInGap ? *m_lastTick : aReadAt;
   for (const Stall& stall : m_stalls) {
     if (aReadAt >= stall.m_beganAt && (!stall.m_endedAt || aReadAt <= *stall.m_endedAt)) {
       arrivedAt = std::min(arrivedAt, stall.m_beganAt);
--- a/packages/policy/tests/StallHistoryTest.cpp
+++ b/packages/policy/tests/StallHistoryTest.cpp
@@ -17,6 +17,7 @@
     stalls.OnTick(start + tick);
   }
   EXPECT_EQ(stalls.ArrivedAt(start + 390ms), start + 390ms);
+  EXPECT_EQ(stalls.ArrivedAt(start + 4990ms), start + 400ms) << "the next tick is late";
   stalls.OnTick(start + 5000ms);
   EXPECT_EQ(stalls.ArrivedAt(start + 4990ms), start + 400ms) << "read before the first tick";
   EXPECT_EQ(stalls.ArrivedAt(start + 5100ms), start + 400ms) << "read a little later";
