gateway tests: hedges and addresses that were passed on

No test said that a second attempt keeps away from an upstream whose address a later entry states.

UpstreamPlaceTest.AHedgeGoesToNoAddressThatWasPassedOn passes, and failed on a trial copy that uses superseded upstreams (a request seen at the address, none expected).

--- a/packages/gateway/tests/UpstreamPlaceTest.cpp
+++ b/packages/gateway/tests/UpstreamPlaceTest.cpp
@@ -223,6 +223,31 @@
   EXPECT_EQ(m_near.Seen().size() + m_other.Seen().size(), 3U);
 }
 
+// A response is overdue. Guards against a second attempt at an upstream whose address was passed
+// on.
+TEST_F(UpstreamPlaceTest, AHedgeGoesToNoAddressThatWasPassedOn)
+{
+  ScriptedUpstream slow([](const SeenRequest& aRequest) {
+    return Script{ OkResponse(aRequest, "x"), false, false, std::chrono::milliseconds{ 900 } };
+  });
+  const auto put = [this](const policy::Upstream& aUpstream) {
+    OnRequestThread([&] {
+      m_steering->PutUpstream(aUpstream);
+      m_steering->Tick();
+    });
+  };
+  put(MakeUpstream("i-0", slow.Address(), 1));
+  put(MakeUpstream("i-2", slow.Address(), 1));
+  Get("r1");
+  EXPECT_EQ(slow.Seen().size(), 2U) << "hedged";
+  put(MakeUpstream("i-2", m_other.Address(), 2));
+  put(FarUpstream("i-1", m_other.Address()));
+  for (const char* id : { "r2", "r3", "r4" }) {
+    Get(id);
+  }
+  EXPECT_TRUE(m_other.Seen().empty());
+}
+
 // The settings do not know the zone of an upstream. Guards against restricted requests to wherever
 // it runs, and against an upstream that no request may use.
 TEST_F(UpstreamPlaceTest, AnUpstreamInAnUnknownZoneGetsUnrestrictedRequestsOnly)
