gateway: a VM that knows it lacks a version soon rejects restricted requests

Cause: the news of a version takes up to a second or more to arrive at a busy VM, and the evidence from before was used for three quarters of the time for a change after that. Change: once a VM knows of a version that it lacks, its configuration is usable for a quarter of the time for a change.

--- a/packages/gateway/src/ControlPlane.cpp
+++ b/packages/gateway/src/ControlPlane.cpp
@@ -366,7 +366,10 @@
   if (zonesHeardAt && m_hasMembers && !isBehind) {
     m_configurationView.OnMostZonesHeard(m_stalls.ArrivedAt(*zonesHeardAt));
   }
-  m_configurationUsableUntil = m_configurationView.UsableUntil().value_or(base::MonotonicTime{});
+  const auto behindSince =
+    isBehind ? std::optional{ now - m_storeSync.ConfigurationBehindFor() } : std::nullopt;
+  m_configurationUsableUntil =
+    m_configurationView.UsableUntil(behindSince).value_or(base::MonotonicTime{});
   m_isConfigurationConfirmed = m_configurationView.IsConfirmed(isBehind, now);
 }
 
--- a/packages/gateway/src/StoreSync.h
+++ b/packages/gateway/src/StoreSync.h
@@ -322,6 +322,8 @@
   }
   /// @return whether a peer has announced a configuration that this VM lacks.
   bool IsConfigurationBehind() const { return m_configuration.IsBehind(); }
+  /// @return time for which this VM has known that it lacks a configuration; 0 if it does not.
+  std::chrono::milliseconds ConfigurationBehindFor() const { return m_configuration.BehindFor(); }
 
   /// The era of the store, for other calls to it. To be used on the loop's thread.
   StoreEra& Era() { return m_era; }
--- a/packages/policy/include/jaylane/policy/ConfirmedView.h
+++ b/packages/policy/include/jaylane/policy/ConfirmedView.h
@@ -36,14 +36,20 @@
     m_zonesHeardAt = m_zonesHeardAt ? std::max(*m_zonesHeardAt, aHeardAt) : aHeardAt;
   }
 
+  /// @param aBehindSince since when this VM has known that it lacks a change; empty if it does not.
   /// @return until when this VM may act on its configuration where an outdated one does harm, such
   ///   as sending data to a region that has been forbidden. Earlier than a change must be in force,
   ///   since evidence and requests take time to arrive. Nothing if there is no evidence.
-  std::optional<base::MonotonicTime> UsableUntil() const
+  std::optional<base::MonotonicTime> UsableUntil(
+    std::optional<base::MonotonicTime> aBehindSince) const
   {
     const auto evidence = std::max(m_confirmedAt, m_zonesHeardAt);
-    return evidence ? std::optional(*evidence + m_maxAge - m_maxAge / kTransferDivisor)
-                    : std::nullopt;
+    if (!evidence) {
+      return std::nullopt;
+    }
+    const base::MonotonicTime until = *evidence + m_maxAge - m_maxAge / kTransferDivisor;
+    // The news itself may have taken most of the time for a change to arrive.
+    return aBehindSince ? std::min(until, *aBehindSince + m_maxAge / kTransferDivisor) : until;
   }
 
   /// @param aIsBehind whether another VM has announced a change that this one lacks.
--- a/packages/policy/tests/ConfirmedViewTest.cpp
+++ b/packages/policy/tests/ConfirmedViewTest.cpp
@@ -27,13 +27,15 @@
 {
   const base::MonotonicTime start{ 100s };
   ConfirmedView view(2400ms);
-  EXPECT_EQ(view.UsableUntil(), std::nullopt);
+  EXPECT_EQ(view.UsableUntil({}), std::nullopt);
   view.OnConfirmed(start);
-  EXPECT_EQ(view.UsableUntil(), start + 1800ms);
+  EXPECT_EQ(view.UsableUntil({}), start + 1800ms);
   view.OnMostZonesHeard(start + 9s);
   view.OnMostZonesHeard(start + 8s);
-  EXPECT_EQ(view.UsableUntil(), start + 9s + 1800ms);
+  EXPECT_EQ(view.UsableUntil({}), start + 9s + 1800ms);
   EXPECT_FALSE(view.IsConfirmed(false, start + 9s)) << "needs the store's word";
+  EXPECT_EQ(view.UsableUntil(start + 9s), start + 9s + 600ms) << "a change is known to be missing";
+  EXPECT_EQ(view.UsableUntil(start + 20s), start + 9s + 1800ms);
 }
 
 } // namespace
