gateway: name the withdrawal of an attempt by its moment

Cause: the cause in attempt_failed named moved upstreams also where a region had been forbidden during the connect. Change: "withdrawn during the connect". Result: builds; no test refers to the text.

--- a/packages/gateway/src/UpstreamAttempt.cpp
+++ b/packages/gateway/src/UpstreamAttempt.cpp
@@ -223,7 +223,7 @@
       self->m_connectTime = self->m_dependencies.m_clock.Monotonic() - self->m_connectStartedAt;
       const auto& mayReceive = self->m_dependencies.m_mayReceive;
       if (mayReceive && !mayReceive(self->m_upstream)) {
-        self->Fail(AttemptFailure::Withdrawn, "upstream or caller left, or upstream moved");
+        self->Fail(AttemptFailure::Withdrawn, "withdrawn during the connect");
         return;
       }
       TcpTimeouts timeouts;
