gateway: probe the store only after calls that it has not answered

Cause: KindWatcher reported a list that the store had answered with an older copy as a failed call, and StoreProbe asked the store after each of them.

Change: a call that was answered counts as answered for the probe, as the probe's own calls do, whatever its contents (StoreCallResult). Metrics still count it as a failed call.

AnswersWithAnOlderCopyCauseNoProbes failed before.

--- a/packages/gateway/src/ControlPlane.cpp
+++ b/packages/gateway/src/ControlPlane.cpp
@@ -161,7 +161,9 @@
   KindWatcher::Hooks hooks;
   hooks.m_onList = std::move(aOnList);
   hooks.m_onChanges = std::move(aOnChanges);
-  hooks.m_onCallCompleted = m_hooks.m_onStoreCall;
+  hooks.m_onCallCompleted = [this](StoreCallResult aResult) {
+    m_hooks.m_onStoreCall(aResult == StoreCallResult::Succeeded);
+  };
   hooks.m_onRevision = [this, aKind](policy::StoreRevision aRevision) {
     SetRevision(aKind, aRevision);
   };
--- a/packages/gateway/src/StoreProbe.cpp
+++ b/packages/gateway/src/StoreProbe.cpp
@@ -55,9 +55,9 @@
   }
 }
 
-void StoreProbe::OnCallCompleted(bool aSucceeded)
+void StoreProbe::OnCallCompleted(bool aIsAnswered)
 {
-  if (aSucceeded) {
+  if (aIsAnswered) {
     OnAnswer();
   } else if (m_answeredAt && m_clock.Monotonic() - *m_answeredAt < kMaxCallTime) {
     Ask();
--- a/packages/gateway/src/StoreProbe.h
+++ b/packages/gateway/src/StoreProbe.h
@@ -42,7 +42,8 @@
   void Check();
 
   /// Another call of this VM to the store has ended.
-  void OnCallCompleted(bool aSucceeded);
+  /// @param aIsAnswered whether the store has answered, with whatever contents.
+  void OnCallCompleted(bool aIsAnswered);
 
   bool IsReachable() const { return m_isReachable; }
 
--- a/packages/gateway/src/StoreSync.cpp
+++ b/packages/gateway/src/StoreSync.cpp
@@ -129,11 +129,11 @@
   for (auto* kind : { &aHooks.m_configuration, &aHooks.m_upstreams, &aHooks.m_evacuations }) {
     kind->m_onFollowingChanged = aReport;
     kind->m_onSilence = aOnSilence;
-    kind->m_onCallCompleted = [&aProbe,
-                               inner = std::move(kind->m_onCallCompleted)](bool aSucceeded) {
-      aProbe.OnCallCompleted(aSucceeded);
-      inner(aSucceeded);
-    };
+    kind->m_onCallCompleted =
+      [&aProbe, inner = std::move(kind->m_onCallCompleted)](StoreCallResult aResult) {
+        aProbe.OnCallCompleted(aResult != StoreCallResult::Unanswered);
+        inner(aResult);
+      };
   }
   return aHooks;
 }
@@ -187,7 +187,7 @@
     { "GET", m_dialect.ListTarget(m_kind, aAfter, Freshness::Current), {}, kListTimeout },
     [this, after = aAfter](const FetchResponse& aResponse) {
       if (!base::ContainErrors(m_log, "list", [&] { OnListed(aResponse, after); })) {
-        OnFailure();
+        OnFailure(aResponse);
       }
     });
 }
@@ -200,7 +200,7 @@
       ? m_dialect.ParseList(aResponse.m_body)
       : base::Result<ObjectBatch>(std::make_error_code(std::errc::io_error));
   if (!batch) {
-    OnFailure();
+    OnFailure(aResponse);
     return;
   }
   MeasureResponseDelay(
@@ -211,7 +211,7 @@
     m_listRevision = batch->m_revision;
   }
   if (era != m_listRevision.Era() || era < m_era.Current()) {
-    OnFailure(); // The store has returned from an older copy meanwhile.
+    OnFailure(aResponse); // The store has returned from an older copy meanwhile.
     return;
   }
   std::ranges::move(batch->m_objects, std::back_inserter(m_listedObjects));
@@ -219,7 +219,7 @@
     const std::string last =
       m_listedObjects.empty() ? std::string{} : m_listedObjects.back().m_name;
     if (last == aAfter) {
-      OnFailure(); // No object of the page has a readable name to go on from.
+      OnFailure(aResponse); // No object of the page has a readable name to go on from.
     } else {
       List(last);
     }
@@ -231,7 +231,7 @@
                   .Add("kind", KindName(m_kind))
                   .Add("present_revision", m_revisionAtList.Number())
                   .Add("revision", m_listRevision.Number()));
-    OnFailure();
+    OnFailure(aResponse);
     return;
   }
   OnSuccess();
@@ -443,7 +443,7 @@
                    aWait + ResponseMargin() },
                  [this](const FetchResponse& aResponse) {
                    if (!base::ContainErrors(m_log, "watch", [&] { OnWatched(aResponse); })) {
-                     OnFailure();
+                     OnFailure(aResponse);
                    }
                  });
 }
@@ -472,7 +472,7 @@
       m_isOverdue = true;
       RestartWatch();
     } else {
-      OnFailure();
+      OnFailure(aResponse);
     }
     return;
   }
@@ -597,7 +597,7 @@
 
 void KindWatcher::OnSuccess()
 {
-  m_hooks.m_onCallCompleted(true);
+  m_hooks.m_onCallCompleted(StoreCallResult::Succeeded);
   m_answeredAt = m_clock.Monotonic();
   m_backoff = milliseconds{ 0 };
   m_failures = 0;
@@ -614,11 +614,12 @@
   }
 }
 
-void KindWatcher::OnFailure()
+void KindWatcher::OnFailure(const FetchResponse& aResponse)
 {
   m_isRenewed = false;
   m_isOverdue = false;
-  m_hooks.m_onCallCompleted(false);
+  m_hooks.m_onCallCompleted(aResponse.IsTransientFailure() ? StoreCallResult::Unanswered
+                                                           : StoreCallResult::Unusable);
   if (!m_hasFailed) {
     m_hasFailed = true;
     m_log.Write(
--- a/packages/gateway/src/StoreSync.h
+++ b/packages/gateway/src/StoreSync.h
@@ -33,6 +33,16 @@
   bool operator==(const StoreRevisions&) const = default;
 };
 
+/// How a call to the store has ended.
+enum class StoreCallResult
+{
+  Succeeded,
+  /// The store has answered, but not with objects that this VM can use.
+  Unusable,
+  /// There was no answer, or the store turned the call away or failed.
+  Unanswered,
+};
+
 /// Keeps a current copy of the objects of one kind: lists them, then watches for changes since the
 /// list's revision. Lists them anew when the store has returned from an older copy. While calls to
 /// the store fail, or peers announce a change that the watch has not delivered, it fetches the
@@ -48,7 +58,7 @@
     /// Changes since the last call of m_onList or m_onChanges.
     std::function<void(std::vector<StoredObject>)> m_onChanges;
     /// A call to the store has ended; called before its objects are reported.
-    std::function<void(bool aSucceeded)> m_onCallCompleted;
+    std::function<void(StoreCallResult aResult)> m_onCallCompleted;
     /// The revision of the newest change has risen.
     std::function<void(policy::StoreRevision aRevision)> m_onRevision;
     /// IsFollowing() may have changed.
@@ -163,7 +173,8 @@
   /// @param aWatch number of the watch; a later watch ends the checks.
   /// @param aChecks number of checks of this watch so far.
   void ScheduleBehindCheck(std::uint32_t aWatch, std::uint32_t aChecks);
-  void OnFailure();
+  /// @param aResponse the response that can't be used, if there was one.
+  void OnFailure(const FetchResponse& aResponse);
   void FetchFromNextPeer();
   void FetchFromPeer(const std::string& aPeer);
   void OnPeerResponse(const std::string& aPeer, const FetchResponse& aResponse);
--- a/packages/gateway/tests/RecordingSync.h
+++ b/packages/gateway/tests/RecordingSync.h
@@ -25,7 +25,7 @@
     for (auto* kind : { &hooks.m_configuration, &hooks.m_upstreams, &hooks.m_evacuations }) {
       kind->m_onList = [](const std::vector<StoredObject>&) {};
       kind->m_onChanges = [](const std::vector<StoredObject>&) {};
-      kind->m_onCallCompleted = [](bool) {};
+      kind->m_onCallCompleted = [](StoreCallResult) {};
       kind->m_onRevision = [](policy::StoreRevision) {};
     }
     hooks.m_onMembers = [](const std::vector<StoredObject>&) {};
--- a/packages/gateway/tests/StoreRestoreTest.cpp
+++ b/packages/gateway/tests/StoreRestoreTest.cpp
@@ -211,6 +211,17 @@
   EXPECT_TRUE(m_vm.WaitForRevision({ 55, 1 }, 3s));
 }
 
+// Guards against a probe, which is a list of the evacuated zones, after each list that the store
+// has answered with an older copy.
+TEST_F(StoreRestoreTest, AnswersWithAnOlderCopyCauseNoProbes)
+{
+  m_store.NameNoEra();
+  m_store.Set(20, 15);
+  std::this_thread::sleep_for(2s);
+  constexpr std::size_t kMaxLists = 10; // As in the test above.
+  EXPECT_LE(m_store.Calls("/list/2"), kMaxLists);
+}
+
 // VMs that start read the objects of all VMs, and divide bounds by their number. Guards against a
 // VM whose object is lost for good, and against writes that are not needed.
 TEST_F(StoreRestoreTest, AVmRegistersAgainIfTheCopyLacksIt)
