policy: the largest VMs of a zone watch the store

Cause: the VMs of a zone elected those that watch the platform's store by a hash of their names. In a zone with two VMs with 0.5 of a core and 200 Mbit/s and nineteen with 0.07 and 10 Mbit/s, mostly small ones were elected, and had to pass each version of a large configuration on to the whole zone over their own link.

Change: the VMs with the most processor time are elected first, the hash decides among equal ones, and those of unknown cores come last. Cores are compared in the thousandths in which they are announced, so that a VM takes its own for the same number as the others do. VMs of older versions elect by the hash alone; a zone has more watches while it is upgraded.

Result: VmsWithMoreProcessorTimeAreElectedFirst and TheLargestVmsOfTheZoneWatch fail if the order is the hash alone, and pass now; the first also fails if cores are not rounded, the second if the own cores are left out. The replay ZoneLossTest has a zone with two large VMs and keeps its bounds.

--- a/packages/gateway/src/ControlPlane.cpp
+++ b/packages/gateway/src/ControlPlane.cpp
@@ -76,7 +76,8 @@
                       [this](QuarantineStore::Contents aContents) {
                         m_hooks.m_onQuarantines(std::move(aContents));
                       })
-  , m_storeFollowing(policy::StoreFollowing::OptionsFor(m_settings.m_drainTime), m_settings.m_name)
+  , m_storeFollowing(policy::StoreFollowing::OptionsFor(m_settings.m_drainTime),
+                     { m_settings.m_name, m_settings.m_cores })
   , m_leadWatcher({}, m_settings.m_name, aClock.Monotonic())
   , m_readyServer(
       m_io,
@@ -232,7 +233,7 @@
   hooks.m_onLeadResigned = [this](std::uint32_t aRank) {
     m_leadWatcher.OnResigned(aRank, m_clock.Monotonic());
   };
-  hooks.m_electedAmong = [this](std::vector<std::string> aZoneVms) {
+  hooks.m_electedAmong = [this](std::vector<policy::StoreFollowing::Vm> aZoneVms) {
     return m_storeFollowing.ElectedAmong(std::move(aZoneVms));
   };
   hooks.m_limits = [this] { return m_requestState.m_limits; };
@@ -300,7 +301,7 @@
 
 void ControlPlane::UpdateRole()
 {
-  const std::vector<std::string> zoneVms = m_peerLink.RunningZoneVms();
+  const std::vector<policy::StoreFollowing::Vm> zoneVms = m_peerLink.RunningZoneVms();
   const policy::StoreRole role = m_storeFollowing.Decide(zoneVms, m_clock.Monotonic());
   if (role != m_role) {
     m_log.Write(base::LogRecord("store_role")
--- a/packages/gateway/src/PeerLink.cpp
+++ b/packages/gateway/src/PeerLink.cpp
@@ -624,22 +624,22 @@
 
 void PeerLink::AnnounceToOtherZones()
 {
-  std::map<std::string, std::vector<std::string>> heard;
-  std::map<std::string, std::vector<std::string>> known;
+  std::map<std::string, std::vector<policy::StoreFollowing::Vm>> heard;
+  std::map<std::string, std::vector<policy::StoreFollowing::Vm>> known;
   for (const auto& [name, peer] : m_peers) {
     const bool isSilent = m_clock.Monotonic() - peer.m_lastHeard >= kOtherZoneMemory;
     if (peer.m_zone == m_settings.m_zone || peer.m_leaving || isSilent) {
       continue;
     }
-    known[peer.m_zone].push_back(name);
+    known[peer.m_zone].push_back({ name, peer.m_cores });
     if (peer.m_hasBeenHeard) {
-      heard[peer.m_zone].push_back(name);
+      heard[peer.m_zone].push_back({ name, peer.m_cores });
     }
   }
   std::set<std::string> recipients;
   for (auto* zones : { &heard, &known }) {
-    for (auto& [zone, names] : *zones) {
-      for (std::string& name : m_hooks.m_electedAmong(std::move(names))) {
+    for (auto& [zone, vms] : *zones) {
+      for (std::string& name : m_hooks.m_electedAmong(std::move(vms))) {
         recipients.insert(std::move(name));
       }
     }
@@ -707,15 +707,15 @@
          m_clock.Monotonic() - aPeer.m_lastHeard < TimeoutOf(aPeer);
 }
 
-std::vector<std::string> PeerLink::RunningZoneVms() const
+std::vector<policy::StoreFollowing::Vm> PeerLink::RunningZoneVms() const
 {
-  std::vector<std::string> names;
+  std::vector<policy::StoreFollowing::Vm> vms;
   for (const auto& [name, peer] : m_peers) {
     if (peer.m_zone == m_settings.m_zone && IsRunning(peer)) {
-      names.push_back(name);
+      vms.push_back({ name, peer.m_cores });
     }
   }
-  return names;
+  return vms;
 }
 
 std::vector<policy::LookupScope::Vm> PeerLink::KnownVms() const
--- a/packages/gateway/src/PeerLink.h
+++ b/packages/gateway/src/PeerLink.h
@@ -12,6 +12,7 @@
 #include "jaylane/policy/LookupScope.h"
 #include "jaylane/policy/QuarantineList.h"
 #include "jaylane/policy/QuotaClient.h"
+#include "jaylane/policy/StoreFollowing.h"
 #include "jaylane/policy/UpstreamLimits.h"
 
 #include <array>
@@ -64,8 +65,9 @@
     std::function<void(const policy::LeadWatcher::Heartbeat&)> m_onLeadHeartbeat;
     /// The lead watcher of a rank has announced that it no longer leads.
     std::function<void(std::uint32_t aRank)> m_onLeadResigned;
-    /// Selects VMs that watch the store among those of a zone, by name.
-    std::function<std::vector<std::string>(std::vector<std::string> aZoneVms)> m_electedAmong;
+    /// Selects VMs that watch the store among those of a zone. Returns their names.
+    std::function<std::vector<std::string>(std::vector<policy::StoreFollowing::Vm> aZoneVms)>
+      m_electedAmong;
     /// Returns limits of upstreams to announce, in turn.
     std::function<std::vector<policy::LimitObservation>()> m_limits;
     /// Receives the limits that a peer announced.
@@ -142,8 +144,8 @@
   /// @param aRank its rank as a lead watcher.
   void AnnounceLeadResigned(std::uint32_t aRank);
 
-  /// @return names of the running VMs in this VM's zone, without this VM.
-  std::vector<std::string> RunningZoneVms() const;
+  /// @return the running VMs in this VM's zone, without this VM.
+  std::vector<policy::StoreFollowing::Vm> RunningZoneVms() const;
 
   /// Announces before the next regular announcement, but some time after the last one.
   void AnnounceSoon();
--- a/packages/gateway/tests/ControlPlaneTest.cpp
+++ b/packages/gateway/tests/ControlPlaneTest.cpp
@@ -72,7 +72,7 @@
 
   /// A peer announces that the store does not answer it, or that it does again.
   /// @param aConfiguration revision of the configuration that the peer has.
-  void Announce(const std::string& aParams, int aConfiguration = 0)
+  void Announce(const std::string& aParams, int aConfiguration = 0, const std::string& aName = "p")
   {
     boost::asio::io_context io;
     boost::asio::ip::udp::socket socket(io, { boost::asio::ip::make_address("127.0.0.1"), 0 });
@@ -80,8 +80,8 @@
     const auto port =
       static_cast<std::uint16_t>(std::stoi(m_settings.m_peerAddress.substr(colon + 1)));
     socket.send_to(
-      boost::asio::buffer(R"({"jsonrpc":"2.0","method":"announce","params":{"name":"p",)"
-                          R"("zone":"r","region":"r","revisions":[)" +
+      boost::asio::buffer(R"({"jsonrpc":"2.0","method":"announce","params":{"name":")" + aName +
+                          R"(","zone":"r","region":"r","revisions":[)" +
                           std::to_string(aConfiguration) + ",0,0]," + aParams + "}}"),
       { boost::asio::ip::make_address("127.0.0.1"), port });
   }
@@ -107,9 +107,16 @@
   GatewaySettings m_settings;
   TestDialect m_dialect;
   WireFormat m_wire = TestWireFormat();
-  base::AsyncLog m_log{ "vm", base::SystemClock::Get(), { 64, 1000, [](std::string_view) {} } };
   std::mutex m_mutex;
   std::condition_variable m_changed;
+  int m_roleChanges = 0;
+  base::AsyncLog m_log{ "vm",
+                        base::SystemClock::Get(),
+                        { 64, 1000, [this](std::string_view aLines) {
+                           const std::lock_guard lock(m_mutex);
+                           m_roleChanges += aLines.find("store_role") != std::string_view::npos;
+                           m_changed.notify_all();
+                         } } };
   int m_outages = 0;
   int m_recoveries = 0;
   int m_grants = 0;
@@ -325,5 +332,23 @@
   }
 }
 
+// Guards against an election that leaves out the processor time of this VM or of its peers. By the
+// hashes of the names, this VM would be elected both times.
+TEST_F(ControlPlaneTest, TheLargestVmsOfTheZoneWatch)
+{
+  m_settings.m_cores = 0.1;
+  Start();
+  const auto announceAll = [this](int aLargeVms) {
+    for (int i = 1; i <= 8; ++i) {
+      Announce(
+        fmt::format(R"("millicores":{})", i <= aLargeVms ? 500 : 70), 0, "p" + std::to_string(i));
+    }
+  };
+  announceAll(1);
+  EXPECT_FALSE(WaitFor(m_roleChanges, 700ms)) << "one of the two largest";
+  announceAll(2);
+  EXPECT_TRUE(WaitFor(m_roleChanges, 700ms));
+}
+
 } // namespace
 } // namespace jaylane::gateway
--- a/packages/gateway/tests/PeerLinkTest.cpp
+++ b/packages/gateway/tests/PeerLinkTest.cpp
@@ -93,9 +93,8 @@
           raw->m_receivedLead = aHeartbeat;
         },
         [raw](std::uint32_t aRank) { raw->m_resignedRank = aRank; },
-        [](std::vector<std::string> aZoneVms) {
-          aZoneVms.resize(std::min<std::size_t>(aZoneVms.size(), 2));
-          return aZoneVms;
+        [](std::vector<policy::StoreFollowing::Vm> aZoneVms) {
+          return policy::StoreFollowing({}, {}).ElectedAmong(std::move(aZoneVms));
         },
         [raw] { return raw->m_limits; },
         [raw](const std::vector<policy::LimitObservation>& aLimits) {
--- a/packages/policy/src/StoreFollowing.cpp
+++ b/packages/policy/src/StoreFollowing.cpp
@@ -1,6 +1,9 @@
 #include "jaylane/policy/StoreFollowing.h"
 
-#include <utility>
+#include <cmath>
+#include <cstdint>
+#include <iterator>
+#include <tuple>
 #include <xxhash.h>
 
 namespace jaylane::policy {
@@ -11,9 +14,16 @@
 /// it may have missed changes for a quarter of the drain time; afterwards, this VM asks the store.
 constexpr double kConfirmationShare = 0.4;
 
-std::pair<std::uint64_t, std::string_view> ElectionOrder(std::string_view aName)
+/// VMs announce their cores in thousandths. A VM must take its own cores for the number that the
+/// others know, or they would elect different VMs.
+constexpr double kAnnouncedPerCore = 1000;
+
+/// @return a key by which the VMs that are elected first sort first.
+std::tuple<long, std::uint64_t, std::string_view> ElectionOrder(const StoreFollowing::Vm& aVm)
 {
-  return { XXH64(aName.data(), aName.size(), 0), aName };
+  return { -std::lround(aVm.m_cores * kAnnouncedPerCore),
+           XXH64(aVm.m_name.data(), aVm.m_name.size(), 0),
+           aVm.m_name };
 }
 
 } // namespace
@@ -33,19 +43,20 @@
   return std::max(m_options.m_electedPerZone, perSize);
 }
 
-std::vector<std::string> StoreFollowing::ElectedAmong(std::vector<std::string> aZoneVms) const
+std::vector<std::string> StoreFollowing::ElectedAmong(std::vector<Vm> aZoneVms) const
 {
   std::ranges::sort(aZoneVms, {}, ElectionOrder);
   aZoneVms.resize(std::min(aZoneVms.size(), ElectedCount(aZoneVms.size())));
-  return aZoneVms;
+  std::vector<std::string> names;
+  std::ranges::transform(aZoneVms, std::back_inserter(names), &Vm::m_name);
+  return names;
 }
 
-StoreRole StoreFollowing::Decide(const std::vector<std::string>& aZoneVms,
-                                 base::MonotonicTime aNow) const
+StoreRole StoreFollowing::Decide(const std::vector<Vm>& aZoneVms, base::MonotonicTime aNow) const
 {
-  const auto own = ElectionOrder(m_name);
-  const auto before = std::ranges::count_if(
-    aZoneVms, [&](const std::string& aName) { return ElectionOrder(aName) < own; });
+  const auto own = ElectionOrder(m_own);
+  const auto before =
+    std::ranges::count_if(aZoneVms, [&](const Vm& aVm) { return ElectionOrder(aVm) < own; });
   if (static_cast<std::size_t>(before) < ElectedCount(aZoneVms.size() + 1)) {
     return StoreRole::Elected;
   }
--- a/packages/policy/tests/StoreFollowingTest.cpp
+++ b/packages/policy/tests/StoreFollowingTest.cpp
@@ -14,12 +14,15 @@
 class StoreFollowingTest : public testing::Test
 {
 protected:
-  void AddVms(int aCount)
+  /// @param aCores of each VM, and as it is announced; 0: unknown.
+  void AddVms(int aCount, double aCores = 0, double aAnnouncedCores = 0)
   {
     for (int i = 0; i < aCount; ++i) {
-      const std::string name = "vm-" + std::to_string(i);
-      m_vms.emplace(name, StoreFollowing{ StoreFollowing::OptionsFor(4000ms), name });
+      const std::string name = "vm-" + std::to_string(m_running.size());
+      const double ownCores = ElectsByCores(name) ? aCores : 0;
+      m_vms.emplace(name, StoreFollowing{ StoreFollowing::OptionsFor(4000ms), { name, ownCores } });
       m_running.push_back(name);
+      m_announcedCores[name] = aAnnouncedCores;
     }
   }
 
@@ -30,8 +33,12 @@
         Announce();
       }
       for (const std::string& name : m_running) {
-        std::vector<std::string> others = m_running;
-        std::erase(others, name);
+        std::vector<StoreFollowing::Vm> others;
+        for (const std::string& other : m_running) {
+          if (other != name) {
+            others.push_back({ other, ElectsByCores(name) ? m_announcedCores.at(other) : 0 });
+          }
+        }
         m_roles[name] = m_vms.at(name).Decide(others, m_clock.Monotonic());
       }
       m_clock.Advance(200ms);
@@ -44,6 +51,15 @@
                                  [&](const auto& aName) { return m_roles[aName] == aRole; });
   }
 
+  std::vector<std::string> Elected()
+  {
+    std::vector<std::string> names;
+    std::ranges::copy_if(m_running, std::back_inserter(names), [&](const auto& aName) {
+      return m_roles[aName] == StoreRole::Elected;
+    });
+    return names;
+  }
+
   void StopElected()
   {
     std::erase_if(m_running,
@@ -53,10 +69,18 @@
   base::ManualClock m_clock;
   std::map<std::string, StoreFollowing> m_vms;
   std::vector<std::string> m_running;
+  std::map<std::string, double> m_announcedCores;
+  /// Whether half of the VMs are of an older version, which elects by the names only.
+  bool m_hasOlderVms = false;
   std::map<std::string, StoreRole> m_roles;
   bool m_isStoreReachable = true;
 
 private:
+  bool ElectsByCores(const std::string& aName) const
+  {
+    return !m_hasOlderVms || aName.back() % 2 == 0;
+  }
+
   void Announce()
   {
     for (const std::string& sender : m_running) {
@@ -114,12 +138,42 @@
   EXPECT_EQ(Count(StoreRole::Relying), 19);
 }
 
+// Guards against small VMs that pass each version of a large configuration on to a whole zone
+// (CONFIG on bmsa-jaylane-grown), and against VMs that elect differently because they know their
+// own cores more exactly than the others do. Equal VMs are elected as older versions do.
+TEST_F(StoreFollowingTest, VmsWithMoreProcessorTimeAreElectedFirst)
+{
+  AddVms(6, 0.0704, 0.07);
+  AddVms(2, 0.5, 0.5);
+  AddVms(11); // Unknown.
+  RunFor(10s);
+  EXPECT_EQ(Elected(), (std::vector<std::string>{ "vm-6", "vm-7" }));
+  StopElected();
+  RunFor(10s);
+  EXPECT_EQ(Elected(), (std::vector<std::string>{ "vm-0", "vm-2" }));
+}
+
+// Guards against a zone that relies on VMs which do not watch, while VMs of an older version elect
+// by the names alone: there are more watches, and no VM is without one to rely on.
+TEST_F(StoreFollowingTest, VmsThatElectByNameOnlyAddWatches)
+{
+  m_hasOlderVms = true;
+  AddVms(19, 0.07, 0.07);
+  AddVms(2, 0.5, 0.5);
+  RunFor(10s);
+  EXPECT_GE(Count(StoreRole::Elected), 2);
+  EXPECT_LE(Count(StoreRole::Elected), 4);
+  EXPECT_EQ(Count(StoreRole::Fallback), 0);
+}
+
 struct ZoneLoss
 {
   int m_vms = 0;
   std::chrono::milliseconds m_drainTime{ 0 };
   /// One in this many announcements is lost; 0: none.
   unsigned m_lostOneIn = 0;
+  /// VMs with more processor time than the others.
+  int m_largeVms = 0;
 };
 
 /// A zone whose VMs announce themselves to eight others in turn each 400 ms, as PeerLink does. The
@@ -129,13 +183,13 @@
 protected:
   struct Vm
   {
-    Vm(std::string aName, StoreFollowing aFollowing)
-      : m_name(std::move(aName))
-      , m_following(std::move(aFollowing))
+    explicit Vm(StoreFollowing::Vm aVm)
+      : m_vm(std::move(aVm))
+      , m_following(StoreFollowing::OptionsFor(GetParam().m_drainTime), m_vm)
     {
     }
 
-    std::string m_name;
+    StoreFollowing::Vm m_vm;
     StoreFollowing m_following;
     StoreRole m_role = StoreRole::Fallback;
     bool m_isRunning = true;
@@ -143,7 +197,7 @@
     std::chrono::milliseconds m_phase{ 0 };
     /// Time up to which the VM has all changes.
     base::MonotonicTime m_viewOf;
-    std::map<std::string, base::MonotonicTime> m_heard;
+    std::map<const Vm*, base::MonotonicTime> m_heard;
   };
 
   static constexpr std::chrono::milliseconds kStep{ 50 };
@@ -155,26 +209,25 @@
   void SetUp() override
   {
     for (int i = 0; i < GetParam().m_vms; ++i) {
-      const std::string name = "front-" + std::to_string(i);
-      m_vms.emplace_back(
-        name, StoreFollowing{ StoreFollowing::OptionsFor(GetParam().m_drainTime), name });
+      const double cores = i < GetParam().m_largeVms ? 0.5 : 0.07;
+      m_vms.emplace_back(StoreFollowing::Vm{ "front-" + std::to_string(i), cores });
       m_vms.back().m_phase = kStep * (i * 5 % 8);
       m_vms.back().m_nextPeer = m_random();
     }
   }
 
-  std::vector<std::string> RunningPeers(const Vm& aVm)
+  std::vector<StoreFollowing::Vm> RunningPeers(const Vm& aVm)
   {
     const std::size_t rounds = (m_vms.size() + kPeersPerTurn - 2) / kPeersPerTurn;
     const auto limit = std::max<std::chrono::milliseconds>(
       1800ms, kAnnounceInterval * static_cast<int>(rounds) * 16 / 5);
-    std::vector<std::string> names;
-    for (const auto& [name, time] : aVm.m_heard) {
+    std::vector<StoreFollowing::Vm> running;
+    for (const auto& [peer, time] : aVm.m_heard) {
       if (m_clock.Monotonic() - time < limit) {
-        names.push_back(name);
+        running.push_back(peer->m_vm);
       }
     }
-    return names;
+    return running;
   }
 
   void Announce(Vm& aVm)
@@ -185,7 +238,7 @@
       if (&peer == &aVm || isLost) {
         continue;
       }
-      peer.m_heard[aVm.m_name] = m_clock.Monotonic();
+      peer.m_heard[&aVm] = m_clock.Monotonic();
       if (aVm.m_role != StoreRole::Relying) {
         peer.m_following.OnViewConfirmed(m_clock.Monotonic());
         peer.m_viewOf = std::max(peer.m_viewOf, aVm.m_viewOf);
@@ -284,16 +337,18 @@
                                          ZoneLoss{ 12, 2500ms, 10 },
                                          ZoneLoss{ 22, 4000ms, 0 },
                                          ZoneLoss{ 22, 4000ms, 10 },
+                                         ZoneLoss{ 21, 4000ms, 10, 2 },
                                          ZoneLoss{ 33, 4000ms, 0 },
                                          ZoneLoss{ 146, 4000ms, 10 }));
 
 // A VM that has just started and has heard nobody must not wait for others.
 TEST_F(StoreFollowingTest, AVmAloneFollowsTheStore)
 {
-  const StoreFollowing alone{ {}, "vm" };
+  const StoreFollowing alone{ {}, { "vm" } };
   EXPECT_EQ(alone.Decide({}, m_clock.Monotonic()), StoreRole::Elected);
-  const StoreFollowing unheard{ {}, "vm-1" };
-  EXPECT_NE(unheard.Decide({ "a", "b", "c", "d" }, m_clock.Monotonic()), StoreRole::Relying);
+  const StoreFollowing unheard{ {}, { "vm-1" } };
+  EXPECT_NE(unheard.Decide({ { "a" }, { "b" }, { "c" }, { "d" } }, m_clock.Monotonic()),
+            StoreRole::Relying);
 }
 
 } // namespace
