--- a/packages/gateway/src/PeerLink.cpp
+++ b/packages/gateway/src/PeerLink.cpp
@@ -781,19 +781,29 @@
 
 std::vector<std::string> PeerLink::RunningPeers()
 {
-  std::vector<std::string> own;
-  std::vector<std::string> others;
+  std::vector<const Peer*> own;
+  std::vector<const Peer*> others;
   for (const auto& [name, peer] : m_peers) {
     if (IsRunning(peer)) {
-      (peer.m_zone == m_settings.m_zone ? own : others).push_back(ToText(peer.m_endpoint));
+      (peer.m_zone == m_settings.m_zone ? own : others).push_back(&peer);
     }
   }
+  std::ranges::shuffle(own, m_random);
+  std::ranges::shuffle(others, m_random);
+  std::vector<policy::StoreFollowing::Vm> zoneVms = RunningZoneVms();
+  zoneVms.push_back({ m_settings.m_name, m_settings.m_cores });
+  const std::vector<std::string> elected = m_hooks.m_electedAmong(std::move(zoneVms));
+  std::stable_partition(own.begin(), own.end(), [&](const Peer* aPeer) {
+    return std::ranges::find(elected, aPeer->m_name) != elected.end();
+  });
+  std::vector<std::string> addresses;
   for (auto* group : { &own, &others }) {
-    std::ranges::shuffle(*group, m_random);
     group->resize(std::min(group->size(), kMaxSnapshotPeersPerGroup));
+    std::ranges::transform(*group, std::back_inserter(addresses), [](const Peer* aPeer) {
+      return ToText(aPeer->m_endpoint);
+    });
   }
-  own.insert(own.end(), others.begin(), others.end());
-  return own;
+  return addresses;
 }
 
 double PeerLink::ZoneRequestsPerSecond() const
--- a/packages/gateway/src/PeerLink.h
+++ b/packages/gateway/src/PeerLink.h
@@ -166,8 +166,8 @@
   ///         many as policy::EntrySelection selects. This VM counts as running until it stops.
   std::vector<std::string> AddressesFor(const std::string& aZone, const std::string& aRegion);
 
-  /// @return peer addresses of a few random running VMs of the own zone, followed by a few of
-  /// others.
+  /// @return peer addresses of a few random running VMs of the own zone, those that watch the store
+  ///   first, because they have its changes first; followed by a few of other zones.
   std::vector<std::string> RunningPeers();
 
   /// @return requests per second of all running VMs in this VM's zone.
--- a/packages/gateway/tests/PeerLinkTest.cpp
+++ b/packages/gateway/tests/PeerLinkTest.cpp
@@ -467,6 +467,24 @@
   EXPECT_EQ(link.AddressesFor("a", "r").size(), 8U);
 }
 
+// Guards against a VM that asks small VMs, which have a new version late, and none of those that
+// watch the store.
+TEST_F(PeerLinkTest, VmsThatWatchTheStoreAreAskedFirst)
+{
+  for (int i = 1; i <= 8; ++i) {
+    Add(i, i == 8 ? "b" : "a", "r", Ip(1) + ":99").m_settings.m_cores = i == 3 ? 0.5 : 0.07;
+  }
+  m_vms.back()->m_settings.m_cores = 0.5;
+  m_vms.front()->m_settings.m_cores = 0.5;
+  RunFor(1000ms);
+  for (int i = 0; i < 10; ++i) {
+    const auto peers = m_vms.front()->m_link->RunningPeers();
+    ASSERT_EQ(peers.size(), 5U);
+    EXPECT_EQ(peers.front(), Ip(3) + ":28761");
+    EXPECT_EQ(peers.back(), Ip(8) + ":28761") << "another zone";
+  }
+}
+
 // Guards against a VM that does not learn that its store revisions are behind those of its peers.
 TEST_F(PeerLinkTest, RevisionsReachOtherVms)
 {
