gateway: a response of another upstream does not end a region's cut

Cause: a 421 response comes from an upstream that has started at the address of the one that was asked, possibly in another region. It counted as a response of the asked one, ended the cut of that upstream's region and set the count of its failed upstreams back.

Change: an attempt that ended with 421 is no sign of the asked upstream, as for probes.

Result: AResponseOfAnotherUpstreamDoesNotEndACut fails without the change and passes with it; the other tests of UpstreamPlaceTest pass.

--- a/packages/gateway/src/RequestExchange.cpp
+++ b/packages/gateway/src/RequestExchange.cpp
@@ -634,10 +634,10 @@
   if (aResult.m_connectTime) {
     m_context.m_steering.OnConnected(aUpstream, *aResult.m_connectTime);
   }
-  if (aResult.m_response.m_status != 0) {
+  // A 421 response is another upstream's.
+  if (aResult.m_response.m_status != 0 && !aResult.m_isOtherUpstream) {
     m_context.m_steering.OnResponsive(aUpstream);
   }
-  // A 421 response is another upstream's.
   if (aResult.m_response.m_status != 0 && aResult.m_response.m_status != 421 &&
       aResult.m_isLimitReadable) {
     m_context.m_steering.OnLimit(aUpstream, aResult.m_limit);
--- a/packages/gateway/tests/UpstreamPlaceTest.cpp
+++ b/packages/gateway/tests/UpstreamPlaceTest.cpp
@@ -43,6 +43,13 @@
              std::chrono::milliseconds{ m_healthDelayMs.load() } };
   }
 
+  /// @return the response of an upstream that the request was not meant for.
+  static Script Misdirected(const SeenRequest& aRequest)
+  {
+    return { "HTTP/1.1 421 Misdirected Request\r\nRequest-Id: " + aRequest.Header("Request-Id") +
+             "\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n" };
+  }
+
   /// @return number of requests, without health checks, that reached the first upstream's address.
   std::size_t RequestsAtNear() const
   {
@@ -100,11 +107,7 @@
 // an upstream that is never used, and against using the former incarnation again.
 TEST_F(UpstreamPlaceTest, AReplacedUpstreamReturnsAsAnotherIncarnationOnly)
 {
-  ScriptedUpstream replaced([](const SeenRequest& aRequest) {
-    return Script{ "HTTP/1.1 421 Misdirected Request\r\nRequest-Id: " +
-                   aRequest.Header("Request-Id") +
-                   "\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n" };
-  });
+  ScriptedUpstream replaced([](const SeenRequest& aRequest) { return Misdirected(aRequest); });
   const auto put = [this](const std::string& aAddress, std::int64_t aStartedAtMs, int aRevision) {
     OnRequestThread([&] {
       policy::Upstream upstream = MakeUpstream("i-0", aAddress, aRevision);
@@ -183,6 +186,52 @@
   EXPECT_EQ(Get("r1"), "HTTP/1.1 200 OK");
 }
 
+// A region is cut off, and the address of one of its upstreams was passed on. Guards against taking
+// the response of another upstream for a sign that the region can be reached.
+TEST_F(UpstreamPlaceTest, AResponseOfAnotherUpstreamDoesNotEndACut)
+{
+  ScriptedUpstream replaced([](const SeenRequest& aRequest) { return Misdirected(aRequest); });
+  const auto hasFarKeys = [this] {
+    policy::ServiceBalancer::Query query;
+    query.m_hasAffinity = true;
+    query.m_remaining = std::chrono::milliseconds{ 2000 };
+    query.m_targetLatency = std::chrono::milliseconds{ 400 };
+    bool hasFar = false;
+    for (int i = 0; i < 100; ++i) {
+      query.m_key += 0x9E3779B97F4A7C15;
+      const auto choice =
+        m_steering->Balancer("s").Choose(query, base::SystemClock::Get().Monotonic());
+      hasFar |= choice.m_upstream && choice.m_upstream->m_region == "far";
+    }
+    return hasFar;
+  };
+  const auto fail = [this](int aNumber) {
+    const std::string id = fmt::format("lost-{}", aNumber);
+    m_steering->PutUpstream(FarUpstream(id, fmt::format("127.0.0.1:{}", aNumber)));
+    m_steering->Tick();
+    m_steering->OnUnreachable(id);
+  };
+  OnRequestThread([&] {
+    policy::Configuration configuration = m_steering->Routes()->Config();
+    configuration.m_version = 3;
+    configuration.m_routes[0].m_allowedRegions = { "far" };
+    ASSERT_TRUE(m_steering->ApplyConfiguration(std::move(configuration)));
+    m_steering->PutUpstream(FarUpstream("replaced", replaced.Address()));
+    for (int i = 1; i <= 3; ++i) {
+      fail(i);
+    }
+  });
+  EXPECT_EQ(Get("r1"), "HTTP/1.1 503 Service Unavailable");
+  EXPECT_EQ(replaced.Seen().size(), 1U);
+  OnRequestThread([&] {
+    m_steering->PutUpstream(FarUpstream("far", m_other.Address()));
+    m_steering->Tick();
+    EXPECT_TRUE(hasFarKeys());
+    fail(4);
+    EXPECT_FALSE(hasFarKeys()) << "cut off after four failures without a response";
+  });
+}
+
 // The store is down, and an upstream's address goes to one in another region, which cannot
 // register. Guards against a restricted request that reaches the other region.
 TEST_F(UpstreamPlaceTest, DuringAnOutageOfTheStoreTheUpstreamMustNameItself)
