gateway: a retry that is rejected takes nothing from the retry budget

Cause: a retry was taken from the budget of the service and counted before the check whether its regions are still allowed. While configurations that forbid regions come into force, requests that were rejected used up the budget of those that could be sent again.

Change: a request whose caller has left, or whose regions are forbidden or unconfirmed, is ended before a retry is taken. If the budget is empty as well, it is now rejected for its regions.

--- a/packages/gateway/src/RequestExchange.cpp
+++ b/packages/gateway/src/RequestExchange.cpp
@@ -711,9 +711,11 @@
     m_sentAttempts < m_route->m_attempts && m_connectFailures < kMaxConnectFailures;
   // A suspect that is lost again may have ended a second upstream.
   const bool isLostSuspect = m_isSuspect && aResult.m_connectionEnded;
-  if (!isSafe || !hasAttemptsLeft || isLostSuspect || Remaining().count() <= 0) {
-    return false;
-  }
+  return isSafe && hasAttemptsLeft && !isLostSuspect && Remaining().count() > 0;
+}
+
+bool RequestExchange::TakeRetry(const AttemptResult& aResult)
+{
   if (aResult.m_failure == AttemptFailure::Unreachable ||
       aResult.m_failure == AttemptFailure::Withdrawn) {
     return true; // Nothing was sent.
@@ -730,7 +732,12 @@
   if (!m_attempts.empty()) {
     return; // The other attempt may still succeed.
   }
-  if (MayRetry(aResult)) {
+  const bool mayRetry = MayRetry(aResult);
+  // A request that is not sent again must not use up the retry budget.
+  if (mayRetry && (CancelIfCallerLeft() || RejectIfForbidden())) {
+    return;
+  }
+  if (mayRetry && TakeRetry(aResult)) {
     ++m_context.m_metrics.m_retries;
     TryUpstream();
   } else if (m_failureResponse) {
--- a/packages/gateway/src/RequestExchange.h
+++ b/packages/gateway/src/RequestExchange.h
@@ -113,7 +113,10 @@
   std::shared_ptr<UpstreamAttempt> TakeAttempt(const std::string& aUpstream);
   void OnAttemptFailure(AttemptResult aResult);
   void LogAttemptFailure(const std::string& aUpstream, const AttemptResult& aResult) const;
+  /// @return whether a retry can still succeed and runs the request twice only if that is allowed.
   bool MayRetry(const AttemptResult& aResult) const;
+  /// @return whether a retry is allowed by the retry budget, from which it is then taken.
+  bool TakeRetry(const AttemptResult& aResult);
   void OnDeadline();
   void Reject(std::string_view aReason, std::chrono::milliseconds aRetryAfter);
   /// Responds with 429: the team has no credit left.
--- a/packages/gateway/tests/RegionBindingPathTest.cpp
+++ b/packages/gateway/tests/RegionBindingPathTest.cpp
@@ -84,6 +84,28 @@
   EXPECT_EQ(m_other.Seen().size(), 0U) << "forbidden when the request arrived";
 }
 
+// Guards against a retry budget that is used up by requests which are not sent again.
+TEST_F(RegionBindingPathTest, ARejectedRetryTakesNothingFromTheBudget)
+{
+  m_settings.m_retryShare = 0;
+  StartWith({ "r" });
+  const auto remaining = [this] {
+    policy::RetryBudget budget = m_steering->RetryBudget("s");
+    int count = 0;
+    while (budget.TryRetry(base::SystemClock::Get().Monotonic())) {
+      ++count;
+    }
+    return count;
+  };
+  int before = 0;
+  OnRequestThread([&] { before = remaining(); });
+  EXPECT_GT(before, 0);
+  const std::string response = ExchangeDuring([this] { SetRegions({ "other" }); });
+  EXPECT_EQ(Status(response), "HTTP/1.1 503 Service Unavailable");
+  OnRequestThread([&] { EXPECT_EQ(remaining(), before); });
+  EXPECT_EQ(m_metrics.m_retries, 0U);
+}
+
 // Guards against rejecting requests that may still run somewhere.
 TEST_F(RegionBindingPathTest, ARetryGoesToARegionThatAllVersionsAllow)
 {
