--- a/packages/gateway/include/jaylane/gateway/StoreDialect.h
+++ b/packages/gateway/include/jaylane/gateway/StoreDialect.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "jaylane/base/Error.h"
+#include "jaylane/base/SharedJson.h"
 #include "jaylane/policy/Fleet.h"
 
 #include <chrono>
@@ -31,7 +32,7 @@
   std::string m_name;
   policy::StoreRevision m_revision;
   bool m_deleted = false;
-  Json::Value m_value;
+  base::SharedJson m_value;
 };
 
 /// A page of a list, or the events of a watch.
--- a/packages/gateway/src/ControlPlane.cpp
+++ b/packages/gateway/src/ControlPlane.cpp
@@ -200,7 +200,7 @@
     std::vector<Json::Value> members;
     members.reserve(aObjects.size());
     for (const StoredObject& object : aObjects) {
-      members.push_back(object.m_value);
+      members.push_back(*object.m_value);
     }
     m_peerLink.AddMembers(members);
     m_hasMembers = true;
--- a/packages/gateway/src/QuarantineStore.cpp
+++ b/packages/gateway/src/QuarantineStore.cpp
@@ -78,7 +78,7 @@
 /// @return nothing if the object is no record of this format.
 std::optional<QuarantineRecord> RecordFrom(const StoredObject& aObject)
 {
-  const Json::Value& value = aObject.m_value;
+  const Json::Value& value = *aObject.m_value;
   const auto fingerprint =
     FingerprintFrom(std::string_view(aObject.m_name).substr(0, kFingerprintDigits));
   if (!fingerprint || !value.isObject() || !value["format"].isInt() ||
--- a/packages/gateway/src/StoreSnapshot.cpp
+++ b/packages/gateway/src/StoreSnapshot.cpp
@@ -166,7 +166,7 @@
     if (object.m_deleted) {
       entry["removed"] = true;
     } else {
-      entry["value"] = object.m_value;
+      entry["value"] = *object.m_value;
     }
     array.append(std::move(entry));
   }
--- a/packages/gateway/tests/StoreSnapshotTest.cpp
+++ b/packages/gateway/tests/StoreSnapshotTest.cpp
@@ -17,7 +17,7 @@
   ASSERT_EQ(objects.size(), 2U);
   EXPECT_EQ(objects[0].m_name, "b");
   EXPECT_EQ(objects[1].m_revision, 7U);
-  EXPECT_EQ(objects[1].m_value.asInt(), 3);
+  EXPECT_EQ(objects[1].m_value->asInt(), 3);
 }
 
 // A list whose last page is newer than its first one. Guards against claiming the revision of its
@@ -33,6 +33,19 @@
   EXPECT_EQ(copy->ChangesSince(5).size(), 1U);
 }
 
+// Guards against copies of large objects, which cost small VMs more time than a change may take.
+TEST(StoreSnapshotTest, SnapshotsAndChangesShareValues)
+{
+  const StoredObject object{ "a", 7, false, "large" };
+  StoreSnapshot snapshot;
+  snapshot.Replace({}, 5);
+  const auto applied = snapshot.ApplyPeerChanges({ 5, 8, { object }, std::nullopt });
+  ASSERT_TRUE(applied);
+  EXPECT_EQ(&*applied->at(0).m_value, &*object.m_value);
+  EXPECT_EQ(&*snapshot.Objects()[0].m_value, &*object.m_value);
+  EXPECT_EQ(&*snapshot.MakeChanges(5).m_objects[0].m_value, &*object.m_value);
+}
+
 // Guards against a peer that keeps an upstream that has left, because removals are missing from the
 // changes that it is sent.
 TEST(StoreSnapshotTest, ChangesIncludeRemovals)
@@ -121,8 +134,8 @@
   const auto copy = StoreSnapshot::FromJson(snapshot.ToJson());
   ASSERT_TRUE(copy);
   ASSERT_EQ(copy->Objects().size(), 3U);
-  EXPECT_EQ(copy->Objects()[1].m_value, nested);
-  EXPECT_EQ(copy->Objects()[2].m_value.asInt(), 3);
+  EXPECT_EQ(*copy->Objects()[1].m_value, nested);
+  EXPECT_EQ(copy->Objects()[2].m_value->asInt(), 3);
   const auto changes = StoreChanges::FromJson(snapshot.MakeChanges(5).ToJson());
   ASSERT_TRUE(changes);
   const auto odd =
@@ -130,7 +143,7 @@
                             R"({"name":"b","revision":2,"value":2}]})");
   ASSERT_TRUE(odd);
   ASSERT_EQ(odd->Objects().size(), 2U);
-  EXPECT_TRUE(odd->Objects()[0].m_value.isNull());
+  EXPECT_TRUE(odd->Objects()[0].m_value->isNull());
 }
 
 // Guards against malformed responses to snapshot requests.
@@ -157,7 +170,7 @@
   ASSERT_EQ(removals.size(), 1U);
   EXPECT_EQ(removals[0].m_name, "b");
   EXPECT_EQ(snapshot.Revision(), policy::StoreRevision(50, 2));
-  EXPECT_EQ(snapshot.Objects()[0].m_value.asInt(), 3);
+  EXPECT_EQ(snapshot.Objects()[0].m_value->asInt(), 3);
   EXPECT_EQ(snapshot.NewestChange(), snapshot.Revision()) << "peers must see that they are behind";
   EXPECT_FALSE(snapshot.HasChangesSince(85)) << "a peer of the earlier era needs all objects";
 }
--- a/packages/gateway/tests/StoreSyncTest.cpp
+++ b/packages/gateway/tests/StoreSyncTest.cpp
@@ -48,7 +48,7 @@
   ASSERT_EQ(objects.size(), 1U);
   EXPECT_EQ(objects[0].m_name, "main");
   EXPECT_EQ(objects[0].m_revision, 7U);
-  EXPECT_EQ(objects[0].m_value["a"].asInt(), 1);
+  EXPECT_EQ((*objects[0].m_value)["a"].asInt(), 1);
 }
 
 // Guards against a VM that ends, or watches no more, after one response caused an error.
