base: find the members of a JSON object in one pass

Cause: JsonMemberText read the whole text of an object for each member, up to four times, character by character with a switch; ParseJson built its options for each text. Change: JsonMembers splits an object once, and repeated or odd names are read as before (a test states how); characters without meaning are skipped by a table; the options are built once. What is left is JsonCpp's parser. adapter_tests and base_tests (Json*) pass.

--- a/packages/base/include/jaylane/base/JsonElements.h
+++ b/packages/base/include/jaylane/base/JsonElements.h
@@ -28,9 +28,26 @@
 ///   the object is not valid.
 Result<JsonElements> ParseJsonElements(std::string_view aText, std::string_view aArray);
 
-/// @param aText JSON text of an object, nested to any depth.
-/// @param aName name of one of its members.
-/// @return text of the member's value; empty if there is none.
-std::string_view JsonMemberText(std::string_view aText, std::string_view aName);
+/// The members of an object, of which none is parsed. They are found in one pass over the text.
+class JsonMembers
+{
+public:
+  /// @param aText JSON text of an object, nested to any depth. It must outlive this.
+  explicit JsonMembers(std::string_view aText);
+
+  /// @param aName name of a member. Members whose names have escapes are not found.
+  /// @return text of the value of the first member with the name; empty if there is none, also if
+  ///   text that is no member precedes it.
+  std::string_view Text(std::string_view aName) const;
+
+private:
+  struct Member
+  {
+    std::string_view m_name;
+    std::string_view m_text;
+  };
+
+  std::vector<Member> m_members;
+};
 
 } // namespace jaylane::base
--- a/packages/base/src/JsonElements.cpp
+++ b/packages/base/src/JsonElements.cpp
@@ -3,6 +3,7 @@
 #include "jaylane/base/JsonText.h"
 
 #include <algorithm>
+#include <array>
 
 namespace jaylane::base {
 
@@ -19,6 +20,15 @@
   return aText.substr(first, aText.find_last_not_of(kWhitespace) - first + 1);
 }
 
+/// Whether a character begins a string or begins, ends or separates values.
+constexpr std::array<bool, 256> kIsStructural = [] {
+  std::array<bool, 256> isStructural{};
+  for (const unsigned char c : { '"', '[', ']', '{', '}', ',' }) {
+    isStructural[c] = true;
+  }
+  return isStructural;
+}();
+
 /// @param aStart position of the opening quote.
 /// @return position behind the closing quote.
 std::size_t SkipString(std::string_view aText, std::size_t aStart)
@@ -37,6 +47,10 @@
   std::size_t depth = 0;
   std::size_t at = aStart;
   while (at < aText.size()) {
+    if (!kIsStructural[static_cast<unsigned char>(aText[at])]) {
+      ++at;
+      continue;
+    }
     switch (aText[at]) {
       case '"':
         at = SkipString(aText, at);
@@ -87,29 +101,33 @@
 
 } // namespace
 
-std::string_view JsonMemberText(std::string_view aText, std::string_view aName)
+JsonMembers::JsonMembers(std::string_view aText)
 {
   const std::string_view object = Trim(aText);
   if (!object.starts_with('{')) {
-    return {};
+    return;
   }
   for (const std::string_view member : SplitValues(object)) {
     if (!member.starts_with('"')) {
-      return {};
+      return;
     }
-    // Names with escapes are not those of any member that is looked for.
     const std::size_t nameEnd = SkipString(member, 0);
     const std::string_view rest = Trim(member.substr(nameEnd));
-    if (member.substr(1, nameEnd - 2) == aName && rest.starts_with(':')) {
-      return Trim(rest.substr(1));
+    if (rest.starts_with(':')) {
+      m_members.push_back({ member.substr(1, nameEnd - 2), Trim(rest.substr(1)) });
     }
   }
-  return {};
+}
+
+std::string_view JsonMembers::Text(std::string_view aName) const
+{
+  const auto member = std::ranges::find(m_members, aName, &Member::m_name);
+  return member == m_members.end() ? std::string_view{} : member->m_text;
 }
 
 Result<JsonElements> ParseJsonElements(std::string_view aText, std::string_view aArray)
 {
-  const std::string_view array = JsonMemberText(aText, aArray);
+  const std::string_view array = JsonMembers(aText).Text(aArray);
   if (!array.starts_with('[') || !array.ends_with(']')) {
     return Error{ BaseErrc::InvalidValue, std::string{ aArray }.append(" is not an array") };
   }
--- a/packages/base/src/JsonText.cpp
+++ b/packages/base/src/JsonText.cpp
@@ -12,6 +12,16 @@
 // Limit on nesting. The messages and documents in use have at most 7 levels.
 constexpr int kMaxDepth = 32;
 
+/// @return options of a reader that rejects all but plain JSON.
+Json::CharReaderBuilder MakeReaderBuilder()
+{
+  Json::CharReaderBuilder builder;
+  Json::CharReaderBuilder::strictMode(&builder.settings_);
+  builder["strictRoot"] = false;
+  builder["stackLimit"] = kMaxDepth;
+  return builder;
+}
+
 } // namespace
 
 std::string WriteJson(const Json::Value& aValue)
@@ -23,11 +33,9 @@
 
 Result<Json::Value> ParseJson(std::string_view aText)
 {
-  Json::CharReaderBuilder builder;
-  Json::CharReaderBuilder::strictMode(&builder.settings_);
-  builder["strictRoot"] = false;
-  builder["stackLimit"] = kMaxDepth;
-  const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
+  // Building the options takes longer than parsing a short text.
+  static const Json::CharReaderBuilder kBuilder = MakeReaderBuilder();
+  const std::unique_ptr<Json::CharReader> reader(kBuilder.newCharReader());
   Json::Value value;
   std::string problems;
   try {
--- a/packages/base/tests/JsonElementsTest.cpp
+++ b/packages/base/tests/JsonElementsTest.cpp
@@ -27,11 +27,21 @@
 TEST(JsonElements, FindsMembers)
 {
   const std::string text = R"({"a":{"b":1}, "b" : "x,}", "c":[1,2]})";
-  EXPECT_EQ(JsonMemberText(text, "a"), R"({"b":1})");
-  EXPECT_EQ(JsonMemberText(text, "b"), R"("x,}")");
-  EXPECT_EQ(JsonMemberText(text, "c"), "[1,2]");
-  EXPECT_EQ(JsonMemberText(text, "d"), "");
-  EXPECT_EQ(JsonMemberText("[1]", "a"), "");
+  const JsonMembers members(text);
+  EXPECT_EQ(members.Text("a"), R"({"b":1})");
+  EXPECT_EQ(members.Text("b"), R"("x,}")");
+  EXPECT_EQ(members.Text("c"), "[1,2]");
+  EXPECT_EQ(members.Text("d"), "");
+  EXPECT_EQ(JsonMembers("[1]").Text("a"), "");
+}
+
+// Guards against VMs that read different values from the same text.
+TEST(JsonElements, OddMembersAreReadInOneWay)
+{
+  const JsonMembers members(R"({"\u0061":1,"a":2,"a":3,"b" 4,,"b":5,c:6,"d":7})");
+  EXPECT_EQ(members.Text("a"), "2") << "the first one without escapes";
+  EXPECT_EQ(members.Text("b"), "5") << "the first one with a colon";
+  EXPECT_EQ(members.Text("d"), "") << "behind text that is no member";
 }
 
 // Guards against an entry that ends the process because it is nested deeply.
--- a/packages/gateway/src/StoreSnapshot.cpp
+++ b/packages/gateway/src/StoreSnapshot.cpp
@@ -181,16 +181,17 @@
 {
   std::vector<StoredObject> objects;
   for (const std::string_view text : aTexts) {
-    const auto name = base::ParseJson(base::JsonMemberText(text, "name"));
-    const auto revision = base::ParseJson(base::JsonMemberText(text, "revision"));
+    const base::JsonMembers members(text);
+    const auto name = base::ParseJson(members.Text("name"));
+    const auto revision = base::ParseJson(members.Text("revision"));
     if (!name || !name->isString() || !revision || !revision->isUInt64()) {
       return InvalidSnapshot("peer snapshot: object without name or revision");
     }
     StoredObject object;
     object.m_name = name->asString();
     object.m_revision = { revision->asUInt64(), aEra };
-    object.m_deleted = base::JsonMemberText(text, "removed") == "true";
-    if (auto value = base::ParseJson(base::JsonMemberText(text, "value"))) {
+    object.m_deleted = members.Text("removed") == "true";
+    if (auto value = base::ParseJson(members.Text("value"))) {
       object.m_value = std::move(*value);
     }
     objects.push_back(std::move(object));
