policy: the series of a route starts within its period

Cause: a new table advanced the series of each route with several services by up to 999 steps, also if the series repeats after ten. Change: whole periods are left out; the start is the same. The tests of RouteTable and RegionChange pass.

--- a/packages/policy/src/RouteTable.cpp
+++ b/packages/policy/src/RouteTable.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <numeric>
 #include <random>
 
 namespace jaylane::policy {
@@ -21,6 +22,18 @@
   return host;
 }
 
+/// @return number of requests after which a series repeats; 1 if it has no steps.
+std::uint64_t PeriodOf(const std::vector<WeightedService>& aServices)
+{
+  std::uint64_t total = 0;
+  std::uint64_t divisor = 0;
+  for (const WeightedService& service : aServices) {
+    total += service.m_weight;
+    divisor = std::gcd(divisor, std::uint64_t{ service.m_weight });
+  }
+  return divisor == 0 ? 1 : total / divisor;
+}
+
 } // namespace
 
 RouteTable::RouteTable(Configuration aConfiguration, std::uint64_t aSeed)
@@ -34,7 +47,8 @@
     const Route& route = m_configuration.m_routes[i];
     m_routesByHost[NormalizedHost(route.m_host)].push_back(i);
     m_currentWeights.emplace_back(route.m_services.size(), 0);
-    const std::uint64_t start = route.m_services.size() > 1 ? random() % kStartPositions : 0;
+    const std::uint64_t position = route.m_services.size() > 1 ? random() % kStartPositions : 0;
+    const std::uint64_t start = position % PeriodOf(route.m_services);
     for (std::uint64_t k = 0; k < start; ++k) {
       Advance(i);
     }
