policy: find the previous series of a route without a search of its host

Cause: ContinueFrom compared each route of several services with all routes of its host in the previous table, which is quadratic. Change: it looks the prefix up in a map. A new test has routes in another order and on several hosts. The tests of RouteTable and RegionChange pass.

--- a/packages/policy/include/jaylane/policy/RouteTable.h
+++ b/packages/policy/include/jaylane/policy/RouteTable.h
@@ -51,8 +51,6 @@
   const Service* NextService(const Route& aRoute);
 
 private:
-  /// @return index of the route with the same host, prefix and weighted services, if there is one.
-  std::optional<std::size_t> IndexOfSame(const Route& aRoute) const;
   /// Makes the choice for the next request of a route.
   /// @return index of the service; nothing if no service has a weight above 0.
   std::optional<std::size_t> Advance(std::size_t aRoute);
--- a/packages/policy/src/RouteTable.cpp
+++ b/packages/policy/src/RouteTable.cpp
@@ -57,30 +57,32 @@
 
 void RouteTable::ContinueFrom(const RouteTable& aPrevious)
 {
+  std::unordered_map<std::string, std::unordered_map<std::string_view, std::size_t>> previous;
+  for (const auto& [host, indices] : aPrevious.m_routesByHost) {
+    for (const std::size_t index : indices) {
+      const Route& route = aPrevious.m_configuration.m_routes[index];
+      if (route.m_services.size() > 1) {
+        previous[host].emplace(route.m_prefix, index);
+      }
+    }
+  }
   for (std::size_t i = 0; i < m_configuration.m_routes.size(); ++i) {
     const Route& route = m_configuration.m_routes[i];
     if (route.m_services.size() < 2) {
       continue;
     }
-    if (const auto previous = aPrevious.IndexOfSame(route)) {
-      m_currentWeights[i] = aPrevious.m_currentWeights[*previous];
+    const auto host = previous.find(NormalizedHost(route.m_host));
+    if (host == previous.end()) {
+      continue;
+    }
+    const auto same = host->second.find(route.m_prefix);
+    if (same != host->second.end() &&
+        aPrevious.m_configuration.m_routes[same->second].m_services == route.m_services) {
+      m_currentWeights[i] = aPrevious.m_currentWeights[same->second];
     }
   }
 }
 
-std::optional<std::size_t> RouteTable::IndexOfSame(const Route& aRoute) const
-{
-  const auto routes = m_routesByHost.find(NormalizedHost(aRoute.m_host));
-  if (routes == m_routesByHost.end()) {
-    return std::nullopt;
-  }
-  const auto same = std::ranges::find_if(routes->second, [&](std::size_t aIndex) {
-    const Route& route = m_configuration.m_routes[aIndex];
-    return route.m_prefix == aRoute.m_prefix && route.m_services == aRoute.m_services;
-  });
-  return same == routes->second.end() ? std::nullopt : std::optional(*same);
-}
-
 const Route* RouteTable::Find(std::string_view aHost, std::string_view aTarget) const
 {
   const auto routes = m_routesByHost.find(NormalizedHost(aHost));
--- a/packages/policy/tests/RouteTableTest.cpp
+++ b/packages/policy/tests/RouteTableTest.cpp
@@ -107,6 +107,24 @@
   EXPECT_EQ(counts["b"], 10);
 }
 
+// Guards against a series that goes on from that of another host or prefix.
+TEST(RouteTableTest, EachRouteGoesOnWithItsOwnSeries)
+{
+  const std::vector<WeightedService> halves = { { "a", 1 }, { "b", 1 } };
+  const Route other = MakeRoute("other", "/", halves);
+  const Route one = MakeRoute("h", "/1/", halves);
+  const Route two = MakeRoute("H:80", "/2/", halves);
+  RouteTable before = MakeTable({ other, one, two }, 1);
+  const Service* first = before.NextService(*before.Find("h", "/2/"));
+  RouteTable after = MakeTable({ two, MakeRoute("h", "/", { { "a", 1 } }), one, other }, 2);
+  after.ContinueFrom(before);
+  EXPECT_NE(after.NextService(*after.Find("h", "/2/"))->m_name, first->m_name);
+  for (const auto& [host, target] : { std::pair("h", "/1/"), std::pair("other", "/") }) {
+    EXPECT_EQ(after.NextService(*after.Find(host, target))->m_name,
+              before.NextService(*before.Find(host, target))->m_name);
+  }
+}
+
 // Guards against taking over the state of other weights, which would delay the new ones.
 TEST(RouteTableTest, ChangedWeightsApplyAtOnce)
 {
