gateway: objects that are known already are not reported again

Change: Apply leaves out objects that are not newer than the present ones and returns what it applied, which is all that is reported. Removals are applied and reported as before, and so is everything in a list. Result: StoreSyncTest.AChangeThatAPeerHasSentIsNotReportedAgain failed without the check (2 reports) and passes with it; so does StoreSnapshotTest.KnownObjectsAreNoChanges.

--- a/packages/gateway/src/StoreSnapshot.cpp
+++ b/packages/gateway/src/StoreSnapshot.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace jaylane::gateway {
 
@@ -40,8 +41,12 @@
     m_removals.clear();
     m_newestChange = aRevision;
   }
-  Apply(removals, aRevision);
-  Apply(aObjects, aRevision);
+  for (const std::vector<StoredObject>* changes : { &std::as_const(removals), &aObjects }) {
+    for (const StoredObject& change : *changes) {
+      ApplyChange(change);
+    }
+  }
+  SetRevision(aRevision);
   return removals;
 }
 
@@ -58,12 +63,29 @@
   }
 }
 
-void StoreSnapshot::Apply(const std::vector<StoredObject>& aChanges,
-                          policy::StoreRevision aRevision)
+std::vector<StoredObject> StoreSnapshot::Apply(std::vector<StoredObject> aChanges,
+                                               policy::StoreRevision aRevision)
 {
-  for (const StoredObject& change : aChanges) {
-    ApplyChange(change);
+  std::vector<StoredObject> applied;
+  for (StoredObject& change : aChanges) {
+    if (!IsKnown(change)) {
+      ApplyChange(change);
+      applied.push_back(std::move(change));
+    }
   }
+  SetRevision(aRevision);
+  return applied;
+}
+
+bool StoreSnapshot::IsKnown(const StoredObject& aChange) const
+{
+  const auto present = m_objects.find(aChange.m_name);
+  return !aChange.m_deleted && present != m_objects.end() &&
+         present->second.m_revision >= aChange.m_revision;
+}
+
+void StoreSnapshot::SetRevision(policy::StoreRevision aRevision)
+{
   m_revision = std::max(m_revision, aRevision);
   if (m_removals.size() > kMaxRemovals) {
     m_removals.clear();
@@ -150,8 +172,7 @@
                                            aChanges.m_allNames->end());
     AppendRemovals(names, aChanges.m_revision, changes);
   }
-  Apply(changes, aChanges.m_revision);
-  return changes;
+  return Apply(std::move(changes), aChanges.m_revision);
 }
 
 namespace {
--- a/packages/gateway/src/StoreSnapshot.h
+++ b/packages/gateway/src/StoreSnapshot.h
@@ -40,8 +40,11 @@
   std::vector<StoredObject> Replace(const std::vector<StoredObject>& aObjects,
                                     policy::StoreRevision aRevision);
 
-  /// Applies changes up to a revision, in their order.
-  void Apply(const std::vector<StoredObject>& aChanges, policy::StoreRevision aRevision);
+  /// Applies changes of the snapshot's era up to a revision, in their order. Objects that are not
+  /// newer than the present ones are left out.
+  /// @return the changes that were applied.
+  std::vector<StoredObject> Apply(std::vector<StoredObject> aChanges,
+                                  policy::StoreRevision aRevision);
 
   /// @return revision up to which the snapshot has every change, 0 before the first list. Single
   ///         objects may be newer. All objects and removals are of its era.
@@ -74,7 +77,11 @@
   static base::Result<StoreSnapshot> FromJson(std::string_view aText);
 
 private:
+  /// @return whether the change is not the removal of an object and the same or a newer object is
+  ///   present.
+  bool IsKnown(const StoredObject& aChange) const;
   void ApplyChange(const StoredObject& aChange);
+  void SetRevision(policy::StoreRevision aRevision);
   /// Appends the removal of each object whose name is missing.
   void AppendRemovals(const std::set<std::string_view>& aNames,
                       policy::StoreRevision aRevision,
--- a/packages/gateway/src/StoreSync.cpp
+++ b/packages/gateway/src/StoreSync.cpp
@@ -494,8 +494,11 @@
     Watch();
     return;
   }
-  m_snapshot.Apply(batch->m_objects, batch->m_revision);
-  m_hooks.m_onChanges(std::move(batch->m_objects));
+  // Objects that a peer has sent meanwhile are not reported again.
+  auto applied = m_snapshot.Apply(std::move(batch->m_objects), batch->m_revision);
+  if (!applied.empty()) {
+    m_hooks.m_onChanges(std::move(applied));
+  }
   LogChange("watch");
   ReportRevision();
   if (m_role == policy::StoreRole::Relying) {
--- a/packages/gateway/tests/StoreSnapshotTest.cpp
+++ b/packages/gateway/tests/StoreSnapshotTest.cpp
@@ -46,6 +46,19 @@
   EXPECT_EQ(&*snapshot.MakeChanges(5).m_objects[0].m_value, &*object.m_value);
 }
 
+// The store and a peer tell of the same change. Guards against applying a configuration again, and
+// against losing an object that was removed and created anew.
+TEST(StoreSnapshotTest, KnownObjectsAreNoChanges)
+{
+  StoreSnapshot snapshot;
+  snapshot.Replace({ { "a", 3, false, 1 }, { "b", 4, false, 2 } }, 5);
+  EXPECT_EQ(snapshot.Apply({ { "a", 7, false, 3 }, { "b", 4, false, 2 } }, 7).size(), 1U);
+  EXPECT_TRUE(snapshot.Apply({ { "a", 3, false, 1 }, { "a", 7, false, 3 } }, 8).empty());
+  EXPECT_EQ(snapshot.Revision(), 8U);
+  EXPECT_EQ(snapshot.Apply({ { "a", 9, true, {} }, { "a", 7, false, 3 } }, 9).size(), 2U);
+  EXPECT_EQ(snapshot.Objects().size(), 2U);
+}
+
 // Guards against a peer that keeps an upstream that has left, because removals are missing from the
 // changes that it is sent.
 TEST(StoreSnapshotTest, ChangesIncludeRemovals)
--- a/packages/gateway/tests/StoreSyncTest.cpp
+++ b/packages/gateway/tests/StoreSyncTest.cpp
@@ -76,13 +76,16 @@
 
 /// A store with one configuration object.
 /// @param aObject revision of the object; the store's own is three higher.
-/// @param aWatch delay before a watch returns a change with revision 8.
-ScriptedUpstream::Handler ServeRevision(std::uint64_t aObject, std::chrono::milliseconds aWatch)
+/// @param aWatch delay before a watch returns a change.
+/// @param aChange revision of the change.
+ScriptedUpstream::Handler ServeRevision(std::uint64_t aObject,
+                                        std::chrono::milliseconds aWatch,
+                                        std::uint64_t aChange = 8)
 {
-  return [aObject, aWatch](const SeenRequest& aRequest) {
+  return [aObject, aWatch, aChange](const SeenRequest& aRequest) {
     const bool isConfiguration = aRequest.m_head.find("/0 ") != std::string::npos;
     const bool isWatch = aRequest.m_head.find("/watch/") != std::string::npos;
-    const std::uint64_t object = isWatch ? 8 : aObject;
+    const std::uint64_t object = isWatch ? aChange : aObject;
     const std::string objects =
       isConfiguration ? fmt::format(R"([{{"name":"main","revision":{},"value":1}}])", object)
                       : "[]";
@@ -353,6 +356,29 @@
   }));
 }
 
+// A change arrives from a peer and then from the store. Guards against decoding a large
+// configuration twice on the request thread.
+TEST(StoreSyncTest, AChangeThatAPeerHasSentIsNotReportedAgain)
+{
+  ScriptedUpstream working(ServeRevision(12, 5000ms));
+  ScriptedUpstream late(ServeRevision(7, 900ms, 12));
+  const std::string servedAddress = FreeAddress();
+  RecordingSync served(working.Address(), servedAddress);
+  ASSERT_TRUE(served.WaitForRevision(12, 5s));
+  RecordingSync behind(late.Address(), FreeAddress());
+  ASSERT_TRUE(behind.WaitForRevision(7, 5s));
+  behind.Sync().SetPeers({ servedAddress });
+  ASSERT_TRUE(behind.WaitUntilFollowing(5s));
+  for (int i = 0; i < 100 && Calls(late, "/watch/10/0 ") == 0; ++i) {
+    std::this_thread::sleep_for(50ms);
+  }
+  ASSERT_EQ(Calls(late, "/watch/10/0 "), 1U);
+  behind.Sync().OnPeerRevisions({ 12, 0, 0 }, servedAddress);
+  ASSERT_TRUE(behind.WaitForRevision(12, 1500ms));
+  std::this_thread::sleep_for(2000ms);
+  EXPECT_EQ(behind.Changes(), 1U);
+}
+
 /// A VM that relies on others, after the delay of the first watch; its store has revision 7.
 class RelyingVmTest : public testing::Test
 {
