gateway: HttpFetch can accept compressed responses

Cause: a peer that could compress its response does not know whether the requesting VM, which may be of another version, understands it.

Change: FetchRequest::m_acceptsGzip asks for it with Accept-Encoding and decompresses the body, up to m_maxBodyBytes. A body that is damaged, too large or of another encoding counts as no response. Plain bodies are taken as before, and nothing asks for compression yet.

--- a/packages/gateway/src/HttpFetch.cpp
+++ b/packages/gateway/src/HttpFetch.cpp
@@ -1,9 +1,11 @@
 #include "HttpFetch.h"
 
+#include "Compression.h"
 #include "SocketOptions.h"
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
+#include <boost/beast/core/string.hpp>
 #include <fmt/format.h>
 #include <utility>
 
@@ -97,6 +99,9 @@
 {
   m_requestText = fmt::format(
     "{} {} HTTP/1.1\r\nHost: {}\r\n", m_request.m_method, m_request.m_target, m_address);
+  if (m_request.m_acceptsGzip) {
+    m_requestText += fmt::format("Accept-Encoding: {}\r\n", kGzipEncoding);
+  }
   if (!m_request.m_body.empty()) {
     m_requestText += fmt::format("Content-Type: application/json\r\nContent-Length: {}\r\n",
                                  m_request.m_body.size());
@@ -150,6 +155,10 @@
   response.m_status = message.result_int();
   response.m_body = std::move(message.body());
   response.m_fields = std::move(message);
+  if (!Decode(response)) {
+    Finish({});
+    return;
+  }
   if (!response.m_fields.count(http::field::connection) && m_buffer.size() == 0) {
     ++m_exchangeNumber;
     m_timer.cancel();
@@ -160,6 +169,24 @@
   Finish(std::move(response));
 }
 
+bool HttpFetch::Decode(FetchResponse& aResponse) const
+{
+  const auto encoding = aResponse.m_fields.find(http::field::content_encoding);
+  if (!m_request.m_acceptsGzip || encoding == aResponse.m_fields.end()) {
+    return true;
+  }
+  if (!boost::beast::iequals(encoding->value(), kGzipEncoding)) {
+    return false;
+  }
+  auto body = DecompressGzip(aResponse.m_body, m_request.m_maxBodyBytes);
+  if (!body) {
+    return false;
+  }
+  aResponse.m_body = std::move(*body);
+  aResponse.m_fields.erase(encoding);
+  return true;
+}
+
 void HttpFetch::Finish(FetchResponse aResponse)
 {
   const OnDone done = std::exchange(m_onDone, nullptr);
--- a/packages/gateway/src/HttpFetch.h
+++ b/packages/gateway/src/HttpFetch.h
@@ -24,7 +24,11 @@
   /// Time limit for the whole exchange, connecting included.
   std::chrono::milliseconds m_timeout{ 1000 };
   /// Largest response body. A list of the store has about one megabyte at most.
+  /// Applies to the body as received and as decompressed.
   std::uint64_t m_maxBodyBytes = 4ULL << 20;
+  /// Whether the server may compress the response body. The response has it decompressed. One that
+  /// cannot be decompressed counts as none.
+  bool m_acceptsGzip = false;
 };
 
 /// The response to a FetchRequest; status 0 if there was none.
@@ -69,6 +73,9 @@
   void Send();
   void Read();
   void OnRead(const boost::system::error_code& aError, std::size_t aBytes);
+  /// Decompresses the body if the request allowed the server to compress it.
+  /// @return whether the body is plain now.
+  bool Decode(FetchResponse& aResponse) const;
   void Finish(FetchResponse aResponse);
 
   boost::asio::io_context& m_io;
--- a/packages/gateway/tests/HttpFetchTest.cpp
+++ b/packages/gateway/tests/HttpFetchTest.cpp
@@ -1,7 +1,9 @@
 #include "HttpFetch.h"
 
+#include "Compression.h"
 #include "ScriptedUpstream.h"
 
+#include <fmt/format.h>
 #include <gtest/gtest.h>
 
 namespace jaylane::gateway {
@@ -14,10 +16,14 @@
 {
 protected:
   FetchResponse Fetch(HttpFetch& aFetch, std::chrono::milliseconds aTimeout = 1000ms)
+  {
+    return Fetch(aFetch, { "GET", "/x", {}, aTimeout });
+  }
+
+  FetchResponse Fetch(HttpFetch& aFetch, FetchRequest aRequest)
   {
     std::optional<FetchResponse> response;
-    aFetch.Start({ "GET", "/x", {}, aTimeout },
-                 [&](FetchResponse aEnd) { response = std::move(aEnd); });
+    aFetch.Start(std::move(aRequest), [&](FetchResponse aEnd) { response = std::move(aEnd); });
     const auto end = std::chrono::steady_clock::now() + 5s;
     while (!response && std::chrono::steady_clock::now() < end) {
       m_io.run_one_for(20ms);
@@ -85,5 +91,59 @@
   EXPECT_EQ(server.Seen().back().m_connection, 1U);
 }
 
+constexpr std::uint64_t kMaxBodyBytes = 10'000;
+
+FetchRequest GzipRequest()
+{
+  return { "GET", "/x", {}, 1000ms, kMaxBodyBytes, /*m_acceptsGzip=*/true };
+}
+
+/// @return a response whose body has an encoding, unless that is empty.
+std::string EncodedResponse(const std::string& aEncoding, const std::string& aBody)
+{
+  return fmt::format("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n{}\r\n{}",
+                     aBody.size(),
+                     aEncoding.empty() ? "" : "Content-Encoding: " + aEncoding + "\r\n",
+                     aBody);
+}
+
+// Guards against a compressed response that is taken for the text, and against a server of an
+// earlier version, which sends plain text, that is no longer understood.
+TEST_F(HttpFetchTest, DecompressesIfItAskedForIt)
+{
+  const std::string text(kMaxBodyBytes, 'a');
+  ScriptedUpstream compressing([&](const SeenRequest& aRequest) {
+    const bool isAccepted = AcceptsGzip(aRequest.Header("Accept-Encoding"));
+    return Script{ isAccepted ? EncodedResponse("gzip", *CompressGzip(text))
+                              : EncodedResponse("", text) };
+  });
+  const auto fetch = std::make_shared<HttpFetch>(m_io, compressing.Address());
+  EXPECT_EQ(Fetch(*fetch, GzipRequest()).m_body, text);
+  EXPECT_EQ(Fetch(*fetch).m_body, text);
+  EXPECT_EQ(compressing.Seen().front().Header("Accept-Encoding"), "gzip");
+  EXPECT_EQ(compressing.Seen().back().Header("Accept-Encoding"), "") << "not the default";
+  EXPECT_EQ(compressing.Seen().back().m_connection, 0U);
+  ScriptedUpstream plain([&](const SeenRequest&) { return Script{ EncodedResponse("", text) }; });
+  const auto plainFetch = std::make_shared<HttpFetch>(m_io, plain.Address());
+  EXPECT_EQ(Fetch(*plainFetch, GzipRequest()).m_body, text);
+}
+
+// Guards against a response that takes all memory, and against using a part of a text.
+TEST_F(HttpFetchTest, ResponsesThatCannotBeDecompressedAreFailures)
+{
+  const std::string whole = *CompressGzip("text");
+  for (const std::string& bytes :
+       { EncodedResponse("gzip", *CompressGzip(std::string(kMaxBodyBytes + 1, 'a'))),
+         EncodedResponse("gzip", whole.substr(0, whole.size() - 1)),
+         EncodedResponse("gzip", "text"),
+         EncodedResponse("br", "text") }) {
+    ScriptedUpstream server([&](const SeenRequest&) { return Script{ bytes }; });
+    const auto fetch = std::make_shared<HttpFetch>(m_io, server.Address());
+    const FetchResponse response = Fetch(*fetch, GzipRequest());
+    EXPECT_EQ(response.m_status, 0U);
+    EXPECT_FALSE(response.m_hasTimedOut);
+  }
+}
+
 } // namespace
 } // namespace jaylane::gateway
