gateway: connections of InfoServer share a response body

Change: InfoResponse holds its body as a shared pointer to a constant string. A session writes head and body as two buffers and releases the body at the end. The handler also gets the Accept-Encoding header and can name the encoding of the body.

--- a/packages/gateway/src/ControlPlane.cpp
+++ b/packages/gateway/src/ControlPlane.cpp
@@ -81,11 +81,11 @@
   , m_leadWatcher({}, m_settings.m_name, aClock.Monotonic())
   , m_readyServer(
       m_io,
-      [this](std::string_view) { return OnReady(); },
+      [this](const InfoRequest&) { return OnReady(); },
       InfoServer::MaxConnections(m_settings.m_maxDescriptors))
   , m_lookupServer(
       m_io,
-      [this](std::string_view aTarget) { return OnLookup(aTarget); },
+      [this](const InfoRequest& aRequest) { return OnLookup(aRequest.m_target); },
       InfoServer::MaxConnections(m_settings.m_maxDescriptors))
   , m_peerRetry(m_io, aClock, aLog, "peers (UDP)", {})
   , m_snapshotRetry(m_io, aClock, aLog, "peers (TCP)", {})
--- a/packages/gateway/src/Gateway.cpp
+++ b/packages/gateway/src/Gateway.cpp
@@ -184,7 +184,7 @@
   , m_callerServer(m_context)
   , m_metricsServer(
       m_io,
-      [this](std::string_view) {
+      [this](const InfoRequest&) {
         m_metrics.m_bodyBytes = m_bodyBudget.Used();
         m_metrics.m_bodyEvictions = m_bodyBudget.Evictions();
         return InfoResponse{ 200, "text/plain", m_metrics.ToText() };
--- a/packages/gateway/src/InfoServer.cpp
+++ b/packages/gateway/src/InfoServer.cpp
@@ -4,6 +4,7 @@
 #include "SocketOptions.h"
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -118,23 +119,30 @@
   void Respond()
   {
     const auto& request = m_parser->get();
-    const InfoResponse response = m_handler({ request.target().data(), request.target().size() });
+    const auto target = request.target();
+    const auto acceptEncoding = request[http::field::accept_encoding];
+    InfoResponse response = m_handler(
+      { { target.data(), target.size() }, { acceptEncoding.data(), acceptEncoding.size() } });
     const bool keepAlive = request.keep_alive();
-    m_responseText =
-      fmt::format("HTTP/1.1 {} {}\r\nContent-Type: {}\r\nContent-Length: {}\r\n{}\r\n{}",
-                  response.m_status,
-                  response.m_status == 200 ? "OK" : "Unavailable",
-                  response.m_contentType,
-                  response.m_body.size(),
-                  keepAlive ? "" : "Connection: close\r\n",
-                  response.m_body);
+    m_responseHead = fmt::format("HTTP/1.1 {} {}\r\nContent-Type: {}\r\nContent-Length: {}\r\n",
+                                 response.m_status,
+                                 response.m_status == 200 ? "OK" : "Unavailable",
+                                 response.m_contentType,
+                                 response.m_body->size());
+    if (!response.m_contentEncoding.empty()) {
+      m_responseHead += fmt::format("Content-Encoding: {}\r\n", response.m_contentEncoding);
+    }
+    m_responseHead += keepAlive ? "\r\n" : "Connection: close\r\n\r\n";
+    m_responseBody = std::move(response.m_body);
     m_parser.reset();
     asio::async_write(
       m_socket,
-      asio::buffer(m_responseText),
+      std::array<asio::const_buffer, 2>{ asio::buffer(m_responseHead),
+                                         asio::buffer(*m_responseBody) },
       [self = shared_from_this(), keepAlive](const boost::system::error_code& aError, std::size_t) {
         self->m_lastServed = ++*self->m_served;
-        std::string().swap(self->m_responseText);
+        std::string().swap(self->m_responseHead);
+        self->m_responseBody.reset();
         if (!aError && keepAlive) {
           self->Read();
         }
@@ -146,7 +154,9 @@
   InfoServer::Handler m_handler;
   boost::beast::flat_buffer m_buffer;
   std::optional<http::request_parser<http::string_body>> m_parser;
-  std::string m_responseText;
+  /// The response that is being written.
+  std::string m_responseHead;
+  std::shared_ptr<const std::string> m_responseBody;
   std::shared_ptr<std::uint64_t> m_served;
   std::uint64_t m_lastServed;
 };
--- a/packages/gateway/src/InfoServer.h
+++ b/packages/gateway/src/InfoServer.h
@@ -9,16 +9,36 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
+#include <utility>
 #include <vector>
 
 namespace jaylane::gateway {
 
-/// A small response that is available without waiting.
+/// A request without a body.
+struct InfoRequest
+{
+  std::string_view m_target;
+  /// Value of Accept-Encoding; empty if there is none.
+  std::string_view m_acceptEncoding;
+};
+
+/// A response that is available without waiting.
 struct InfoResponse
 {
-  unsigned m_status = 200;
-  const char* m_contentType = "text/plain";
-  std::string m_body;
+  InfoResponse(unsigned aStatus, const char* aContentType, std::string aBody)
+    : m_status(aStatus)
+    , m_contentType(aContentType)
+    , m_body(std::make_shared<const std::string>(std::move(aBody)))
+  {
+  }
+
+  unsigned m_status;
+  const char* m_contentType;
+  /// Content-Encoding of the body; empty if it is plain.
+  std::string_view m_contentEncoding;
+  /// Not null. Copies of the response share it, so that a body for many connections is kept once.
+  std::shared_ptr<const std::string> m_body;
 };
 
 /// HTTP server for requests that are answered without waiting: readiness, lookups, metrics, and
@@ -26,8 +46,8 @@
 class InfoServer
 {
 public:
-  /// @param aTarget request target.
-  using Handler = std::function<InfoResponse(std::string_view aTarget)>;
+  /// @param aRequest valid during the call.
+  using Handler = std::function<InfoResponse(const InfoRequest& aRequest)>;
 
   /// @param aMaxConnections limit on open connections. A further one takes the place of that which
   ///        was opened, or answered, first.
--- a/packages/gateway/src/StoreSync.cpp
+++ b/packages/gateway/src/StoreSync.cpp
@@ -845,7 +845,7 @@
                   m_hooks.m_evacuations)
   , m_snapshotServer(
       m_io,
-      [this](std::string_view aTarget) { return OnSnapshotRequest(aTarget); },
+      [this](const InfoRequest& aRequest) { return OnSnapshotRequest(aRequest.m_target); },
       InfoServer::MaxConnections(aSettings.m_maxDescriptors))
   , m_fetch(std::make_shared<HttpFetch>(m_io, aSettings.m_storeAddress))
   , m_timer(m_io)
--- a/packages/gateway/tests/InfoServerTest.cpp
+++ b/packages/gateway/tests/InfoServerTest.cpp
@@ -3,6 +3,7 @@
 #include "TestStore.h"
 
 #include <boost/asio/connect.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
 #include <pthread.h>
@@ -17,6 +18,8 @@
 using boost::asio::ip::tcp;
 
 constexpr std::size_t kMaxConnections = 4;
+/// More than the buffers of a connection take.
+constexpr std::size_t kSharedBytes = 16 << 20;
 
 /// A server of one response, on its own thread.
 class InfoServerTest : public testing::Test
@@ -26,9 +29,7 @@
     : m_address(FreeAddress())
     , m_server(
         m_io,
-        [](std::string_view) {
-          return InfoResponse{ 200, "text/plain", "ok" };
-        },
+        [this](const InfoRequest& aRequest) { return Handle(aRequest); },
         kMaxConnections)
   {
     EXPECT_TRUE(m_server.Listen(m_address));
@@ -41,6 +42,17 @@
     m_thread.join();
   }
 
+  /// Responds with m_shared to all targets but "/".
+  InfoResponse Handle(const InfoRequest& aRequest)
+  {
+    if (aRequest.m_target == "/") {
+      return { 200, "text/plain", "ok" };
+    }
+    InfoResponse response = m_shared;
+    response.m_contentEncoding = aRequest.m_acceptEncoding;
+    return response;
+  }
+
   /// Sends bytes and reads until the connection ends or a response has come.
   std::string Exchange(const std::string& aBytes)
   {
@@ -56,6 +68,7 @@
     return response;
   }
 
+  InfoResponse m_shared{ 200, "text/plain", std::string(kSharedBytes, 's') };
   boost::asio::io_context m_io;
   std::string m_address;
   InfoServer m_server;
@@ -129,5 +142,35 @@
   EXPECT_TRUE(Exchange("GET / HTTP/1.1\r\n\r\n").starts_with("HTTP/1.1 200 OK"));
 }
 
+// Guards against a copy of a large body for each connection that it is sent on, and against keeping
+// the body afterwards.
+TEST_F(InfoServerTest, ConnectionsShareABody)
+{
+  const std::size_t colon = m_address.rfind(':');
+  const tcp::endpoint endpoint{ boost::asio::ip::make_address("127.0.0.1"),
+                                static_cast<std::uint16_t>(
+                                  std::stoi(m_address.substr(colon + 1))) };
+  const std::string request = "GET /shared HTTP/1.1\r\nAccept-Encoding: x\r\n\r\n";
+  boost::asio::io_context io;
+  std::vector<tcp::socket> sockets;
+  for (std::size_t i = 0; i < kMaxConnections; ++i) {
+    tcp::socket& socket = sockets.emplace_back(io);
+    socket.connect(endpoint);
+    boost::asio::write(socket, boost::asio::buffer(request));
+    std::string head;
+    boost::asio::read_until(socket, boost::asio::dynamic_buffer(head), "\r\n\r\n");
+    EXPECT_NE(head.find("\r\nContent-Encoding: x\r\n"), std::string::npos);
+    head.erase(0, head.find("\r\n\r\n") + 4);
+    EXPECT_EQ(head, std::string(head.size(), 's'));
+  }
+  EXPECT_EQ(m_shared.m_body.use_count(), 1 + static_cast<long>(kMaxConnections));
+  sockets.clear();
+  const auto end = std::chrono::steady_clock::now() + 5s;
+  while (m_shared.m_body.use_count() > 1 && std::chrono::steady_clock::now() < end) {
+    std::this_thread::sleep_for(5ms);
+  }
+  EXPECT_EQ(m_shared.m_body.use_count(), 1);
+}
+
 } // namespace
 } // namespace jaylane::gateway
