--- a/packages/gateway/src/StoreSync.cpp
+++ b/packages/gateway/src/StoreSync.cpp
@@ -1,5 +1,6 @@
 #include "StoreSync.h"
 
+#include "Compression.h"
 #include "jaylane/base/ContainErrors.h"
 
 #include <algorithm>
@@ -264,6 +265,7 @@
                   .Add("era", aRevision.Era())
                   .Add("revision", aRevision.Number()));
   }
+  m_responses.Clear();
   std::vector<StoredObject> removals = m_snapshot.Replace(aObjects, aRevision);
   std::ranges::move(removals, std::back_inserter(aObjects));
   m_hooks.m_onList(std::move(aObjects));
@@ -490,10 +492,14 @@
   LogUnreadable(batch->m_unreadable);
   // A peer's snapshot that is newer than this response already contains its changes.
   if (batch->m_objects.empty() || batch->m_revision < m_snapshot.Revision()) {
-    m_snapshot.Apply({}, batch->m_revision);
+    if (batch->m_revision > m_snapshot.Revision()) {
+      m_responses.Clear();
+      m_snapshot.Apply({}, batch->m_revision);
+    }
     Watch();
     return;
   }
+  m_responses.Clear();
   // Objects that a peer has sent meanwhile are not reported again.
   auto applied = m_snapshot.Apply(std::move(batch->m_objects), batch->m_revision);
   if (!applied.empty()) {
@@ -621,6 +627,7 @@
 {
   m_isRenewed = false;
   m_isOverdue = false;
+  m_responses.Clear();
   m_hooks.m_onCallCompleted(aResponse.IsTransientFailure() ? StoreCallResult::Unanswered
                                                            : StoreCallResult::Unusable);
   if (!m_hasFailed) {
@@ -670,7 +677,8 @@
                   present.Era()),
       {},
       PeerTimeout(),
-      kMaxPeerBytes },
+      kMaxPeerBytes,
+      /*m_acceptsGzip=*/true },
     [this, peer = aPeer](const FetchResponse& aResponse) { OnPeerResponse(peer, aResponse); });
 }
 
@@ -719,6 +727,7 @@
     if (!applied) {
       return false;
     }
+    m_responses.Clear();
     if (!hasNews && m_watchRevision >= present) {
       // A list tells of removals later than they happened. The watch has delivered all of these.
       m_watchRevision = std::max(m_watchRevision, m_snapshot.Revision());
@@ -750,13 +759,17 @@
   return true;
 }
 
-std::optional<std::string> KindWatcher::SnapshotAfter(policy::StoreRevision aAfter) const
+std::optional<InfoResponse> KindWatcher::SnapshotAfter(policy::StoreRevision aAfter,
+                                                       bool aAcceptsGzip)
 {
   if (m_hasFailed || m_snapshot.Revision() <= aAfter) {
     return std::nullopt;
   }
-  const bool hasOther = aAfter.Number() == 0 || aAfter.Era() != m_snapshot.Revision().Era();
-  return hasOther ? m_snapshot.ToJson() : m_snapshot.MakeChanges(aAfter).ToJson();
+  if (aAfter.Number() == 0 || aAfter.Era() != m_snapshot.Revision().Era()) {
+    return m_responses.Get({}, aAcceptsGzip, [this] { return m_snapshot.ToJson(); });
+  }
+  return m_responses.Get(
+    aAfter, aAcceptsGzip, [this, aAfter] { return m_snapshot.MakeChanges(aAfter).ToJson(); });
 }
 
 milliseconds KindWatcher::WatchAge() const
@@ -845,7 +858,7 @@
                   m_hooks.m_evacuations)
   , m_snapshotServer(
       m_io,
-      [this](const InfoRequest& aRequest) { return OnSnapshotRequest(aRequest.m_target); },
+      [this](const InfoRequest& aRequest) { return OnSnapshotRequest(aRequest); },
       InfoServer::MaxConnections(aSettings.m_maxDescriptors))
   , m_fetch(std::make_shared<HttpFetch>(m_io, aSettings.m_storeAddress))
   , m_timer(m_io)
@@ -966,18 +979,19 @@
   }
 }
 
-InfoResponse StoreSync::OnSnapshotRequest(std::string_view aTarget) const
+InfoResponse StoreSync::OnSnapshotRequest(const InfoRequest& aRequest)
 {
-  const std::size_t end = aTarget.find(kAfterQuery);
-  if (!aTarget.starts_with(kSnapshotPathPrefix) || end == aTarget.npos) {
+  const std::string_view target = aRequest.m_target;
+  const std::size_t end = target.find(kAfterQuery);
+  if (!target.starts_with(kSnapshotPathPrefix) || end == target.npos) {
     return { 404, "text/plain", "no such snapshot\n" };
   }
   const std::string_view kind =
-    aTarget.substr(kSnapshotPathPrefix.size(), end - kSnapshotPathPrefix.size());
-  const std::uint64_t number = NumberAfter(aTarget, kAfterQuery).value_or(0);
+    target.substr(kSnapshotPathPrefix.size(), end - kSnapshotPathPrefix.size());
+  const std::uint64_t number = NumberAfter(target, kAfterQuery).value_or(0);
   const std::uint64_t era =
-    NumberAfter(aTarget, kEraQuery).value_or(policy::StoreRevision::kImpliedEra);
-  const std::pair<ObjectKind, const KindWatcher*> watchers[] = {
+    NumberAfter(target, kEraQuery).value_or(policy::StoreRevision::kImpliedEra);
+  const std::pair<ObjectKind, KindWatcher*> watchers[] = {
     { ObjectKind::Configuration, &m_configuration },
     { ObjectKind::Upstreams, &m_upstreams },
     { ObjectKind::Evacuations, &m_evacuations },
@@ -986,8 +1000,9 @@
     if (kind != KindName(watched)) {
       continue;
     }
-    if (auto snapshot = watcher->SnapshotAfter({ number, era })) {
-      return { 200, "application/json", std::move(*snapshot) };
+    const bool acceptsGzip = AcceptsGzip(aRequest.m_acceptEncoding);
+    if (auto response = watcher->SnapshotAfter({ number, era }, acceptsGzip)) {
+      return std::move(*response);
     }
   }
   return { 404, "text/plain", "nothing newer\n" };
--- a/packages/gateway/src/StoreSync.h
+++ b/packages/gateway/src/StoreSync.h
@@ -2,6 +2,7 @@
 
 #include "HttpFetch.h"
 #include "InfoServer.h"
+#include "SnapshotResponses.h"
 #include "StoreEra.h"
 #include "StoreProbe.h"
 #include "StoreSnapshot.h"
@@ -130,9 +131,11 @@
   bool HasSeen(policy::StoreRevision aRevision) const { return m_snapshot.Revision() >= aRevision; }
 
   /// @param aAfter revision that the requesting peer has.
+  /// @param aAcceptsGzip whether the peer understands compressed bodies.
   /// @return the changes after the revision as JSON, or all objects if the revision is 0 or of
-  ///         another era; nothing if there is nothing newer or calls to the store fail.
-  std::optional<std::string> SnapshotAfter(policy::StoreRevision aAfter) const;
+  ///         another era; nothing if there is nothing newer or calls to the store fail. Peers that
+  ///         ask for the same get the same body until the objects change.
+  std::optional<InfoResponse> SnapshotAfter(policy::StoreRevision aAfter, bool aAcceptsGzip);
 
 private:
   void List(const std::string& aAfter);
@@ -217,6 +220,8 @@
   policy::StoreRevision m_revisionAtList;
   base::MonotonicTime m_listStarted;
   StoreSnapshot m_snapshot;
+  /// Made from m_snapshot, and dropped when it changes.
+  SnapshotResponses m_responses;
   policy::StoreRevision m_reportedRevision;
   /// Newest revision that a peer has announced, and that peer.
   policy::StoreRevision m_peerRevision;
@@ -359,7 +364,7 @@
   void CheckStore() { m_probe.Check(); }
 
 private:
-  InfoResponse OnSnapshotRequest(std::string_view aTarget) const;
+  InfoResponse OnSnapshotRequest(const InfoRequest& aRequest);
   void ReportFollowing();
   /// @return time that the store has needed lately to respond.
   std::chrono::milliseconds ResponseDelay() const;
--- a/packages/gateway/tests/StoreSyncTest.cpp
+++ b/packages/gateway/tests/StoreSyncTest.cpp
@@ -379,6 +379,164 @@
   EXPECT_EQ(behind.Changes(), 1U);
 }
 
+/// @return the response of a VM to a request of a peer.
+FetchResponse FetchSnapshot(const std::string& aAddress, bool aAcceptsGzip)
+{
+  boost::asio::io_context io;
+  const auto fetch = std::make_shared<HttpFetch>(io, aAddress);
+  std::optional<FetchResponse> response;
+  fetch->Start(
+    { "GET", "/snapshots/configuration?after=0&era=1", {}, 1000ms, 1 << 20, aAcceptsGzip },
+    [&](FetchResponse aResponse) {
+      response = std::move(aResponse);
+      fetch->Close();
+    });
+  io.run_for(2s);
+  return response.value_or(FetchResponse{});
+}
+
+/// Serves one large configuration object.
+Script ServeLarge(const SeenRequest& aRequest)
+{
+  Script script = ServeOne(aRequest);
+  const std::size_t value = script.m_bytes.find(R"({"a":1})");
+  if (value == std::string::npos) {
+    return script;
+  }
+  return Text(
+    "200 OK",
+    fmt::format(R"({{"revision":9,"objects":[{{"name":"main","revision":7,"value":"{}"}}]}})",
+                std::string(10'000, 'a')));
+}
+
+// Guards against a peer that gets a body that it cannot read, and against one that needs the whole
+// text on a slow link although it accepts a compressed one. The store is not asked for one.
+TEST(StoreSyncTest, SendsCompressedSnapshotsOnlyToPeersThatAcceptThem)
+{
+  ScriptedUpstream working(ServeLarge);
+  ScriptedUpstream refusing(RefuseAll);
+  const std::string servedAddress = FreeAddress();
+  RecordingSync served(working.Address(), servedAddress);
+  ASSERT_TRUE(served.WaitForConfiguration(5s));
+  const FetchResponse plain = FetchSnapshot(servedAddress, false);
+  ASSERT_TRUE(StoreSnapshot::FromJson(plain.m_body));
+  EXPECT_EQ(plain.m_fields.count("Content-Encoding"), 0U);
+  const FetchResponse compressed = FetchSnapshot(servedAddress, true);
+  EXPECT_EQ(compressed.m_body, plain.m_body);
+  EXPECT_LT(std::stoul(compressed.m_fields["Content-Length"]), plain.m_body.size() / 10);
+  RecordingSync refused(refusing.Address(), FreeAddress());
+  refused.Sync().SetPeers({ servedAddress });
+  ASSERT_TRUE(refused.WaitForConfiguration(5s));
+  EXPECT_EQ(refused.Configurations().front().m_value->asString().size(), 10'000U);
+  for (const ScriptedUpstream* store : { &working, &refusing }) {
+    for (const SeenRequest& request : store->Seen()) {
+      EXPECT_EQ(request.Header("Accept-Encoding"), "");
+    }
+  }
+}
+
+// A peer of an earlier version ignores Accept-Encoding. Guards against VMs that learn nothing from
+// it during an upgrade.
+TEST(StoreSyncTest, AdoptsThePlainSnapshotOfAPeerThatDoesNotCompress)
+{
+  ScriptedUpstream refusing(RefuseAll);
+  ScriptedUpstream peer([](const SeenRequest& aRequest) {
+    return aRequest.m_head.find("/snapshots/configuration?") == std::string::npos
+             ? Text("404 Not Found", "")
+             : Text("200 OK",
+                    R"({"revision":9,"objects":[{"name":"main","revision":7,"value":1}]})");
+  });
+  RecordingSync refused(refusing.Address(), FreeAddress());
+  refused.Sync().SetPeers({ peer.Address() });
+  EXPECT_TRUE(refused.WaitForRevision(7, 5s));
+  EXPECT_EQ(peer.Seen().front().Header("Accept-Encoding"), "gzip");
+}
+
+/// One watcher, whose store has the configuration object "main" with revision 7, and 8 once it has
+/// changed.
+class ServingWatcherTest : public testing::Test
+{
+protected:
+  ServingWatcherTest()
+  {
+    KindWatcher::Hooks hooks{ [](std::vector<StoredObject>) {},
+                              [](std::vector<StoredObject>) {},
+                              [](StoreCallResult) {},
+                              [](policy::StoreRevision) {},
+                              [] {},
+                              [] {} };
+    m_settings.m_storeAddress = m_store.Address();
+    m_watcher = std::make_unique<KindWatcher>(m_io,
+                                              m_settings,
+                                              m_dialect,
+                                              base::SystemClock::Get(),
+                                              m_log,
+                                              m_era,
+                                              ObjectKind::Configuration,
+                                              std::move(hooks));
+    m_watcher->Start();
+  }
+
+  bool RunUntil(const std::function<bool()>& aIsDone)
+  {
+    const auto end = std::chrono::steady_clock::now() + 5s;
+    while (!aIsDone() && std::chrono::steady_clock::now() < end) {
+      m_io.run_one_for(20ms);
+    }
+    return aIsDone();
+  }
+
+  bool RunUntilSeen(policy::StoreRevision aRevision)
+  {
+    return RunUntil([&] { return m_watcher->HasSeen(aRevision); });
+  }
+
+  /// @return the body that a peer gets; null if it gets none.
+  std::shared_ptr<const std::string> Body(policy::StoreRevision aAfter)
+  {
+    const auto response = m_watcher->SnapshotAfter(aAfter, false);
+    return response ? response->m_body : nullptr;
+  }
+
+  std::atomic<bool> m_hasChanged{ false };
+  std::atomic<bool> m_isRefusing{ false };
+  ScriptedUpstream m_store{ [this](const SeenRequest& aRequest) {
+    const bool isWatch = aRequest.m_head.find("/watch/") != std::string::npos;
+    if (m_isRefusing) {
+      return RefuseAll(aRequest);
+    }
+    return isWatch && !m_hasChanged ? Text("200 OK", R"({"revision":10,"objects":[]})", 50ms)
+                                    : ServeRevision(7, 50ms)(aRequest);
+  } };
+  GatewaySettings m_settings;
+  TestDialect m_dialect;
+  base::AsyncLog m_log{ "vm", base::SystemClock::Get(), { 64, 1000, [](std::string_view) {} } };
+  StoreEra m_era{ m_dialect, m_log, [](std::uint64_t) {} };
+  boost::asio::io_context m_io;
+  std::unique_ptr<KindWatcher> m_watcher;
+};
+
+// Guards against making the text anew for each of many peers, and against sending or keeping one
+// that is out of date.
+TEST_F(ServingWatcherTest, PeersShareABodyUntilTheObjectsChange)
+{
+  ASSERT_TRUE(RunUntilSeen(10));
+  for (const policy::StoreRevision after : { 0, 6 }) {
+    EXPECT_NE(Body(after), nullptr);
+    EXPECT_EQ(Body(after), Body(after)) << "the same object";
+  }
+  const std::weak_ptr<const std::string> before = Body(6);
+  EXPECT_FALSE(before.expired());
+  m_hasChanged = true;
+  ASSERT_TRUE(RunUntilSeen(11));
+  EXPECT_TRUE(before.expired());
+  EXPECT_NE(Body(6)->find(R"("revision":8)"), std::string::npos);
+  const std::weak_ptr<const std::string> changed = Body(6);
+  m_isRefusing = true;
+  EXPECT_TRUE(RunUntil([&] { return changed.expired(); })) << "the store no longer answers";
+  EXPECT_EQ(Body(6), nullptr);
+}
+
 /// A VM that relies on others, after the delay of the first watch; its store has revision 7.
 class RelyingVmTest : public testing::Test
 {
