gateway: peers that lack the same changes share a response

Cause: peers ask for the changes since the revision of their last call to the store. It rises with the changes of all kinds of objects and differs from VM to VM, so that responses with the same changes were made for each of them.

Responses are made and kept for that revision. A receiver takes changes that begin at or before its own revision, as before.

--- a/packages/gateway/src/StoreSnapshot.cpp
+++ b/packages/gateway/src/StoreSnapshot.cpp
@@ -131,6 +131,25 @@
   return objects;
 }
 
+policy::StoreRevision StoreSnapshot::EarliestEquivalent(policy::StoreRevision aSince) const
+{
+  // Not 0, by which peers ask for all objects.
+  policy::StoreRevision earliest =
+    HasChangesSince(aSince) ? m_changesKnownFrom : policy::StoreRevision{ 1, aSince.Era() };
+  const auto include = [&](policy::StoreRevision aRevision) {
+    if (aRevision <= aSince) {
+      earliest = std::max(earliest, aRevision);
+    }
+  };
+  for (const auto& [name, object] : m_objects) {
+    include(object.m_revision);
+  }
+  for (const auto& [name, revision] : m_removals) {
+    include(revision);
+  }
+  return earliest;
+}
+
 StoreChanges StoreSnapshot::MakeChanges(policy::StoreRevision aSince) const
 {
   StoreChanges changes{ aSince, m_revision, ChangesSince(aSince), std::nullopt };
--- a/packages/gateway/src/StoreSnapshot.h
+++ b/packages/gateway/src/StoreSnapshot.h
@@ -61,6 +61,11 @@
   /// @return changed and removed objects after the revision.
   std::vector<StoredObject> ChangesSince(policy::StoreRevision aRevision) const;
 
+  /// The revision of a VM is that of its last call to the store and differs from VM to VM, also if
+  /// they have the same objects.
+  /// @param aSince revision of the snapshot's era, not 0.
+  /// @return the earliest revision since which MakeChanges() has the same changes and names; not 0.
+  policy::StoreRevision EarliestEquivalent(policy::StoreRevision aSince) const;
   /// @param aSince revision of the snapshot's era.
   /// @return the changes since the revision, to be sent to a peer.
   StoreChanges MakeChanges(policy::StoreRevision aSince) const;
--- a/packages/gateway/src/StoreSync.cpp
+++ b/packages/gateway/src/StoreSync.cpp
@@ -768,8 +768,9 @@
   if (aAfter.Number() == 0 || aAfter.Era() != m_snapshot.Revision().Era()) {
     return m_responses.Get({}, aAcceptsGzip, [this] { return m_snapshot.ToJson(); });
   }
+  const policy::StoreRevision since = m_snapshot.EarliestEquivalent(aAfter);
   return m_responses.Get(
-    aAfter, aAcceptsGzip, [this, aAfter] { return m_snapshot.MakeChanges(aAfter).ToJson(); });
+    since, aAcceptsGzip, [this, since] { return m_snapshot.MakeChanges(since).ToJson(); });
 }
 
 milliseconds KindWatcher::WatchAge() const
--- a/packages/gateway/tests/StoreSnapshotTest.cpp
+++ b/packages/gateway/tests/StoreSnapshotTest.cpp
@@ -1,6 +1,7 @@
 #include "StoreSnapshot.h"
 
 #include <gtest/gtest.h>
+#include <set>
 
 namespace jaylane::gateway {
 namespace {
@@ -116,6 +117,24 @@
   EXPECT_EQ(behind.ToJson(), ahead.ToJson());
 }
 
+// Guards against responses that are made for each of many peers that lack the same changes, and
+// against a change or removal that such a response lacks.
+TEST(StoreSnapshotTest, ChangesAreTheSameSinceTheEarliestEquivalentRevision)
+{
+  StoreSnapshot snapshot;
+  snapshot.Replace({ { "a", 3, false, 1 }, { "b", 5, false, 2 }, { "c", 6, false, 2 } }, 10);
+  snapshot.Apply({ { "a", 14, true, {} }, { "d", 17, false, 4 } }, 20);
+  std::set<policy::StoreRevision> earliest;
+  for (std::uint64_t since = 1; since < 20; ++since) {
+    StoreChanges expected = snapshot.MakeChanges(since);
+    expected.m_since = snapshot.EarliestEquivalent(since);
+    earliest.insert(expected.m_since);
+    EXPECT_LE(expected.m_since, since);
+    EXPECT_EQ(snapshot.MakeChanges(expected.m_since).ToJson(), expected.ToJson()) << since;
+  }
+  EXPECT_EQ(earliest, (std::set<policy::StoreRevision>{ 1, 5, 6, 10, 14, 17 }));
+}
+
 // Changes that start after the own revision would leave a gap.
 TEST(StoreSnapshotTest, ChangesWithAGapAreIgnored)
 {
--- a/packages/gateway/tests/StoreSyncTest.cpp
+++ b/packages/gateway/tests/StoreSyncTest.cpp
@@ -525,6 +525,9 @@
     EXPECT_NE(Body(after), nullptr);
     EXPECT_EQ(Body(after), Body(after)) << "the same object";
   }
+  EXPECT_EQ(Body(8), Body(9)) << "the same changes";
+  EXPECT_NE(Body(6), Body(9));
+  EXPECT_NE(Body(6), Body(0)) << "changes instead of all objects";
   const std::weak_ptr<const std::string> before = Body(6);
   EXPECT_FALSE(before.expired());
   m_hasChanged = true;
