gateway: log fetches from peers that fail, and the bytes that had arrived

Cause: a fetch from a peer that timed out or broke off left no trace, so that it could not be seen how many changes were asked of peers in vain, and whether the peer was silent or its response was on its way.

Change: FetchResponse says how many bytes were received. peer_fetch_failed names the peer, the kind, status, timed_out, bytes and age_ms; store_watch_failed has bytes as well.

--- a/packages/gateway/src/HttpFetch.cpp
+++ b/packages/gateway/src/HttpFetch.cpp
@@ -36,6 +36,7 @@
   m_request = std::move(aRequest);
   m_onDone = std::move(aOnDone);
   ++m_exchangeNumber;
+  m_receivedBytes = 0;
   m_timer.expires_after(m_request.m_timeout);
   m_timer.async_wait([self = shared_from_this(),
                       exchange = m_exchangeNumber](const boost::system::error_code& aError) {
@@ -135,6 +136,7 @@
     return;
   }
   m_buffer.commit(aBytes);
+  m_receivedBytes += aBytes;
   while (m_buffer.size() > 0 && !m_parser->is_done()) {
     boost::system::error_code error;
     m_buffer.consume(m_parser->put(m_buffer.data(), error));
@@ -162,6 +164,7 @@
   if (!response.m_fields.count(http::field::connection) && m_buffer.size() == 0) {
     ++m_exchangeNumber;
     m_timer.cancel();
+    Describe(response);
     const OnDone done = std::exchange(m_onDone, nullptr);
     done(std::move(response));
     return;
@@ -189,6 +192,7 @@
 
 void HttpFetch::Finish(FetchResponse aResponse)
 {
+  Describe(aResponse);
   const OnDone done = std::exchange(m_onDone, nullptr);
   Close();
   if (done) {
@@ -196,4 +200,9 @@
   }
 }
 
+void HttpFetch::Describe(FetchResponse& aResponse) const
+{
+  aResponse.m_receivedBytes = m_receivedBytes;
+}
+
 } // namespace jaylane::gateway
--- a/packages/gateway/src/HttpFetch.h
+++ b/packages/gateway/src/HttpFetch.h
@@ -39,6 +39,8 @@
   boost::beast::http::fields m_fields;
   /// Whether the time limit has ended the exchange, rather than the connection.
   bool m_hasTimedOut = false;
+  /// Bytes received, those of the head and of an incomplete response included.
+  std::size_t m_receivedBytes = 0;
 
   /// @return whether the same call may succeed later: there was no response, or the server turned
   ///         the call away or failed.
@@ -77,6 +79,8 @@
   /// @return whether the body is plain now.
   bool Decode(FetchResponse& aResponse) const;
   void Finish(FetchResponse aResponse);
+  /// Adds what is known of the exchange to its response.
+  void Describe(FetchResponse& aResponse) const;
 
   boost::asio::io_context& m_io;
   std::string m_address;
@@ -87,6 +91,7 @@
   FetchRequest m_request;
   std::string m_requestText;
   OnDone m_onDone;
+  std::size_t m_receivedBytes = 0;
   /// Number of the current exchange; handlers of ended exchanges hold an older one and do nothing.
   std::uint64_t m_exchangeNumber = 0;
 };
--- a/packages/gateway/src/StoreSync.cpp
+++ b/packages/gateway/src/StoreSync.cpp
@@ -468,6 +468,7 @@
                   .Add("kind", KindName(m_kind))
                   .Add("status", aResponse.m_status)
                   .Add("timed_out", aResponse.m_hasTimedOut)
+                  .Add("bytes", aResponse.m_receivedBytes)
                   .Add("age_ms", WatchAge()));
     if (aResponse.m_hasTimedOut && !m_isRenewed) {
       m_isWatching = true;
@@ -665,6 +666,7 @@
     m_peerFetchAddress = aPeer;
   }
   m_isPeerFetchPending = true;
+  m_peerFetchStarted = m_clock.Monotonic();
   const policy::StoreRevision present = m_snapshot.Revision();
   m_peerFetch->Start(
     { "GET",
@@ -685,6 +687,15 @@
 void KindWatcher::OnPeerResponse(const std::string& aPeer, const FetchResponse& aResponse)
 {
   m_isPeerFetchPending = false;
+  if (aResponse.m_status != 200 && aResponse.m_status != 404) { // 404: it has nothing newer.
+    m_log.Write(base::LogRecord("peer_fetch_failed")
+                  .Add("peer", aPeer)
+                  .Add("kind", KindName(m_kind))
+                  .Add("status", aResponse.m_status)
+                  .Add("timed_out", aResponse.m_hasTimedOut)
+                  .Add("bytes", aResponse.m_receivedBytes)
+                  .Add("age_ms", m_clock.Monotonic() - m_peerFetchStarted));
+  }
   const bool isAdopted = aResponse.m_status == 200 && AdoptPeerResponse(aPeer, aResponse.m_body);
   m_peerFetchFailures = isAdopted ? 0 : m_peerFetchFailures + 1;
   if (m_isPaused && IsBehind()) {
--- a/packages/gateway/src/StoreSync.h
+++ b/packages/gateway/src/StoreSync.h
@@ -264,6 +264,7 @@
   std::shared_ptr<HttpFetch> m_peerFetch;
   std::string m_peerFetchAddress;
   bool m_isPeerFetchPending = false;
+  base::MonotonicTime m_peerFetchStarted;
   std::uint32_t m_peerFetchFailures = 0;
   std::chrono::milliseconds m_backoff{ 0 };
   std::uint32_t m_unreadableCount = 0;
--- a/packages/gateway/tests/RecordingSync.h
+++ b/packages/gateway/tests/RecordingSync.h
@@ -137,6 +137,14 @@
     return m_changes;
   }
 
+  /// Waits until a log record contains the text.
+  bool WaitForLog(const std::string& aText, std::chrono::milliseconds aLimit)
+  {
+    std::unique_lock lock(m_mutex);
+    return m_changed.wait_for(
+      lock, aLimit, [&] { return m_logText.find(aText) != std::string::npos; });
+  }
+
   std::vector<StoredObject> Configurations()
   {
     const std::lock_guard lock(m_mutex);
@@ -146,9 +154,14 @@
 private:
   GatewaySettings m_settings;
   TestDialect m_dialect;
-  base::AsyncLog m_log{ "vm", base::SystemClock::Get(), { 64, 1000, [](std::string_view) {} } };
   std::mutex m_mutex;
   std::condition_variable m_changed;
+  std::string m_logText;
+  base::AsyncLog m_log{ "vm", base::SystemClock::Get(), { 64, 1000, [this](std::string_view aText) {
+                                                           const std::lock_guard lock(m_mutex);
+                                                           m_logText += aText;
+                                                           m_changed.notify_all();
+                                                         } } };
   std::vector<StoredObject> m_configurations;
   std::size_t m_changes = 0;
   int m_outages = 0;
--- a/packages/gateway/tests/StoreSyncTest.cpp
+++ b/packages/gateway/tests/StoreSyncTest.cpp
@@ -572,6 +572,19 @@
   EXPECT_EQ(Calls(m_store, "/list/0 "), 1U);
 }
 
+// A peer stops in the middle of its response. Guards against fetches from peers that fail without a
+// trace in the log.
+TEST_F(RelyingVmTest, LogsAFetchFromAPeerThatFails)
+{
+  ScriptedUpstream peer(
+    [](const SeenRequest&) { return Script{ "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nx" }; });
+  m_vm.Sync().OnPeerRevisions({ 12, 0, 0 }, peer.Address());
+  EXPECT_TRUE(m_vm.WaitForLog(fmt::format(R"("peer_fetch_failed","peer":"{}","kind":)"
+                                          R"("configuration","status":0,"timed_out":1,"bytes":39)",
+                                          peer.Address()),
+                              3000ms));
+}
+
 // Guards against waiting for a change that no peer provides, and against listing all objects for
 // it, which is the slowest call of all on a VM that is behind.
 TEST_F(RelyingVmTest, AsksTheStoreIfNoPeerHasTheChange)
