gateway: time limits of HttpFetch that tell a silent server from one that sends

Cause: FetchRequest::m_timeout bounds the whole exchange, so that a large response over a slow link is given up half way like that of a silent server.

Change: FetchRequest::m_transfer, if set, limits m_timeout to the time until the body begins to arrive, and then each pause between received bytes and the transfer as a whole. Bytes that wait in the socket when the event loop is late are no pause. FetchResponse tells the delay until the body began, and whether bytes still arrived when the limit of the transfer ended the call. Without m_transfer nothing changes. ScriptedUpstream can send a response in pieces.

Result: HttpFetchTest passes.

--- a/packages/gateway/src/HttpFetch.cpp
+++ b/packages/gateway/src/HttpFetch.cpp
@@ -3,6 +3,7 @@
 #include "Compression.h"
 #include "SocketOptions.h"
 
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/string.hpp>
@@ -16,6 +17,8 @@
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
 
+using Clock = asio::steady_timer::clock_type;
+
 constexpr std::size_t kReadBytes = 16 * 1024;
 /// Received bytes that the parser may leave in the buffer: a chunk's size and extension, or the
 /// trailer.
@@ -37,15 +40,9 @@
   m_onDone = std::move(aOnDone);
   ++m_exchangeNumber;
   m_receivedBytes = 0;
-  m_timer.expires_after(m_request.m_timeout);
-  m_timer.async_wait([self = shared_from_this(),
-                      exchange = m_exchangeNumber](const boost::system::error_code& aError) {
-    if (!aError && exchange == self->m_exchangeNumber) {
-      FetchResponse response;
-      response.m_hasTimedOut = true;
-      self->Finish(std::move(response));
-    }
-  });
+  m_startedAt = Clock::now();
+  m_bodyBeganAt.reset();
+  ScheduleTimeout();
   if (m_socket.is_open() && IsIdleAndOpen(m_socket)) {
     Send();
   } else {
@@ -70,6 +67,46 @@
   }
 }
 
+void HttpFetch::ScheduleTimeout()
+{
+  m_timer.expires_at(Deadline());
+  m_timer.async_wait([self = shared_from_this(),
+                      exchange = m_exchangeNumber](const boost::system::error_code& aError) {
+    if (!aError && exchange == self->m_exchangeNumber) {
+      self->OnTimer();
+    }
+  });
+}
+
+HttpFetch::TimePoint HttpFetch::Deadline() const
+{
+  if (!m_request.m_transfer || !m_bodyBeganAt) {
+    return m_startedAt + m_request.m_timeout;
+  }
+  return std::min(m_lastReceivedAt + m_request.m_transfer->m_pause,
+                  *m_bodyBeganAt + m_request.m_transfer->m_total);
+}
+
+void HttpFetch::OnTimer()
+{
+  const TimePoint now = Clock::now();
+  if (IsReceiving() && m_request.m_transfer) {
+    boost::system::error_code ignored;
+    if (m_socket.available(ignored) > 0) {
+      m_lastReceivedAt = now; // They may have arrived in time and the event loop be late.
+    }
+  }
+  if (Deadline() > now) {
+    ScheduleTimeout();
+    return;
+  }
+  FetchResponse response;
+  response.m_hasTimedOut = true;
+  response.m_wasArriving =
+    IsReceiving() && m_request.m_transfer && now - m_lastReceivedAt < m_request.m_transfer->m_pause;
+  Finish(std::move(response));
+}
+
 void HttpFetch::Connect()
 {
   boost::system::error_code ignored;
@@ -137,6 +174,7 @@
   }
   m_buffer.commit(aBytes);
   m_receivedBytes += aBytes;
+  m_lastReceivedAt = Clock::now();
   while (m_buffer.size() > 0 && !m_parser->is_done()) {
     boost::system::error_code error;
     m_buffer.consume(m_parser->put(m_buffer.data(), error));
@@ -148,6 +186,11 @@
       return;
     }
   }
+  const bool hasBegun = m_parser->is_done() || !m_parser->get().body().empty();
+  if (hasBegun && !m_bodyBeganAt) {
+    m_bodyBeganAt = m_lastReceivedAt;
+    ScheduleTimeout(); // The limit for pauses may be shorter than the one until here.
+  }
   if (!m_parser->is_done()) {
     Read();
     return;
@@ -203,6 +246,10 @@
 void HttpFetch::Describe(FetchResponse& aResponse) const
 {
   aResponse.m_receivedBytes = m_receivedBytes;
+  if (m_bodyBeganAt) {
+    aResponse.m_delay =
+      std::chrono::duration_cast<std::chrono::milliseconds>(*m_bodyBeganAt - m_startedAt);
+  }
 }
 
 } // namespace jaylane::gateway
--- a/packages/gateway/src/HttpFetch.h
+++ b/packages/gateway/src/HttpFetch.h
@@ -15,13 +15,23 @@
 
 namespace jaylane::gateway {
 
+/// Time limits of a response whose body has begun to arrive.
+struct TransferLimits
+{
+  /// Between received bytes.
+  std::chrono::milliseconds m_pause{ 0 };
+  /// From the first byte of the body to the end of the response.
+  std::chrono::milliseconds m_total{ 0 };
+};
+
 /// An HTTP request that the gateway makes for itself, to the store, a peer or a health endpoint.
 struct FetchRequest
 {
   std::string m_method = "GET";
   std::string m_target;
   std::string m_body;
-  /// Time limit for the whole exchange, connecting included.
+  /// Time limit, connecting included, for the whole exchange or, with m_transfer, until the body of
+  /// the response begins to arrive. Servers of long polls may send the head long before.
   std::chrono::milliseconds m_timeout{ 1000 };
   /// Largest response body. A list of the store has about one megabyte at most.
   /// Applies to the body as received and as decompressed.
@@ -29,6 +39,7 @@
   /// Whether the server may compress the response body. The response has it decompressed. One that
   /// cannot be decompressed counts as none.
   bool m_acceptsGzip = false;
+  std::optional<TransferLimits> m_transfer = std::nullopt;
 };
 
 /// The response to a FetchRequest; status 0 if there was none.
@@ -37,8 +48,12 @@
   unsigned m_status = 0;
   std::string m_body;
   boost::beast::http::fields m_fields;
-  /// Whether the time limit has ended the exchange, rather than the connection.
+  /// Whether a time limit has ended the exchange, rather than the connection.
   bool m_hasTimedOut = false;
+  /// The limit was TransferLimits::m_total while bytes still arrived.
+  bool m_wasArriving = false;
+  /// Time from the start of the exchange until the body began to arrive; nothing if it did not.
+  std::optional<std::chrono::milliseconds> m_delay;
   /// Bytes received, those of the head and of an incomplete response included.
   std::size_t m_receivedBytes = 0;
 
@@ -70,7 +85,15 @@
   /// Closes the connection unless an exchange is pending, so that the next one uses a new one.
   void CloseIfIdle();
 
+  /// @return whether an exchange is pending and the body of its response has begun to arrive.
+  bool IsReceiving() const { return m_onDone && m_bodyBeganAt; }
+
+  /// @return bytes of the pending or last response that were received, those of the head included.
+  std::size_t ReceivedBytes() const { return m_receivedBytes; }
+
 private:
+  using TimePoint = boost::asio::steady_timer::time_point;
+
   void Connect();
   void Send();
   void Read();
@@ -78,6 +101,10 @@
   /// Decompresses the body if the request allowed the server to compress it.
   /// @return whether the body is plain now.
   bool Decode(FetchResponse& aResponse) const;
+  void ScheduleTimeout();
+  void OnTimer();
+  /// @return when the exchange ends unless bytes arrive before.
+  TimePoint Deadline() const;
   void Finish(FetchResponse aResponse);
   /// Adds what is known of the exchange to its response.
   void Describe(FetchResponse& aResponse) const;
@@ -92,6 +119,9 @@
   std::string m_requestText;
   OnDone m_onDone;
   std::size_t m_receivedBytes = 0;
+  TimePoint m_startedAt;
+  std::optional<TimePoint> m_bodyBeganAt;
+  TimePoint m_lastReceivedAt;
   /// Number of the current exchange; handlers of ended exchanges hold an older one and do nothing.
   std::uint64_t m_exchangeNumber = 0;
 };
--- a/packages/gateway/tests/HttpFetchTest.cpp
+++ b/packages/gateway/tests/HttpFetchTest.cpp
@@ -15,9 +15,13 @@
 class HttpFetchTest : public testing::Test
 {
 protected:
-  FetchResponse Fetch(HttpFetch& aFetch, std::chrono::milliseconds aTimeout = 1000ms)
+  FetchResponse Fetch(HttpFetch& aFetch,
+                      std::chrono::milliseconds aTimeout = 1000ms,
+                      std::optional<TransferLimits> aTransfer = std::nullopt)
   {
-    return Fetch(aFetch, { "GET", "/x", {}, aTimeout });
+    FetchRequest request{ "GET", "/x", {}, aTimeout };
+    request.m_transfer = aTransfer;
+    return Fetch(aFetch, std::move(request));
   }
 
   FetchResponse Fetch(HttpFetch& aFetch, FetchRequest aRequest)
@@ -145,5 +149,74 @@
   }
 }
 
+/// A response of 10 pieces.
+Script InPieces(std::chrono::milliseconds aPause)
+{
+  Script script{ "HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\n" + std::string(1000, 'x') };
+  script.m_pieceBytes = script.m_bytes.size() / 10 + 1;
+  script.m_piecePause = aPause;
+  return script;
+}
+
+// Guards against giving up a large response that is arriving over a slow link, and against taking
+// the time of its transfer for the delay of the server.
+TEST_F(HttpFetchTest, ReceivesAResponseThatArrivesForLongerThanTheLimit)
+{
+  ScriptedUpstream server([](const SeenRequest&) { return InPieces(100ms); });
+  const auto fetch = std::make_shared<HttpFetch>(m_io, server.Address());
+  const auto started = std::chrono::steady_clock::now();
+  const FetchResponse response = Fetch(*fetch, 500ms, TransferLimits{ 500ms, 4000ms });
+  const auto elapsed = std::chrono::steady_clock::now() - started;
+  EXPECT_EQ(response.m_status, 200U);
+  EXPECT_GT(elapsed, 700ms);
+  ASSERT_TRUE(response.m_delay);
+  EXPECT_LT(*response.m_delay, elapsed - 700ms);
+}
+
+// Guards against waiting until the end of the transfer time for a connection that has gone silent.
+TEST_F(HttpFetchTest, EndsWhenAServerStopsInTheMiddle)
+{
+  ScriptedUpstream server([](const SeenRequest&) {
+    return Script{ "HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\nx" };
+  });
+  const auto fetch = std::make_shared<HttpFetch>(m_io, server.Address());
+  const auto started = std::chrono::steady_clock::now();
+  const FetchResponse response = Fetch(*fetch, 10'000ms, TransferLimits{ 200ms, 10'000ms });
+  EXPECT_LT(std::chrono::steady_clock::now() - started, 3s);
+  EXPECT_EQ(response.m_status, 0U);
+  EXPECT_TRUE(response.m_hasTimedOut);
+  EXPECT_FALSE(response.m_wasArriving);
+  EXPECT_GT(response.m_receivedBytes, 0U);
+}
+
+// Guards against a call that a server holds for ever by sending a few bytes now and then.
+TEST_F(HttpFetchTest, EndsAtItsTransferTimeWhileBytesArrive)
+{
+  ScriptedUpstream server([](const SeenRequest&) { return InPieces(400ms); });
+  const auto fetch = std::make_shared<HttpFetch>(m_io, server.Address());
+  const auto started = std::chrono::steady_clock::now();
+  const FetchResponse response = Fetch(*fetch, 2000ms, TransferLimits{ 2000ms, 600ms });
+  EXPECT_LT(std::chrono::steady_clock::now() - started, 3s);
+  EXPECT_EQ(response.m_status, 0U);
+  EXPECT_TRUE(response.m_hasTimedOut);
+  EXPECT_TRUE(response.m_wasArriving);
+}
+
+// Guards against waiting for a response by the limit of a pause while the server has sent only the
+// head, as servers of long polls may.
+TEST_F(HttpFetchTest, AHeadAloneIsNoBeginOfTheTransfer)
+{
+  ScriptedUpstream server([](const SeenRequest&) {
+    Script script{ "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx" };
+    script.m_pieceBytes = script.m_bytes.size() - 1;
+    script.m_piecePause = 500ms;
+    return script;
+  });
+  const auto fetch = std::make_shared<HttpFetch>(m_io, server.Address());
+  const FetchResponse response = Fetch(*fetch, 4000ms, TransferLimits{ 100ms, 4000ms });
+  EXPECT_EQ(response.m_status, 200U);
+  EXPECT_GE(response.m_delay.value_or(0ms), 400ms);
+}
+
 } // namespace
 } // namespace jaylane::gateway
--- a/packages/gateway/tests/ScriptedUpstream.cpp
+++ b/packages/gateway/tests/ScriptedUpstream.cpp
@@ -24,6 +24,17 @@
 constexpr int kPausedBufferBytes = 16 * 1024;
 constexpr int kSegmentBytes = 1448;
 
+void WriteInPieces(tcp::socket& aSocket, const Script& aScript, boost::system::error_code& aError)
+{
+  const std::string_view bytes = aScript.m_bytes;
+  const std::size_t piece = aScript.m_pieceBytes > 0 ? aScript.m_pieceBytes : bytes.size();
+  asio::write(aSocket, asio::buffer(bytes.substr(0, piece)), aError);
+  for (std::size_t sent = piece; sent < bytes.size() && !aError; sent += piece) {
+    std::this_thread::sleep_for(aScript.m_piecePause);
+    asio::write(aSocket, asio::buffer(bytes.substr(sent, piece)), aError);
+  }
+}
+
 } // namespace
 
 std::string SeenRequest::Header(const std::string& aName) const
@@ -165,7 +176,7 @@
       ++m_abandoned;
       break;
     }
-    asio::write(aSocket, asio::buffer(script.m_bytes), error);
+    WriteInPieces(aSocket, script, error);
     if (script.m_shutdown) {
       aSocket.shutdown(tcp::socket::shutdown_send, error);
     }
--- a/packages/gateway/tests/ScriptedUpstream.h
+++ b/packages/gateway/tests/ScriptedUpstream.h
@@ -38,6 +38,9 @@
   bool m_shutdown = false;
   /// After m_pause and the bytes, the host fails: it sends nothing more and acknowledges nothing.
   bool m_isHostFailing = false;
+  /// Size of the pieces in which the bytes are sent, 0 for all at once, and delay between them.
+  std::size_t m_pieceBytes = 0;
+  std::chrono::milliseconds m_piecePause{ 0 };
 };
 
 /// When an upstream responds to a request with a body.
