gateway: a response that is arriving is not taken for a silent store or peer

Cause: the limits of the calls of KindWatcher bounded whole exchanges: 312 ms for a peer's response, an eighth of the time for a change beyond the end of a watch of the lead watcher. 780 KB need 0.63 s on a link of 10 Mbit/s. Such responses were given up half way, counted as silence and were fetched again from the start; a watch that was behind a peer was restarted after three checks whether its response was arriving or not.

Change: the limits hold until the body begins and for pauses after that. The transfer may take the time within which a change must be in force, and four times as long once a transfer or call has failed, since a link that is too slow for the first limit would never deliver the change; a peer's response half of that time, so that another source can still follow. A watch whose response is arriving is neither restarted nor in doubt; the checks ask one peer then, once, at the third check. A peer's response that is arriving is not closed for another fetch.

--- a/packages/gateway/src/StoreSync.cpp
+++ b/packages/gateway/src/StoreSync.cpp
@@ -38,6 +38,13 @@
 /// Margins after which a watch on a new connection is no longer taken for a slow one.
 constexpr int kDoubtMargins = 2;
 constexpr milliseconds kListTimeout{ 1500 };
+/// Limit of the transfer of a response of the store, as a multiple of the time within which a
+/// change must be in force, after a transfer or a call has failed. The change is late then, and a
+/// link that is too slow for the first limit would never deliver it.
+constexpr int kLateTransferFactor = 4;
+/// The first limit for responses of peers, as a part of that time, so that another peer or the
+/// store can still deliver the change.
+constexpr int kPeerTransferDivisor = 2;
 /// Delay before the next watch, so that one call fetches several changes, because each call is
 /// charged. Upstreams change most often and announce their drain ahead: their delay is half of
 /// the drain time, which leaves the other half for the call.
@@ -65,8 +72,9 @@
 constexpr milliseconds kMaxRegistrationCheckDelay{ 5000 };
 /// Consecutive failed calls after which peers are asked as well. Single failures are common.
 constexpr std::uint32_t kFailuresBeforeAskingPeers = 2;
-/// Time limit of a fetch of all objects from a peer. Changes are smaller: their limit is a part of
-/// the drain time, since another peer or the store may have to be asked afterwards.
+/// Time within which a peer must begin to respond to a fetch of all objects, and limit of pauses
+/// after that. For changes it is a part of the drain time, since another peer or the store may have
+/// to be asked afterwards.
 constexpr milliseconds kPeerTimeout{ 500 };
 constexpr int kPeerTimeoutDrainDivisor = 8;
 /// Delay before another peer is asked. The change reaches most peers in the meantime.
@@ -184,13 +192,15 @@
   }
   m_peerRevisionAtCall = m_peerRevision;
   m_listStarted = m_clock.Monotonic();
-  m_fetch->Start(
-    { "GET", m_dialect.ListTarget(m_kind, aAfter, Freshness::Current), {}, kListTimeout },
-    [this, after = aAfter](const FetchResponse& aResponse) {
-      if (!base::ContainErrors(m_log, "list", [&] { OnListed(aResponse, after); })) {
-        OnFailure(aResponse);
-      }
-    });
+  FetchRequest request{
+    "GET", m_dialect.ListTarget(m_kind, aAfter, Freshness::Current), {}, kListTimeout
+  };
+  request.m_transfer = StoreTransfer(kListTimeout);
+  m_fetch->Start(std::move(request), [this, after = aAfter](const FetchResponse& aResponse) {
+    if (!base::ContainErrors(m_log, "list", [&] { OnListed(aResponse, after); })) {
+      OnFailure(aResponse);
+    }
+  });
 }
 
 void KindWatcher::OnListed(const FetchResponse& aResponse, const std::string& aAfter)
@@ -297,6 +307,18 @@
            : std::min(kPeerTimeout, m_drainTime / kPeerTimeoutDrainDivisor);
 }
 
+TransferLimits KindWatcher::StoreTransfer(milliseconds aPause) const
+{
+  const bool isLate = m_hasFailed || m_isTransferLate;
+  return { aPause, m_changeTime * (isLate ? kLateTransferFactor : 1) };
+}
+
+TransferLimits KindWatcher::PeerTransfer() const
+{
+  const bool hasObjects = m_snapshot.Revision() != policy::StoreRevision{};
+  return { PeerTimeout(), m_changeTime / (hasObjects ? kPeerTransferDivisor : 1) };
+}
+
 milliseconds KindWatcher::BehindCheckInterval() const
 {
   return std::min(kBehindCheckInterval, m_changeTime / kBehindCheckDivisor);
@@ -328,7 +350,8 @@
 
 bool KindWatcher::IsInDoubt() const
 {
-  return m_isWatching && m_isRenewed && WatchAge() >= LeadMargin() * kDoubtMargins;
+  return m_isWatching && m_isRenewed && !m_fetch->IsReceiving() &&
+         WatchAge() >= LeadMargin() * kDoubtMargins;
 }
 
 void KindWatcher::MeasureResponseDelay(milliseconds aDelay)
@@ -405,6 +428,9 @@
     m_fetch->CloseIfIdle();
     return;
   }
+  if (m_fetch->IsReceiving()) {
+    return; // If it stops arriving, the limit of pauses ends it.
+  }
   m_fetch->Close();
   m_fetch = std::make_shared<HttpFetch>(m_io, m_storeAddress);
   m_isRenewed = true;
@@ -439,15 +465,15 @@
   m_watchRevision = m_snapshot.Revision();
   m_watchTime = aWait;
   m_peerRevisionAtCall = m_peerRevision;
-  m_fetch->Start({ "GET",
-                   m_dialect.WatchTarget(m_kind, m_snapshot.Revision(), aWait),
-                   {},
-                   aWait + ResponseMargin() },
-                 [this](const FetchResponse& aResponse) {
-                   if (!base::ContainErrors(m_log, "watch", [&] { OnWatched(aResponse); })) {
-                     OnFailure(aResponse);
-                   }
-                 });
+  FetchRequest request{
+    "GET", m_dialect.WatchTarget(m_kind, m_snapshot.Revision(), aWait), {}, aWait + ResponseMargin()
+  };
+  request.m_transfer = StoreTransfer(ResponseMargin());
+  m_fetch->Start(std::move(request), [this](const FetchResponse& aResponse) {
+    if (!base::ContainErrors(m_log, "watch", [&] { OnWatched(aResponse); })) {
+      OnFailure(aResponse);
+    }
+  });
 }
 
 void KindWatcher::OnWatched(const FetchResponse& aResponse)
@@ -472,7 +498,8 @@
                   .Add("age_ms", WatchAge()));
     if (aResponse.m_hasTimedOut && !m_isRenewed) {
       m_isWatching = true;
-      m_isOverdue = true;
+      m_isOverdue = !aResponse.m_wasArriving;
+      m_isTransferLate = aResponse.m_wasArriving;
       RestartWatch();
     } else {
       OnFailure(aResponse);
@@ -591,7 +618,18 @@
                   .Add("kind", KindName(m_kind))
                   .Add("revision", m_watchRevision.Number())
                   .Add("peer_revision", m_peerRevision.Number())
-                  .Add("checks", aChecks + 1));
+                  .Add("checks", aChecks + 1)
+                  .Add("bytes", m_fetch->ReceivedBytes()));
+    if (m_fetch->IsReceiving()) {
+      // A peer's response would share the link and the processor with this one: one peer is asked,
+      // once in this watch, and only if the transfer takes long.
+      if (aChecks + 1 < kChecksBeforeRestart) {
+        ScheduleBehindCheck(aWatch, aChecks + 1);
+      } else if (IsBehind()) {
+        FetchFromPeer(m_newestPeer);
+      }
+      return;
+    }
     if (aChecks + 1 < kChecksBeforeRestart) {
       if (IsBehind()) {
         aChecks == 0 ? FetchFromPeer(m_newestPeer) : FetchFromNextPeer();
@@ -615,6 +653,7 @@
     m_hooks.m_onSilence(); // The store answers on a new connection.
   }
   m_isRenewed = false;
+  m_isTransferLate = false;
   if (m_hasFailed) {
     m_hasFailed = false;
     m_log.Write(base::LogRecord("dependency_regained")
@@ -658,6 +697,9 @@
 
 void KindWatcher::FetchFromPeer(const std::string& aPeer)
 {
+  if (m_isPeerFetchPending && m_peerFetch->IsReceiving()) {
+    return;
+  }
   if (!m_peerFetch || m_isPeerFetchPending || aPeer != m_peerFetchAddress) {
     if (m_peerFetch) {
       m_peerFetch->Close();
@@ -668,20 +710,22 @@
   m_isPeerFetchPending = true;
   m_peerFetchStarted = m_clock.Monotonic();
   const policy::StoreRevision present = m_snapshot.Revision();
-  m_peerFetch->Start(
-    { "GET",
-      fmt::format("{}{}{}{}{}{}",
-                  kSnapshotPathPrefix,
-                  KindName(m_kind),
-                  kAfterQuery,
-                  present.Number(),
-                  kEraQuery,
-                  present.Era()),
-      {},
-      PeerTimeout(),
-      kMaxPeerBytes,
-      /*m_acceptsGzip=*/true },
-    [this, peer = aPeer](const FetchResponse& aResponse) { OnPeerResponse(peer, aResponse); });
+  FetchRequest request{ "GET",
+                        fmt::format("{}{}{}{}{}{}",
+                                    kSnapshotPathPrefix,
+                                    KindName(m_kind),
+                                    kAfterQuery,
+                                    present.Number(),
+                                    kEraQuery,
+                                    present.Era()),
+                        {},
+                        PeerTimeout(),
+                        kMaxPeerBytes,
+                        /*m_acceptsGzip=*/true };
+  request.m_transfer = PeerTransfer();
+  m_peerFetch->Start(std::move(request), [this, peer = aPeer](const FetchResponse& aResponse) {
+    OnPeerResponse(peer, aResponse);
+  });
 }
 
 void KindWatcher::OnPeerResponse(const std::string& aPeer, const FetchResponse& aResponse)
--- a/packages/gateway/src/StoreSync.h
+++ b/packages/gateway/src/StoreSync.h
@@ -96,7 +96,8 @@
   void SetLead(bool aIsLead);
 
   /// Starts the pending watch, if there is one, again on a new connection, because the present one
-  /// may be silent. Without a watch, the next call uses a new connection.
+  /// may be silent, unless its response is arriving. Without a watch, the next call uses a new
+  /// connection.
   void RestartWatch();
 
   /// The same unless the pending watch was restarted already.
@@ -142,8 +143,12 @@
   /// @param aAfter name that the page begins after; empty for the first page.
   void OnListed(const FetchResponse& aResponse, const std::string& aAfter);
   std::chrono::milliseconds FirstWatchDelay() const;
-  /// Time limit of one exchange with a peer.
+  /// Time within which a peer must have begun to respond, and limit of pauses after that.
   std::chrono::milliseconds PeerTimeout() const;
+  /// Limits of a response of the store that has begun to arrive.
+  /// @param aPause limit between received bytes.
+  TransferLimits StoreTransfer(std::chrono::milliseconds aPause) const;
+  TransferLimits PeerTransfer() const;
   std::chrono::milliseconds BehindCheckInterval() const;
   /// Time after which the store responds to a watch of the lead watcher without changes.
   std::chrono::milliseconds LeadWatchTime() const;
@@ -172,13 +177,15 @@
   /// Forgets the announced changes that this VM has by now, or that do not exist.
   void TrimAnnounced();
   /// Checks after a while whether the watch is still behind a peer: fetches a peer's snapshot then,
-  /// and reconnects to the store after several checks.
+  /// and reconnects to the store after several checks. While a response to the watch is arriving,
+  /// the connection stays, and only the last check asks a peer.
   /// @param aWatch number of the watch; a later watch ends the checks.
   /// @param aChecks number of checks of this watch so far.
   void ScheduleBehindCheck(std::uint32_t aWatch, std::uint32_t aChecks);
   /// @param aResponse the response that can't be used, if there was one.
   void OnFailure(const FetchResponse& aResponse);
   void FetchFromNextPeer();
+  /// Does nothing while another response of a peer is arriving.
   void FetchFromPeer(const std::string& aPeer);
   void OnPeerResponse(const std::string& aPeer, const FetchResponse& aResponse);
   /// Replaces the snapshot by a full list and reports it.
@@ -246,6 +253,8 @@
   std::optional<base::MonotonicTime> m_restartedAt;
   /// The pending watch was moved to a new connection, and no call has succeeded since.
   bool m_isRenewed = false;
+  /// A response to a watch has exceeded the limit of its transfer, and no call has succeeded since.
+  bool m_isTransferLate = false;
   bool m_isLead = false;
   bool m_isBehindCheckPending = false;
   boost::asio::steady_timer m_behindTimer;
--- a/packages/gateway/tests/StoreSyncTest.cpp
+++ b/packages/gateway/tests/StoreSyncTest.cpp
@@ -540,6 +540,70 @@
   EXPECT_EQ(Body(6), nullptr);
 }
 
+/// A store or peer whose configuration object has revision 12 and arrives slowly: 16 pieces of 1 KB
+/// or less, one each 100 ms, which begin after 0.7 s if it is a watch. The first list has revision
+/// 7, other kinds have no objects.
+/// @param aSlow target of the response that is slow; that of other watches is late.
+ScriptedUpstream::Handler ServeSlowly(const std::string& aSlow)
+{
+  return [aSlow](const SeenRequest& aRequest) {
+    if (aRequest.m_head.find(aSlow) == std::string::npos) {
+      const bool isWatch = aRequest.m_head.find("/watch/") != std::string::npos;
+      Script script = ServeRevision(7, 0ms)(aRequest);
+      script.m_pause = isWatch ? 8000ms : 0ms;
+      return script;
+    }
+    Script script = Text(
+      "200 OK",
+      fmt::format(R"({{"revision":15,"objects":[{{"name":"main","revision":12,"value":"{}"}}]}})",
+                  std::string(15'000, 'x')));
+    script.m_pieceBytes = 1000;
+    script.m_piecePause = 100ms;
+    script.m_pause = aSlow.starts_with("/watch/") ? 700ms : 0ms;
+    return script;
+  };
+}
+
+// A large change arrives for longer than three checks whether the watch is behind a peer or, at the
+// lead watcher, beyond the end of the watch and its margin. Guards against a watch that is taken
+// for silent, and fetches the change again from the start, while it is arriving.
+class SlowTransferTest : public testing::TestWithParam<bool>
+{};
+
+TEST_P(SlowTransferTest, AWatchWhoseResponseIsArrivingGoesOn)
+{
+  ScriptedUpstream store(ServeSlowly("/watch/10/0 "));
+  RecordingSync vm(store.Address(), FreeAddress(), 3600ms);
+  const bool isLead = GetParam();
+  vm.SetLead(isLead);
+  ASSERT_TRUE(vm.WaitUntilFollowing(5s));
+  if (!isLead) {
+    vm.Sync().OnPeerRevisions({ 12, 0, 0 }, "127.0.0.1:1");
+  }
+  EXPECT_TRUE(vm.WaitForRevision(12, 5s));
+  EXPECT_EQ(Calls(store, "/watch/10/0 "), 1U);
+  EXPECT_EQ(vm.Silences(), 0);
+}
+
+INSTANTIATE_TEST_SUITE_P(Roles, SlowTransferTest, testing::Bool());
+
+// Guards against giving up a peer's response that is arriving, at its time limit or because another
+// change is announced.
+TEST(StoreSyncTest, AFetchFromAPeerThatIsArrivingGoesOn)
+{
+  ScriptedUpstream store(ServeSlowly("/none"));
+  ScriptedUpstream peer(ServeSlowly("/snapshots/configuration"));
+  RecordingSync vm(store.Address(), FreeAddress(), 4000ms);
+  vm.Sync().SetRole(policy::StoreRole::Relying, false);
+  ASSERT_TRUE(vm.WaitForRevision(7, 5s));
+  vm.Sync().OnPeerRevisions({ 12, 0, 0 }, peer.Address());
+  std::this_thread::sleep_for(300ms);
+  vm.Sync().OnPeerRevisions({ 13, 0, 0 }, "127.0.0.1:1");
+  EXPECT_TRUE(vm.WaitForRevision(12, 5s));
+  EXPECT_EQ(Calls(peer, "/snapshots/configuration"), 1U);
+  EXPECT_EQ(Calls(store, "/watch/10/0 "), 0U);
+}
+
 /// A VM that relies on others, after the delay of the first watch; its store has revision 7.
 class RelyingVmTest : public testing::Test
 {
