gateway: the delay of the store is measured to the begin of its response

Cause: MeasureResponseDelay got the time to the end of the response, so that a long transfer counted as a slow store and widened the margin within which the lead watcher notices silence, and that of the probe.

Change: it gets the time until the body began to arrive (FetchResponse::m_delay).

--- a/packages/gateway/src/StoreSync.cpp
+++ b/packages/gateway/src/StoreSync.cpp
@@ -191,7 +191,6 @@
     m_revisionAtList = m_snapshot.Revision();
   }
   m_peerRevisionAtCall = m_peerRevision;
-  m_listStarted = m_clock.Monotonic();
   FetchRequest request{
     "GET", m_dialect.ListTarget(m_kind, aAfter, Freshness::Current), {}, kListTimeout
   };
@@ -214,8 +213,7 @@
     OnFailure(aResponse);
     return;
   }
-  MeasureResponseDelay(
-    std::chrono::duration_cast<milliseconds>(m_clock.Monotonic() - m_listStarted));
+  MeasureResponseDelay(aResponse.m_delay.value_or(milliseconds{ 0 }));
   LogUnreadable(batch->m_unreadable);
   batch->SetEra(era);
   if (aAfter.empty()) {
@@ -507,7 +505,8 @@
     return;
   }
   if (batch->m_objects.empty() || m_isRenewed) {
-    MeasureResponseDelay(std::max(milliseconds{ 0 }, WatchAge() - m_watchTime));
+    const milliseconds delay = aResponse.m_delay.value_or(milliseconds{ 0 });
+    MeasureResponseDelay(std::max(milliseconds{ 0 }, delay - m_watchTime));
   }
   batch->SetEra(era);
   if (era != m_watchRevision.Era()) {
--- a/packages/gateway/src/StoreSync.h
+++ b/packages/gateway/src/StoreSync.h
@@ -103,7 +103,7 @@
   /// The same unless the pending watch was restarted already.
   void RenewWatch();
 
-  /// @return smoothed time that the store has needed to respond.
+  /// @return smoothed time that the store has needed to begin a response.
   std::chrono::milliseconds ResponseDelay() const { return m_responseDelay; }
 
   /// @return whether the watch was moved to a new connection a short time ago.
@@ -225,7 +225,6 @@
   policy::StoreRevision m_listRevision;
   /// Revision of the snapshot when the list started.
   policy::StoreRevision m_revisionAtList;
-  base::MonotonicTime m_listStarted;
   StoreSnapshot m_snapshot;
   /// Made from m_snapshot, and dropped when it changes.
   SnapshotResponses m_responses;
@@ -245,7 +244,7 @@
   policy::StoreRevision m_watchRevision;
   /// Time after which the store responds to the last watch without changes.
   std::chrono::milliseconds m_watchTime{ 0 };
-  /// Smoothed time that the store needs to respond.
+  /// Smoothed time that the store needs to begin a response.
   std::chrono::milliseconds m_responseDelay{ 0 };
   /// The pending watch was restarted because the one before it was silent.
   bool m_isOverdue = false;
