gateway: no new time limit for a response that is complete

Cause: HttpFetch armed its timer anew when the body began, also for responses that were complete by then, which are nearly all.

Change: it does so only while more of the response is to come.

--- a/packages/gateway/src/HttpFetch.cpp
+++ b/packages/gateway/src/HttpFetch.cpp
@@ -186,12 +186,14 @@
       return;
     }
   }
-  const bool hasBegun = m_parser->is_done() || !m_parser->get().body().empty();
-  if (hasBegun && !m_bodyBeganAt) {
+  const bool isDone = m_parser->is_done();
+  if (!m_bodyBeganAt && (isDone || !m_parser->get().body().empty())) {
     m_bodyBeganAt = m_lastReceivedAt;
-    ScheduleTimeout(); // The limit for pauses may be shorter than the one until here.
+    if (!isDone) {
+      ScheduleTimeout(); // The limit for pauses may be shorter than the one until here.
+    }
   }
-  if (!m_parser->is_done()) {
+  if (!isDone) {
     Read();
     return;
   }
