gateway: go on asking peers while a watch arrives slowly

Cause: while a response arrived, one peer was asked once, and none if the watch had been moved to a new connection. Change: from the third check on, the checks ask the announcing peer, then the others in turn, as long as the response arrives, on a new connection as well. Result: AsksOtherPeersWhileAWatchArrivesSlowly failed before.

--- a/packages/gateway/src/StoreSync.cpp
+++ b/packages/gateway/src/StoreSync.cpp
@@ -593,7 +593,7 @@
       m_behindTimer.cancel();
       FetchFromPeer(aPeer);
     }
-  } else if (m_isWatching && !m_isRenewed && !m_isBehindCheckPending) {
+  } else if (m_isWatching && (!m_isRenewed || m_fetch->IsReceiving()) && !m_isBehindCheckPending) {
     m_isBehindCheckPending = true;
     ScheduleBehindCheck(m_watchNumber, 0);
   }
@@ -618,13 +618,16 @@
                   .Add("checks", aChecks + 1)
                   .Add("bytes", m_fetch->ReceivedBytes()));
     if (m_fetch->IsReceiving()) {
-      // A peer's response would share the link and the processor with this one: one peer is asked,
-      // once in this watch, and only if the transfer takes long.
-      if (aChecks + 1 < kChecksBeforeRestart) {
-        ScheduleBehindCheck(aWatch, aChecks + 1);
-      } else if (IsBehind()) {
-        FetchFromPeer(m_newestPeer);
+      // A peer's response would share the link and the processor with this one, so that peers are
+      // asked only if the transfer takes long.
+      if (IsBehind() && aChecks + 1 >= kChecksBeforeRestart) {
+        aChecks + 1 == kChecksBeforeRestart ? FetchFromPeer(m_newestPeer) : FetchFromNextPeer();
       }
+      ScheduleBehindCheck(aWatch, aChecks + 1);
+      return;
+    }
+    if (m_isRenewed) {
+      m_isBehindCheckPending = false; // The limit of the call decides whether it is silent.
       return;
     }
     if (aChecks + 1 < kChecksBeforeRestart) {
--- a/packages/gateway/tests/StoreSyncTest.cpp
+++ b/packages/gateway/tests/StoreSyncTest.cpp
@@ -618,6 +618,29 @@
   }
 }
 
+// The peer that announced a change does not answer while a watch is arriving. Guards against asking
+// no other peer until the watch has ended.
+TEST(StoreSyncTest, AsksOtherPeersWhileAWatchArrivesSlowly)
+{
+  ScriptedUpstream store(ServeSlowly("/watch/10/0 "));
+  ScriptedUpstream peer([](const SeenRequest& aRequest) {
+    return aRequest.m_head.find("/snapshots/configuration?") == std::string::npos
+             ? Text("404 Not Found", "")
+             : Text("200 OK",
+                    R"({"since":10,"revision":20,)"
+                    R"("objects":[{"name":"main","revision":18,"value":1}]})");
+  });
+  RecordingSync vm(store.Address(), FreeAddress(), 800ms);
+  vm.Sync().SetPeers({ peer.Address() });
+  ASSERT_TRUE(vm.WaitUntilFollowing(5s));
+  for (int i = 0; i < 60 && Calls(store, "/watch/10/0 ") == 0; ++i) {
+    std::this_thread::sleep_for(50ms);
+  }
+  std::this_thread::sleep_for(900ms); // The response is arriving, and goes on for 1.3 s.
+  vm.Sync().OnPeerRevisions({ 18, 0, 0 }, "127.0.0.1:1");
+  EXPECT_TRUE(vm.WaitForRevision(18, 1000ms));
+}
+
 /// A VM that relies on others, after the delay of the first watch; its store has revision 7.
 class RelyingVmTest : public testing::Test
 {
