--- a/packages/gateway/src/HttpFetch.h
+++ b/packages/gateway/src/HttpFetch.h
@@ -39,6 +39,7 @@
   /// Whether the server may compress the response body. The response has it decompressed. One that
   /// cannot be decompressed counts as none.
   bool m_acceptsGzip = false;
+  /// Limits from the begin of the body on; nothing if m_timeout is the only limit.
   std::optional<TransferLimits> m_transfer = std::nullopt;
 };
 
--- a/packages/gateway/src/StoreSync.h
+++ b/packages/gateway/src/StoreSync.h
@@ -178,7 +178,7 @@
   void TrimAnnounced();
   /// Checks after a while whether the watch is still behind a peer: fetches a peer's snapshot then,
   /// and reconnects to the store after several checks. While a response to the watch is arriving,
-  /// the connection stays, and only the last check asks a peer.
+  /// the connection stays, and peers are asked from the last of these checks on.
   /// @param aWatch number of the watch; a later watch ends the checks.
   /// @param aChecks number of checks of this watch so far.
   void ScheduleBehindCheck(std::uint32_t aWatch, std::uint32_t aChecks);
